--- /dev/null
+++ b/Makefile
@@ -0,0 +1,26 @@
+VENV ?= .venv
+PY = $(VENV)/bin/python
+STAMP = $(VENV)/.installed
+
+.PHONY: demo test check format
+
+demo: $(STAMP)
+	PATH="$(CURDIR)/$(VENV)/bin:$$PATH" sh scripts/demo.sh $(ARGS)
+
+test: $(STAMP) check
+	$(PY) -m pytest -n 4
+
+check: $(STAMP)
+	$(PY) -m black --check figtray
+	$(PY) -m flake8 figtray
+
+format: $(STAMP)
+	$(PY) -m black --quiet figtray
+
+$(STAMP): requirements.txt requirements-dev.txt pyproject.toml
+	test -x $(PY) || python3 -m venv $(VENV)
+	$(PY) -m pip install --quiet --disable-pip-version-check \
+		-r requirements-dev.txt
+	$(PY) -m pip install --quiet --disable-pip-version-check \
+		--no-deps --no-build-isolation --editable .
+	touch $(STAMP)
--- /dev/null
+++ b/figtray/configuration/__init__.py
@@ -0,0 +1,1 @@
+"""Operators' configuration: resources, history, replicas and writer."""
--- /dev/null
+++ b/figtray/hostlist/__init__.py
@@ -0,0 +1,1 @@
+"""Client interface to the platform's list of live and leaving hosts."""
--- /dev/null
+++ b/figtray/idempotency/__init__.py
@@ -0,0 +1,1 @@
+"""Placeholder."""
--- /dev/null
+++ b/figtray/store/__init__.py
@@ -0,0 +1,1 @@
+"""Client interface to the platform's key-value service."""
--- /dev/null
+++ b/figtray/store/base.py
@@ -0,0 +1,161 @@
+"""Interface of the platform's key-value service."""
+
+import dataclasses
+
+
+@dataclasses.dataclass(frozen=True)
+class KeyValue:
+    """One key with its value and revisions; a deletion has no value."""
+
+    key: str
+    value: bytes
+    mod_revision: int
+    create_revision: int = 0
+    lease: int = 0
+    deleted: bool = False
+
+
+@dataclasses.dataclass(frozen=True)
+class Compare:
+    """Condition of a transaction: a revision of a key equals a value.
+
+    A mod_revision of 0 states that the key is absent.
+    """
+
+    key: str
+    field: str
+    value: int
+
+
+@dataclasses.dataclass(frozen=True)
+class Put:
+    """Write of one key, bound to a lease unless the lease is 0."""
+
+    key: str
+    value: bytes
+    lease: int = 0
+
+
+@dataclasses.dataclass(frozen=True)
+class RangeResult:
+    """Keys below a prefix, in key order, as of one revision."""
+
+    items: tuple
+    revision: int
+
+
+@dataclasses.dataclass(frozen=True)
+class TxnResult:
+    """Outcome of a transaction and the store's revision after it."""
+
+    succeeded: bool
+    revision: int
+
+
+class Store:
+    """Compare-and-swap, leases and watches over byte values."""
+
+    def get(self, key):
+        """Read one key.
+
+        Args:
+            key: the key.
+
+        Returns:
+            A KeyValue, or None if the key is absent.
+
+        Raises:
+            StoreUnavailable: the store did not answer.
+        """
+        raise NotImplementedError
+
+    def range(self, prefix):
+        """Read all keys below a prefix.
+
+        Args:
+            prefix: common start of the keys.
+
+        Returns:
+            A RangeResult.
+
+        Raises:
+            StoreUnavailable: the store did not answer.
+        """
+        raise NotImplementedError
+
+    def txn(self, compares, puts=(), deletes=()):
+        """Write several keys at once if all conditions hold.
+
+        Args:
+            compares: Compare conditions.
+            puts: Put operations.
+            deletes: keys to delete.
+
+        Returns:
+            A TxnResult.
+
+        Raises:
+            StoreUnavailable: the transaction did not take effect.
+            WriteUncertain: the transaction may have taken effect.
+        """
+        raise NotImplementedError
+
+    def grant_lease(self, ttl_ms):
+        """Create a lease.
+
+        Args:
+            ttl_ms: life without renewal in milliseconds; a store may round
+                it up to whole seconds.
+
+        Returns:
+            The lease id.
+
+        Raises:
+            StoreUnavailable: the store did not answer.
+        """
+        raise NotImplementedError
+
+    def keep_alive(self, lease_id):
+        """Renew a lease.
+
+        Args:
+            lease_id: the lease.
+
+        Returns:
+            The remaining life in milliseconds; 0 if the lease has ended.
+
+        Raises:
+            StoreUnavailable: the store did not answer.
+        """
+        raise NotImplementedError
+
+    def revoke(self, lease_id):
+        """End a lease and delete its keys.
+
+        Args:
+            lease_id: the lease; one that has ended is ignored.
+
+        Raises:
+            StoreUnavailable: the store did not answer.
+        """
+        raise NotImplementedError
+
+    def watch(self, prefix, start_revision, stop):
+        """Yield the changes below a prefix as they happen.
+
+        Args:
+            prefix: common start of the keys.
+            start_revision: first revision of interest.
+            stop: threading.Event that ends the watch.
+
+        Yields:
+            KeyValue, one for each change; None at least once a second when
+            nothing changed, so that the caller can look at its own state.
+
+        Raises:
+            StoreUnavailable: the watch broke; start it again after a range.
+        """
+        raise NotImplementedError
+
+    def close(self):
+        """Release all connections."""
--- /dev/null
+++ b/figtray/workers/__init__.py
@@ -0,0 +1,1 @@
+"""Client interface to the workers that run tasks."""
