Read settings from JSON with comments into typed structs

Cause: every program needs its addresses, zone and bounds from a file, and a misspelt or unsuitable field must stop the program before a socket opens. Ruled out: msgspec's own JSON reader, which has no comments and no trailing commas; reporting a byte offset, because operators edit by line. The value of credential_hash is not shown in messages.

--- a/figtray/settings/__init__.py
+++ b/figtray/settings/__init__.py
@@ -1,1 +1,1 @@
-"""Placeholder."""
+"""Typed settings of the programs, read from JSON with comments."""
--- /dev/null
+++ b/figtray/settings/loader.py
@@ -0,0 +1,197 @@
+"""Reader of settings files: JSON5, includes, types and rules."""
+
+import pathlib
+import re
+
+import msgspec
+import pyjson5
+
+from figtray import errors
+from figtray.settings import positions
+
+INCLUDE_FIELD = 'include'
+MAX_FILE_BYTES = 1 << 20
+MAX_INCLUDE_DEPTH = 8
+
+# Values of these fields never appear in an error message.
+HIDDEN_FIELDS = frozenset({'credential_hash'})
+
+_MSGSPEC_PATH = re.compile(r'(?P<problem>.*?)(?: - at `(?P<path>[^`]*)`)?\Z')
+_PYJSON5_OFFSET = re.compile(r'near (\d+)')
+_UNKNOWN = re.compile(r'Object contains unknown field `(.*)`\Z')
+_STEP = re.compile(r'\.([^.\[]+)|\[(\d+)\]')
+
+
+def load(path, settings_type):
+    """Read a settings file.
+
+    The field `include` names one other file, or a list of them, relative to
+    the including file. Objects are merged field by field and the including
+    file wins; an array replaces the included one.
+
+    Args:
+        path: the file.
+        settings_type: the struct to build, from figtray.settings.types.
+
+    Returns:
+        An instance of settings_type whose rules all hold.
+
+    Raises:
+        SettingsError: the file can't be read, is not JSON5, includes
+            itself, or a field is unknown, missing or not allowed.
+    """
+    data, places = read_plain(path)
+    try:
+        settings = msgspec.convert(data, settings_type)
+    except msgspec.ValidationError as exc:
+        match = _MSGSPEC_PATH.match(str(exc))
+        field, problem = match['path'] or '$', match['problem']
+        unknown = _UNKNOWN.match(problem)
+        if unknown:
+            field, problem = f'{field}.{unknown[1]}', 'unknown field'
+        elif 'missing required' not in problem:
+            problem = f'{_show(data, field)} is not allowed; {problem}'
+        raise _error(path, places, field, problem) from exc
+    problems = [
+        _error(
+            path,
+            places,
+            f'$.{field}',
+            f'{_show(data, f"$.{field}", value)} is not allowed; '
+            f'expected {allowed}',
+        )
+        for field, value, is_allowed, allowed in nested_rules(settings)
+        if not is_allowed
+    ]
+    if problems:
+        raise problems[0]
+    return settings
+
+
+def read_plain(path):
+    """Read a JSON5 file and the files it includes.
+
+    Args:
+        path: the file.
+
+    Returns:
+        The merged data, and a mapping of each field's path to its
+        (file, line).
+
+    Raises:
+        SettingsError: a file can't be read or decoded, or includes itself.
+    """
+    return _read(pathlib.Path(path), ())
+
+
+def nested_rules(struct, prefix=''):
+    """Yield the rules of a struct and of all structs in its fields.
+
+    Args:
+        struct: a settings struct; its own `rules()` yields (field, value,
+            is allowed, allowed values).
+        prefix: path of the struct, empty or with a trailing dot.
+
+    Yields:
+        (path, value, is allowed, allowed values).
+    """
+    for field, value, is_allowed, allowed in getattr(struct, 'rules', tuple)():
+        yield f'{prefix}{field}', value, is_allowed, allowed
+    for name in struct.__struct_fields__:
+        value = getattr(struct, name)
+        if isinstance(value, msgspec.Struct):
+            yield from nested_rules(value, f'{prefix}{name}.')
+        elif isinstance(value, tuple):
+            for index, item in enumerate(value):
+                if isinstance(item, msgspec.Struct):
+                    yield from nested_rules(item, f'{prefix}{name}[{index}].')
+
+
+def _read(path, including):
+    if path.resolve() in including:
+        raise errors.SettingsError(path, 'the file includes itself')
+    if len(including) >= MAX_INCLUDE_DEPTH:
+        raise errors.SettingsError(
+            path, f'includes are nested more than {MAX_INCLUDE_DEPTH} deep'
+        )
+    text = _read_text(path)
+    try:
+        data = pyjson5.decode(text)
+    except pyjson5.Json5DecoderException as exc:
+        offset = _PYJSON5_OFFSET.search(str(exc.args[0]))
+        line = (
+            text.count('\n', 0, max(int(offset[1]) - 1, 0)) + 1
+            if offset
+            else text.count('\n') + 1
+        )
+        raise errors.SettingsError(
+            f'{path}:{line}', f'not JSON: {exc.args[0]}'
+        ) from exc
+    lines, duplicates = positions.find_lines(text)
+    places = {field: (path, line) for field, line in lines.items()}
+    if duplicates:
+        raise _error(path, places, duplicates[0], 'the field occurs twice')
+    if not isinstance(data, dict):
+        raise errors.SettingsError(path, 'the file must hold one object')
+    includes = data.pop(INCLUDE_FIELD, ())
+    includes = (includes,) if isinstance(includes, str) else includes
+    if not all(isinstance(name, str) for name in includes):
+        raise _error(path, places, f'$.{INCLUDE_FIELD}', 'expected file names')
+    base, base_places = {}, {}
+    for name in includes:
+        more, more_places = _read(
+            path.parent / name, (*including, path.resolve())
+        )
+        base = _merge(base, more)
+        base_places |= more_places
+    return _merge(base, data), base_places | places
+
+
+def _read_text(path):
+    try:
+        with open(path, 'rb') as file:
+            raw = file.read(MAX_FILE_BYTES + 1)
+    except OSError as exc:
+        raise errors.SettingsError(path, exc.strerror) from exc
+    if len(raw) > MAX_FILE_BYTES:
+        raise errors.SettingsError(
+            path, f'the file is larger than {MAX_FILE_BYTES} bytes'
+        )
+    try:
+        return raw.decode()
+    except UnicodeDecodeError as exc:
+        raise errors.SettingsError(path, f'not UTF-8: {exc}') from exc
+
+
+def _merge(base, over):
+    merged = dict(base)
+    for name, value in over.items():
+        if isinstance(value, dict) and isinstance(merged.get(name), dict):
+            merged[name] = _merge(merged[name], value)
+        else:
+            merged[name] = value
+    return merged
+
+
+def _show(data, field, default=None):
+    """Return the value of a field for a message, shortened."""
+    if any(name in HIDDEN_FIELDS for name, _ in _STEP.findall(field)):
+        return 'the value'
+    value = data
+    try:
+        for name, index in _STEP.findall(field):
+            value = value[name] if name else value[int(index)]
+    except (KeyError, IndexError, TypeError):
+        value = default
+    text = repr(value)
+    return text if len(text) <= 80 else f'{text[:77]}...'
+
+
+def _error(path, places, field, problem):
+    """Build the error for a field with its file and line if known."""
+    known = field
+    while known not in places and known != '$':
+        known = known[: max(known.rfind('.'), known.rfind('['))]
+    file, line = places.get(known, (path, 1))
+    name = field.removeprefix('$').removeprefix('.') or 'the file'
+    return errors.SettingsError(f'{file}:{line}', f'{name}: {problem}')
--- /dev/null
+++ b/figtray/settings/positions.py
@@ -0,0 +1,55 @@
+"""Line numbers of the fields of a JSON5 text."""
+
+import re
+
+_TOKEN = re.compile(
+    r"""
+    (?P<skip>\s+|//[^\n\r]*|/\*.*?\*/)
+    |(?P<string>"(?:[^"\\]|\\.)*"|'(?:[^'\\]|\\.)*')
+    |(?P<mark>[{}\[\]:,])
+    |(?P<word>[^\s{}\[\]:,"'/]+|/)
+    """,
+    re.VERBOSE | re.DOTALL,
+)
+
+
+def find_lines(text):
+    """Locate each field of a text that is valid JSON5.
+
+    Args:
+        text: the JSON5 text.
+
+    Returns:
+        Mapping of each path, such as `$.entries[0].slot`, to its line
+        (first line is 1), and a list of the paths that occur twice.
+    """
+    lines = {'$': 1}
+    duplicates = []
+    # One element per open bracket: its path, and the index in an array
+    # or None in an object.
+    stack = []
+    path = '$'
+    key = None
+    for match in _TOKEN.finditer(text):
+        token = match.group()
+        if match.lastgroup == 'skip':
+            continue
+        line = text.count('\n', 0, match.start()) + 1
+        if stack and stack[-1][1] is not None and token not in ',]':
+            path = f'{stack[-1][0]}[{stack[-1][1]}]'
+            lines.setdefault(path, line)
+        if token in '{[':
+            stack.append([path, 0 if token == '[' else None])
+        elif token in '}]':
+            path = stack.pop()[0]
+        elif token == ':':
+            path = f'{stack[-1][0]}.{key}'
+            if path in lines:
+                duplicates.append(path)
+            lines[path] = line
+        elif token == ',':
+            if stack and stack[-1][1] is not None:
+                stack[-1][1] += 1
+        else:
+            key = token[1:-1] if match.lastgroup == 'string' else token
+    return lines, duplicates
