Add the event catalogue and the JSON log output

Cause: operators and tests identify records by number, and a record must never disclose a secret, a caller's key or a body. Ruled out: free-text log calls, which no test can check against a page; a logbook handler on the application stack, because replacing it needs a pop in stack order; one on the logger is replaced by assignment. Change: figtray.events.catalogue (numbers in blocks of 100 by slice), figtray.events.log (setup, emit; an undeclared field raises in tests through figtray/conftest.py and is dropped in production), docs/events.md generated by `python -m figtray.events.document`. The field `include` of a settings file is checked to be file names before it is iterated. Conclusion: slices can add events with one entry each.

--- /dev/null
+++ b/figtray/conftest.py
@@ -0,0 +1,5 @@
+"""Set-up of all tests."""
+
+from figtray.events import log
+
+log.set_strict(True)
--- /dev/null
+++ b/figtray/events/log.py
@@ -0,0 +1,132 @@
+"""Log output: one JSON line for each event, written with logbook."""
+
+import functools
+import sys
+import traceback
+
+import logbook
+import msgspec
+
+from figtray.events import catalogue
+
+STDERR = 'stderr'
+MAX_FIELD_LENGTH = 2000
+
+_logger = logbook.Logger('figtray')
+_strict = False
+
+
+def setup(level, destination, program):
+    """Direct all events to one destination; replaces an earlier one.
+
+    Args:
+        level: lowest level that is written, such as `info`.
+        destination: `stderr` or the name of a file, which is reopened when
+            it was renamed.
+        program: name of the program, part of every record.
+
+    Raises:
+        OSError: the file can't be opened.
+        LookupError: no such level.
+    """
+    lowest = logbook.lookup_level(level.upper())
+    if destination == STDERR:
+        handler = logbook.StreamHandler(sys.stderr)
+    else:
+        handler = logbook.MonitoringFileHandler(destination)
+    handler.formatter = functools.partial(_format, program)
+    reset()
+    _logger.handlers = [handler]
+    _logger.level = lowest
+
+
+def reset():
+    """Undo setup(); events go to logbook's default handler."""
+    handlers, _logger.handlers = _logger.handlers, []
+    _logger.level = logbook.NOTSET
+    for handler in handlers:
+        handler.close()
+
+
+def set_strict(strict):
+    """Choose what emit() does with a field that the event lacks.
+
+    Args:
+        strict: True raises, for tests; False drops the field, so that a
+            faulty log call never fails a request.
+    """
+    global _strict
+    _strict = strict
+
+
+def emit(event, **fields):
+    """Log an event.
+
+    Args:
+        event: an Event of the catalogue.
+        fields: values of the fields that the event declares.
+
+    Raises:
+        TypeError: a field is not declared, and strict checks are on.
+    """
+    if event.level < _logger.level and not _strict:
+        return
+    unknown = fields.keys() - set(event.fields)
+    if unknown:
+        if _strict:
+            raise TypeError(
+                f'event {event.number} has no field {sorted(unknown)}'
+            )
+        fields = {
+            name: value
+            for name, value in fields.items()
+            if name not in unknown
+        }
+    _logger.log(
+        event.level, event.message, extra={'event': event, 'fields': fields}
+    )
+
+
+def emit_exception(where, exc):
+    """Log an exception that no code expected.
+
+    Args:
+        where: what was being done.
+        exc: the exception.
+    """
+    emit(
+        catalogue.UNEXPECTED_EXCEPTION,
+        where=where,
+        error=type(exc).__name__,
+        detail=str(exc),
+        traceback=''.join(traceback.format_tb(exc.__traceback__)),
+    )
+
+
+@functools.cache
+def _names():
+    return {event.number: name for name, event in catalogue.by_name().items()}
+
+
+def _format(program, record, handler):
+    event = record.extra['event']
+    line = {
+        'time': f'{record.time.isoformat(timespec="milliseconds")}Z',
+        'level': record.level_name.lower(),
+        'program': program,
+        'number': event.number,
+        'name': _names().get(event.number, ''),
+        'message': event.message,
+        'fields': {
+            name: _shorten(value)
+            for name, value in record.extra['fields'].items()
+        },
+    }
+    return msgspec.json.encode(line, enc_hook=str).decode()
+
+
+def _shorten(value):
+    # The end of a traceback names the fault.
+    if isinstance(value, str) and len(value) > MAX_FIELD_LENGTH:
+        return f'...{value[-MAX_FIELD_LENGTH:]}'
+    return value
--- /dev/null
+++ b/figtray/events/tests/test_log.py
@@ -0,0 +1,67 @@
+import json
+
+import pytest
+
+from figtray.events import catalogue
+from figtray.events import document
+from figtray.events import log
+
+
+class TestCatalogue:
+    def test_numbers_are_unique_and_in_a_block(self):
+        numbers = [e.number for e in catalogue.by_name().values()]
+        assert len(numbers) == len(set(numbers))
+        assert {number // 100 * 100 for number in numbers} <= set(
+            catalogue.BLOCKS
+        )
+
+    # A record must never disclose what a caller keeps private.
+    def test_no_field_holds_a_secret(self):
+        private = {'secret', 'key', 'body', 'payload', 'credential', 'token'}
+        for event in catalogue.by_name().values():
+            assert not private & set(event.fields)
+
+    def test_page_agrees(self):
+        assert document.PAGE.read_text() == document.render()
+
+
+class TestEmit:
+    @pytest.fixture
+    def read(self, tmp_path):
+        path = tmp_path / 'log'
+        log.setup('info', str(path), 'test')
+        yield lambda: [json.loads(x) for x in path.read_text().splitlines()]
+        log.set_strict(True)
+        log.reset()
+
+    def test_one_json_line(self, read):
+        log.emit(catalogue.PEER_BACK, peer='entry-1\n', outage_ms=5)
+        (record,) = read()
+        assert record['number'] == 403
+        assert record['name'] == 'peer_back'
+        assert record['program'] == 'test'
+        assert record['fields'] == {'peer': 'entry-1\n', 'outage_ms': 5}
+
+    def test_level_below_is_dropped(self, read):
+        log.emit(catalogue.REQUEST_REFUSED, team='a')
+        assert read() == []
+
+    def test_undeclared_field_raises_when_strict(self, read):
+        with pytest.raises(TypeError, match='403'):
+            log.emit(catalogue.PEER_BACK, secret='s')
+
+    # A faulty log call must not fail a request or disclose its field.
+    def test_undeclared_field_is_dropped_otherwise(self, read):
+        log.set_strict(False)
+        log.emit(catalogue.PEER_BACK, peer='entry-1', secret='s')
+        assert read()[0]['fields'] == {'peer': 'entry-1'}
+
+    def test_exception(self, read):
+        try:
+            raise ValueError('x' * 5000)
+        except ValueError as exc:
+            log.emit_exception('test', exc)
+        fields = read()[0]['fields']
+        assert fields['error'] == 'ValueError'
+        assert len(fields['detail']) == log.MAX_FIELD_LENGTH + 3
+        assert 'test_log.py' in fields['traceback']
--- a/figtray/settings/loader.py
+++ b/figtray/settings/loader.py
@@ -134,8 +134,11 @@
     if not isinstance(data, dict):
         raise errors.SettingsError(path, 'the file must hold one object')
     includes = data.pop(INCLUDE_FIELD, ())
-    includes = (includes,) if isinstance(includes, str) else includes
-    if not all(isinstance(name, str) for name in includes):
+    if isinstance(includes, str):
+        includes = [includes]
+    if not isinstance(includes, (list, tuple)) or not all(
+        isinstance(name, str) for name in includes
+    ):
         raise _error(path, places, f'$.{INCLUDE_FIELD}', 'expected file names')
     base, base_places = {}, {}
     for name in includes:
