--- a/figtray/shares/__init__.py
+++ b/figtray/shares/__init__.py
@@ -1,1 +1,1 @@
-"""Placeholder."""
+"""Fair shares of the pools' slots across all entries."""
