--- a/figtray/queues/__init__.py
+++ b/figtray/queues/__init__.py
@@ -1,1 +1,1 @@
-"""Placeholder."""
+"""Queued requests of one entry, their order and bounds."""
