Add the metrics with a text page and an optional push

Cause: share, queueing time and store load have to be seen per team and class, within the 64 MB that a process may use. Ruled out: the Prometheus exporter package (not among the dependencies) and loading the OTLP exporter always, because it adds 10 MB; Resource.create(), which loads all installed detectors; exemplars. Change: figtray.metrics with Metrics (histograms, counters, gauges by callback, page in the exposition format from the SDK's in-memory reader, OTLP push if configured) and StoreMeter. Teams beyond max_teams are folded into `other`, and gauges of folded teams are added up.

--- /dev/null
+++ b/figtray/metrics.py
@@ -0,0 +1,369 @@
+"""OpenTelemetry instruments, their text page and the optional push."""
+
+import threading
+
+from opentelemetry import metrics as api
+from opentelemetry.sdk import metrics as sdk
+from opentelemetry.sdk.metrics import export
+from opentelemetry.sdk import resources
+
+from figtray import errors
+from figtray.store import base
+from figtray import verdict as verdicts
+
+# 3700 ms is the bound for the start of urgent work (docs/design.md, 1.2).
+BUCKETS_MS = (
+    1,
+    2,
+    5,
+    10,
+    20,
+    50,
+    100,
+    200,
+    500,
+    1000,
+    2000,
+    3700,
+    5000,
+    10_000,
+    20_000,
+    60_000,
+)
+MAX_TEAMS = 100
+OTHER = 'other'
+CONTENT_TYPE = 'text/plain; version=0.0.4; charset=utf-8'
+
+_ESCAPES = str.maketrans({'\\': r'\\', '"': r'\"', '\n': r'\n'})
+
+
+class Metrics:
+    """The measurements of one process.
+
+    Teams beyond `max_teams`, in the order of their first use, are counted
+    as the team `other`, so that the number of series is bounded.
+
+    Args:
+        program: name of the program.
+        instance: name of this process, such as its slot.
+        settings: MetricsSettings, or None for the text page alone.
+    """
+
+    def __init__(self, program, instance='', settings=None):
+        self._max_teams = settings.max_teams if settings else MAX_TEAMS
+        self._teams = set()
+        self._lock = threading.Lock()
+        self._reader = export.InMemoryMetricReader()
+        readers = [self._reader]
+        if settings and settings.otlp_endpoint:
+            readers.append(_push_reader(settings))
+        # Resource.create() would load all installed detectors, and sampling
+        # exemplars would cost time for each measurement; neither is used.
+        self._provider = sdk.MeterProvider(
+            readers,
+            resource=resources.Resource(
+                {'service.name': program, 'service.instance.id': instance}
+            ),
+            exemplar_filter=sdk.AlwaysOffExemplarFilter(),
+            shutdown_on_exit=False,
+        )
+        self._meter = self._provider.get_meter('figtray')
+        self._queue_wait = self._histogram(
+            'queue_wait', 'Time from acceptance to the first start.'
+        )
+        self._service = self._histogram(
+            'service_time', 'Time from the last start to its answer.'
+        )
+        self._total = self._histogram(
+            'total_time', 'Time from acceptance to the verdict.'
+        )
+        self._verdicts = self._counter('verdicts', 'Requests by verdict.')
+        self._retries = self._counter('retries', 'Repeated attempts.')
+        self._store_calls = self._counter(
+            'store_calls', 'Calls to the store by kind and outcome.'
+        )
+        self._late = self._counter(
+            'late_answers', 'Answers that came after their attempt ended.'
+        )
+
+    def record_request(
+        self,
+        team,
+        urgent,
+        verdict,
+        total_ms,
+        queue_wait_ms=None,
+        service_ms=None,
+    ):
+        """Record a request that has its verdict.
+
+        Args:
+            team: name of the team.
+            urgent: whether the request is urgent.
+            verdict: the Verdict.
+            total_ms: time from acceptance to the verdict.
+            queue_wait_ms: time to the first start; None if never started.
+            service_ms: time from the last start to its answer; None if
+                there was no answer.
+        """
+        team = self._fold(team)
+        labels = {'team': team, 'class': 'urgent' if urgent else 'normal'}
+        self._total.record(total_ms, labels)
+        if queue_wait_ms is not None:
+            self._queue_wait.record(queue_wait_ms, labels)
+        if service_ms is not None:
+            self._service.record(service_ms, labels)
+        self._verdicts.add(1, {'team': team} | _verdict_labels(verdict))
+
+    def count_retry(self, team):
+        """Count one repeated attempt."""
+        self._retries.add(1, {'team': self._fold(team)})
+
+    def count_late_answer(self, team):
+        """Count an answer that came after its attempt had ended."""
+        self._late.add(1, {'team': self._fold(team)})
+
+    def count_store_call(self, kind, outcome):
+        """Count one call to the store.
+
+        Args:
+            kind: name of the Store method.
+            outcome: `ok`, `unavailable`, `uncertain` or `error`; a watch is
+                `started` once and `broken` if it does not end by itself.
+        """
+        self._store_calls.add(1, {'kind': kind, 'outcome': outcome})
+
+    def observe(
+        self,
+        allotments=None,
+        queued=None,
+        serving_right=None,
+        generation=None,
+    ):
+        """Set the callbacks of the gauges; call it once.
+
+        Args:
+            allotments: returns [(team, held, in use)].
+            queued: returns [(team, urgent, number of queued requests)].
+            serving_right: returns whether this entry may start work.
+            generation: returns the generation of the replica.
+        """
+        if allotments:
+            self._gauge(
+                'allotment_held',
+                'Running tasks that this entry may start, by team.',
+                lambda: [
+                    ({'team': self._fold(team)}, held)
+                    for team, held, _ in allotments()
+                ],
+            )
+            self._gauge(
+                'allotment_in_use',
+                'Running tasks of this entry, by team.',
+                lambda: [
+                    ({'team': self._fold(team)}, in_use)
+                    for team, _, in_use in allotments()
+                ],
+            )
+        if queued:
+            self._gauge(
+                'queued',
+                'Queued requests.',
+                lambda: [
+                    (
+                        {
+                            'team': self._fold(team),
+                            'class': 'urgent' if urgent else 'normal',
+                        },
+                        number,
+                    )
+                    for team, urgent, number in queued()
+                ],
+            )
+        if serving_right:
+            self._gauge(
+                'serving_right',
+                '1 while this entry may start work.',
+                lambda: [({}, int(serving_right()))],
+            )
+        if generation:
+            self._gauge(
+                'generation',
+                'Generation of the configuration in use.',
+                lambda: [({}, generation())],
+            )
+
+    def page(self):
+        """Return all series in the Prometheus exposition format."""
+        data = self._reader.get_metrics_data()
+        if data is None:
+            return ''
+        return ''.join(
+            f'{line}\n'
+            for resource in data.resource_metrics
+            for scope in resource.scope_metrics
+            for metric in scope.metrics
+            for line in _lines(metric)
+        )
+
+    def close(self):
+        """Push what is left and end the push."""
+        self._provider.shutdown()
+
+    def _histogram(self, name, description):
+        return self._meter.create_histogram(
+            f'figtray_{name}',
+            'ms',
+            description,
+            explicit_bucket_boundaries_advisory=BUCKETS_MS,
+        )
+
+    def _counter(self, name, description):
+        return self._meter.create_counter(f'figtray_{name}', '1', description)
+
+    def _gauge(self, name, description, read):
+        def callback(_):
+            # Folded teams share one series, which holds their sum.
+            sums = {}
+            for labels, value in read():
+                series = tuple(labels.items())
+                sums[series] = sums.get(series, 0) + value
+            return [
+                api.Observation(value, dict(series))
+                for series, value in sums.items()
+            ]
+
+        self._meter.create_observable_gauge(
+            f'figtray_{name}', [callback], '1', description
+        )
+
+    def _fold(self, team):
+        if team in self._teams:
+            return team
+        with self._lock:
+            if len(self._teams) >= self._max_teams:
+                return OTHER
+            self._teams.add(team)
+            return team
+
+
+class StoreMeter(base.Store):
+    """Store that counts the calls to another one.
+
+    Args:
+        store: the Store to call.
+        metrics: the Metrics that count.
+    """
+
+    def __init__(self, store, metrics):
+        self._store = store
+        self._metrics = metrics
+
+    def get(self, key):
+        return self._call('get', key)
+
+    def range(self, prefix):
+        return self._call('range', prefix)
+
+    def txn(self, compares, puts=(), deletes=()):
+        return self._call('txn', compares, puts, deletes)
+
+    def grant_lease(self, ttl_ms):
+        return self._call('grant_lease', ttl_ms)
+
+    def keep_alive(self, lease_id):
+        return self._call('keep_alive', lease_id)
+
+    def revoke(self, lease_id):
+        return self._call('revoke', lease_id)
+
+    def watch(self, prefix, start_revision, stop):
+        # Counted at its start: a pending watch is one call.
+        self._metrics.count_store_call('watch', 'started')
+        try:
+            yield from self._store.watch(prefix, start_revision, stop)
+        except errors.FigtrayError:
+            self._metrics.count_store_call('watch', 'broken')
+            raise
+
+    def close(self):
+        self._store.close()
+
+    def _call(self, kind, *args):
+        outcome = 'error'
+        try:
+            result = getattr(self._store, kind)(*args)
+            outcome = 'ok'
+            return result
+        except errors.StoreUnavailable:
+            outcome = 'unavailable'
+            raise
+        except errors.WriteUncertain:
+            outcome = 'uncertain'
+            raise
+        finally:
+            self._metrics.count_store_call(kind, outcome)
+
+
+def _push_reader(settings):
+    # The exporter adds about 10 MB of resident memory (protobuf, requests),
+    # so it is loaded only when it is configured.
+    from opentelemetry.exporter.otlp.proto.http import metric_exporter
+
+    return export.PeriodicExportingMetricReader(
+        metric_exporter.OTLPMetricExporter(
+            endpoint=settings.otlp_endpoint,
+            timeout=settings.export_interval_ms / 1000,
+        ),
+        export_interval_millis=settings.export_interval_ms,
+    )
+
+
+def _verdict_labels(verdict):
+    match verdict:
+        case verdicts.Answered(status=status):
+            return {'verdict': 'answered', 'reason': f'{status // 100}xx'}
+        case verdicts.NotRun(reason=reason):
+            return {'verdict': 'not_run', 'reason': reason.value}
+        case verdicts.MayHaveRun(reason=reason):
+            return {'verdict': 'may_have_run', 'reason': reason.value}
+
+
+def _lines(metric):
+    """Yield the lines of one metric in the exposition format."""
+    match metric.data:
+        case export.Histogram():
+            name, kind, samples = metric.name, 'histogram', _histogram_samples
+        case export.Sum():
+            name, kind, samples = f'{metric.name}_total', 'counter', _samples
+        case _:
+            name, kind, samples = metric.name, 'gauge', _samples
+    if metric.unit == 'ms':
+        name = f'{name}_ms'
+    yield f'# HELP {name} {metric.description}'
+    yield f'# TYPE {name} {kind}'
+    for point in metric.data.data_points:
+        yield from samples(name, point)
+
+
+def _samples(name, point):
+    yield f'{name}{_labels(point.attributes)} {point.value}'
+
+
+def _histogram_samples(name, point):
+    count = 0
+    bounds = [f'{bound:g}' for bound in point.explicit_bounds] + ['+Inf']
+    for bound, number in zip(bounds, point.bucket_counts):
+        count += number
+        labels = _labels(dict(point.attributes) | {'le': bound})
+        yield f'{name}_bucket{labels} {count}'
+    yield f'{name}_sum{_labels(point.attributes)} {point.sum}'
+    yield f'{name}_count{_labels(point.attributes)} {point.count}'
+
+
+def _labels(attributes):
+    pairs = ','.join(
+        f'{name}="{str(value).translate(_ESCAPES)}"'
+        for name, value in attributes.items()
+    )
+    return f'{{{pairs}}}' if pairs else ''
--- /dev/null
+++ b/figtray/tests/test_metrics.py
@@ -0,0 +1,94 @@
+import threading
+
+import pytest
+
+from figtray import errors
+from figtray import metrics
+from figtray.settings import types
+from figtray.store import memory
+from figtray import verdict
+
+
+class TestMetrics:
+    def test_histograms_and_verdicts(self):
+        meter = metrics.Metrics('test')
+        answered = verdict.Answered(200, b'')
+        meter.record_request('a', True, answered, 9, 3, 4)
+        meter.record_request(
+            'a', True, verdict.NotRun(verdict.RefusalReason.BUSY), 7
+        )
+        lines = meter.page().splitlines()
+        labels = 'team="a",class="urgent"'
+        assert f'figtray_total_time_ms_bucket{{{labels},le="5"}} 0' in lines
+        assert f'figtray_total_time_ms_bucket{{{labels},le="10"}} 2' in lines
+        assert f'figtray_total_time_ms_bucket{{{labels},le="+Inf"}} 2' in lines
+        assert f'figtray_total_time_ms_sum{{{labels}}} 16' in lines
+        assert f'figtray_queue_wait_ms_count{{{labels}}} 1' in lines
+        assert '# TYPE figtray_verdicts_total counter' in lines
+        assert (
+            'figtray_verdicts_total{team="a",verdict="not_run",'
+            'reason="busy"} 1'
+        ) in lines
+
+    # An unbounded number of teams would exhaust the memory of the entry.
+    def test_teams_are_folded(self):
+        settings = types.MetricsSettings(max_teams=1)
+        meter = metrics.Metrics('test', settings=settings)
+        meter.observe(
+            allotments=lambda: [('a', 1, 0), ('b', 2, 0), ('c', 3, 1)],
+            queued=lambda: [('a', False, 4)],
+            serving_right=lambda: True,
+            generation=lambda: 12,
+        )
+        for team in 'abc':
+            meter.count_retry(team)
+        lines = meter.page().splitlines()
+        assert 'figtray_retries_total{team="other"} 2' in lines
+        assert 'figtray_allotment_held{team="other"} 5' in lines
+        assert 'figtray_queued{team="a",class="normal"} 4' in lines
+        assert 'figtray_serving_right 1' in lines
+        assert 'figtray_generation 12' in lines
+
+    def test_label_values_are_escaped(self):
+        meter = metrics.Metrics('test')
+        meter.count_late_answer('a"\n\\')
+        assert r'{team="a\"\n\\"} 1' in meter.page()
+
+
+class TestStoreMeter:
+    def test_counts_by_kind_and_outcome(self):
+        meter = metrics.Metrics('test')
+        store = metrics.StoreMeter(memory.MemoryStore(), meter)
+        store.get('a')
+        store.grant_lease(1000)
+        stop = threading.Event()
+        stop.set()
+        list(store.watch('a', 1, stop))
+        lines = meter.page().splitlines()
+        for kind, outcome in (
+            ('get', 'ok'),
+            ('grant_lease', 'ok'),
+            ('watch', 'started'),
+        ):
+            assert (
+                f'figtray_store_calls_total{{kind="{kind}",'
+                f'outcome="{outcome}"}} 1'
+            ) in lines
+
+    @pytest.mark.parametrize(
+        'error, outcome',
+        [
+            (errors.StoreUnavailable, 'unavailable'),
+            (errors.WriteUncertain, 'uncertain'),
+            (KeyError, 'error'),
+        ],
+    )
+    def test_counts_failures(self, error, outcome):
+        class Failing(memory.MemoryStore):
+            def txn(self, compares, puts=(), deletes=()):
+                raise error('x')
+
+        meter = metrics.Metrics('test')
+        with pytest.raises(error):
+            metrics.StoreMeter(Failing(), meter).txn(())
+        assert f'{{kind="txn",outcome="{outcome}"}} 1' in meter.page()
