--- a/figtray/dispatch/__init__.py
+++ b/figtray/dispatch/__init__.py
@@ -1,1 +1,1 @@
-"""Placeholder."""
+"""Starts queued requests on workers and follows their attempts."""
--- a/figtray/errors.py
+++ b/figtray/errors.py
@@ -91,10 +91,18 @@
 
 
 class PeerUnavailable(FigtrayError):
-    """A peer did not answer within the time allowed."""
+    """A peer did not answer within the time allowed.
+
+    The field `sent` is False if the call certainly did not reach the peer.
+    """
 
     msg_fmt = 'Peer {peer} did not answer: {detail}'
 
+    @property
+    def sent(self):
+        """Whether the peer may have handled the call."""
+        return self.fields.get('sent', True)
+
 
 class CodecError(FigtrayError):
     """A message can't be decoded."""
--- /dev/null
+++ b/figtray/limits/recount.py
@@ -0,0 +1,216 @@
+"""Creates allotment anew from what entries hold and workers run."""
+
+import collections
+import dataclasses
+
+from figtray.configuration import resources
+from figtray.configuration import writer
+from figtray.peers import messages
+from figtray.peers import serving
+
+
+class EntryCalls:
+    """Calls of the recount to all entries at once."""
+
+    slots = ()
+
+    def join(self, epoch):
+        """Ask every slot to join an epoch.
+
+        Returns:
+            Mapping of slot to EpochReport, for the slots that answered.
+        """
+        raise NotImplementedError
+
+    def fence(self, slot, epoch):
+        """Fence the older allotments of a slot.
+
+        Returns:
+            The set of slots that recorded the fence.
+        """
+        raise NotImplementedError
+
+    def grant(self, slot, grant):
+        """Send new allotment to a slot.
+
+        Returns:
+            True if the slot confirmed it.
+        """
+        raise NotImplementedError
+
+
+@dataclasses.dataclass(frozen=True)
+class Finished:
+    """A recount that was completed; `granted` counts tasks by team."""
+
+    epoch: int
+    incarnations: dict
+    granted: dict
+    orphans: dict
+
+
+@dataclasses.dataclass(frozen=True)
+class Abandoned:
+    """A recount that granted nothing."""
+
+    epoch: int
+    reason: str
+
+
+class Recount:
+    """One recount in one epoch.
+
+    The steps are in this order for the limits to hold: the reports are
+    taken first, then lost processes are fenced and lose their serving
+    right, and only then are workers asked for the tasks that those left.
+    """
+
+    def __init__(self, entries, worker_reports, clock, wait):
+        """Set up.
+
+        Args:
+            entries: an EntryCalls.
+            worker_reports: function of the Snapshot that returns a mapping
+                of host to WorkerReport, or to None if it is unreachable.
+            clock: a Clock.
+            wait: function that waits for a number of milliseconds and
+                returns False if the process stops meanwhile.
+        """
+        self._entries = entries
+        self._worker_reports = worker_reports
+        self._clock = clock
+        self._wait = wait
+        self._first_seen_ms = clock.now_ms()
+
+    def run(self, epoch, snapshot, known_incarnations):
+        """Take stock and grant what is free.
+
+        Args:
+            epoch: number of this recount, higher than any before.
+            snapshot: configuration with the limits.
+            known_incarnations: mapping of slot to incarnation as of the
+                last completed recount.
+
+        Returns:
+            Finished or Abandoned.
+        """
+        reports = {
+            slot: report
+            for slot, report in self._entries.join(epoch).items()
+            if report.joined and report.epoch == epoch
+        }
+        changed = [
+            slot
+            for slot in self._entries.slots
+            if slot not in reports
+            or reports[slot].incarnation != known_incarnations.get(slot)
+        ]
+        if changed and not self._fence(changed, epoch):
+            return Abandoned(epoch, 'no majority recorded a fence')
+        joined = {report.incarnation for report in reports.values()}
+        orphans, unknown_slots = self._count_orphans(snapshot, joined)
+        granted = self._grant(
+            epoch, snapshot, reports, orphans, unknown_slots
+        )
+        incarnations = {
+            slot: report.incarnation for slot, report in reports.items()
+        }
+        return Finished(epoch, incarnations, granted, dict(orphans))
+
+    def _fence(self, slots, epoch):
+        needed = writer.majority(len(self._entries.slots))
+        for slot in slots:
+            if len(self._entries.fence(slot, epoch)) < needed:
+                return False
+        return self._wait(serving.FRESHNESS_MS + serving.MARGIN_MS)
+
+    def _count_orphans(self, snapshot, joined):
+        """Count tasks of lost incarnations.
+
+        Returns:
+            (Counter of tasks by team, slots of unreachable workers). A
+            worker that can't be asked may run a task of any team in each
+            of its slots until the longest run limit has passed.
+        """
+        orphans = collections.Counter()
+        unknown_slots = 0
+        hosts = snapshot.specs(resources.Kind.HOST)
+        limits = [
+            queue.run_limit_ms
+            for queue in snapshot.specs(resources.Kind.QUEUE).values()
+        ]
+        waited_ms = self._clock.now_ms() - self._first_seen_ms
+        leases_ended = waited_ms > max(limits, default=0)
+        for host, report in self._worker_reports(snapshot).items():
+            if report is None:
+                unknown_slots += 0 if leases_ended else hosts[host].slots
+                continue
+            for task in report.running:
+                if task.incarnation not in joined:
+                    orphans[task.team] += 1
+        return orphans, unknown_slots
+
+    def _grant(self, epoch, snapshot, reports, orphans, unknown_slots):
+        grants = {slot: [] for slot in reports}
+        granted = {}
+        for team, spec in snapshot.specs(resources.Kind.TEAM).items():
+            version = snapshot.item(resources.Kind.TEAM, team).version
+            items = _items_of(team, version, reports)
+            if items is None:
+                continue
+            taken = sum(max(i.held, i.in_use) for i in items.values())
+            free = spec.limit - taken - orphans[team] - unknown_slots
+            if free < 0:
+                continue
+            granted[team] = free
+            for slot, number in spread(free, items).items():
+                grants[slot].append(
+                    messages.TeamAllotment(team, version, number)
+                )
+        for slot, items in grants.items():
+            self._entries.grant(
+                slot, messages.Grant(epoch, tuple(items))
+            )
+        return granted
+
+
+def _items_of(team, version, reports):
+    """Return the report of a team by slot.
+
+    Returns:
+        Mapping of slot to TeamAllotment, or None if an entry has another
+        version of the limit: its numbers can't be compared.
+    """
+    result = {}
+    for slot, report in reports.items():
+        for item in report.allotments:
+            if item.team == team and item.version == version:
+                result[slot] = item
+    return result if len(result) == len(reports) else None
+
+
+def spread(free, items):
+    """Divide free allotment so that the entries end up level.
+
+    Args:
+        free: number to divide.
+        items: mapping of slot to TeamAllotment.
+
+    Returns:
+        Mapping of slot to the number that it gets; the sum is `free`.
+    """
+    if not items:
+        return {}
+    totals = sorted(
+        (max(item.held, item.in_use), slot) for slot, item in items.items()
+    )
+    result = {slot: 0 for _, slot in totals}
+    taken = 0
+    for count, (total, _) in enumerate(totals, start=1):
+        taken += total
+        level, rest = divmod(taken + free, count)
+        if count == len(totals) or level < totals[count][0]:
+            break
+    for index, (total, slot) in enumerate(totals[:count]):
+        result[slot] = level - total + (1 if index < rest else 0)
+    return result
--- a/figtray/peers/__init__.py
+++ b/figtray/peers/__init__.py
@@ -1,1 +1,1 @@
-"""Placeholder."""
+"""Links between figtray's processes, heartbeats and the serving right."""
