--- a/figtray/errors.py
+++ b/figtray/errors.py
@@ -112,3 +112,9 @@
     """The host list did not answer."""
 
     msg_fmt = 'The host list is unavailable: {detail}'
+
+
+class ListenFailed(FigtrayError):
+    """A program can't listen on an address of its settings."""
+
+    msg_fmt = 'Cannot listen on {address}: {detail}'
--- a/figtray/events/catalogue.py
+++ b/figtray/events/catalogue.py
@@ -61,6 +61,12 @@
     'An unexpected exception was caught.',
     ('where', 'error', 'detail', 'traceback'),
 )
+LIBRARY_MESSAGE = Event(
+    106,
+    logbook.WARNING,
+    'A library has logged a message.',
+    ('library', 'severity', 'detail', 'error'),
+)
 
 STORE_UNAVAILABLE = Event(
     200, logbook.WARNING, 'The store does not answer.', ('detail',)
--- a/figtray/events/log.py
+++ b/figtray/events/log.py
@@ -1,6 +1,7 @@
 """Log output: one JSON line for each event, written with logbook."""
 
 import functools
+import logging
 import sys
 import traceback
 
@@ -16,7 +17,7 @@
 _strict = False
 
 
-def setup(level, destination, program):
+def setup(level, destination, program, instance=''):
     """Direct all events to one destination; replaces an earlier one.
 
     Args:
@@ -24,6 +25,7 @@
         destination: `stderr` or the name of a file, which is reopened when
             it was renamed.
         program: name of the program, part of every record.
+        instance: name of this process, such as its slot.
 
     Raises:
         OSError: the file can't be opened.
@@ -34,10 +36,11 @@
         handler = logbook.StreamHandler(sys.stderr)
     else:
         handler = logbook.MonitoringFileHandler(destination)
-    handler.formatter = functools.partial(_format, program)
+    handler.formatter = functools.partial(_format, program, instance)
     reset()
     _logger.handlers = [handler]
     _logger.level = lowest
+    _redirect_libraries()
 
 
 def reset():
@@ -46,6 +49,7 @@
     _logger.level = logbook.NOTSET
     for handler in handlers:
         handler.close()
+    logging.getLogger().removeHandler(_libraries)
 
 
 def set_strict(strict):
@@ -103,17 +107,45 @@
     )
 
 
+class _LibraryHandler(logging.Handler):
+    """Turns the records of libraries into events."""
+
+    def emit(self, record):
+        try:
+            emit(
+                catalogue.LIBRARY_MESSAGE,
+                library=record.name,
+                severity=record.levelname.lower(),
+                detail=record.getMessage(),
+                error=repr(record.exc_info[1]) if record.exc_info else '',
+            )
+        except Exception:
+            self.handleError(record)
+
+
+_libraries = _LibraryHandler(logging.WARNING)
+
+
+def _redirect_libraries():
+    root = logging.getLogger()
+    if _libraries not in root.handlers:
+        root.addHandler(_libraries)
+    # One warning for each request that waits for a thread is no fault.
+    logging.getLogger('waitress.queue').setLevel(logging.ERROR)
+
+
 @functools.cache
 def _names():
     return {event.number: name for name, event in catalogue.by_name().items()}
 
 
-def _format(program, record, handler):
+def _format(program, instance, record, handler):
     event = record.extra['event']
     line = {
         'time': f'{record.time.isoformat(timespec="milliseconds")}Z',
         'level': record.level_name.lower(),
         'program': program,
+        'instance': instance,
         'number': event.number,
         'name': _names().get(event.number, ''),
         'message': event.message,
--- /dev/null
+++ b/figtray/listener.py
@@ -0,0 +1,220 @@
+"""HTTP listener: a waitress server in its own thread, stopped gracefully."""
+
+import http
+import socket
+import threading
+
+import msgspec
+from waitress import server as waitress_server
+
+from figtray import clock as clock_lib
+from figtray import errors
+from figtray.settings import types
+
+BACKLOG = 128
+POLL_MS = 20
+STOP_MS = 5000
+# The hosts are diskless: bodies stay in memory, never in temporary files.
+NO_OVERFLOW_BYTES = 1 << 30
+
+
+class Listener:
+    """Serves a WSGI application on one address.
+
+    The socket is bound by the constructor, so that a program fails before
+    it starts any work; requests are served after start().
+
+    Args:
+        listen: `IP:port`; port 0 takes any free port.
+        app: the WSGI application.
+        threads: number of requests that are worked on at once.
+        max_connections: open connections; more wait in the backlog.
+        max_header_bytes: longest request head.
+        max_body_bytes: longest request body.
+        channel_timeout_ms: idle time after which a connection is closed.
+
+    Raises:
+        ListenFailed: the address is in use or not of this host.
+    """
+
+    def __init__(
+        self,
+        listen,
+        app,
+        threads=2,
+        max_connections=32,
+        max_header_bytes=16 * 1024,
+        max_body_bytes=16 * 1024,
+        channel_timeout_ms=60_000,
+    ):
+        self._socket = _bind(listen)
+        host, port = self._socket.getsockname()[:2]
+        self.address = f'[{host}]:{port}' if ':' in host else f'{host}:{port}'
+        self._server = waitress_server.create_server(
+            app,
+            _start=False,
+            sockets=[self._socket],
+            threads=threads,
+            # waitress counts its listening socket and its trigger too.
+            connection_limit=max_connections + 2,
+            max_request_header_size=max_header_bytes,
+            max_request_body_size=max_body_bytes,
+            channel_timeout=max(channel_timeout_ms // 1000, 1),
+            backlog=BACKLOG,
+            inbuf_overflow=NO_OVERFLOW_BYTES,
+            outbuf_overflow=NO_OVERFLOW_BYTES,
+            asyncore_use_poll=True,
+            expose_tracebacks=False,
+            ident='figtray',
+        )
+        self._thread = threading.Thread(
+            target=self._server.run,
+            name=f'listener {self.address}',
+            daemon=True,
+        )
+
+    def start(self):
+        """Accept connections from now on."""
+        self._server.accept_connections()
+        self._thread.start()
+
+    def busy(self):
+        """Return the number of connections with a request in progress.
+
+        A request that is received in part, or a response that is not sent
+        completely, is in progress too.
+        """
+        return sum(
+            1
+            for channel in list(self._server.active_channels.values())
+            if _is_busy(channel)
+        )
+
+    def stop_accepting(self):
+        """Refuse new connections; open ones go on.
+
+        The load balancer should have seen `not ready` before.
+        """
+        done = threading.Event()
+
+        def stop():
+            try:
+                self._close_listening()
+            finally:
+                done.set()
+
+        if self._thread.is_alive():
+            self._server.trigger.pull_trigger(stop)
+            done.wait(STOP_MS / 1000)
+
+    def close(self, timeout_ms=STOP_MS, clock=None):
+        """Stop gracefully: end requests in progress, then close all.
+
+        Args:
+            timeout_ms: longest time for the requests in progress.
+            clock: the Clock; the system clock by default.
+
+        Returns:
+            The number of requests that were cut off.
+        """
+        clock = clock or clock_lib.SystemClock()
+        if not self._thread.is_alive():
+            self._server.close()
+            self._server.task_dispatcher.shutdown(timeout=1)
+            return 0
+        self.stop_accepting()
+        expiry_ms = clock.now_ms() + timeout_ms
+        never = threading.Event()
+        while self.busy() and clock.now_ms() < expiry_ms:
+            clock.wait(never, POLL_MS)
+        cut_off = self.busy()
+        self._server.trigger.pull_trigger(self._close_all)
+        self._thread.join(STOP_MS / 1000)
+        self._server.task_dispatcher.shutdown(timeout=1)
+        return cut_off
+
+    def _close_listening(self):
+        # A connection that the kernel has accepted already may carry a
+        # request; closing the socket would reset it.
+        if not self._server.accepting:
+            return
+        while True:
+            before = len(self._server.active_channels)
+            self._server.handle_accept()
+            if len(self._server.active_channels) == before:
+                break
+        self._server.accepting = False
+        self._server.del_channel()
+        self._socket.close()
+
+    def _close_all(self):
+        for channel in list(self._server.active_channels.values()):
+            channel.handle_close()
+        self._server.trigger.close()
+
+
+def json_response(start_response, status, data, headers=()):
+    """Answer a WSGI request with JSON.
+
+    Args:
+        start_response: of the WSGI call.
+        status: HTTP status code.
+        data: anything that msgspec encodes.
+        headers: more (name, value) pairs.
+
+    Returns:
+        The body for the WSGI server.
+    """
+    body = msgspec.json.encode(data, enc_hook=str)
+    return response(start_response, status, body, 'application/json', headers)
+
+
+def response(start_response, status, body, content_type, headers=()):
+    """Answer a WSGI request; see json_response().
+
+    Args:
+        start_response: of the WSGI call.
+        status: HTTP status code.
+        body: bytes.
+        content_type: value of Content-Type.
+        headers: more (name, value) pairs.
+
+    Returns:
+        The body for the WSGI server.
+    """
+    start_response(
+        f'{int(status)} {http.HTTPStatus(status).phrase}',
+        [
+            ('Content-Type', content_type),
+            ('Content-Length', str(len(body))),
+            *headers,
+        ],
+    )
+    return [body]
+
+
+def _is_busy(channel):
+    return bool(
+        channel.requests
+        or channel.request is not None
+        or channel.total_outbufs_len
+    )
+
+
+def _bind(listen):
+    try:
+        host, port = types.split_address(listen)
+        family = socket.AF_INET6 if ':' in host else socket.AF_INET
+        sock = socket.socket(family, socket.SOCK_STREAM)
+    except (OSError, ValueError) as exc:
+        raise errors.ListenFailed(address=listen, detail=exc) from exc
+    try:
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        sock.bind((host, port))
+        # Another process may have bound the address with SO_REUSEADDR
+        # without listening; listen() is what detects it.
+        sock.listen(BACKLOG)
+    except OSError as exc:
+        sock.close()
+        raise errors.ListenFailed(address=listen, detail=exc.strerror) from exc
+    return sock
--- /dev/null
+++ b/figtray/program.py
@@ -0,0 +1,161 @@
+"""Start and stop of a program: options, settings, signals, exit status."""
+
+import enum
+import os
+import queue
+import signal
+import threading
+import typing
+
+import typer
+
+import figtray
+from figtray import errors
+from figtray.events import catalogue
+from figtray.events import log
+from figtray.settings import loader
+
+
+class ExitStatus(enum.IntEnum):
+    """Exit statuses of all programs."""
+
+    STOPPED = 0
+    FAILED = 1
+    INVALID = 2
+    CANNOT_LISTEN = 3
+
+
+def run(program, settings_type, main, args=None):
+    """Run a program to its end; never returns.
+
+    Args:
+        program: name of the program.
+        settings_type: struct of its settings.
+        main: called with (settings, stop) in the main thread; it returns
+            when the threading.Event `stop` is set and all work is done.
+        args: arguments; those of the command line by default.
+
+    Raises:
+        SystemExit: with an ExitStatus.
+    """
+    app = typer.Typer(
+        add_completion=False,
+        pretty_exceptions_enable=False,
+        rich_markup_mode=None,
+    )
+
+    # The annotations are part of the command line: typer builds options
+    # from them.
+    @app.command(help=f'Run {program} until SIGTERM or SIGINT.')
+    def command(
+        settings: typing.Annotated[
+            str, typer.Option(metavar='FILE', help='Settings file.')
+        ] = '',
+        check_config: typing.Annotated[
+            bool,
+            typer.Option(
+                '--check-config', help='Check the settings file and exit.'
+            ),
+        ] = False,
+        version: typing.Annotated[
+            bool, typer.Option('--version', help='Show the version and exit.')
+        ] = False,
+    ):
+        if version:
+            typer.echo(f'{program} {figtray.__version__}')
+            raise typer.Exit(ExitStatus.STOPPED)
+        if not settings:
+            typer.echo(f'{program}: --settings FILE is missing', err=True)
+            raise typer.Exit(ExitStatus.INVALID)
+        raise typer.Exit(
+            _execute(program, settings_type, main, settings, check_config)
+        )
+
+    app(args, prog_name=program)
+
+
+def _execute(program, settings_type, main, path, check_only):
+    try:
+        settings = loader.load(path, settings_type)
+        if check_only:
+            typer.echo(f'{path}: the settings are valid')
+            return ExitStatus.STOPPED
+        _set_up_log(program, path, settings)
+    except errors.SettingsError as exc:
+        typer.echo(f'{program}: {exc}', err=True)
+        return ExitStatus.INVALID
+    log.emit(
+        catalogue.PROCESS_STARTED,
+        version=figtray.__version__,
+        pid=os.getpid(),
+        zone=settings.zone,
+    )
+    threading.excepthook = _log_thread_exception
+    status = _run_main(program, main, settings, _stop_on_signal())
+    log.emit(catalogue.PROCESS_STOPPED, status=int(status))
+    return status
+
+
+def _run_main(program, main, settings, stop):
+    try:
+        main(settings, stop)
+    except errors.SettingsError as exc:
+        log.emit(catalogue.SETTINGS_INVALID, detail=str(exc))
+        typer.echo(f'{program}: {exc}', err=True)
+        return ExitStatus.INVALID
+    except errors.ListenFailed as exc:
+        log.emit(
+            catalogue.LISTEN_FAILED,
+            address=exc.fields.get('address'),
+            detail=str(exc.fields.get('detail')),
+        )
+        typer.echo(f'{program}: {exc}', err=True)
+        return ExitStatus.CANNOT_LISTEN
+    except Exception as exc:
+        log.emit_exception(program, exc)
+        typer.echo(f'{program}: {type(exc).__name__}: {exc}', err=True)
+        return ExitStatus.FAILED
+    return ExitStatus.STOPPED
+
+
+def _set_up_log(program, path, settings):
+    try:
+        log.setup(
+            settings.log.level,
+            settings.log.destination,
+            program,
+            getattr(settings, 'slot', getattr(settings, 'name', '')),
+        )
+    except OSError as exc:
+        raise errors.SettingsError(
+            path,
+            f'log.destination: {settings.log.destination!r} is not allowed; '
+            f'{exc.strerror}',
+        ) from exc
+
+
+def _stop_on_signal():
+    """Return an event that SIGTERM and SIGINT set; more are ignored."""
+    stop = threading.Event()
+    # A handler interrupts the main thread anywhere, also inside
+    # stop.wait(), where stop.set() would deadlock; SimpleQueue.put() is
+    # made for that case.
+    received = queue.SimpleQueue()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        signal.signal(number, lambda signum, _: received.put(signum))
+
+    def wait():
+        signum = received.get()
+        stop.set()
+        log.emit(
+            catalogue.PROCESS_STOPPING, signal=signal.Signals(signum).name
+        )
+
+    threading.Thread(target=wait, name='signals', daemon=True).start()
+    return stop
+
+
+def _log_thread_exception(args):
+    if args.exc_value is not None and args.exc_type is not SystemExit:
+        name = args.thread.name if args.thread else 'unknown'
+        log.emit_exception(f'thread {name}', args.exc_value)
--- /dev/null
+++ b/figtray/tests/test_program.py
@@ -0,0 +1,101 @@
+import json
+import signal
+import threading
+
+import pytest
+
+from figtray import errors
+from figtray.events import log
+from figtray import program
+from figtray.settings import types
+
+LIMIT_S = 30
+
+SETTINGS = """{
+  name: 'controller-1', deployment: 'demo', zone: 'z1',
+  entries: [{slot: 'entry-1', address: '127.0.0.1:7001'}],
+  store: {endpoints: ['127.0.0.1:2379']},
+  host_list: {address: '127.0.0.1:7100'},
+  admin_listen: '127.0.0.1:0',
+  log: {destination: '%s'},
+}"""
+
+
+class TestRun:
+    @pytest.fixture(autouse=True)
+    def _set_up(self, tmp_path):
+        self.log = tmp_path / 'log'
+        self.settings = tmp_path / 'settings.json5'
+        self.settings.write_text(SETTINGS % self.log)
+        handlers = {
+            number: signal.getsignal(number)
+            for number in (signal.SIGTERM, signal.SIGINT)
+        }
+        hook = threading.excepthook
+        yield
+        threading.excepthook = hook
+        for number, handler in handlers.items():
+            signal.signal(number, handler)
+        log.reset()
+
+    def run(self, *args, main=lambda settings, stop: None):
+        with pytest.raises(SystemExit) as caught:
+            program.run('test', types.ControllerSettings, main, list(args))
+        return caught.value.code
+
+    def numbers(self):
+        lines = self.log.read_text().splitlines()
+        return [json.loads(line)['number'] for line in lines]
+
+    def test_version(self, capsys):
+        assert self.run('--version') == 0
+        assert capsys.readouterr().out.startswith('test ')
+
+    def test_check_config_runs_nothing(self):
+        def main(settings, stop):
+            raise AssertionError
+
+        args = '--settings', str(self.settings), '--check-config'
+        assert self.run(*args, main=main) == 0
+        assert not self.log.exists()
+
+    @pytest.mark.parametrize(
+        'args',
+        [(), ('--settings', '/nowhere'), ('--unknown',)],
+    )
+    def test_usage_and_settings(self, args, capsys):
+        assert self.run(*args) == 2
+        assert capsys.readouterr().err
+
+    def test_log_file_that_cannot_be_opened(self, capsys):
+        self.settings.write_text(SETTINGS % '/nowhere/log')
+        assert self.run('--settings', str(self.settings)) == 2
+        assert 'log.destination' in capsys.readouterr().err
+
+    @pytest.mark.parametrize(
+        'exc, status, number',
+        [
+            (errors.SettingsError('file', 'bad'), 2, 103),
+            (errors.ListenFailed(address='a', detail='in use'), 3, 104),
+            (ValueError('x'), 1, 105),
+        ],
+    )
+    def test_failure(self, exc, status, number, capsys):
+        def main(settings, stop):
+            raise exc
+
+        args = '--settings', str(self.settings)
+        assert self.run(*args, main=main) == status
+        assert self.numbers() == [100, number, 102]
+        assert capsys.readouterr().err.count('\n') == 1
+
+    # A signal that arrives inside stop.wait() must not deadlock.
+    @pytest.mark.parametrize('number', [signal.SIGTERM, signal.SIGINT])
+    def test_signal_stops(self, number):
+        def main(settings, stop):
+            signal.raise_signal(number)
+            assert stop.wait(LIMIT_S)
+
+        args = '--settings', str(self.settings)
+        assert self.run(*args, main=main) == 0
+        assert {100, 102} <= set(self.numbers())
