Serve the operators' resource API over the configuration writer

Cause: operators had no way to change the configuration; keys could not be created or verified. Ruled out: a web framework, because the API has twelve routes and one body format; deriving key secrets from a change id, because anyone who reads the log could then repeat a grant.

--- /dev/null
+++ b/figtray/api/app.py
@@ -0,0 +1,410 @@
+"""WSGI application of the operators' API."""
+
+import http
+import threading
+import urllib.parse
+import uuid
+
+import logbook
+import msgspec
+
+from figtray.api import cache as cache_lib
+from figtray.api import credentials
+from figtray.api import edits as edits_lib
+from figtray.api import messages
+from figtray.api import problems
+from figtray.api import progress as progress_lib
+from figtray.api import routing
+from figtray.configuration import archive as archive_lib
+from figtray.configuration import resources
+from figtray import errors
+from figtray.keys import caller_keys
+
+DEFAULT_PAGE = 100
+MAX_PAGE = 1000
+MAX_WAIT_MS = 10_000
+POLL_MS = 100
+# Changes of one process queue for this long behind a slow store.
+COMMIT_WAIT_MS = 10_000
+
+ROUTES = (
+    routing.Route('GET', '/v1/status', 'get_status'),
+    routing.Route('POST', '/v1/changes', 'post_changes'),
+    routing.Route('GET', '/v1/changes/<generation>', 'get_change'),
+    routing.Route('POST', '/v1/plan', 'post_plan'),
+    routing.Route('POST', '/v1/keys', 'post_key'),
+    routing.Route('POST', '/v1/keys/<name>/withdraw', 'withdraw_key'),
+    routing.Route('POST', '/v1/zones/<name>/out', 'zone_out'),
+    routing.Route('POST', '/v1/zones/<name>/in', 'zone_in'),
+    routing.Route('GET', '/v1/<kind>', 'list_resources'),
+    routing.Route('GET', '/v1/<kind>/<name>', 'get_resource'),
+    routing.Route('PUT', '/v1/<kind>/<name>', 'put_resource'),
+    routing.Route('DELETE', '/v1/<kind>/<name>', 'delete_resource'),
+)
+
+_LOG = logbook.Logger('figtray.api')
+
+
+class PutBody(msgspec.Struct, forbid_unknown_fields=True):
+    """Body of a PUT."""
+
+    spec: dict
+
+
+class Edit(msgspec.Struct, forbid_unknown_fields=True):
+    """One resource of a joint change.
+
+    `version` is the expected one, 0 for a new resource; a spec of null
+    deletes the resource.
+    """
+
+    kind: resources.Kind
+    name: str
+    version: int
+    spec: dict | None
+
+
+class ChangesBody(msgspec.Struct, forbid_unknown_fields=True):
+    """Body of a joint change."""
+
+    resources: list[Edit]
+    dry_run: bool = False
+
+
+class KeyBody(msgspec.Struct, forbid_unknown_fields=True):
+    """Body of a new key."""
+
+    team: str
+
+
+class Application:
+    """Operators' API over a writer and the group of entries.
+
+    Args:
+        writer: the configuration.writer.Writer.
+        archive: the configuration.archive.Archive, for reads when no
+            majority of the entries answers.
+        entries: the configuration.writer.EntryGroup.
+        clock: the Clock.
+        deployment: name of the deployment.
+        credential_hash: SHA-256 of the bearer credential in hexadecimal.
+        planner: function of (Snapshot, body of the request) that returns a
+            document with a plan; None if there is no planner.
+    """
+
+    def __init__(
+        self,
+        writer,
+        archive,
+        entries,
+        clock,
+        deployment,
+        credential_hash,
+        planner=None,
+    ):
+        self._writer = writer
+        self._entries = entries
+        self._clock = clock
+        self._deployment = deployment
+        self._credential_hash = credential_hash
+        self._planner = planner
+        self._cache = cache_lib.Cache(deployment, entries, archive, clock)
+        self._progress = progress_lib.Progress(entries.slots, clock)
+        self._commit_lock = threading.Lock()
+        self._stopped = threading.Event()
+
+    def close(self):
+        """End the long polls, so that a graceful stop is quick."""
+        self._stopped.set()
+
+    def __call__(self, environ, start_response):
+        """Answer one request (PEP 3333)."""
+        try:
+            response = self._respond(environ)
+        except Exception as exc:
+            problem = problems.from_error(exc)
+            if problem.status == http.HTTPStatus.INTERNAL_SERVER_ERROR:
+                _LOG.exception('Unexpected error in an operator request')
+            response = messages.Response(
+                problem.status,
+                problem.document,
+                problem.headers,
+                problems.CONTENT_TYPE,
+            )
+        body = response.body
+        status = f'{response.status} {http.HTTPStatus(response.status).phrase}'
+        headers = [
+            ('Content-Type', response.content_type),
+            ('Content-Length', str(len(body))),
+            ('Cache-Control', 'no-store'),
+            *response.headers,
+        ]
+        start_response(status, headers)
+        return [body]
+
+    def _respond(self, environ):
+        credentials.check(
+            environ.get('HTTP_AUTHORIZATION', ''), self._credential_hash
+        )
+        req = messages.Request(environ)
+        handler, params = routing.find(ROUTES, req.method, req.path)
+        return getattr(self, handler)(req, **params)
+
+    def get_status(self, req):
+        """Show the generation, the entries and the last change's status."""
+        view = self._view(req)
+        generation = view.snapshot.generation
+        return messages.Response(
+            200,
+            {
+                'deployment': self._deployment,
+                'generation': generation,
+                'checksum': view.snapshot.mark.checksum,
+                'age_ms': view.age_ms,
+                'entries': {
+                    slot: view.marks.get(slot) for slot in self._entries.slots
+                },
+                'status': self._status(generation, view),
+            },
+        )
+
+    def list_resources(self, req, kind):
+        """List resources of a kind by name, one page at a time."""
+        view = self._view(req)
+        prefix, after = req.text('prefix'), req.text('after')
+        limit = req.number('limit', DEFAULT_PAGE, 1, MAX_PAGE)
+        names = sorted(
+            name
+            for name in view.snapshot.specs(kind)
+            if name.startswith(prefix) and name > after
+        )
+        document = {
+            'generation': view.snapshot.generation,
+            'age_ms': view.age_ms,
+            'items': [
+                self._resource(view, view.snapshot.item(kind, name))
+                for name in names[:limit]
+            ],
+        }
+        headers = ()
+        if len(names) > limit:
+            document['next'] = names[limit - 1]
+            query = urllib.parse.urlencode(
+                {'prefix': prefix, 'limit': limit, 'after': names[limit - 1]}
+            )
+            headers = (('Link', f'</v1/{kind.value}?{query}>; rel="next"'),)
+        return messages.Response(200, document, headers)
+
+    def get_resource(self, req, kind, name):
+        """Show one resource with its version."""
+        view = self._view(req)
+        item = view.snapshot.item(kind, name)
+        if item is None or item.deleted:
+            raise errors.ResourceNotFound(kind=kind.value, name=name)
+        document = self._resource(view, item)
+        document['generation'] = view.snapshot.generation
+        document['age_ms'] = view.age_ms
+        return messages.Response(200, document, _etag(item))
+
+    def put_resource(self, req, kind, name):
+        """Create or replace a resource."""
+        expected = req.expected_version()
+        spec = req.decode(PutBody).spec
+        edit = edits_lib.Put(kind, name, spec, expected)
+        status = 200 if expected else 201
+        return self._change_one(req, edit, status)
+
+    def delete_resource(self, req, kind, name):
+        """Delete a resource that nothing refers to."""
+        expected = req.expected_version()
+        if expected == 0:
+            raise problems.invalid('If-None-Match', '*', 'If-Match')
+        return self._change_one(req, edits_lib.Remove(kind, name, expected))
+
+    def withdraw_key(self, req, name):
+        """Withdraw a key; withdrawing it again is harmless."""
+        return self._change_one(req, edits_lib.Withdraw(name))
+
+    def zone_out(self, req, name):
+        """Take a zone out of service."""
+        return self._change_one(req, edits_lib.SetInService(name, False))
+
+    def zone_in(self, req, name):
+        """Take a zone back into service."""
+        return self._change_one(req, edits_lib.SetInService(name, True))
+
+    def post_changes(self, req):
+        """Make several edits in one change, or only check them."""
+        body = req.decode(ChangesBody)
+        edits = [_edit(edit) for edit in body.resources]
+        if body.dry_run:
+            return self._dry_run(edits)
+        committed, change_id = self._commit(req, edits)
+        return messages.Response(
+            200,
+            {
+                'generation': committed.change.generation,
+                'change_id': change_id,
+                'resources': [_plain(item) for item in committed.change.items],
+                'status': self._committed_status(committed),
+            },
+            (('Change-Id', change_id),),
+        )
+
+    def get_change(self, req, generation):
+        """Wait until a generation is in force."""
+        try:
+            number = int(generation)
+        except ValueError:
+            number = -1
+        if not 1 <= number < 10**15:
+            raise problems.invalid('generation', generation, 'a number')
+        wait_ms = req.number('wait_ms', 0, 0, MAX_WAIT_MS)
+        deadline_ms = self._clock.now_ms() + wait_ms
+        while True:
+            view = self._cache.view(POLL_MS)
+            status = self._status(number, view)
+            left_ms = deadline_ms - self._clock.now_ms()
+            if status.in_force or left_ms <= 0 or self._stopped.is_set():
+                break
+            self._clock.wait(self._stopped, min(POLL_MS, left_ms))
+        return messages.Response(200, {'generation': number, 'status': status})
+
+    def post_key(self, req):
+        """Create a key and show its secret this one time."""
+        team = req.decode(KeyBody).team
+        generated = caller_keys.generate()
+        spec = {'team': team, 'hash': generated.hash}
+        edit = edits_lib.Put(
+            resources.Kind.KEY, generated.key_id, spec, expected=0
+        )
+        change_id = req.change_id() or uuid.uuid4().hex
+        committed = self._commit_as(change_id, [edit])
+        item = committed.change.items[0]
+        if item.name != generated.key_id:
+            raise problems.ProblemError(
+                409,
+                'secret-not-repeatable',
+                f'This change created key {item.name} before, and its '
+                'secret is not kept. Withdraw that key and create another '
+                'one with a new change id.',
+                key=item.name,
+            )
+        document = _plain(item)
+        document['secret'] = generated.presented
+        document['status'] = self._committed_status(committed)
+        return messages.Response(
+            201, document, (('Change-Id', change_id), *_etag(item))
+        )
+
+    def post_plan(self, req):
+        """Preview a plan of the capacity planner."""
+        if self._planner is None:
+            raise problems.ProblemError(
+                501,
+                'no-planner',
+                'No capacity planner is configured for this API.',
+            )
+        body = req.decode(dict)
+        view = self._view(req)
+        return messages.Response(200, self._planner(view.snapshot, body))
+
+    def _view(self, req):
+        max_age_ms = 0 if req.wants_fresh else cache_lib.MAX_AGE_MS
+        return self._cache.view(max_age_ms)
+
+    def _status(self, generation, view):
+        return self._progress.status(generation, view.snapshot, view.marks)
+
+    def _resource(self, view, item):
+        return {**_plain(item), 'status': self._status(item.version, view)}
+
+    def _change_one(self, req, edit, status=200):
+        committed, change_id = self._commit(req, [edit])
+        item = committed.change.items[0]
+        document = _plain(item)
+        document['status'] = self._committed_status(committed)
+        return messages.Response(
+            status, document, (('Change-Id', change_id), *_etag(item))
+        )
+
+    def _commit(self, req, edits):
+        change_id = req.change_id() or uuid.uuid4().hex
+        committed = self._commit_as(change_id, edits)
+        if not edits_lib.is_result(edits, committed.change.items):
+            raise problems.ProblemError(
+                422,
+                'change-id-reused',
+                f'Change id {change_id} belongs to another change, '
+                f'generation {committed.change.generation}.',
+                outcome=problems.Outcome.NOT_CHANGED,
+            )
+        return committed, change_id
+
+    def _commit_as(self, change_id, edits):
+        edits_lib.check(edits)
+        if not self._commit_lock.acquire(timeout=COMMIT_WAIT_MS / 1000):
+            raise errors.StoreUnavailable(
+                detail='earlier changes still wait for it'
+            )
+        try:
+            committed = self._writer.commit(
+                lambda before: edits_lib.build(before, edits), change_id
+            )
+        except Exception as exc:
+            problem = problems.from_error(exc)
+            problem.document['change_id'] = change_id
+            problem.headers += (('Change-Id', change_id),)
+            raise problem from exc
+        finally:
+            self._commit_lock.release()
+        self._cache.learn(committed.change)
+        self._progress.accepted(
+            committed.change.generation, committed.accepted_ms
+        )
+        return committed
+
+    def _committed_status(self, committed):
+        unconfirmed = [
+            slot
+            for slot in self._entries.slots
+            if slot not in committed.confirmed
+        ]
+        return progress_lib.Status(True, not unconfirmed, tuple(unconfirmed))
+
+    def _dry_run(self, edits):
+        edits_lib.check(edits)
+        snapshot = self._cache.view(0).snapshot
+        items = edits_lib.build(snapshot, edits)
+        archive_lib.check_items(snapshot, items)
+        return messages.Response(
+            200,
+            {
+                'generation': snapshot.generation,
+                'dry_run': True,
+                'resources': [_plain(item) for item in items],
+            },
+        )
+
+
+def _edit(edit):
+    if edit.version < 0:
+        raise errors.ValidationFailed(
+            field='version', value=edit.version, allowed='0 or more'
+        )
+    if edit.spec is None:
+        return edits_lib.Remove(edit.kind, edit.name, edit.version)
+    return edits_lib.Put(edit.kind, edit.name, edit.spec, edit.version)
+
+
+def _plain(item):
+    return {
+        'kind': item.kind,
+        'name': item.name,
+        'version': item.version,
+        'spec': item.spec,
+    }
+
+
+def _etag(item):
+    return (('ETag', f'"{item.version}"'),)
--- /dev/null
+++ b/figtray/api/problems.py
@@ -0,0 +1,156 @@
+"""Problem documents (RFC 9457) of the operators' API."""
+
+import enum
+
+from figtray import errors
+
+CONTENT_TYPE = 'application/problem+json'
+TYPE_PREFIX = 'urn:figtray:problem:'
+RETRY_AFTER_S = 1
+
+TITLES = {
+    400: 'Bad request',
+    401: 'Unauthorized',
+    404: 'Not found',
+    405: 'Method not allowed',
+    409: 'Conflict',
+    411: 'Length required',
+    412: 'Precondition failed',
+    413: 'Content too large',
+    414: 'URI too long',
+    422: 'Unprocessable content',
+    428: 'Precondition required',
+    431: 'Header too large',
+    500: 'Internal error',
+    501: 'Not implemented',
+    503: 'Service unavailable',
+}
+
+
+class Outcome(str, enum.Enum):
+    """What a change that was not confirmed did to the configuration."""
+
+    NOT_CHANGED = 'not_changed'
+    MAY_HAVE_CHANGED = 'may_have_changed'
+    STORED_NOT_ACCEPTED = 'stored_not_accepted'
+
+
+class ProblemError(errors.FigtrayError):
+    """A request that is answered with a problem document.
+
+    Args:
+        status: HTTP status.
+        name: last part of the problem type.
+        detail: what is wrong with this request.
+        headers: further headers, pairs of name and value.
+        members: further members of the document.
+    """
+
+    def __init__(self, status, name, detail, headers=(), **members):
+        super().__init__(detail)
+        self.status = status
+        self.headers = tuple(headers)
+        self.document = {
+            'type': TYPE_PREFIX + name,
+            'title': TITLES[status],
+            'status': status,
+            'detail': detail,
+            **members,
+        }
+
+
+def invalid(field, value, allowed):
+    """Return the problem of a value that is not allowed."""
+    return from_error(
+        errors.ValidationFailed(field=field, value=value, allowed=allowed)
+    )
+
+
+def from_error(exc):
+    """Return the ProblemError that stands for an error.
+
+    Args:
+        exc: an exception.
+
+    Returns:
+        A ProblemError. For a change it names the outcome.
+    """
+    match exc:
+        case ProblemError():
+            return exc
+        case errors.ValidationFailed():
+            return ProblemError(
+                422,
+                'validation-failed',
+                str(exc),
+                outcome=Outcome.NOT_CHANGED,
+                **exc.fields,
+            )
+        case errors.ResourceNotFound():
+            return ProblemError(
+                404, 'not-found', str(exc), outcome=Outcome.NOT_CHANGED
+            )
+        case errors.ResourceInUse():
+            return ProblemError(
+                409,
+                'resource-in-use',
+                str(exc),
+                outcome=Outcome.NOT_CHANGED,
+                referrer=exc.fields['referrer'],
+            )
+        case errors.VersionConflict():
+            return ProblemError(
+                412,
+                'version-conflict',
+                str(exc),
+                outcome=Outcome.NOT_CHANGED,
+                current=exc.fields['item'],
+            )
+        case errors.StoreDiverged():
+            return ProblemError(
+                409,
+                'store-diverged',
+                f'{exc} Nothing was changed; an operator has to decide '
+                'which of them to keep.',
+                outcome=Outcome.NOT_CHANGED,
+                **exc.fields,
+            )
+        case errors.NotAccepted():
+            return _unavailable(
+                'not-accepted',
+                exc,
+                Outcome.STORED_NOT_ACCEPTED,
+                generation=exc.fields['generation'],
+                confirmed=exc.fields['confirmed'],
+                total=exc.fields['total'],
+            )
+        case errors.WriteUncertain():
+            return _unavailable(
+                'write-uncertain', exc, Outcome.MAY_HAVE_CHANGED
+            )
+        case errors.NoMajority():
+            return _unavailable('no-majority', exc, Outcome.NOT_CHANGED)
+        case errors.StoreUnavailable():
+            return _unavailable('store-unavailable', exc, Outcome.NOT_CHANGED)
+        case errors.PeerUnavailable():
+            return _unavailable('peer-unavailable', exc, Outcome.NOT_CHANGED)
+        case errors.FencedOut():
+            return _unavailable('overtaken', exc, Outcome.NOT_CHANGED)
+    # An unforeseen error may have come after the write.
+    return ProblemError(
+        500,
+        'internal-error',
+        f'{type(exc).__name__}; the log has the details.',
+        outcome=Outcome.MAY_HAVE_CHANGED,
+    )
+
+
+def _unavailable(name, exc, outcome, **members):
+    return ProblemError(
+        503,
+        name,
+        str(exc),
+        headers=(('Retry-After', str(RETRY_AFTER_S)),),
+        outcome=outcome,
+        **members,
+    )
--- a/figtray/configuration/resources.py
+++ b/figtray/configuration/resources.py
@@ -156,9 +156,7 @@
     try:
         spec = msgspec.convert(data, SPEC_TYPES[kind])
     except msgspec.ValidationError as exc:
-        raise errors.ValidationFailed(
-            f'{kind.value}: {exc}', field=kind.value, value=None, allowed=''
-        ) from exc
+        raise _form_error(kind, data, str(exc)) from exc
     for field, value, is_allowed, allowed in _field_rules(spec):
         if not is_allowed:
             raise errors.ValidationFailed(
@@ -203,6 +201,35 @@
                 yield 'teams', Kind.TEAM, team
 
 
+def _form_error(kind, data, problem):
+    """Return the ValidationFailed of a msgspec error.
+
+    msgspec names the place only in its message, as `... - at `$.a.b[1]``.
+    """
+    text, _, path = problem.partition(' - at `$')
+    field = path.rstrip('`').lstrip('.')
+    parent = SPEC_TYPES[kind]
+    value = data
+    for name in re.findall(r'\w+', field):
+        value = value[int(name) if name.isdigit() else name]
+        if isinstance(parent, type) and hasattr(parent, '__annotations__'):
+            parent = parent.__annotations__.get(name)
+    if named := re.search(r'(unknown|required) field `(.*)`', text):
+        missing = named[1] == 'required'
+        known = ', '.join(parent.__struct_fields__)
+        return errors.ValidationFailed(
+            field='.'.join(filter(None, (field, named[2]))),
+            value=None if missing else value[named[2]],
+            allowed='a value' if missing else f'only the fields {known}',
+        )
+    allowed = text.removeprefix('Expected ')
+    if text.startswith('Invalid enum value'):
+        allowed = 'one of ' + ', '.join(item.value for item in parent)
+    return errors.ValidationFailed(
+        field=field or 'spec', value=value, allowed=allowed
+    )
+
+
 def _in_range(field, value, low, high):
     return field, value, low <= value <= high, f'{low} to {high}'
 
--- a/figtray/keys/__init__.py
+++ b/figtray/keys/__init__.py
@@ -1,1 +1,1 @@
-"""Placeholder."""
+"""Callers' keys: generation, hashing and verification."""
