--- a/figtray/settings/loader.py
+++ b/figtray/settings/loader.py
@@ -8,6 +8,7 @@
 
 from figtray import errors
 from figtray.settings import positions
+from figtray.settings import types
 
 INCLUDE_FIELD = 'include'
 MAX_FILE_BYTES = 1 << 20
@@ -84,6 +85,30 @@
     return _read(pathlib.Path(path), ())
 
 
+def read_credential_hash(settings):
+    """Return the SHA-256 of the operators' credential.
+
+    Args:
+        settings: ApiSettings; a relative credential_file is looked up in
+            the working directory.
+
+    Returns:
+        64 hexadecimal digits.
+
+    Raises:
+        SettingsError: the file can't be read or holds something else.
+    """
+    if settings.credential_hash:
+        return settings.credential_hash
+    path = settings.credential_file
+    text = _read_text(path).strip()
+    if not types.is_sha256(text):
+        raise errors.SettingsError(
+            path, 'the file must hold 64 hexadecimal digits'
+        )
+    return text
+
+
 def nested_rules(struct, prefix=''):
     """Yield the rules of a struct and of all structs in its fields.
 
--- a/figtray/settings/tests/test_loader.py
+++ b/figtray/settings/tests/test_loader.py
@@ -1,3 +1,4 @@
+import msgspec
 import pytest
 
 from figtray import errors
@@ -106,6 +107,24 @@
         assert 'not-a-hash' not in str(caught.value)
         assert 'credential_hash' in str(caught.value)
 
+    # A file with the credential itself must be refused, and not be shown.
+    def test_credential_file(self):
+        secret = self.write('secret', 'opensesame')
+        hashed = self.write('hash', 'ab' * 32 + '\n')
+        path = self.write(
+            'api.json5',
+            "{include: 'common.json5', listen: '127.0.0.1:1',"
+            f" credential_file: '{hashed}'}}",
+        )
+        settings = loader.load(path, types.ApiSettings)
+        assert loader.read_credential_hash(settings) == 'ab' * 32
+        settings = msgspec.structs.replace(
+            settings, credential_file=str(secret)
+        )
+        with pytest.raises(errors.SettingsError) as caught:
+            loader.read_credential_hash(settings)
+        assert 'opensesame' not in str(caught.value)
+
 
 class TestRules:
     # An interval close to the lease would lose the role at one slow call.
--- a/figtray/settings/types.py
+++ b/figtray/settings/types.py
@@ -51,6 +51,11 @@
     return host, int(port)
 
 
+def is_sha256(text):
+    """Tell whether a text is a SHA-256 in lower-case hexadecimal."""
+    return _SHA256.match(text) is not None
+
+
 def _is_address(address, min_port=1):
     try:
         return split_address(address)[1] >= min_port
@@ -273,9 +278,8 @@
         yield (
             'credential_hash',
             self.credential_hash,
-            not self.credential_hash
-            or _SHA256.match(self.credential_hash) is not None,
-            '64 hexadecimal digits',
+            not self.credential_hash or is_sha256(self.credential_hash),
+            '64 hexadecimal digits in lower case',
         )
 
 
