--- a/figtray/settings/types.py
+++ b/figtray/settings/types.py
@@ -84,7 +84,12 @@
 
 
 class EntrySlot(Part, frozen=True):
-    """One entry slot and the address of its peer protocol."""
+    """One entry slot and the address of its peer protocol.
+
+    Attributes:
+        slot: name of the slot, such as entry-1
+        address: IP number and port of its peer protocol
+    """
 
     slot: str
     address: str
@@ -95,7 +100,12 @@
 
 
 class StoreSettings(Part, frozen=True):
-    """The platform's key-value service."""
+    """The platform's key-value service.
+
+    Attributes:
+        endpoints: IP number and port of each endpoint
+        timeout_ms: longest wait for an answer
+    """
 
     endpoints: Annotated[tuple[str, ...], Meta(min_length=1, max_length=16)]
     timeout_ms: CallMs = 2000
@@ -106,7 +116,13 @@
 
 
 class HostListSettings(Part, frozen=True):
-    """The platform's host list."""
+    """The platform's host list.
+
+    Attributes:
+        address: IP number and port
+        timeout_ms: longest wait for an answer
+        poll_ms: interval between two reads
+    """
 
     address: str
     timeout_ms: CallMs = 1000
@@ -117,7 +133,13 @@
 
 
 class LogSettings(Part, frozen=True):
-    """Lowest level that is logged, and `stderr` or a file to log to."""
+    """Lowest level that is logged, and `stderr` or a file to log to.
+
+    Attributes:
+        level: lowest level that is logged: debug, info, notice, warning,
+            error, critical
+        destination: `stderr`, or a file, which is reopened when it was renamed
+    """
 
     level: str = 'info'
     destination: str = STDERR
@@ -138,7 +160,15 @@
 
 
 class MetricsSettings(Part, frozen=True):
-    """Push of metrics over OTLP/HTTP; without an endpoint only the page."""
+    """Push of metrics over OTLP/HTTP; without an endpoint only the page.
+
+    Attributes:
+        otlp_endpoint: URL to push to, such as
+            http://127.0.0.1:4318/v1/metrics; empty pushes nothing
+        export_interval_ms: interval between two pushes
+        max_teams: teams with series of their own; further ones are counted as
+            `other`
+    """
 
     otlp_endpoint: str = ''
     export_interval_ms: Annotated[int, Meta(ge=1000, le=600_000)] = 10_000
@@ -155,7 +185,18 @@
 
 
 class Common(Part, frozen=True, kw_only=True):
-    """Settings that every program has."""
+    """Settings that every program has.
+
+    Attributes:
+        deployment: name of the deployment; part of every key in the store
+        zone: zone of this process
+        entries: all entry slots; the same list for every process of the
+            deployment
+        store: the platform's key-value service
+        host_list: the platform's host list
+        log: log output
+        metrics: metrics output
+    """
 
     deployment: str
     zone: str
@@ -187,7 +228,42 @@
 
 
 class EntrySettings(Common, frozen=True, kw_only=True):
-    """Settings of figtray-entry."""
+    """Settings of figtray-entry.
+
+    Attributes:
+        slot: slot of this entry; one of `entries`
+        caller_listen: IP number and port of the callers' API
+        admin_listen: IP number and port of /live, /ready, /debug and /metrics
+        max_header_bytes: longest head of a request
+        max_body_bytes: longest body of a request
+        max_connections: open connections of callers; more wait
+        channel_timeout_ms: idle time after which a connection of a caller is
+            closed
+        wait_threads: requests of callers that are worked on or waited for at
+            once
+        attempt_threads: attempts on workers at once
+        max_tasks: tasks that are kept, queued, running or finished; more are
+            refused
+        max_queued_bytes: bodies of all queued requests together; at least
+            max_body_bytes
+        default_deadline_ms: deadline of a request that names none; at most
+            max_deadline_ms
+        max_deadline_ms: longest deadline that a request may name
+        result_retention_ms: time for which the result of a task can be fetched
+        idempotency_retention_ms: time for which an idempotency key is
+            remembered; at least max_deadline_ms
+        heartbeat_ms: interval between two heartbeats to a peer
+        drain_ms: longest graceful stop
+        connections_per_worker: connections that this entry opens to one worker
+        worker_connect_timeout_ms: longest wait for a connection to a worker
+        job_max_workers: healthy workers on which a job may fail before it is
+            failed as a bad job
+        worker_max_failures: consecutive failures of distinct jobs after which
+            a worker is quarantined
+        retry_budget_percent: retries as a share of the successful starts
+        retry_budget_min_per_s: retries that are always allowed
+        zone_ramp_ms: time over which a returned zone goes back to full use
+    """
 
     slot: str
     caller_listen: str
@@ -257,11 +333,19 @@
 
 
 class ApiSettings(Common, frozen=True, kw_only=True):
-    """Settings of figtray-api."""
+    """Settings of figtray-api.
+
+    Attributes:
+        listen: IP number and port of the operators' API
+        credential_hash: SHA-256 of the operators' bearer credential in
+            hexadecimal, never the credential itself; exactly one of this and
+            credential_file
+        credential_file: file that holds the hash
+        push_timeout_ms: longest wait for the confirmation of a change by one
+            entry
+    """
 
     listen: str
-    # The SHA-256 of the operators' bearer credential in hexadecimal, here
-    # or in a file; never the credential itself.
     credential_hash: str = ''
     credential_file: str = ''
     push_timeout_ms: CallMs = 1000
@@ -284,7 +368,15 @@
 
 
 class ControllerSettings(Common, frozen=True, kw_only=True):
-    """Settings of figtray-controller."""
+    """Settings of figtray-controller.
+
+    Attributes:
+        name: name of this controller, unique in the deployment
+        admin_listen: IP number and port of /live, /ready, /debug and /metrics
+        lease_ttl_ms: time after which the lease of a silent active controller
+            ends
+        interval_ms: interval of the control loop; at most half of lease_ttl_ms
+    """
 
     name: str
     admin_listen: str
