--- a/figtray/dispatch/dispatcher.py
+++ b/figtray/dispatch/dispatcher.py
@@ -298,8 +298,9 @@
 
     def _retry(self, queued, reason):
         """Queue a taken request again, after a delay if a worker failed."""
-        if reason is verdict_lib.RefusalReason.CONNECT_FAILED or not isinstance(
-            reason, verdict_lib.RefusalReason
+        if (
+            reason is verdict_lib.RefusalReason.CONNECT_FAILED
+            or not isinstance(reason, verdict_lib.RefusalReason)
         ):
             delay_ms = budget_lib.backoff_ms(queued.item.attempts, self._rng)
             ready_ms = self._clock.now_ms() + delay_ms
--- a/figtray/dispatch/selection.py
+++ b/figtray/dispatch/selection.py
@@ -161,9 +161,8 @@
             }
 
     def _is_usable(self, pool, candidate):
-        return (
-            candidate.host not in self._leaving
-            and self._health.is_usable(pool, candidate.host)
+        return candidate.host not in self._leaving and self._health.is_usable(
+            pool, candidate.host
         )
 
     def _usable_slots(self, candidate):
--- a/figtray/dispatch/silence.py
+++ b/figtray/dispatch/silence.py
@@ -1,6 +1,5 @@
 """Finds attempts whose connection went silent."""
 
-
 from figtray import errors
 
 # Shorter attempts are left alone: most end by themselves.
--- a/figtray/entry/intake.py
+++ b/figtray/entry/intake.py
@@ -86,9 +86,7 @@
             return owners.owner_slot(self._slots, key)
         queue = self._replica.snapshot.spec(resources.Kind.QUEUE, req.queue)
         if queue is not None and queue.ordered:
-            return owners.owner_slot(
-                self._slots, owners.queue_key(req.queue)
-            )
+            return owners.owner_slot(self._slots, owners.queue_key(req.queue))
         return None
 
     def _submit_keyed(self, req):
--- a/figtray/entry/node.py
+++ b/figtray/entry/node.py
@@ -325,9 +325,11 @@
             if at_ms is not None and now_ms - at_ms < serving.FRESHNESS_MS
         ]
         log.emit(
-            catalogue.SERVING_RIGHT_REGAINED
-            if holds
-            else catalogue.SERVING_RIGHT_LOST,
+            (
+                catalogue.SERVING_RIGHT_REGAINED
+                if holds
+                else catalogue.SERVING_RIGHT_LOST
+            ),
             confirmed=len(confirmed),
             needed=len(self.slots) // 2,
             generation=self.replica.snapshot.generation,
--- a/figtray/keys/caller_keys.py
+++ b/figtray/keys/caller_keys.py
@@ -56,6 +56,11 @@
 _DUMMY_HASH = HASH_PREFIX + secrets.token_hex(SECRET_BYTES)
 
 
+def key_id_of(presented):
+    """Return the id in a presented key that verify() has accepted."""
+    return _PRESENTED.fullmatch(presented).group(1)
+
+
 def verify(presented, lookup):
     """Find the team of a presented key.
 
--- a/figtray/limits/allotments.py
+++ b/figtray/limits/allotments.py
@@ -7,7 +7,6 @@
 from figtray.configuration import resources
 from figtray.peers import messages
 
-
 # An asker repeats its request well within this time.
 RESERVATION_MS = 1_000
 
@@ -126,9 +125,7 @@
             ):
                 idle = self._held[team] - self._in_use[team]
                 due = max(0, portion - self._in_use[team])
-                given = max(
-                    0, min(request.wanted, idle - min(queued, due))
-                )
+                given = max(0, min(request.wanted, idle - min(queued, due)))
                 self._held[team] -= given
                 surplus = max(0, self._held[team] - portion)
                 self._reserved[team] = (
--- a/figtray/limits/recount.py
+++ b/figtray/limits/recount.py
@@ -109,9 +109,7 @@
             return Abandoned(epoch, 'no majority recorded a fence')
         joined = {report.incarnation for report in reports.values()}
         orphans, unknown_slots = self._count_orphans(snapshot, joined)
-        granted = self._grant(
-            epoch, snapshot, reports, orphans, unknown_slots
-        )
+        granted = self._grant(epoch, snapshot, reports, orphans, unknown_slots)
         incarnations = {
             slot: report.incarnation for slot, report in reports.items()
         }
@@ -168,9 +166,7 @@
                     messages.TeamAllotment(team, version, number)
                 )
         for slot, items in grants.items():
-            self._entries.grant(
-                slot, messages.Grant(epoch, tuple(items))
-            )
+            self._entries.grant(slot, messages.Grant(epoch, tuple(items)))
         return granted
 
 
--- a/figtray/listener.py
+++ b/figtray/listener.py
@@ -165,8 +165,14 @@
     Returns:
         The body for the WSGI server.
     """
-    body = msgspec.json.encode(data, enc_hook=str)
-    return response(start_response, status, body, 'application/json', headers)
+    return response(
+        start_response, status, to_json(data), 'application/json', headers
+    )
+
+
+def to_json(data):
+    """Encode plain data; values of other types are written as text."""
+    return msgspec.json.encode(data, enc_hook=str)
 
 
 def response(start_response, status, body, content_type, headers=()):
--- a/figtray/peers/heartbeat.py
+++ b/figtray/peers/heartbeat.py
@@ -150,9 +150,7 @@
     def _catch_up(self):
         """Fetch the changes that this replica lacks from the peer."""
         after = self._replica.snapshot.generation
-        reply = self._link.call(
-            messages.FetchChanges(after), FETCH_TIMEOUT_MS
-        )
+        reply = self._link.call(messages.FetchChanges(after), FETCH_TIMEOUT_MS)
         if reply.snapshot is not None:
             self._replica.adopt(snapshot_lib.from_data(reply.snapshot))
             return
--- a/figtray/settings/types.py
+++ b/figtray/settings/types.py
@@ -201,6 +201,8 @@
     result_retention_ms: SpanMs = 60_000
     idempotency_retention_ms: SpanMs = 900_000
     heartbeat_ms: Annotated[int, Meta(ge=50, le=MAX_HEARTBEAT_MS)] = 1000
+    # Time from `not ready` to the first refusal, for the load balancer.
+    ready_grace_ms: SpanMs = 2_000
     drain_ms: SpanMs = 30_000
     # 9 entries with 6 connections and one probe each, and one connection of
     # the controller, make up the 64 connections that a worker accepts.
--- a/figtray/shares/view.py
+++ b/figtray/shares/view.py
@@ -225,19 +225,16 @@
     def report(self):
         """Return the DemandReport to send, and note it as sent."""
         with self._lock:
-            pools = []
-            for name, state in sorted(self._pools.items()):
-                teams = tuple(
-                    counts.demand(team)
-                    for team, counts in sorted(state.own.items())
-                    if counts.running or counts.queued
-                )
-                state.sent = {demand.team: demand for demand in teams}
-                if teams:
-                    pools.append(PoolDemand(name, teams))
-            return DemandReport(
-                self._clock.now_ms() - self._shared_origin_ms, tuple(pools)
-            )
+            report = self._report()
+            sent = {pool.pool: pool.teams for pool in report.pools}
+            for name, state in self._pools.items():
+                state.sent = {d.team: d for d in sent.get(name, ())}
+            return report
+
+    def peek(self):
+        """Return the DemandReport of now without noting it as sent."""
+        with self._lock:
+            return self._report()
 
     def is_report_due(self):
         """Tell whether demand has changed enough for an early report."""
@@ -293,6 +290,29 @@
             self._refresh(state, pool, team)
             return state.totals.get(team, 0)
 
+    def portion(self, pool, team):
+        """Return the slots of the team that this entry is allocated."""
+        with self._lock:
+            state = self._pools.get(pool)
+            if state is None or team not in state.teams:
+                return 0
+            self._refresh(state, pool, team)
+            return state.mine.get(team, 0)
+
+    def _report(self):
+        pools = []
+        for name, state in sorted(self._pools.items()):
+            teams = tuple(
+                counts.demand(team)
+                for team, counts in sorted(state.own.items())
+                if counts.running or counts.queued
+            )
+            if teams:
+                pools.append(PoolDemand(name, teams))
+        return DemandReport(
+            self._clock.now_ms() - self._shared_origin_ms, tuple(pools)
+        )
+
     def _own(self, pool, team):
         state = self._pools.setdefault(pool, _Pool())
         state.is_dirty = True
