--- a/figtray/configuration/writer.py
+++ b/figtray/configuration/writer.py
@@ -68,6 +68,7 @@
         self._archive = archive_lib.Archive(store, deployment)
         self._entries = entries
         self._clock = clock
+        self._last_read = None
 
     def read(self):
         """Read the newest configuration of store and entries.
@@ -94,8 +95,7 @@
             )
         slot = max(marks, key=lambda name: marks[name].generation)
         newest = marks[slot]
-        _, head_revision = self._archive.read_head()
-        current, _ = self._archive.read_snapshot()
+        current, head_revision = self._read_store()
         if current.deployment != self._deployment:
             raise errors.StoreDiverged(
                 store_generation=current.generation,
@@ -110,6 +110,21 @@
             )
         return current, head_revision
 
+    def _read_store(self):
+        """Read the store, the items only if the head has changed."""
+        head, head_revision = self._archive.read_head()
+        last = self._last_read
+        if (
+            last is not None
+            and head is not None
+            and last.mark == snapshot_lib.Mark(head.generation, head.checksum)
+            and last.deployment == head.deployment
+        ):
+            return last, head_revision
+        current, _ = self._archive.read_snapshot()
+        self._last_read = current
+        return current, head_revision
+
     def commit(self, build, change_id=None, guards=()):
         """Make a change and wait until a majority holds it.
 
