End connections with their last response during a stop

Cause: close() closes idle connections; a client that sends a request on one at that moment sees a reset, although a planned stop must interrupt no request. A worker's status without a standard phrase raised in response(). Ruled out: a Connection header from the application, which WSGI forbids. Conclusion: an entry should call stop_accepting() after ready_grace_ms and before it drains.

--- a/figtray/listener.py
+++ b/figtray/listener.py
@@ -1,11 +1,13 @@
 """HTTP listener: a waitress server in its own thread, stopped gracefully."""
 
-import http
+import http.client
 import socket
 import threading
 
 import msgspec
+from waitress import channel as waitress_channel
 from waitress import server as waitress_server
+from waitress import task as waitress_task
 
 from figtray import clock as clock_lib
 from figtray import errors
@@ -18,6 +20,19 @@
 NO_OVERFLOW_BYTES = 1 << 30
 
 
+class _Task(waitress_task.WSGITask):
+    """Request whose response ends the connection during a stop."""
+
+    def build_response_header(self):
+        if self.channel.server.stopping:
+            self.request.headers['CONNECTION'] = 'close'
+        return super().build_response_header()
+
+
+class _Channel(waitress_channel.HTTPChannel):
+    task_class = _Task
+
+
 class Listener:
     """Serves a WSGI application on one address.
 
@@ -67,6 +82,8 @@
             expose_tracebacks=False,
             ident='figtray',
         )
+        self._server.channel_class = _Channel
+        self._server.stopping = False
         self._thread = threading.Thread(
             target=self._server.run,
             name=f'listener {self.address}',
@@ -91,10 +108,13 @@
         )
 
     def stop_accepting(self):
-        """Refuse new connections; open ones go on.
+        """Refuse new connections and end open ones with their next response.
 
-        The load balancer should have seen `not ready` before.
+        A client then doesn't send a request on a connection that close()
+        is about to close. The load balancer should have seen `not ready`
+        before.
         """
+        self._server.stopping = True
         done = threading.Event()
 
         def stop():
@@ -188,8 +208,10 @@
     Returns:
         The body for the WSGI server.
     """
+    # A worker may answer with a status that has no standard phrase.
+    phrase = http.client.responses.get(status, 'Unknown')
     start_response(
-        f'{int(status)} {http.HTTPStatus(status).phrase}',
+        f'{int(status)} {phrase}',
         [
             ('Content-Type', content_type),
             ('Content-Length', str(len(body))),
--- a/figtray/settings/types.py
+++ b/figtray/settings/types.py
@@ -253,6 +253,8 @@
         idempotency_retention_ms: time for which an idempotency key is
             remembered; at least max_deadline_ms
         heartbeat_ms: interval between two heartbeats to a peer
+        ready_grace_ms: time from `not ready` to the first refusal at a stop,
+            for the load balancer
         drain_ms: longest graceful stop
         connections_per_worker: connections that this entry opens to one worker
         worker_connect_timeout_ms: longest wait for a connection to a worker
@@ -282,7 +284,6 @@
     result_retention_ms: SpanMs = 60_000
     idempotency_retention_ms: SpanMs = 900_000
     heartbeat_ms: Annotated[int, Meta(ge=50, le=MAX_HEARTBEAT_MS)] = 1000
-    # Time from `not ready` to the first refusal, for the load balancer.
     ready_grace_ms: SpanMs = 2_000
     drain_ms: SpanMs = 30_000
     # 9 entries with 6 connections and one probe each, and one connection of
--- a/figtray/tests/test_listener.py
+++ b/figtray/tests/test_listener.py
@@ -55,6 +55,26 @@
         caller.join(LIMIT_MS / 1000)
         assert answers == [(200, b'"done"')]
 
+    # A client must not send a request on a connection that is being closed.
+    def test_last_response_ends_the_connection(self):
+        def app(environ, start_response):
+            return listener.json_response(start_response, 299, 'odd status')
+
+        served = listener.Listener('127.0.0.1:0', app)
+        served.start()
+        conn = http.client.HTTPConnection(
+            served.address, timeout=LIMIT_MS / 1000
+        )
+        for stopping in (False, True):
+            if stopping:
+                served.stop_accepting()
+            conn.request('GET', '/')
+            response = conn.getresponse()
+            assert (response.status, response.read()) == (299, b'"odd status"')
+            assert (response.getheader('Connection') == 'close') is stopping
+        conn.close()
+        assert served.close(LIMIT_MS) == 0
+
     def test_close_reports_requests_cut_off(self):
         started, release = threading.Event(), threading.Event()
 
