Test the order of retries, queues and ordered lanes directly

Cause: three faults planted in a scratch copy (a retry at the end, the lowest queue name first, a deadline missed by 1 ms) passed the state machine, as its short deadlines left lanes too empty. Change: longer deadlines in the machine; a direct test for each order.

--- a/figtray/queues/tests/test_queueset.py
+++ b/figtray/queues/tests/test_queueset.py
@@ -60,6 +60,31 @@
         assert len(queues._deadlines) <= 2 * queueset._HEAP_SLACK
 
 
+class TestOrder:
+    """Guards against requests that overtake each other."""
+
+    def test_retry_goes_to_the_front_of_its_lane(self, queues):
+        for task_id in 'tuv':
+            queues.add(make(task_id))
+        first = queues.take('p', 'a', False)
+        assert queues.retry(first) is None
+        order = [queues.take('p', 'a', False).task_id for _ in range(3)]
+        assert order == ['t', 'u', 'v']
+
+    def test_oldest_request_of_several_queues_is_next(self, queues):
+        queues.add(make('late', queue='o', enqueued_ms=2))
+        queues.add(make('early', enqueued_ms=1))
+        assert queues.take('p', 'a', False).task_id == 'early'
+
+    def test_ordered_queue_waits_for_the_end(self, queues):
+        queues.add(make('t', queue='o'))
+        queues.add(make('u', queue='o'))
+        queues.take('p', 'a', False)
+        assert queues.take('p', 'a', False) is None
+        queues.ended('t')
+        assert queues.take('p', 'a', False).task_id == 'u'
+
+
 class TestRefusals:
     """Guards against starts that were ruled out before."""
 
@@ -150,7 +175,7 @@
         team=st.sampled_from('ab'),
         key=st.sampled_from('kl'),
         urgent=st.booleans(),
-        life=st.integers(0, 300),
+        life=st.sampled_from([0, 50, 100, 5000, 5000, 5000]),
     )
     def add(self, queue, team, key, urgent, life):
         self.number += 1
@@ -224,7 +249,7 @@
         if any(r.task_id == task_id for r in self.taken):
             self.cancelled.add(task_id)
 
-    @stateful.rule(ms=st.integers(1, 100))
+    @stateful.rule(ms=st.sampled_from([1, 49, 50]))
     def advance(self, ms):
         self.clock.advance(ms)
 
