--- a/figtray/shares/view.py
+++ b/figtray/shares/view.py
@@ -18,6 +18,9 @@
 RECOMPUTE_MS = 200
 # Least time between two computations for a pool that is full anyway.
 SATURATED_RECOMPUTE_MS = 10
+# Demands (one for each team and entry) that lengthen this time by 1 ms, as the
+# computation takes about 6 us for each.
+DEMANDS_PER_MS = 10
 # Weight of the latest task in the mean run time of a pool.
 _RUN_TIME_GAIN = 0.05
 # Part by which a team's demand must change to be worth an early heartbeat.
@@ -96,6 +99,7 @@
         self.is_dirty = True
         self.computed_ms = None
         self.is_saturated = False
+        self.pause_ms = 0
         self.mine = {}
         self.totals = {}
         # Slots that no other entry runs, or has a portion of.
@@ -309,7 +313,7 @@
                 if (
                     state.is_saturated
                     and team in state.known_teams
-                    and age_ms < SATURATED_RECOMPUTE_MS
+                    and age_ms < state.pause_ms
                 ):
                     return
         self._compute(state, pool, now_ms)
@@ -367,6 +371,9 @@
                 )
         state.unclaimed = state.capacity - kept
         state.is_saturated = sum(totals.values()) >= state.capacity
+        state.pause_ms = SATURATED_RECOMPUTE_MS + (
+            sum(map(len, live.values())) // DEMANDS_PER_MS
+        )
         state.known_teams = frozenset(live[self._slot])
         state.is_dirty = False
         state.computed_ms = now_ms
