Fit health and retry budget to the dispatcher

Cause: the dispatcher keys workers by pool and host, reads its bounds from the settings and has one budget per team, while the first version had addresses, constants and a bucket per team. Ruled out: an adapter between both; it would hide which start is a probe. Change: WorkerHealth(clock, cfg) with is_usable, claim, succeeded, failed and unreachable by pool and host; the selector claims a probe when it picks a host, so one probe at a time goes out, and gives it back when unused. Conclusion: the entry process imports; no run of the whole process yet.

--- a/figtray/dispatch/budget.py
+++ b/figtray/dispatch/budget.py
@@ -1,12 +1,8 @@
-"""Budget of retries for each team, and the pauses between them."""
+"""Budget of retries, and the pauses between them."""
 
 import threading
 
-# Retries allowed per successful start.
-RETRY_RATIO = 0.1
-# Retries that a team with few starts may make per second.
-MIN_RETRIES_PER_S = 1.0
-# Unused retries that a team may save up.
+# Unused retries that may be saved up.
 MAX_SAVED_RETRIES = 10.0
 BACKOFF_BASE_MS = 50
 BACKOFF_MAX_MS = 2000
@@ -14,72 +10,69 @@
 _WINDOW_MS = 1000
 
 
-class _Bucket:
-    """Retries left for one team."""
-
-    def __init__(self, now_ms):
-        self.tokens = MAX_SAVED_RETRIES
-        self.window_ms = now_ms
-        self.starts = 0
-        self.granted = 0.0
+class RetryBudget:
+    """Token bucket of one team; thread safe."""
 
-    def refill(self, now_ms):
-        """Add what the current window has earned and was not yet added.
+    def __init__(self, clock, percent, min_per_s):
+        """Create a full bucket.
 
-        In each window of a second, the greater of the part of the starts
-        and the minimum rate counts, not their sum.
+        Args:
+            clock: a Clock.
+            percent: retries allowed as a share of the successful starts.
+            min_per_s: retries per second that are allowed in any case.
         """
-        windows, elapsed_ms = divmod(now_ms - self.window_ms, _WINDOW_MS)
-        if windows:
-            self._grant(max(self.starts * RETRY_RATIO, MIN_RETRIES_PER_S))
-            self.tokens += (windows - 1) * MIN_RETRIES_PER_S
-            self.window_ms = now_ms - elapsed_ms
-            self.starts = 0
-            self.granted = 0.0
-        by_time = MIN_RETRIES_PER_S * elapsed_ms / _WINDOW_MS
-        self._grant(max(self.starts * RETRY_RATIO, by_time))
-        self.tokens = min(self.tokens, MAX_SAVED_RETRIES)
-
-    def _grant(self, earned):
-        self.tokens += max(0.0, earned - self.granted)
-        self.granted = max(self.granted, earned)
-
-
-class RetryBudget:
-    """Token bucket per team; thread safe."""
-
-    def __init__(self, clock):
-        """Create a budget in which each team starts with a full bucket."""
         self._clock = clock
+        self._percent = percent
+        self._min_per_s = min_per_s
         self._lock = threading.Lock()
-        self._buckets = {}
+        self._tokens = MAX_SAVED_RETRIES
+        self._window_ms = clock.now_ms()
+        self._starts = 0
+        self._granted = 0.0
 
-    def started(self, team):
-        """Count a successful start of a team."""
+    def started(self):
+        """Count a successful start."""
         with self._lock:
-            bucket = self._refilled(team)
-            bucket.starts += 1
+            self._refill()
+            self._starts += 1
 
-    def take(self, team):
-        """Take one retry from a team's budget.
+    def try_spend(self):
+        """Take one retry from the budget.
 
         Returns:
-            True if the team may retry now.
+            True if a retry is allowed now.
         """
         with self._lock:
-            bucket = self._refilled(team)
-            if bucket.tokens < 1:
+            self._refill()
+            if self._tokens < 1:
                 return False
-            bucket.tokens -= 1
+            self._tokens -= 1
             return True
 
-    def _refilled(self, team):
+    def _refill(self):
+        """Add what the current window has earned and was not yet added.
+
+        In each window of a second, the greater of the share of the starts
+        and the minimum rate counts, not their sum.
+        """
         now_ms = self._clock.now_ms()
-        bucket = self._buckets.get(team)
-        if bucket is None:
-            bucket = self._buckets[team] = _Bucket(now_ms)
-        bucket.refill(now_ms)
-        return bucket
+        windows, elapsed_ms = divmod(now_ms - self._window_ms, _WINDOW_MS)
+        if windows:
+            self._grant(_WINDOW_MS)
+            self._tokens += (windows - 1) * self._min_per_s
+            self._window_ms = now_ms - elapsed_ms
+            self._starts = 0
+            self._granted = 0.0
+        self._grant(elapsed_ms)
+        self._tokens = min(self._tokens, MAX_SAVED_RETRIES)
+
+    def _grant(self, elapsed_ms):
+        earned = max(
+            self._starts * self._percent / 100,
+            self._min_per_s * elapsed_ms / _WINDOW_MS,
+        )
+        self._tokens += max(0.0, earned - self._granted)
+        self._granted = max(self._granted, earned)
 
 
 def backoff_ms(attempt, rng):
--- a/figtray/dispatch/dispatcher.py
+++ b/figtray/dispatch/dispatcher.py
@@ -9,6 +9,7 @@
 from figtray.configuration import resources
 from figtray.dispatch import budget as budget_lib
 from figtray.dispatch import doubtful as doubtful_lib
+from figtray.dispatch import health as health_lib
 from figtray.dispatch import selection
 from figtray.events import catalogue
 from figtray.events import log
@@ -185,11 +186,11 @@
             return False
         queued = self._queues.take(item.pool, item.team, urgent)
         if queued is None:
-            self._selector.ended(candidate.host)
+            self._selector.unused(item.pool, candidate)
             return False
         failed = queued.item.failed_hosts
         if candidate.host in failed:
-            self._selector.ended(candidate.host)
+            self._selector.unused(item.pool, candidate)
             other = self._selector.pick(item.pool, failed)
             candidate = other or self._selector.pick(item.pool)
             if candidate is None:
@@ -257,21 +258,23 @@
         Returns:
             True if the job fails on every worker and must not be retried.
         """
+        req = attempt.queued.item.req
+        job = health_lib.make_job(req.queue, req.team, req.body, req.job)
+        place = attempt.pool, attempt.host
         match verdict:
             case verdict_lib.Answered(status=status) if status < 500:
-                self._health.succeeded(attempt.pool, attempt.host)
-                self._budget(attempt.queued.team).started()
+                self._health.succeeded(*place, job, attempt.is_probe)
+                self._budget(req.team).started()
             case verdict_lib.Answered():
-                return self._health.failed(
-                    attempt.pool,
-                    attempt.host,
-                    attempt.queued.team,
-                    attempt.queued.item.req.job,
-                )
+                return self._health.failed(*place, job, attempt.is_probe)
             case verdict_lib.NotRun(
                 reason=verdict_lib.RefusalReason.CONNECT_FAILED
             ):
-                self._health.unreachable(attempt.pool, attempt.host)
+                self._health.unreachable(*place, attempt.is_probe)
+            case verdict_lib.MayHaveRun() if attempt.is_probe:
+                self._health.unreachable(*place, is_probe=True)
+            case _ if attempt.is_probe:
+                self._health.release_probe(*place)
         return False
 
     def _may_retry(self, queued, verdict):
@@ -383,6 +386,7 @@
         self.pool = queued.pool
         self.host = candidate.host
         self.address = candidate.spec.address
+        self.is_probe = candidate.is_probe
         self.permit = permit
         self.sent_ms = self._clock.now_ms()
         self.start_by_ms = self.sent_ms
--- a/figtray/dispatch/health.py
+++ b/figtray/dispatch/health.py
@@ -2,15 +2,12 @@
 
 import collections
 import dataclasses
-import enum
 import hashlib
+import random
 import threading
 
-# Distinct healthy workers on which a job fails before it is a bad job.
-JOB_MAX_WORKERS = 3
-# Consecutive task failures, of at least WORKER_MIN_JOBS jobs, before a
-# worker is quarantined.
-WORKER_MAX_FAILURES = 5
+# Jobs among the consecutive failures of a worker before it is quarantined;
+# a single job may be the one that is bad.
 WORKER_MIN_JOBS = 2
 # Consecutive failures to reach a worker before it is quarantined.
 WORKER_MAX_UNREACHABLE = 2
@@ -31,15 +28,6 @@
 JOB_RETENTION_MS = 600_000
 
 
-class Admission(enum.Enum):
-    """Whether a worker may get a start now."""
-
-    YES = 'yes'
-    # One start, whose outcome is reported with `is_probe`.
-    PROBE = 'probe'
-    NO = 'no'
-
-
 @dataclasses.dataclass(frozen=True)
 class Job:
     """What fails in the same way each time it runs."""
@@ -68,10 +56,10 @@
 class _Worker:
     """Recent outcomes of one worker."""
 
-    def __init__(self, pool):
-        self.pool = pool
+    def __init__(self, max_failures):
+        self.max_failures = max_failures
         # Jobs of the consecutive failures, oldest first.
-        self.failures = collections.deque(maxlen=4 * WORKER_MAX_FAILURES)
+        self.failures = collections.deque(maxlen=4 * max_failures)
         self.unreachable = 0
         self.is_quarantined = False
         self.was_quarantined = False
@@ -83,7 +71,7 @@
     def is_suspect(self):
         """Tell whether the failures justify a quarantine."""
         return self.unreachable >= WORKER_MAX_UNREACHABLE or (
-            len(self.failures) >= WORKER_MAX_FAILURES
+            len(self.failures) >= self.max_failures
             and len(set(self.failures)) >= WORKER_MIN_JOBS
         )
 
@@ -100,74 +88,84 @@
 class WorkerHealth:
     """Failure accounting of all workers and jobs; thread safe."""
 
-    def __init__(self, clock, rng):
+    def __init__(self, clock, cfg, rng=None):
         """Create the accounting without workers.
 
         Args:
             clock: a Clock.
+            cfg: settings with `job_max_workers`, the distinct healthy
+                workers on which a job fails before it is bad, and
+                `worker_max_failures`, the consecutive failures before a
+                worker is quarantined.
             rng: a random.Random for the jitter of the probes.
         """
         self._clock = clock
-        self._rng = rng
+        self._job_max_workers = cfg.job_max_workers
+        self._worker_max_failures = cfg.worker_max_failures
+        self._rng = rng or random.Random()
         self._lock = threading.Lock()
-        self._workers = {}
         self._pools = {}
         self._jobs = collections.OrderedDict()
 
-    def configure(self, pool, workers):
-        """Set the workers of a pool; the others of the pool are forgotten.
+    def configure(self, pool, hosts):
+        """Set the hosts of a pool; what is known of others is forgotten.
 
         Args:
             pool: name of the pool.
-            workers: their addresses.
+            hosts: names of its hosts.
         """
         with self._lock:
-            wanted = set(workers)
-            for address in self._pools.get(pool, set()) - wanted:
-                if self._workers[address].pool == pool:
-                    del self._workers[address]
-            self._pools[pool] = wanted
-            for address in wanted:
-                worker = self._workers.setdefault(address, _Worker(pool))
-                if worker.pool != pool:
-                    self._pools[worker.pool].discard(address)
-                    worker.pool = pool
-
-    def admit(self, address):
-        """Tell whether a worker may get a start, and claim a due probe."""
+            before = self._pools.get(pool, {})
+            self._pools[pool] = {
+                host: before.get(host) or _Worker(self._worker_max_failures)
+                for host in hosts
+            }
+
+    def is_usable(self, pool, host):
+        """Tell whether a worker may get a start, as itself or as a probe."""
         with self._lock:
-            worker = self._workers.get(address)
-            if worker is None:
-                return Admission.NO
-            if not worker.is_quarantined:
-                return Admission.YES
-            now_ms = self._clock.now_ms()
-            if now_ms < worker.probe_at_ms:
-                return Admission.NO
+            worker = self._find(pool, host)
+            return worker is not None and (
+                not worker.is_quarantined
+                or self._clock.now_ms() >= worker.probe_at_ms
+            )
+
+    def claim(self, pool, host):
+        """Note that a usable worker gets a start.
+
+        Returns:
+            True if the start is a probe. Its outcome is then reported with
+            `is_probe`, or given back with release_probe(); until then the
+            worker is not usable.
+        """
+        with self._lock:
+            worker = self._find(pool, host)
+            if worker is None or not worker.is_quarantined:
+                return False
             worker.is_probing = True
-            worker.probe_at_ms = now_ms + PROBE_TIMEOUT_MS
-            return Admission.PROBE
+            worker.probe_at_ms = self._clock.now_ms() + PROBE_TIMEOUT_MS
+            return True
 
-    def release_probe(self, address):
-        """Give back a probe that was claimed but not used."""
+    def release_probe(self, pool, host):
+        """Give back a probe that told nothing about the worker."""
         with self._lock:
-            worker = self._workers.get(address)
+            worker = self._find(pool, host)
             if worker is not None and worker.is_probing:
                 worker.is_probing = False
                 worker.probe_at_ms = self._clock.now_ms()
 
-    def succeeded(self, address, job, is_probe=False):
+    def succeeded(self, pool, host, job=None, is_probe=False):
         """Count a task that did not fail.
 
         Args:
-            address: the worker.
+            pool: the pool of the worker.
+            host: the host of the worker.
             job: the Job, or None for a probe without a task.
-            is_probe: whether admit() returned PROBE for this start.
+            is_probe: whether claim() returned True for this start.
         """
         with self._lock:
-            if job is not None:
-                self._jobs.pop(job, None)
-            worker = self._workers.get(address)
+            self._jobs.pop(job, None)
+            worker = self._find(pool, host)
             if worker is None:
                 return
             if worker.is_quarantined and not is_probe:
@@ -181,36 +179,37 @@
             if worker.successes >= SUCCESSES_TO_RESET:
                 worker.interval_ms = PROBE_FIRST_MS
 
-    def failed(self, address, job, is_probe=False):
+    def failed(self, pool, host, job, is_probe=False):
         """Count a task that failed.
 
         Args:
-            address: the worker.
+            pool: the pool of the worker.
+            host: the host of the worker.
             job: the Job.
-            is_probe: whether admit() returned PROBE for this start.
+            is_probe: whether claim() returned True for this start.
 
         Returns:
             True if the job is bad; then it is failed to the caller.
         """
         with self._lock:
-            worker = self._workers.get(address)
+            worker = self._find(pool, host)
             record = self._record(job)
             if worker is not None:
                 worker.unreachable = 0
                 if not record.is_bad:
-                    record.workers.add(address)
+                    record.workers.add((pool, host))
                     worker.failures.append(job)
-                    self._judge_job(job, record, worker.pool)
-                self._judge_worker(worker, is_probe)
+                    self._judge_job(job, record, pool)
+                self._judge_worker(pool, worker, is_probe)
             return record.is_bad
 
-    def unreachable(self, address, is_probe=False):
-        """Count a start that the worker certainly never received."""
+    def unreachable(self, pool, host, is_probe=False):
+        """Count a start that the worker never received or never answered."""
         with self._lock:
-            worker = self._workers.get(address)
+            worker = self._find(pool, host)
             if worker is not None:
                 worker.unreachable += 1
-                self._judge_worker(worker, is_probe)
+                self._judge_worker(pool, worker, is_probe)
 
     def is_bad_job(self, job):
         """Tell whether a job failed on enough healthy workers."""
@@ -221,23 +220,18 @@
             age_ms = self._clock.now_ms() - record.noted_ms
             return record.is_bad and age_ms < JOB_RETENTION_MS
 
-    def failures(self, address):
-        """Return the consecutive failures of a worker, to rank workers."""
-        with self._lock:
-            worker = self._workers.get(address)
-            if worker is None:
-                return 0
-            return len(worker.failures) + worker.unreachable
-
     def quarantined(self, pool):
-        """Return the sorted addresses of a pool's quarantined workers."""
+        """Return the sorted names of a pool's quarantined hosts."""
         with self._lock:
             return sorted(
-                address
-                for address in self._pools.get(pool, ())
-                if self._workers[address].is_quarantined
+                host
+                for host, worker in self._pools.get(pool, {}).items()
+                if worker.is_quarantined
             )
 
+    def _find(self, pool, host):
+        return self._pools.get(pool, {}).get(host)
+
     def _record(self, job):
         now_ms = self._clock.now_ms()
         record = self._jobs.get(job)
@@ -259,23 +253,22 @@
         is bad, its failures are taken off all workers, and those that were
         quarantined on its account return.
         """
+        failing = [
+            worker
+            for worker in (self._find(*place) for place in record.workers)
+            if worker is not None
+        ]
         witnesses = sum(
-            1
-            for address in record.workers
-            if address in self._workers
-            and not self._workers[address].is_quarantined
-            and set(self._workers[address].failures) <= {job}
+            not worker.is_quarantined and set(worker.failures) <= {job}
+            for worker in failing
         )
-        part = len(record.workers) / max(1, len(self._pools.get(pool, ())))
-        if witnesses < JOB_MAX_WORKERS and (
-            part <= JOB_MAX_POOL_PART or len(record.workers) < JOB_MAX_WORKERS
+        part = len(failing) / max(1, len(self._pools[pool]))
+        if witnesses < self._job_max_workers and (
+            part <= JOB_MAX_POOL_PART or len(failing) < self._job_max_workers
         ):
             return
         record.is_bad = True
-        for address in record.workers:
-            worker = self._workers.get(address)
-            if worker is None:
-                continue
+        for worker in failing:
             kept = [other for other in worker.failures if other != job]
             worker.failures.clear()
             worker.failures.extend(kept)
@@ -283,7 +276,7 @@
                 worker.is_quarantined = False
                 worker.is_probing = False
 
-    def _judge_worker(self, worker, is_probe):
+    def _judge_worker(self, pool, worker, is_probe):
         """Quarantine a suspect worker, or lengthen the interval of one."""
         if worker.is_quarantined:
             if is_probe:
@@ -292,9 +285,9 @@
             return
         if not worker.is_suspect():
             return
-        pool = self._pools[worker.pool]
-        count = sum(self._workers[other].is_quarantined for other in pool)
-        if count + 1 > len(pool) * MAX_QUARANTINED:
+        workers = self._pools[pool].values()
+        count = sum(other.is_quarantined for other in workers)
+        if count + 1 > len(workers) * MAX_QUARANTINED:
             return
         worker.is_quarantined = True
         if worker.was_quarantined and worker.successes < SUCCESSES_TO_RESET:
--- a/figtray/dispatch/selection.py
+++ b/figtray/dispatch/selection.py
@@ -17,10 +17,11 @@
 
 @dataclasses.dataclass(frozen=True)
 class Candidate:
-    """A host that may be used now."""
+    """A host that may be used now; `is_probe` tells that it is on trial."""
 
     host: str
     spec: resources.Host
+    is_probe: bool = False
 
 
 class HostSelector:
@@ -32,7 +33,7 @@
         Args:
             slot: name of this entry's slot.
             cfg: settings with connections_per_worker and zone_ramp_ms.
-            health: object with is_usable(pool, host).
+            health: the WorkerHealth.
             clock: a Clock.
         """
         self._slot = slot
@@ -64,6 +65,8 @@
                 pool: sorted(hosts, key=self._preference)
                 for pool, hosts in pools.items()
             }
+            for pool, hosts in pools.items():
+                self._health.configure(pool, [found.host for found in hosts])
 
     def on_host_list(self, statuses):
         """Follow the host list, which lags behind the hosts."""
@@ -101,7 +104,8 @@
             excluded: hosts that must not be used.
 
         Returns:
-            A Candidate, or None. The caller reports the end with ended().
+            A Candidate, or None. The caller reports the end with ended(),
+            or with unused() if it starts nothing there.
         """
         now_ms = self._clock.now_ms()
         with self._lock:
@@ -123,8 +127,17 @@
                 self._in_flight[best.host] = (
                     self._in_flight.get(best.host, 0) + 1
                 )
+                if self._health.claim(pool, best.host):
+                    best = dataclasses.replace(best, is_probe=True)
             return best
 
+    def unused(self, pool, candidate):
+        """Give back a candidate on which nothing was started."""
+        if candidate.is_probe:
+            self._health.release_probe(pool, candidate.host)
+        with self._lock:
+            self._in_flight[candidate.host] -= 1
+
     def ended(self, host, pause_ms=None):
         """Record the end of an attempt.
 
