Keep accepted changes and change ids through store faults

Cause: a state machine over writers, entries and a store with faults (figtray/configuration/tests/test_history.py) found that - a retry with the same change id made the change a second time after more than 5 other changes, or after the store came back with an older state, because only 5 log entries were searched and a restoration wrote no log; - a change that was stored but reached no entry left a gap, so that no later change was ever accepted. Reading the code for the same kind of fault showed that - a store outage after a lost reply, or a lost reply in the last attempt, was reported as 'nothing was changed'; - a delayed write could match the head revision of a store that counts its revisions again after a restoration; - one entry with a change that was never accepted made the writer refuse all changes; - a store or replica more than 512 changes behind was taken over without any check of its history; - a failing listener left a change in the replica's log that was not applied. Ruled out: searching the log in the store for the id, which costs up to 512 reads per change; a longer search limit, which only moves the fault. EntryGroup has a new optional call changes(). Conclusion: the interfaces are extended and not broken.

--- a/figtray/api/cache.py
+++ b/figtray/api/cache.py
@@ -85,16 +85,17 @@
             self._problem = str(exc)
 
     def _follow_entries(self):
-        slot = max(self._marks, key=lambda name: self._marks[name].generation)
-        newest = self._marks[slot]
-        current = self._replica.snapshot
-        if newest.generation < current.generation:
-            return
-        if newest == current.mark:
+        found = writer_lib.newest_safe(
+            self._entries, self._marks, self._replica.snapshot
+        )
+        if found is None:
+            raise errors.PeerUnavailable(
+                peer='entries', detail='they follow different histories'
+            )
+        snapshot, slot = found
+        if slot is None:
             return
-        snapshot = self._entries.fetch(slot)
-        outcome = self._replica.adopt(snapshot)
-        if outcome is replica_lib.Outcome.DIVERGED:
+        if self._replica.adopt(snapshot) is replica_lib.Outcome.DIVERGED:
             # The entries decide. This copy followed a change of the store
             # that they never accepted.
             self._replica = replica_lib.Replica(self._deployment)
--- a/figtray/api/problems.py
+++ b/figtray/api/problems.py
@@ -30,6 +30,7 @@
 class Outcome(str, enum.Enum):
     """What a change that was not confirmed did to the configuration."""
 
+    CHANGED = 'changed'
     NOT_CHANGED = 'not_changed'
     MAY_HAVE_CHANGED = 'may_have_changed'
     STORED_NOT_ACCEPTED = 'stored_not_accepted'
@@ -115,6 +116,14 @@
                 outcome=Outcome.NOT_CHANGED,
                 **exc.fields,
             )
+        case errors.AlreadyChanged():
+            return ProblemError(
+                409,
+                'already-changed',
+                str(exc),
+                outcome=Outcome.CHANGED,
+                generation=exc.fields['generation'],
+            )
         case errors.NotAccepted():
             return _unavailable(
                 'not-accepted',
--- a/figtray/configuration/archive.py
+++ b/figtray/configuration/archive.py
@@ -20,6 +20,7 @@
     change_id: str
     checksum: str
     history: tuple[snapshot_lib.Mark, ...] = ()
+    change_ids: tuple[str, ...] = ()
 
 
 class Archive:
@@ -91,7 +92,9 @@
             return empty, result.revision
         mark = snapshot_lib.Mark(head.generation, head.checksum)
         history = head.history or (mark,)
-        snapshot = snapshot_lib.Snapshot(head.deployment, mark, items, history)
+        snapshot = snapshot_lib.Snapshot(
+            head.deployment, mark, items, history, head.change_ids
+        )
         return snapshot, result.revision
 
     def write_change(self, before, change, head_revision, guards=()):
@@ -121,36 +124,66 @@
         deletes = [self.log_key(expired)] if expired > 0 else []
         compares = [
             store_base.Compare(self.head_key, 'mod_revision', head_revision),
+            # A store that comes back with an older state counts its
+            # revisions again, so a delayed write could find its head
+            # revision on another change of this generation.
+            store_base.Compare(
+                self.log_key(change.generation), 'mod_revision', 0
+            ),
             *guards,
         ]
         return self._store.txn(compares, puts, deletes).succeeded
 
-    def restore(self, snapshot, head_revision, guards=()):
+    def restore(self, snapshot, head_revision, changes=(), guards=()):
         """Write a whole snapshot over an older state of the store.
 
-        The items go first and the head last, so that a reader never sees
-        the new generation with old items.
+        The items go first and the head next, so that a reader never sees
+        the new generation with old items. The log follows last: a log entry
+        above the head would block the next change.
+
+        Args:
+            snapshot: the Snapshot to write.
+            head_revision: modification revision of the head key.
+            changes: the Change objects that the store lacks, if known.
+            guards: further Compare conditions.
 
         Returns:
             True if done, False if another process changed the head.
 
         Raises:
-            StoreUnavailable: the head is unchanged.
-            WriteUncertain: the head may have been changed.
+            StoreUnavailable: the restoration is not complete.
+            WriteUncertain: the restoration may not be complete.
         """
         head_guard = store_base.Compare(
             self.head_key, 'mod_revision', head_revision
         )
         compares = [head_guard, *guards]
-        puts = [
+        items = [
             self._put(self.item_key(item), item) for item in snapshot.items
         ]
+        if not self._put_all(compares, items):
+            return False
+        head = self._put_head(snapshot, snapshot.change_ids[-1])
+        result = self._store.txn(compares, [head])
+        if not result.succeeded:
+            return False
+        # One transaction wrote the head, so its revision is the store's.
+        head_guard = store_base.Compare(
+            self.head_key, 'mod_revision', result.revision
+        )
+        log = [
+            self._put(self.log_key(change.generation), change)
+            for change in changes
+        ]
+        self._put_all([head_guard, *guards], log)
+        return True
+
+    def _put_all(self, compares, puts):
         for start in range(0, len(puts), ITEMS_PER_TXN):
             chunk = puts[start : start + ITEMS_PER_TXN]
             if not self._store.txn(compares, chunk).succeeded:
                 return False
-        head = self._put_head(snapshot, change_id='')
-        return self._store.txn(compares, [head]).succeeded
+        return True
 
     def _put_head(self, snapshot, change_id):
         head = Head(
@@ -159,6 +192,7 @@
             change_id=change_id,
             checksum=snapshot.mark.checksum,
             history=tuple(snapshot.history),
+            change_ids=tuple(snapshot.change_ids),
         )
         return self._put(self.head_key, head)
 
--- a/figtray/configuration/replica.py
+++ b/figtray/configuration/replica.py
@@ -65,8 +65,8 @@
                 and change.parent_checksum != current.mark.checksum
             ):
                 return Outcome.DIVERGED
-            self._recent.append(change)
             self._replace(current.apply(change))
+            self._recent.append(change)
             return Outcome.APPLIED
 
     def adopt(self, snapshot):
@@ -84,10 +84,10 @@
                 return Outcome.DIVERGED
             if snapshot.generation <= current.generation:
                 return self._compare(current, snapshot.mark)
-            if self._checksums and snapshot.contains(current.mark) is False:
+            if self._checksums and not snapshot.follows(current):
                 return Outcome.DIVERGED
-            self._recent.clear()
             self._replace(snapshot)
+            self._recent.clear()
             return Outcome.APPLIED
 
     def changes_after(self, generation):
--- a/figtray/configuration/snapshot.py
+++ b/figtray/configuration/snapshot.py
@@ -84,10 +84,13 @@
 class Snapshot:
     """Immutable configuration with typed views of its live resources."""
 
-    def __init__(self, deployment, mark, items, history):
+    def __init__(self, deployment, mark, items, history, change_ids=()):
         self.deployment = deployment
         self.mark = mark
         self.history = history
+        # The ids of the marks in `history`; '' where an id is not known.
+        unknown = len(history) - len(change_ids)
+        self.change_ids = ('',) * unknown + tuple(change_ids)
         self._items = items
         self._specs = {kind: {} for kind in resources.Kind}
         for item in items.values():
@@ -136,6 +139,8 @@
         result.deployment = self.deployment
         result.mark = Mark(change.generation, change.checksum)
         result.history = (*self.history, result.mark)[-HISTORY_LENGTH:]
+        change_ids = (*self.change_ids, change.change_id)
+        result.change_ids = change_ids[-HISTORY_LENGTH:]
         result._items = dict(self._items)
         result._specs = dict(self._specs)
         for kind in {resources.Kind(item.kind) for item in change.items}:
@@ -156,6 +161,42 @@
             return None
         return mark in self.history
 
+    def find_change(self, change_id):
+        """Return the generation that a change id made.
+
+        Returns:
+            The generation, or None if the id is not in the history that is
+            kept.
+        """
+        for mark, known in zip(
+            reversed(self.history), reversed(self.change_ids)
+        ):
+            if known == change_id:
+                return mark.generation
+        return None
+
+    def follows(self, older):
+        """Tell whether this configuration continues an older one.
+
+        When the older one precedes the history that is kept, its items
+        decide: those that were not changed later have to be the same.
+        """
+        is_contained = self.contains(older.mark)
+        if is_contained is not None:
+            return is_contained
+        return self.deployment == older.deployment and all(
+            self._continues(item, older.generation) for item in older.items
+        )
+
+    def _continues(self, item, generation):
+        current = self._items.get((item.kind, item.name))
+        if current is None:
+            return False
+        if item.version > generation:
+            # A restoration that was broken off wrote newer items only.
+            return current.version >= item.version
+        return current.version > generation or current == item
+
     def _index(self, item):
         kind = resources.Kind(item.kind)
         if item.deleted:
@@ -172,6 +213,7 @@
     mark: Mark
     items: tuple[Item, ...]
     history: tuple[Mark, ...]
+    change_ids: tuple[str, ...] = ()
 
 
 def to_data(snapshot):
@@ -181,13 +223,16 @@
         snapshot.mark,
         tuple(snapshot.items),
         tuple(snapshot.history),
+        tuple(snapshot.change_ids),
     )
 
 
 def from_data(data):
     """Return the Snapshot of a SnapshotData."""
     items = {(item.kind, item.name): item for item in data.items}
-    return Snapshot(data.deployment, data.mark, items, data.history)
+    return Snapshot(
+        data.deployment, data.mark, items, data.history, data.change_ids
+    )
 
 
 def spec_data(spec):
--- /dev/null
+++ b/figtray/configuration/tests/test_history.py
@@ -0,0 +1,192 @@
+"""State machine of writers, entries and a store under faults."""
+
+import hypothesis
+from hypothesis import stateful
+from hypothesis import strategies as st
+
+from figtray import clock as clock_lib
+from figtray.configuration import resources
+from figtray.configuration.tests import faults
+from figtray.configuration import writer as writer_lib
+from figtray import errors
+
+MAJORITY = writer_lib.majority(len(faults.SLOTS))
+MAX_RESTARTED = len(faults.SLOTS) - MAJORITY
+
+_SLOTS = st.sampled_from(faults.SLOTS)
+
+
+class ConfigurationMachine(stateful.RuleBasedStateMachine):
+    """Guards against accepted changes that are lost, undone or repeated.
+
+    Each change writes a team of its own, so the version of that team shows
+    the generation in which the change was made. `accepted` and `refused`
+    are the oracle: what the writer said about each change.
+    """
+
+    def __init__(self):
+        super().__init__()
+        self.clock = clock_lib.ManualClock()
+        self.store = faults.FaultyStore(self.clock)
+        self.group = faults.SlotGroup()
+        self.writers = [
+            writer_lib.Writer(
+                self.store, faults.DEPLOYMENT, self.group, self.clock
+            )
+            for _ in range(2)
+        ]
+        self.next_id = 0
+        self.accepted = {}
+        self.refused = set()
+        self.pending = set()
+        self.generations = {}
+        self.dumps = [self.store.dump()]
+
+    def commit(self, writer, change_id):
+        """Make a change and record what the writer says about it."""
+        try:
+            committed = self.writers[writer].commit(
+                faults.set_team(change_id), change_id
+            )
+        except (errors.WriteUncertain, errors.NotAccepted):
+            self.pending.add(change_id)
+        except (
+            errors.StoreDiverged,
+            errors.StoreUnavailable,
+            errors.NoMajority,
+            errors.PeerUnavailable,
+            errors.FencedOut,
+        ) as exc:
+            if change_id not in self.pending | set(self.accepted):
+                self.refused.add(change_id)
+            if isinstance(exc, errors.StoreDiverged):
+                self.operator_decides()
+        except errors.AlreadyChanged as exc:
+            self.accept(change_id, exc.fields['generation'])
+        else:
+            self.accept(change_id, committed.change.generation)
+
+    def accept(self, change_id, generation):
+        """Record an accepted change."""
+        assert self.accepted.get(change_id, generation) == generation
+        self.pending.discard(change_id)
+        self.accepted[change_id] = generation
+
+    def operator_decides(self):
+        """Keep the history of the entries: empty the store."""
+        self.store.restore(({}, self.store.revision))
+
+    @stateful.rule(writer=st.integers(0, 1))
+    def change(self, writer):
+        self.next_id += 1
+        self.commit(writer, f'c{self.next_id}')
+
+    @stateful.rule(writer=st.integers(0, 1), data=st.data())
+    def retry(self, writer, data):
+        known = sorted(self.pending | set(self.accepted))
+        if known:
+            self.commit(writer, data.draw(st.sampled_from(known)))
+
+    @stateful.rule(down=st.booleans())
+    def store_outage(self, down):
+        self.store.set_down(down)
+
+    @stateful.rule()
+    def lose_reply(self):
+        self.store.lose_next_reply = True
+
+    @stateful.rule()
+    def delay_write(self):
+        self.store.hold_next = True
+
+    @stateful.rule()
+    def deliver_write(self):
+        self.store.deliver_held()
+
+    @stateful.rule(call=st.sampled_from(('get', 'range', 'txn')))
+    def outage_between_phases(self, call):
+        self.store.before[call] = lambda: self.store.set_down(True)
+
+    @stateful.rule(call=st.sampled_from(('get', 'range', 'txn')))
+    def race(self, call):
+        self.store.before[call] = lambda: self.change(1)
+
+    @stateful.rule()
+    def dump(self):
+        self.dumps.append(self.store.dump())
+
+    @stateful.rule(data=st.data())
+    def restore_older(self, data):
+        number = data.draw(st.integers(0, len(self.dumps) - 1))
+        self.store.restore(self.dumps[number])
+
+    @stateful.rule(slots=st.sets(_SLOTS))
+    def reach(self, slots):
+        self.group.reachable = slots
+
+    @stateful.rule()
+    def reach_all(self):
+        self.group.reachable = set(faults.SLOTS)
+
+    @stateful.rule(slot=_SLOTS)
+    def restart(self, slot):
+        restarted = set(faults.SLOTS) - self.group.synchronised | {slot}
+        if len(restarted) <= MAX_RESTARTED:
+            self.group.restart(slot)
+            self.generations.pop(slot, None)
+
+    @stateful.rule(slot=_SLOTS)
+    def synchronise(self, slot):
+        self.group.synchronise(slot)
+
+    @stateful.invariant()
+    def generations_never_go_back(self):
+        for slot, replica in self.group.replicas.items():
+            generation = replica.snapshot.generation
+            assert generation >= self.generations.get(slot, 0)
+            self.generations[slot] = generation
+
+    @stateful.invariant()
+    def accepted_changes_stay_with_a_majority(self):
+        for change_id, generation in self.accepted.items():
+            lacking = 0
+            for slot in self.group.synchronised:
+                version = self.version(slot, change_id)
+                assert version in (None, generation)
+                lacking += version is None
+            assert lacking <= len(faults.SLOTS) - MAJORITY
+
+    @stateful.invariant()
+    def refused_changes_are_not_made(self):
+        for slot in faults.SLOTS:
+            for change_id in self.refused:
+                assert self.version(slot, change_id) is None
+
+    def teardown(self):
+        """Check that changes work again when all faults have ended."""
+        self.store.before.clear()
+        self.store.set_down(False)
+        self.store.lose_next_reply = self.store.hold_next = False
+        self.store.deliver_held()
+        self.reach_all()
+        for _ in range(2):
+            self.change(0)
+        assert f'c{self.next_id}' in self.accepted
+        self.generations_never_go_back()
+        self.accepted_changes_stay_with_a_majority()
+        self.refused_changes_are_not_made()
+
+    def version(self, slot, change_id):
+        snapshot = self.group.replicas[slot].snapshot
+        item = snapshot.item(resources.Kind.TEAM, change_id)
+        return item and item.version
+
+
+TestConfigurationMachine = ConfigurationMachine.TestCase
+TestConfigurationMachine.settings = hypothesis.settings(
+    max_examples=100,
+    stateful_step_count=40,
+    derandomize=True,
+    deadline=None,
+    database=None,
+)
--- a/figtray/configuration/writer.py
+++ b/figtray/configuration/writer.py
@@ -10,6 +10,17 @@
 from figtray import errors
 
 ATTEMPTS = 5
+# Earlier changes that are sent again to entries that lag behind. Entries
+# that lag further catch up from each other.
+MAX_RESENT = 32
+
+# Errors after which the change of this attempt was not made.
+_NOT_MADE = (
+    errors.StoreUnavailable,
+    errors.NoMajority,
+    errors.StoreDiverged,
+    errors.PeerUnavailable,
+)
 
 
 @dataclasses.dataclass(frozen=True)
@@ -54,12 +65,63 @@
         """
         raise NotImplementedError
 
+    def changes(self, slot, generation):
+        """Read the changes of a slot after a generation.
+
+        Returns:
+            Tuple of Change, oldest first, or None if the slot does not
+            keep them or did not answer.
+        """
+        return None
+
 
 def majority(total):
     """Return how many of a number of slots are a majority."""
     return total // 2 + 1
 
 
+def newest_safe(entries, marks, base):
+    """Find the newest configuration that holds every accepted change.
+
+    Each slot follows one history and never goes back, and an accepted
+    change is held by a majority. So if more slots than a minority have
+    marks of one history, no change outside of it can have been accepted:
+    slots that are elsewhere followed a change that was lost with an older
+    state of the store.
+
+    Args:
+        entries: the EntryGroup.
+        marks: mapping of slot to Mark, as of EntryGroup.marks().
+        base: the Snapshot to prefer over those of the entries that are not
+            newer.
+
+    Returns:
+        (Snapshot, slot that it was fetched from, or None for `base`), or
+        None if no history is safe.
+
+    Raises:
+        PeerUnavailable: a slot that is ahead did not answer.
+    """
+    total = len(entries.slots)
+    needed = total - majority(total) + 1
+    ahead = {
+        mark: slot
+        for slot, mark in marks.items()
+        if mark.generation > base.generation
+    }
+    for mark in sorted(ahead, key=lambda mark: -mark.generation):
+        snapshot = entries.fetch(ahead[mark])
+        if _support(snapshot, marks) >= needed:
+            return snapshot, ahead[mark]
+    if _support(base, marks) >= needed:
+        return base, None
+    return None
+
+
+def _support(snapshot, marks):
+    return sum(snapshot.contains(mark) is True for mark in marks.values())
+
+
 class Writer:
     """Makes changes durable, then accepted by a majority of the entries."""
 
@@ -80,8 +142,8 @@
 
         Raises:
             StoreUnavailable: the store did not answer.
-            WriteUncertain: the reply of a restoring write was lost.
             NoMajority: too few entries answered.
+            PeerUnavailable: an entry with a newer state did not answer.
             StoreDiverged: the store holds another history.
         """
         marks = self._entries.marks()
@@ -92,23 +154,22 @@
                 total=len(self._entries.slots),
                 needed=needed,
             )
-        slot = max(marks, key=lambda name: marks[name].generation)
-        newest = marks[slot]
         _, head_revision = self._archive.read_head()
         current, _ = self._archive.read_snapshot()
-        if current.deployment != self._deployment:
+        found = None
+        if current.deployment == self._deployment:
+            found = newest_safe(self._entries, marks, current)
+        if found is None or not found[0].follows(current):
             raise errors.StoreDiverged(
                 store_generation=current.generation,
-                entry_generation=newest.generation,
+                entry_generation=max(
+                    mark.generation for mark in marks.values()
+                ),
             )
-        if current.generation < newest.generation:
-            return self._restore(slot, current, head_revision)
-        if current.contains(newest) is False:
-            raise errors.StoreDiverged(
-                store_generation=current.generation,
-                entry_generation=newest.generation,
-            )
-        return current, head_revision
+        snapshot, slot = found
+        if slot is None:
+            return current, head_revision
+        return self._restore(snapshot, marks, current, head_revision)
 
     def commit(self, build, change_id=None, guards=()):
         """Make a change and wait until a majority holds it.
@@ -116,7 +177,8 @@
         Args:
             build: function of the current Snapshot that returns the Items
                 to write, or raises to give up.
-            change_id: unique id; the same id may be used to retry.
+            change_id: unique id; the same id may be used to retry, within
+                the last snapshot.HISTORY_LENGTH changes.
             guards: further Compare conditions of the transaction.
 
         Returns:
@@ -125,73 +187,134 @@
         Raises:
             StoreUnavailable: nothing was changed.
             NoMajority: nothing was changed; too few entries answered.
+            PeerUnavailable: nothing was changed; an entry with a newer
+                state did not answer.
+            StoreDiverged: nothing was changed; the store holds another
+                history than the entries.
             WriteUncertain: the change may be made; retry with the same id.
             NotAccepted: the change is stored, but not confirmed by a
                 majority; retry with the same id.
-            FencedOut: a guard failed.
+            AlreadyChanged: this id made a change whose content is no longer
+                kept.
+            FencedOut: nothing was changed; a guard failed, or other
+                writers were faster in every attempt.
         """
         change_id = change_id or uuid.uuid4().hex
+        uncertain = None
         for _ in range(ATTEMPTS):
-            before, head_revision = self.read()
-            change = self._find(before, change_id)
-            if change is None:
+            try:
+                before, head_revision = self.read()
+                generation = before.find_change(change_id)
+                if generation is not None:
+                    return self._repeat(before, change_id, generation)
                 change = snapshot_lib.make_change(
                     self._deployment, before.mark, change_id, build(before)
                 )
                 archive_lib.check_items(before, change.items)
-                if not self._write(before, change, head_revision, guards):
-                    continue
-            return self._accept(change)
+                if self._archive.write_change(
+                    before, change, head_revision, guards
+                ):
+                    return self._accept(change)
+            except errors.WriteUncertain as exc:
+                # The write may still arrive. It compares the same head
+                # revision as the next attempt, so only one can succeed, and
+                # the next attempt finds the change if it was made.
+                uncertain = exc
+            except _NOT_MADE as exc:
+                if uncertain is None:
+                    raise
+                raise errors.WriteUncertain(
+                    detail=f'{uncertain} Then: {exc}'
+                ) from exc
+        if uncertain is not None:
+            raise uncertain
         raise errors.FencedOut(detail='the head or the role changed')
 
-    def _restore(self, slot, current, head_revision):
-        snapshot = self._entries.fetch(slot)
-        if snapshot.contains(current.mark) is False:
-            raise errors.StoreDiverged(
-                store_generation=current.generation,
-                entry_generation=snapshot.generation,
+    def _restore(self, snapshot, marks, current, head_revision):
+        kept = (
+            self._entries.changes(slot, current.generation)
+            for slot, mark in marks.items()
+            if mark == snapshot.mark
+        )
+        changes = next((found for found in kept if found), ())
+        try:
+            self._archive.restore(
+                snapshot,
+                head_revision,
+                [
+                    change
+                    for change in changes
+                    if change.generation <= snapshot.generation
+                ],
             )
-        self._archive.restore(snapshot, head_revision)
+        except errors.WriteUncertain:
+            # The state that is read below decides.
+            pass
         _, head_revision = self._archive.read_head()
         current, _ = self._archive.read_snapshot()
         if current.mark != snapshot.mark:
             raise errors.StoreUnavailable(detail='restoring was overtaken')
         return current, head_revision
 
-    def _find(self, snapshot, change_id):
-        """Return a change of the recent log that has this id, or None."""
-        for mark in reversed(snapshot.history[-ATTEMPTS:]):
-            change = self._archive.read_change(mark.generation)
-            if change is not None and change.change_id == change_id:
-                return change
-        return None
-
-    def _write(self, before, change, head_revision, guards):
+    def _repeat(self, before, change_id, generation):
+        """Accept a change that an earlier call stored."""
         try:
-            return self._archive.write_change(
-                before, change, head_revision, guards
-            )
-        except errors.WriteUncertain:
-            stored = self._archive.read_change(change.generation)
-            if stored is None:
-                # A delayed write could still take effect: the next attempt
-                # compares the same head revision, so only one can succeed.
-                return False
-            return stored.change_id == change.change_id
+            change = self._archive.read_change(generation)
+        except errors.StoreUnavailable as exc:
+            raise errors.WriteUncertain(detail=str(exc)) from exc
+        if change is not None and change.change_id == change_id:
+            return self._accept(change)
+        # The store was restored by an entry that had no log of it.
+        confirmed = [
+            mark
+            for mark in self._entries.marks().values()
+            if mark.generation >= generation and before.contains(mark)
+        ]
+        self._check_accepted(generation, change_id, confirmed)
+        raise errors.AlreadyChanged(change_id=change_id, generation=generation)
 
     def _accept(self, change):
         needed = majority(len(self._entries.slots))
         confirmed = frozenset(self._entries.push(change))
         if len(confirmed) < needed:
-            confirmed |= frozenset(self._entries.push(change))
-        if len(confirmed) < needed:
+            self._resend_before(change)
+            # Not added to the first round: an entry that restarted in
+            # between has lost the change.
+            confirmed = frozenset(self._entries.push(change))
+        self._check_accepted(change.generation, change.change_id, confirmed)
+        return Committed(change, self._clock.now_ms(), confirmed)
+
+    def _resend_before(self, change):
+        """Send the changes that entries lack before a stored change.
+
+        Without this, one change that was stored and reached no entry would
+        leave a gap that refuses all later ones.
+        """
+        generations = [
+            mark.generation for mark in self._entries.marks().values()
+        ]
+        first = max(
+            min(generations, default=change.generation) + 1,
+            change.generation - MAX_RESENT,
+        )
+        try:
+            for generation in range(first, change.generation):
+                earlier = self._archive.read_change(generation)
+                if earlier is not None:
+                    self._entries.push(earlier)
+        except errors.StoreUnavailable:
+            # The change is stored; whether it is accepted is decided by the
+            # entries alone.
+            return
+
+    def _check_accepted(self, generation, change_id, confirmed):
+        if len(confirmed) < majority(len(self._entries.slots)):
             raise errors.NotAccepted(
-                generation=change.generation,
-                change_id=change.change_id,
+                generation=generation,
+                change_id=change_id,
                 confirmed=len(confirmed),
                 total=len(self._entries.slots),
             )
-        return Committed(change, self._clock.now_ms(), confirmed)
 
 
 class ReplicaGroup(EntryGroup):
@@ -214,6 +337,11 @@
             raise errors.PeerUnavailable(peer=slot, detail='unreachable')
         return self.replicas[slot].snapshot
 
+    def changes(self, slot, generation):
+        if slot not in self.reachable:
+            return None
+        return self.replicas[slot].changes_after(generation)
+
     def push(self, change):
         return {
             slot
--- a/figtray/errors.py
+++ b/figtray/errors.py
@@ -84,6 +84,15 @@
     )
 
 
+class AlreadyChanged(FigtrayError):
+    """A change was made earlier, and its content is no longer kept."""
+
+    msg_fmt = (
+        'Change {change_id} was made as generation {generation}; its '
+        'content is no longer kept.'
+    )
+
+
 class FencedOut(FigtrayError):
     """This process lost its role or its incarnation was fenced."""
 
