--- a/figtray/configuration/writer.py
+++ b/figtray/configuration/writer.py
@@ -10,9 +10,10 @@
 from figtray import errors
 
 ATTEMPTS = 5
-# Earlier changes that are sent again to entries that lag behind. Entries
-# that lag further catch up from each other.
-MAX_RESENT = 32
+# Earlier changes that are read one by one: those that are sent again to
+# entries that lag behind, and those since the last read of the store.
+# Entries that lag further catch up from each other.
+MAX_STEPS = 32
 
 # Errors after which the change of this attempt was not made.
 _NOT_MADE = (
@@ -130,6 +131,7 @@
         self._archive = archive_lib.Archive(store, deployment)
         self._entries = entries
         self._clock = clock
+        self._last_read = None
 
     def read(self):
         """Read the newest configuration of store and entries.
@@ -154,8 +156,7 @@
                 total=len(self._entries.slots),
                 needed=needed,
             )
-        _, head_revision = self._archive.read_head()
-        current, _ = self._archive.read_snapshot()
+        current, head_revision = self._read_store()
         found = None
         if current.deployment == self._deployment:
             found = newest_safe(self._entries, marks, current)
@@ -171,6 +172,38 @@
             return current, head_revision
         return self._restore(snapshot, marks, current, head_revision)
 
+    def _read_store(self):
+        """Read the store, the items only if they can't be derived."""
+        head, head_revision = self._archive.read_head()
+        current = head and self._follow_log(head)
+        if current is None:
+            current, _ = self._archive.read_snapshot()
+        self._last_read = current
+        return current, head_revision
+
+    def _follow_log(self, head):
+        """Apply the changes since the last read.
+
+        Returns:
+            The Snapshot of the head, or None if it can't be reached.
+        """
+        current = self._last_read
+        if current is None or current.deployment != head.deployment:
+            return None
+        first = current.generation + 1
+        if not 0 <= head.generation - current.generation <= MAX_STEPS:
+            return None
+        for generation in range(first, head.generation + 1):
+            change = self._archive.read_change(generation)
+            if (
+                change is None
+                or change.parent_checksum != current.mark.checksum
+            ):
+                return None
+            current = current.apply(change)
+        mark = snapshot_lib.Mark(head.generation, head.checksum)
+        return current if current.mark == mark else None
+
     def commit(self, build, change_id=None, guards=()):
         """Make a change and wait until a majority holds it.
 
@@ -250,8 +283,7 @@
         except errors.WriteUncertain:
             # The state that is read below decides.
             pass
-        _, head_revision = self._archive.read_head()
-        current, _ = self._archive.read_snapshot()
+        current, head_revision = self._read_store()
         if current.mark != snapshot.mark:
             raise errors.StoreUnavailable(detail='restoring was overtaken')
         return current, head_revision
@@ -295,7 +327,7 @@
         ]
         first = max(
             min(generations, default=change.generation) + 1,
-            change.generation - MAX_RESENT,
+            change.generation - MAX_STEPS,
         )
         try:
             for generation in range(first, change.generation):
