--- a/figtray/peers/group.py
+++ b/figtray/peers/group.py
@@ -51,6 +51,15 @@
         )
         return snapshot_lib.from_data(reply.snapshot)
 
+    def changes(self, slot, generation):
+        try:
+            reply = self._links[slot].call(
+                messages.FetchChanges(generation), self._timeout_ms
+            )
+        except errors.PeerUnavailable:
+            return None
+        return reply.changes if reply.snapshot is None else None
+
     def push(self, change):
         return {
             slot
