Prove the upper limit with a state machine and mend the lease bound

Ruled out: a fault of the fence; the fenced entry started nothing afterwards. Change: the bound counts from the last fence of a lost incarnation. The machine covers pauses between check and send, replaced processes that come back, partial cuts, lost transfers, lost workers and stale grants.

--- a/figtray/limits/recount.py
+++ b/figtray/limits/recount.py
@@ -80,7 +80,9 @@
         self._worker_reports = worker_reports
         self._clock = clock
         self._wait = wait
-        self._first_seen_ms = clock.now_ms()
+        # Time up to which entries may have been lost with tasks running; a
+        # new controller does not know of earlier losses.
+        self._last_loss_ms = clock.now_ms()
 
     def run(self, epoch, snapshot, known_incarnations):
         """Take stock and grant what is free.
@@ -105,8 +107,10 @@
             if slot not in reports
             or reports[slot].incarnation != known_incarnations.get(slot)
         ]
-        if changed and not self._fence(changed, epoch):
-            return Abandoned(epoch, 'no majority recorded a fence')
+        if changed:
+            if not self._fence(changed, epoch):
+                return Abandoned(epoch, 'no majority recorded a fence')
+            self._last_loss_ms = self._clock.now_ms()
         joined = {report.incarnation for report in reports.values()}
         orphans, unknown_slots = self._count_orphans(snapshot, joined)
         granted = self._grant(epoch, snapshot, reports, orphans, unknown_slots)
@@ -137,7 +141,7 @@
             queue.run_limit_ms
             for queue in snapshot.specs(resources.Kind.QUEUE).values()
         ]
-        waited_ms = self._clock.now_ms() - self._first_seen_ms
+        waited_ms = self._clock.now_ms() - self._last_loss_ms
         leases_ended = waited_ms > max(limits, default=0)
         for host, report in self._worker_reports(snapshot).items():
             if report is None:
--- /dev/null
+++ b/figtray/limits/tests/test_limits_machine.py
@@ -0,0 +1,359 @@
+"""Stateful test of the upper limit over entries, workers and recounts."""
+
+import hypothesis
+from hypothesis import stateful
+from hypothesis import strategies
+
+from figtray import clock as clock_lib
+from figtray.configuration import snapshot as snapshot_lib
+from figtray.limits import allotments as allotments_lib
+from figtray.limits import recount as recount_lib
+from figtray.peers import heartbeat
+from figtray.peers import messages
+from figtray.peers import serving
+from figtray.workers import base as workers_base
+
+SLOTS = ('a', 'b', 'c', 'd', 'e')
+START_LIMIT = 6
+RUN_LIMIT_MS = 20_000
+
+
+class FakeEntry:
+    """The slices of one entry that the limit depends on."""
+
+    def __init__(self, slot, run, clock, snapshot):
+        self.slot = slot
+        self.run_id = f'{slot}{run}'
+        self.allotments = allotments_lib.Allotments(slot, self.run_id, clock)
+        self.register = heartbeat.PeerRegister(clock)
+        self.right = serving.ServingRight(SLOTS, slot, clock)
+        self.right.set_synchronised()
+        self.snapshot = snapshot_lib.Snapshot.empty('test')
+        self.follow(snapshot)
+        self.paused = False
+        self.superseded = False
+
+    def follow(self, snapshot):
+        """Apply a newer configuration."""
+        if snapshot.generation > self.snapshot.generation:
+            self.allotments.on_configuration(self.snapshot, snapshot)
+            self.snapshot = snapshot
+
+
+class Fleet(recount_lib.EntryCalls):
+    """Entries with cuts between them, and the calls of a recount."""
+
+    slots = SLOTS
+
+    def __init__(self, clock, snapshot):
+        self.clock = clock
+        self.snapshot = snapshot
+        self.runs = 0
+        self.entries = {}
+        self.former = []
+        self.cuts = set()
+        self.unreachable = set()
+        for slot in SLOTS:
+            self.start(slot)
+
+    def start(self, slot):
+        self.runs += 1
+        old = self.entries.get(slot)
+        if old is not None:
+            self.former.append(old)
+        entry = FakeEntry(slot, self.runs, self.clock, self.snapshot)
+        self.entries[slot] = entry
+
+    def heartbeat(self, entry):
+        """Send one heartbeat of an entry to every peer it reaches."""
+        message = messages.Heartbeat(
+            entry.snapshot.mark, True, entry.allotments.epoch
+        )
+        sent_ms = self.clock.now_ms()
+        for slot, peer in self.entries.items():
+            if slot == entry.slot or peer.paused:
+                continue
+            if frozenset({slot, entry.slot}) in self.cuts:
+                continue
+            superseded, epoch = peer.register.heard(
+                entry.slot, entry.run_id, message
+            )
+            if superseded:
+                entry.superseded = True
+                return
+            if epoch:
+                entry.allotments.reset(epoch)
+                return
+            if peer.snapshot.generation > entry.snapshot.generation:
+                entry.follow(peer.snapshot)
+            entry.right.confirm(slot, sent_ms)
+
+    def _reached(self):
+        return {
+            slot: entry
+            for slot, entry in self.entries.items()
+            if slot not in self.unreachable and not entry.paused
+        }
+
+    def join(self, epoch):
+        return {
+            s: e.allotments.join(epoch) for s, e in self._reached().items()
+        }
+
+    def fence(self, slot, epoch):
+        reached = self._reached()
+        for entry in reached.values():
+            entry.register.fence(slot, epoch)
+        return set(reached)
+
+    def grant(self, slot, grant):
+        entry = self._reached().get(slot)
+        return entry is not None and entry.allotments.grant(grant)
+
+
+class LimitMachine(stateful.RuleBasedStateMachine):
+    """Starts, ends, moves, pauses, kills and recounts in any order.
+
+    The oracle is the list of tasks that the worker runs; it asks nothing of
+    the entries.
+    """
+
+    def __init__(self):
+        super().__init__()
+        self.clock = clock_lib.ManualClock()
+        self.limit = START_LIMIT
+        self.former_limit = START_LIMIT
+        self.accepted_ms = 0
+        self.snapshot = snapshot_lib.Snapshot.empty('test')
+        self._change_limit(START_LIMIT)
+        self.fleet = Fleet(self.clock, self.snapshot)
+        self.running = {}
+        self.prepared = []
+        self.tasks = 0
+        self.epoch = 0
+        self.known = {}
+        self.worker_reachable = True
+        self.recount = recount_lib.Recount(
+            self.fleet, self._reports, self.clock, self._wait
+        )
+        self.run_recount()
+
+    slots = strategies.sampled_from(SLOTS)
+
+    def _change_limit(self, limit):
+        items = [
+            snapshot_lib.Item(
+                'teams', 't', self.snapshot.generation + 1, {'limit': limit}
+            )
+        ]
+        if not self.snapshot.generation:
+            specs = {
+                'zones': {},
+                'pools': {},
+                'queues': {'pool': 'p', 'run_limit_ms': RUN_LIMIT_MS},
+                'hosts': {
+                    'address': '127.0.0.1:1',
+                    'zone': 'p',
+                    'rack': 'r',
+                    'pool': 'p',
+                },
+            }
+            items += [
+                snapshot_lib.Item(kind, 'p', 1, spec)
+                for kind, spec in specs.items()
+            ]
+        change = snapshot_lib.make_change(
+            'test', self.snapshot.mark, f'c{limit}', items
+        )
+        self.snapshot = self.snapshot.apply(change)
+
+    def _reports(self, snapshot):
+        if not self.worker_reachable:
+            return {'p': None}
+        tasks = tuple(
+            workers_base.RunningTask(str(n), str(n), 't', task[0], 1)
+            for n, task in self.running.items()
+        )
+        return {'p': workers_base.WorkerReport('p', 'b', 0, 99, False, tasks)}
+
+    def _wait(self, ms):
+        self._pass_time(ms)
+        return True
+
+    def _pass_time(self, ms):
+        for _ in range(ms // 500):
+            self.clock.advance(500)
+            for entry in self._processes():
+                if not entry.paused and not entry.superseded:
+                    self.fleet.heartbeat(entry)
+        now_ms = self.clock.now_ms()
+        for number, task in list(self.running.items()):
+            if task[2] <= now_ms:
+                del self.running[number]
+
+    def _processes(self):
+        return [*self.fleet.entries.values(), *self.fleet.former]
+
+    def _limit_in_force(self):
+        if self.clock.now_ms() < self.accepted_ms + serving.FRESHNESS_MS:
+            return max(self.limit, self.former_limit)
+        return self.limit
+
+    def _send(self, entry, permit, expires_ms):
+        """Let the worker start a task; it refuses one that is late."""
+        if self.clock.now_ms() >= expires_ms:
+            entry.allotments.release(permit)
+            return
+        assert (
+            len(self.running) < self._limit_in_force()
+        ), 'a task starts above the limit'
+        self.tasks += 1
+        end_ms = self.clock.now_ms() + RUN_LIMIT_MS
+        self.running[self.tasks] = (
+            permit.incarnation,
+            (entry, permit),
+            end_ms,
+        )
+
+    def _prepare(self, entry):
+        """Do what the dispatcher does before the send."""
+        if entry.paused or entry.superseded or not entry.right.holds():
+            return None
+        permit = entry.allotments.acquire('t')
+        if permit is None or not entry.allotments.is_valid(permit):
+            return None
+        return entry, permit, entry.right.expires_ms()
+
+    @stateful.rule(slot=slots, count=strategies.integers(1, 4))
+    def start(self, slot, count):
+        for _ in range(count):
+            prepared = self._prepare(self.fleet.entries[slot])
+            if prepared is not None:
+                self._send(*prepared)
+
+    @stateful.rule(slot=slots)
+    def prepare_and_pause(self, slot):
+        """Freeze a process between its last check and the send."""
+        entry = self.fleet.entries[slot]
+        prepared = self._prepare(entry)
+        if prepared is not None:
+            self.prepared.append(prepared)
+        entry.paused = True
+
+    @stateful.rule()
+    def resume_all(self):
+        """Let frozen processes go on; they send what they prepared."""
+        prepared, self.prepared = self.prepared, []
+        for item in prepared:
+            self._send(*item)
+        for entry in self._processes():
+            entry.paused = False
+
+    @stateful.rule()
+    def start_at_former_processes(self):
+        """Let processes that were replaced while frozen start work."""
+        for entry in self.fleet.former:
+            prepared = self._prepare(entry)
+            if prepared is not None:
+                self._send(*prepared)
+
+    @stateful.rule(index=strategies.integers(0, 20))
+    def end(self, index):
+        if not self.running:
+            return
+        number = sorted(self.running)[index % len(self.running)]
+        entry, permit = self.running.pop(number)[1]
+        if not entry.paused:
+            entry.allotments.release(permit)
+
+    @stateful.rule(slot=slots, paused=strategies.booleans())
+    def replace(self, slot, paused):
+        """Replace a process; the old one is killed, or frozen for long."""
+        old = self.fleet.entries[slot]
+        self.fleet.start(slot)
+        old.paused = True
+        if not paused:
+            self.fleet.former.remove(old)
+            self.prepared = [p for p in self.prepared if p[0] is not old]
+
+    @stateful.rule(giver=slots, asker=slots, lost=strategies.booleans())
+    def transfer(self, giver, asker, lost):
+        one, two = self.fleet.entries[giver], self.fleet.entries[asker]
+        if giver == asker or one.paused or two.paused:
+            return
+        req = messages.TransferRequest(
+            't',
+            two.allotments.team_version('t'),
+            two.allotments.epoch,
+            3,
+        )
+        reply = one.allotments.give(req, 1, 0)
+        if not lost:
+            two.allotments.receive('t', reply)
+
+    @stateful.rule(slot=slots, count=strategies.integers(1, 4))
+    def cut(self, slot, count):
+        """Cut a slot off from some peers, or heal all its cuts."""
+        cuts = {frozenset({slot, s}) for s in SLOTS if s != slot}
+        if cuts & self.fleet.cuts:
+            self.fleet.cuts -= cuts
+        else:
+            self.fleet.cuts |= set(sorted(cuts, key=sorted)[:count])
+
+    @stateful.rule(slot=slots)
+    def cut_from_controller(self, slot):
+        self.fleet.unreachable ^= {slot}
+
+    @stateful.rule()
+    def cut_worker(self):
+        self.worker_reachable = not self.worker_reachable
+
+    @stateful.rule(ms=strategies.sampled_from([500, 1000, 3000, 8000]))
+    def pass_time(self, ms):
+        self._pass_time(ms)
+
+    @stateful.rule(limit=strategies.integers(0, 8))
+    def set_limit(self, limit):
+        reached = self.fleet._reached()
+        if len(reached) < 3:
+            return
+        if self.clock.now_ms() < self.accepted_ms + serving.FRESHNESS_MS:
+            return
+        self._change_limit(limit)
+        self.fleet.snapshot = self.snapshot
+        for entry in reached.values():
+            entry.follow(self.snapshot)
+        self.former_limit, self.limit = self.limit, limit
+        self.accepted_ms = self.clock.now_ms()
+
+    @stateful.rule()
+    def run_recount(self):
+        self.epoch += 1
+        result = self.recount.run(self.epoch, self.snapshot, self.known)
+        if isinstance(result, recount_lib.Finished):
+            self.known = result.incarnations
+
+    @stateful.rule(stale=strategies.integers(1, 3), slot=slots)
+    def late_grant(self, stale, slot):
+        """Deliver the grant of a controller that was paused."""
+        entry = self.fleet.entries[slot]
+        if entry.paused or self.epoch - stale < 1:
+            return
+        version = entry.allotments.team_version('t')
+        item = messages.TeamAllotment('t', version, 5)
+        grant = messages.Grant(self.epoch - stale, (item,))
+        if entry.allotments.epoch == self.epoch:
+            assert not entry.allotments.grant(grant)
+
+
+LimitMachine.TestCase.settings = hypothesis.settings(
+    max_examples=200,
+    stateful_step_count=40,
+    deadline=None,
+    derandomize=True,
+    database=None,
+)
+
+
+class TestLimitUnderFaults(LimitMachine.TestCase):
+    """Guards against a start while the limit is reached."""
