--- a/figtray/peers/server.py
+++ b/figtray/peers/server.py
@@ -77,6 +77,7 @@
         self._address = f'tcp://{address}'
         self._on_error = on_error
         self._socket = None
+        self._contexts = []
         self._executor = concurrent.futures.ThreadPoolExecutor(
             CONTEXTS, thread_name_prefix='peer-server'
         )
@@ -93,10 +94,15 @@
         except pynng.NNGException as exc:
             raise OSError(f'{self._address}: {exc}') from exc
         for _ in range(CONTEXTS):
-            self._executor.submit(self._serve, self._socket.new_context())
+            context = self._socket.new_context()
+            self._contexts.append(context)
+            self._executor.submit(self._serve, context)
 
     def close(self):
         """Close the listener and wait for its tasks."""
+        # A context has to be closed before its socket.
+        for context in self._contexts:
+            context.close()
         if self._socket is not None:
             self._socket.close()
         self._executor.shutdown(wait=True)
