Void fenced allotment by a floor of the epochs

Cause: with stronger rules the state machine found an entry that was fenced while paused and joined the next epoch before it learned of the fence: its old allotment counted again after its share had been granted to others (steps prepare_and_pause, run_recount, resume_all, run_recount, fill_all). Ruled out: telling each slot its own fence. A restarted slot can receive old allotment from a fenced peer, and a restarted peer forgets the fences. Change: one floor for all slots, recorded at a majority and in the store before anything is granted, carried by heartbeat replies and by the join. Taking over an epoch drops earlier confirmations. Both machines got rules that reach partitions, replaced processes and changes during a call.

--- a/figtray/controller/recount_duty.py
+++ b/figtray/controller/recount_duty.py
@@ -21,10 +21,10 @@
 MAX_INTERVAL_MS = 5_000
 
 
-class Completed(msgspec.Struct, frozen=True):
-    """The last completed recount, as kept in the store."""
+class MembersRecord(msgspec.Struct, frozen=True):
+    """Members of the last recount that changed them, kept in the store."""
 
-    epoch: int
+    floor: int
     incarnations: dict[str, str]
 
 
@@ -49,7 +49,7 @@
                 the control loop must go on to renew its lease.
         """
         self._store = store
-        self._key = f'/figtray/{deployment}/controller/recount'
+        self._key = f'/figtray/{deployment}/controller/members'
         self._writer = writer
         self._group = group
         self._client = client
@@ -99,40 +99,46 @@
     def _run_once(self, role, snapshot):
         started_ms = self._clock.now_ms()
         item = self._store.get(self._key)
-        known = {}
+        known = recount_lib.Members()
         if item is not None:
-            known = msgspec.json.decode(item.value, type=Completed)
-            known = known.incarnations
+            record = msgspec.json.decode(item.value, type=MembersRecord)
+            known = recount_lib.Members(record.floor, record.incarnations)
         newest = max(
             (reply.epoch for reply in self._group.status().values()),
             default=0,
         )
         epoch = role.take_epoch(newest)
         log.emit(catalogue.RECOUNT_STARTED, epoch=epoch)
-        result = self._recount.run(epoch, snapshot, known)
+        result = self._recount.run(
+            epoch,
+            snapshot,
+            known,
+            lambda members: self._save(role, item, members),
+        )
         match result:
             case recount_lib.Finished():
-                self._save(role, item, result)
                 log.emit(
                     catalogue.RECOUNT_FINISHED,
                     epoch=epoch,
-                    joined=len(result.incarnations),
-                    fenced=len(self._group.slots) - len(result.incarnations),
+                    granted=sum(result.granted.values()),
+                    orphans=sum(result.orphans.values()),
                     duration_ms=self._clock.now_ms() - started_ms,
                 )
-            case recount_lib.Abandoned():
-                pass
+            case recount_lib.Abandoned(reason=reason):
+                log.emit(
+                    catalogue.RECOUNT_ABANDONED, epoch=epoch, reason=reason
+                )
         return result
 
-    def _save(self, role, item, result):
-        completed = Completed(result.epoch, result.incarnations)
+    def _save(self, role, item, members):
+        record = MembersRecord(members.floor, members.incarnations)
         guards = [
             store_base.Compare(
                 self._key, 'mod_revision', item.mod_revision if item else 0
             ),
             *role.guards(),
         ]
-        put = store_base.Put(self._key, msgspec.json.encode(completed))
+        put = store_base.Put(self._key, msgspec.json.encode(record))
         if not self._store.txn(guards, [put]).succeeded:
             raise errors.FencedOut(detail='the recount record changed')
 
--- a/figtray/entry/handlers.py
+++ b/figtray/entry/handlers.py
@@ -1,5 +1,7 @@
 """Answers of an entry to the messages of other processes."""
 
+import msgspec
+
 from figtray.configuration import replica as replica_lib
 from figtray.configuration import snapshot as snapshot_lib
 from figtray.dispatch import tasks as tasks_lib
@@ -53,12 +55,12 @@
                 entry.allotments.take_over(message)
                 entry.dispatcher.notify()
                 return messages.Acknowledged()
-            case messages.EpochJoin(epoch):
-                return entry.allotments.join(epoch)
+            case messages.EpochJoin(epoch, floor):
+                return self._join(epoch, floor)
             case messages.Grant():
                 return self._grant(message)
-            case messages.Fence(slot, epoch):
-                entry.register.fence(slot, epoch)
+            case messages.Fence(floor):
+                entry.register.raise_floor(floor)
                 return messages.Acknowledged()
             case messages.Forward():
                 return self._forward(envelope.sender, message)
@@ -81,7 +83,7 @@
 
     def _heartbeat(self, envelope, message):
         entry = self._entry
-        superseded, fenced_epoch = entry.register.heard(
+        superseded = entry.register.heard(
             envelope.sender, _run_id(envelope), message
         )
         if message.demand is not None and not superseded:
@@ -90,7 +92,7 @@
         return messages.HeartbeatReply(
             mark=entry.replica.snapshot.mark,
             synchronised=entry.right.synchronised,
-            fenced_epoch=fenced_epoch,
+            floor=entry.register.floor,
             superseded=superseded,
         )
 
@@ -113,6 +115,12 @@
             holds, self._entry.replica.snapshot.mark
         )
 
+    def _join(self, epoch, floor):
+        entry = self._entry
+        entry.register.raise_floor(floor)
+        report = entry.allotments.join(epoch, entry.register.floor)
+        return msgspec.structs.replace(report, floor=entry.register.floor)
+
     def _grant(self, message):
         entry = self._entry
         accepted = entry.allotments.grant(message)
--- a/figtray/entry/node.py
+++ b/figtray/entry/node.py
@@ -72,7 +72,7 @@
         self.right = serving.ServingRight(self.slots, cfg.slot, clock)
         self.register = heartbeat.PeerRegister(clock)
         self.allotments = allotments_lib.Allotments(
-            cfg.slot, self.run_id, clock
+            cfg.slot, self.run_id, clock, self._on_epoch
         )
         self.view = view_lib.ShareView(clock, cfg.slot)
         self.queues = queueset.QueueSet(clock, cfg.max_queued_bytes)
@@ -146,6 +146,7 @@
                 self.replica,
                 self.right,
                 self._synchroniser,
+                self.register,
                 self._describe,
                 clock,
                 self,
@@ -433,6 +434,10 @@
             if not spec.withdrawn and (current is None or current.withdrawn):
                 self.dispatcher.drop_key(name)
 
+    def _on_epoch(self, epoch):
+        self.right.set_epoch(epoch)
+        self.wake_heartbeats()
+
     # -- listener of the heartbeats -----------------------------------------
 
     def fenced(self, epoch):
--- a/figtray/events/catalogue.py
+++ b/figtray/events/catalogue.py
@@ -141,7 +141,13 @@
     501,
     logbook.INFO,
     'A recount of allotments has finished.',
-    ('epoch', 'joined', 'fenced', 'duration_ms'),
+    ('epoch', 'granted', 'orphans', 'duration_ms'),
+)
+RECOUNT_ABANDONED = Event(
+    503,
+    logbook.WARNING,
+    'A recount of allotments was abandoned; nothing was granted.',
+    ('epoch', 'reason'),
 )
 GRANT_REFUSED = Event(
     502,
--- a/figtray/limits/allotments.py
+++ b/figtray/limits/allotments.py
@@ -27,9 +27,19 @@
     lowered limit is below what already runs; then nothing starts.
     """
 
-    def __init__(self, slot, run_id, clock):
+    def __init__(self, slot, run_id, clock, on_epoch=lambda epoch: None):
+        """Set up.
+
+        Args:
+            slot: name of this entry's slot.
+            run_id: id of this run of the process.
+            clock: a Clock.
+            on_epoch: called with the epoch when this entry takes one over
+                without having joined it, before it can use allotment of it.
+        """
         self._slot = slot
         self._clock = clock
+        self._on_epoch = on_epoch
         self._run_id = run_id
         self._resets = 0
         self._lock = threading.Lock()
@@ -170,9 +180,11 @@
                 )
             return messages.Handover(self.epoch, tuple(items))
 
-    def join(self, epoch):
+    def join(self, epoch, floor=0):
         """Join an epoch and report what counts as taken here.
 
+        What is held of an epoch below the floor is dropped first.
+
         A repeated call returns the first report of the epoch. Allotment
         that was given away since then is counted nowhere else, so a new
         report would let the recount grant it a second time.
@@ -186,6 +198,8 @@
                 return messages.EpochReport(
                     self._slot, self.incarnation, False, self.epoch
                 )
+            if 0 < self.epoch < floor:
+                self._drop(epoch)
             if epoch > self.epoch or self._join_report is None:
                 self.epoch = epoch
                 self._join_report = messages.EpochReport(
@@ -226,11 +240,7 @@
         with self._lock:
             if self.epoch >= epoch:
                 return False
-            self._resets += 1
-            self._held.clear()
-            self._in_use.clear()
-            self._join_report = None
-            self.epoch = epoch
+            self._drop(epoch)
             return True
 
     def report(self):
@@ -238,6 +248,14 @@
         with self._lock:
             return self._report()
 
+    def _drop(self, epoch):
+        self._resets += 1
+        self._held.clear()
+        self._in_use.clear()
+        self._join_report = None
+        self.epoch = epoch
+        self._on_epoch(epoch)
+
     def _reservation(self, team):
         number, end_ms = self._reserved.get(team, (0, 0))
         return number if self._clock.now_ms() < end_ms else 0
@@ -257,6 +275,7 @@
         if self.epoch == 0 and not any(self._held.values()):
             self.epoch = epoch
             self._join_report = None
+            self._on_epoch(epoch)
         if epoch != self.epoch or version != self._versions.get(team):
             return 0
         self._held[team] += number
--- a/figtray/limits/recount.py
+++ b/figtray/limits/recount.py
@@ -14,7 +14,7 @@
 
     slots = ()
 
-    def join(self, epoch):
+    def join(self, epoch, floor):
         """Ask every slot to join an epoch.
 
         Returns:
@@ -22,11 +22,11 @@
         """
         raise NotImplementedError
 
-    def fence(self, slot, epoch):
-        """Fence the older allotments of a slot.
+    def fence(self, floor):
+        """Void all allotments of epochs below a floor.
 
         Returns:
-            The set of slots that recorded the fence.
+            The set of slots that recorded the floor.
         """
         raise NotImplementedError
 
@@ -44,11 +44,18 @@
     """A recount that was completed; `granted` counts tasks by team."""
 
     epoch: int
-    incarnations: dict
     granted: dict
     orphans: dict
 
 
+@dataclasses.dataclass(frozen=True)
+class Members:
+    """Incarnations that may hold allotment, and the floor of the epochs."""
+
+    floor: int = 0
+    incarnations: dict = dataclasses.field(default_factory=dict)
+
+
 @dataclasses.dataclass(frozen=True)
 class Abandoned:
     """A recount that granted nothing."""
@@ -62,7 +69,10 @@
 
     The steps are in this order for the limits to hold: the reports are
     taken first, then lost processes are fenced and lose their serving
-    right, and only then are workers asked for the tasks that those left.
+    right, then the new members are recorded, and only then are workers
+    asked for the tasks that were left and is anything granted. If the
+    record were written after the grants, the next controller could take a
+    fenced entry for a member.
     """
 
     def __init__(self, entries, worker_reports, clock, wait):
@@ -80,50 +90,61 @@
         self._worker_reports = worker_reports
         self._clock = clock
         self._wait = wait
+        self._floor = 0
         # Time up to which entries may have been lost with tasks running; a
         # new controller does not know of earlier losses.
         self._last_loss_ms = clock.now_ms()
 
-    def run(self, epoch, snapshot, known_incarnations):
+    def run(self, epoch, snapshot, known, record):
         """Take stock and grant what is free.
 
         Args:
             epoch: number of this recount, higher than any before.
             snapshot: configuration with the limits.
-            known_incarnations: mapping of slot to incarnation as of the
-                last completed recount.
+            known: the Members as of the last recount that changed them.
+            record: called with the new Members if they have changed; must
+                raise unless they are certainly recorded.
 
         Returns:
             Finished or Abandoned.
         """
+        floor = max(known.floor, self._floor)
+        answers = self._entries.join(epoch, floor)
+        self._floor = max([floor, *(r.floor for r in answers.values())])
+        if self._floor > floor:
+            # A store that came back with an older state lacks the floor.
+            return Abandoned(epoch, 'an entry knows of a newer floor')
         reports = {
             slot: report
-            for slot, report in self._entries.join(epoch).items()
+            for slot, report in answers.items()
             if report.joined and report.epoch == epoch
         }
         changed = [
             slot
             for slot in self._entries.slots
             if slot not in reports
-            or reports[slot].incarnation != known_incarnations.get(slot)
+            or reports[slot].incarnation != known.incarnations.get(slot)
         ]
         if changed:
-            if not self._fence(changed, epoch):
-                return Abandoned(epoch, 'no majority recorded a fence')
+            if not self._fence(epoch):
+                return Abandoned(epoch, 'no majority recorded the floor')
             self._last_loss_ms = self._clock.now_ms()
+            record(
+                Members(
+                    epoch,
+                    {s: report.incarnation for s, report in reports.items()},
+                )
+            )
         joined = {report.incarnation for report in reports.values()}
         orphans, unknown_slots = self._count_orphans(snapshot, joined)
         granted = self._grant(epoch, snapshot, reports, orphans, unknown_slots)
-        incarnations = {
-            slot: report.incarnation for slot, report in reports.items()
-        }
-        return Finished(epoch, incarnations, granted, dict(orphans))
+        return Finished(epoch, granted, dict(orphans))
 
-    def _fence(self, slots, epoch):
+    def _fence(self, epoch):
         needed = writer.majority(len(self._entries.slots))
-        for slot in slots:
-            if len(self._entries.fence(slot, epoch)) < needed:
-                return False
+        self._floor = epoch
+        if len(self._entries.fence(epoch)) < needed:
+            return False
         return self._wait(serving.FRESHNESS_MS + serving.MARGIN_MS)
 
     def _count_orphans(self, snapshot, joined):
--- a/figtray/limits/tests/test_limits_machine.py
+++ b/figtray/limits/tests/test_limits_machine.py
@@ -3,6 +3,7 @@
 import hypothesis
 from hypothesis import stateful
 from hypothesis import strategies
+import msgspec
 
 from figtray import clock as clock_lib
 from figtray.configuration import snapshot as snapshot_lib
@@ -24,10 +25,11 @@
     def __init__(self, slot, run, clock, snapshot):
         self.slot = slot
         self.run_id = f'{slot}{run}'
-        self.allotments = allotments_lib.Allotments(slot, self.run_id, clock)
         self.register = heartbeat.PeerRegister(clock)
         self.right = serving.ServingRight(SLOTS, slot, clock)
-        self.right.set_synchronised()
+        self.allotments = allotments_lib.Allotments(
+            slot, self.run_id, clock, self.right.set_epoch
+        )
         self.snapshot = snapshot_lib.Snapshot.empty('test')
         self.follow(snapshot)
         self.paused = False
@@ -55,6 +57,7 @@
         self.unreachable = set()
         for slot in SLOTS:
             self.start(slot)
+            self.entries[slot].right.set_synchronised()
 
     def start(self, slot):
         self.runs += 1
@@ -70,23 +73,26 @@
             entry.snapshot.mark, True, entry.allotments.epoch
         )
         sent_ms = self.clock.now_ms()
+        heard = 0
         for slot, peer in self.entries.items():
             if slot == entry.slot or peer.paused:
                 continue
             if frozenset({slot, entry.slot}) in self.cuts:
                 continue
-            superseded, epoch = peer.register.heard(
-                entry.slot, entry.run_id, message
-            )
-            if superseded:
+            if peer.register.heard(entry.slot, entry.run_id, message):
                 entry.superseded = True
                 return
-            if epoch:
-                entry.allotments.reset(epoch)
+            entry.register.raise_floor(peer.register.floor)
+            if 0 < message.epoch < peer.register.floor:
+                entry.allotments.reset(peer.register.floor)
                 return
             if peer.snapshot.generation > entry.snapshot.generation:
                 entry.follow(peer.snapshot)
-            entry.right.confirm(slot, sent_ms)
+            heard += 1
+            if peer.right.synchronised:
+                entry.right.confirm(slot, sent_ms, message.epoch)
+        if heard >= len(SLOTS) // 2 + 1:
+            entry.right.set_synchronised()
 
     def _reached(self):
         return {
@@ -95,15 +101,20 @@
             if slot not in self.unreachable and not entry.paused
         }
 
-    def join(self, epoch):
-        return {
-            s: e.allotments.join(epoch) for s, e in self._reached().items()
-        }
+    def join(self, epoch, floor):
+        reports = {}
+        for slot, entry in self._reached().items():
+            entry.register.raise_floor(floor)
+            report = entry.allotments.join(epoch, entry.register.floor)
+            reports[slot] = msgspec.structs.replace(
+                report, floor=entry.register.floor
+            )
+        return reports
 
-    def fence(self, slot, epoch):
+    def fence(self, floor):
         reached = self._reached()
         for entry in reached.values():
-            entry.register.fence(slot, epoch)
+            entry.register.raise_floor(floor)
         return set(reached)
 
     def grant(self, slot, grant):
@@ -131,7 +142,7 @@
         self.prepared = []
         self.tasks = 0
         self.epoch = 0
-        self.known = {}
+        self.known = recount_lib.Members()
         self.worker_reachable = True
         self.recount = recount_lib.Recount(
             self.fleet, self._reports, self.clock, self._wait
@@ -224,12 +235,25 @@
             return None
         return entry, permit, entry.right.expires_ms()
 
-    @stateful.rule(slot=slots, count=strategies.integers(1, 4))
-    def start(self, slot, count):
-        for _ in range(count):
-            prepared = self._prepare(self.fleet.entries[slot])
-            if prepared is not None:
-                self._send(*prepared)
+    def _fill(self, entry):
+        """Start as many tasks as an entry is allowed to."""
+        while (prepared := self._prepare(entry)) is not None:
+            self._send(*prepared)
+
+    @stateful.rule(slot=slots)
+    def fill(self, slot):
+        self._fill(self.fleet.entries[slot])
+
+    @stateful.rule()
+    def fill_all(self):
+        for entry in self._processes():
+            self._fill(entry)
+
+    def teardown(self):
+        """Let every process start what it believes it may start."""
+        self.resume_all()
+        self._pass_time(1_000)
+        self.fill_all()
 
     @stateful.rule(slot=slots)
     def prepare_and_pause(self, slot):
@@ -249,22 +273,13 @@
         for entry in self._processes():
             entry.paused = False
 
-    @stateful.rule()
-    def start_at_former_processes(self):
-        """Let processes that were replaced while frozen start work."""
-        for entry in self.fleet.former:
-            prepared = self._prepare(entry)
-            if prepared is not None:
-                self._send(*prepared)
-
-    @stateful.rule(index=strategies.integers(0, 20))
-    def end(self, index):
-        if not self.running:
-            return
-        number = sorted(self.running)[index % len(self.running)]
-        entry, permit = self.running.pop(number)[1]
-        if not entry.paused:
-            entry.allotments.release(permit)
+    @stateful.rule(count=strategies.integers(1, 4))
+    def end(self, count):
+        """End the oldest tasks."""
+        for number in sorted(self.running)[:count]:
+            entry, permit = self.running.pop(number)[1]
+            if not entry.paused:
+                entry.allotments.release(permit)
 
     @stateful.rule(slot=slots, paused=strategies.booleans())
     def replace(self, slot, paused):
@@ -291,14 +306,20 @@
         if not lost:
             two.allotments.receive('t', reply)
 
-    @stateful.rule(slot=slots, count=strategies.integers(1, 4))
-    def cut(self, slot, count):
-        """Cut a slot off from some peers, or heal all its cuts."""
-        cuts = {frozenset({slot, s}) for s in SLOTS if s != slot}
-        if cuts & self.fleet.cuts:
-            self.fleet.cuts -= cuts
-        else:
-            self.fleet.cuts |= set(sorted(cuts, key=sorted)[:count])
+    @stateful.rule(minority=strategies.sets(slots, min_size=1, max_size=3))
+    def partition(self, minority):
+        """Cut a minority off from the other slots and the controller."""
+        self.fleet.cuts = {
+            frozenset({one, two})
+            for one in minority
+            for two in set(SLOTS) - minority
+        }
+        self.fleet.unreachable = set(minority)
+
+    @stateful.rule()
+    def heal(self):
+        self.fleet.cuts = set()
+        self.fleet.unreachable = set()
 
     @stateful.rule(slot=slots)
     def cut_from_controller(self, slot):
@@ -308,7 +329,7 @@
     def cut_worker(self):
         self.worker_reachable = not self.worker_reachable
 
-    @stateful.rule(ms=strategies.sampled_from([500, 1000, 3000, 8000]))
+    @stateful.rule(ms=strategies.sampled_from([500, 3000]))
     def pass_time(self, ms):
         self._pass_time(ms)
 
@@ -329,9 +350,12 @@
     @stateful.rule()
     def run_recount(self):
         self.epoch += 1
-        result = self.recount.run(self.epoch, self.snapshot, self.known)
-        if isinstance(result, recount_lib.Finished):
-            self.known = result.incarnations
+        self.recount.run(
+            self.epoch, self.snapshot, self.known, self._record_members
+        )
+
+    def _record_members(self, members):
+        self.known = members
 
     @stateful.rule(stale=strategies.integers(1, 3), slot=slots)
     def late_grant(self, stale, slot):
@@ -347,8 +371,8 @@
 
 
 LimitMachine.TestCase.settings = hypothesis.settings(
-    max_examples=200,
-    stateful_step_count=40,
+    max_examples=500,
+    stateful_step_count=30,
     deadline=None,
     derandomize=True,
     database=None,
--- a/figtray/peers/group.py
+++ b/figtray/peers/group.py
@@ -83,13 +83,13 @@
             for change in changes
         )
 
-    def join(self, epoch):
-        return dict(self._call_all(messages.EpochJoin(epoch)))
+    def join(self, epoch, floor):
+        return dict(self._call_all(messages.EpochJoin(epoch, floor)))
 
-    def fence(self, slot, epoch):
+    def fence(self, floor):
         return {
-            name
-            for name, reply in self._call_all(messages.Fence(slot, epoch))
+            slot
+            for slot, reply in self._call_all(messages.Fence(floor))
             if reply.done
         }
 
--- a/figtray/peers/heartbeat.py
+++ b/figtray/peers/heartbeat.py
@@ -70,7 +70,15 @@
     """Heartbeats to one peer, one call after another."""
 
     def __init__(
-        self, link, replica, right, synchroniser, describe, clock, listener
+        self,
+        link,
+        replica,
+        right,
+        synchroniser,
+        register,
+        describe,
+        clock,
+        listener,
     ):
         """Set up.
 
@@ -79,6 +87,7 @@
             replica: configuration Replica of this entry.
             right: ServingRight of this entry.
             synchroniser: Synchroniser of this entry.
+            register: PeerRegister of this entry.
             describe: function that returns the Heartbeat to send.
             clock: a Clock.
             listener: object with the methods fenced(epoch), superseded(),
@@ -89,6 +98,7 @@
         self._replica = replica
         self._right = right
         self._synchroniser = synchroniser
+        self._register = register
         self._describe = describe
         self._clock = clock
         self._listener = listener
@@ -117,8 +127,9 @@
         """Send one heartbeat and act on the reply."""
         sent_ms = self._clock.now_ms()
         try:
-            reply = self._link.call(self._describe(), CALL_TIMEOUT_MS)
-            self._handle(reply, sent_ms)
+            message = self._describe()
+            reply = self._link.call(message, CALL_TIMEOUT_MS)
+            self._handle(reply, message.epoch, sent_ms)
         except (errors.PeerUnavailable, errors.CodecError) as exc:
             if self._reachable:
                 self._reachable = False
@@ -128,12 +139,13 @@
             self._reachable = True
             self._listener.peer_back(self._link.peer)
 
-    def _handle(self, reply, sent_ms):
+    def _handle(self, reply, epoch, sent_ms):
         if reply.superseded:
             self._listener.superseded()
             return
-        if reply.fenced_epoch:
-            self._listener.fenced(reply.fenced_epoch)
+        self._register.raise_floor(reply.floor)
+        if 0 < epoch < reply.floor:
+            self._listener.fenced(reply.floor)
             return
         slot = self._link.peer
         if reply.mark.generation > self._replica.snapshot.generation:
@@ -145,7 +157,7 @@
             return
         self._synchroniser.heard(slot, reply, sent_ms)
         if reply.synchronised:
-            self._right.confirm(slot, sent_ms)
+            self._right.confirm(slot, sent_ms, epoch)
 
     def _catch_up(self):
         """Fetch the changes that this replica lacks from the peer."""
@@ -190,13 +202,18 @@
         self._runs = {}
         self._retired = set()
         self._former = {}
-        self._fences = {}
+        self._floor = 0
         self._last = {}
 
-    def fence(self, slot, epoch):
-        """Refuse heartbeats of a slot with allotments of older epochs."""
+    @property
+    def floor(self):
+        """Epoch below which all allotments are void."""
+        return self._floor
+
+    def raise_floor(self, floor):
+        """Learn of a floor; it never goes down."""
         with self._lock:
-            self._fences[slot] = max(epoch, self._fences.get(slot, 0))
+            self._floor = max(self._floor, floor)
 
     def heard(self, slot, run_id, heartbeat):
         """Record a heartbeat and decide whether it may be confirmed.
@@ -205,11 +222,11 @@
         which may be paused and come back.
 
         Returns:
-            (superseded, fenced epoch or 0).
+            True if the sender was replaced by a newer run.
         """
         with self._lock:
             if run_id in self._retired:
-                return True, 0
+                return True
             former = self._runs.get(slot)
             if former not in (None, run_id):
                 self._retired.add(former)
@@ -218,8 +235,7 @@
                 del former_runs[:-KNOWN_RUNS]
             self._runs[slot] = run_id
             self._last[slot] = (heartbeat, self._clock.now_ms())
-            fence = self._fences.get(slot, 0)
-            return False, fence if heartbeat.epoch < fence else 0
+            return False
 
     def run_of(self, slot):
         """Return the run id of a slot's process, '' if it is unknown."""
--- a/figtray/peers/messages.py
+++ b/figtray/peers/messages.py
@@ -32,14 +32,14 @@
 class HeartbeatReply(msgspec.Struct, frozen=True, omit_defaults=True):
     """State of the replier.
 
-    A `fenced_epoch` above 0 tells the sender that its allotments of older
-    epochs were fenced, `superseded` that a newer process runs in its slot;
-    such a reply confirms nothing.
+    Allotments of epochs below `floor` are void. A sender that holds such
+    allotments, or in whose slot a newer process runs (`superseded`), is not
+    confirmed.
     """
 
     mark: snapshot_lib.Mark
     synchronised: bool
-    fenced_epoch: int = 0
+    floor: int = 0
     superseded: bool = False
 
 
@@ -126,9 +126,13 @@
 
 @codec.register
 class EpochJoin(msgspec.Struct, frozen=True):
-    """Ask an entry to join an epoch of allotments and to report."""
+    """Ask an entry to join an epoch of allotments and to report.
+
+    An entry that is still in an epoch below `floor` drops what it holds.
+    """
 
     epoch: int
+    floor: int = 0
 
 
 @codec.register
@@ -140,6 +144,7 @@
     joined: bool
     epoch: int
     allotments: tuple[TeamAllotment, ...] = ()
+    floor: int = 0
 
 
 @codec.register
@@ -152,10 +157,9 @@
 
 @codec.register
 class Fence(msgspec.Struct, frozen=True):
-    """Confirm no heartbeat of a slot with allotments of an older epoch."""
+    """Void all allotments of epochs below a floor."""
 
-    slot: str
-    epoch: int
+    floor: int
 
 
 @codec.register
--- a/figtray/peers/serving.py
+++ b/figtray/peers/serving.py
@@ -20,6 +20,7 @@
         self._confirmed = {slot: None for slot in slots if slot != own_slot}
         self._lock = threading.Lock()
         self._synchronised = False
+        self._epoch = 0
 
     @property
     def synchronised(self):
@@ -30,7 +31,17 @@
         """Record that the configuration is complete."""
         self._synchronised = True
 
-    def confirm(self, slot, sent_ms):
+    def set_epoch(self, epoch):
+        """Drop confirmations of heartbeats with an older allotment epoch.
+
+        They say nothing of the allotments that this entry holds now.
+        """
+        with self._lock:
+            if epoch != self._epoch:
+                self._epoch = epoch
+                self._confirmed = dict.fromkeys(self._confirmed)
+
+    def confirm(self, slot, sent_ms, epoch=0):
         """Record a heartbeat reply that confirms this entry.
 
         Args:
@@ -38,8 +49,11 @@
             sent_ms: local time at which the heartbeat was sent. The time
                 of the reply would be wrong: the replier's answer is only
                 known to be true at some time after the sending.
+            epoch: allotment epoch that the heartbeat carried.
         """
         with self._lock:
+            if epoch < self._epoch:
+                return
             last = self._confirmed[slot]
             if last is None or sent_ms > last:
                 self._confirmed[slot] = sent_ms
--- a/figtray/peers/tests/test_serving_machine.py
+++ b/figtray/peers/tests/test_serving_machine.py
@@ -74,6 +74,7 @@
                 self.replica,
                 self.right,
                 self.synchroniser,
+                self.register,
                 self._describe,
                 fleet.clock,
                 Listener(),
@@ -112,7 +113,8 @@
         self.entries = {}
         self.cuts = set()
         self.delay_ms = 0
-        self.lost_replies = set()
+        self.lose_after = None
+        self.during_next_call = None
         for slot in SLOTS:
             self.start(slot)
 
@@ -130,9 +132,15 @@
             sender=name, incarnation=getattr(sender, 'run_id', 'api') + '/c'
         )
         reply = entry.handlers.handle(envelope, message)
+        if self.during_next_call is not None:
+            action, self.during_next_call = self.during_next_call, None
+            action()
         self.clock.advance(self.delay_ms)
-        if peer in self.lost_replies:
-            raise errors.PeerUnavailable(peer=peer, detail='reply lost')
+        if self.lose_after is not None:
+            self.lose_after -= 1
+            if self.lose_after < 0:
+                self.lose_after = None
+                raise errors.PeerUnavailable(peer=peer, detail='reply lost')
         return reply
 
     def _ask_all(self, message):
@@ -225,6 +233,12 @@
         for slot in SLOTS:
             self.beat(slot)
 
+    @stateful.rule(count=strategies.integers(1, 3))
+    def beat_for_seconds(self, count):
+        for _ in range(2 * count):
+            self.clock.advance(500)
+            self.beat_all()
+
     @stateful.rule(ms=strategies.sampled_from([100, 900, 1_600, 2_500]))
     def pass_time(self, ms):
         self.clock.advance(ms)
@@ -233,24 +247,27 @@
     def set_delay(self, ms):
         self.fleet.delay_ms = ms
 
-    @stateful.rule(slot=slots, other=strategies.sampled_from([*SLOTS, 'api']))
-    def cut_or_heal(self, slot, other):
-        self.fleet.cuts ^= {frozenset({slot, other})}
-
-    @stateful.rule(slot=slots)
-    def isolate(self, slot):
-        self.fleet.cuts |= {
-            frozenset({slot, other}) for other in (*SLOTS, 'api')
+    @stateful.rule(side=strategies.sets(slots, min_size=1, max_size=3))
+    def partition(self, side):
+        """Cut some slots off from the others and from the writer."""
+        self.fleet.cuts = {
+            frozenset({one, two})
+            for one in side
+            for two in {*SLOTS, 'api'} - side
         }
 
     @stateful.rule()
-    def heal_all(self):
-        self.fleet.cuts.clear()
-        self.fleet.lost_replies.clear()
+    def heal(self):
+        self.fleet.cuts = set()
 
-    @stateful.rule(slot=slots)
-    def lose_replies(self, slot):
-        self.fleet.lost_replies ^= {slot}
+    @stateful.rule(count=strategies.integers(0, 6))
+    def lose_a_reply(self, count):
+        self.fleet.lose_after = count
+
+    @stateful.rule()
+    def commit_during_next_call(self):
+        """Accept a change while a reply is on its way."""
+        self.fleet.during_next_call = self.commit
 
     @stateful.rule(slot=slots)
     def pause_or_resume(self, slot):
@@ -324,8 +341,8 @@
 
 
 ServingMachine.TestCase.settings = hypothesis.settings(
-    max_examples=200,
-    stateful_step_count=40,
+    max_examples=500,
+    stateful_step_count=30,
     deadline=None,
     derandomize=True,
     database=None,
