--- a/figtray/errors.py
+++ b/figtray/errors.py
@@ -30,8 +30,8 @@
     msg_fmt = 'The reply to a store write was lost: {detail}'
 
 
-class LeaseLost(FigtrayError):
-    """A store lease has ended."""
+class LeaseLost(StoreUnavailable):
+    """A store lease has ended; a write that needs it did not take effect."""
 
     msg_fmt = 'The store lease {lease_id} has ended.'
 
--- a/figtray/store/memory.py
+++ b/figtray/store/memory.py
@@ -7,12 +7,20 @@
 from figtray.store import base
 
 HISTORY_LENGTH = 10_000
+WATCH_WAIT_MS = 1000
+
+
+class Compacted(errors.StoreUnavailable):
+    """The changes that a watch asks for are not kept any more."""
+
+    msg_fmt = 'Changes before revision {revision} are not kept.'
 
 
 class MemoryStore(base.Store):
     """Key-value service in memory.
 
-    The attributes `down` and `lose_next_reply` switch faults on.
+    The attributes `down` and `lose_next_reply` (a number of transactions)
+    switch faults on.
     """
 
     def __init__(self, clock=None):
@@ -20,17 +28,33 @@
         self._cond = threading.Condition()
         self._items = {}
         self._history = []
+        self._compacted = 1
         self._leases = {}
         self._next_lease = 1
         self.revision = 1
+        self.origin = 0
         self.calls = {}
         self.down = False
-        self.lose_next_reply = False
+        self.lose_next_reply = 0
 
     def get(self, key):
+        return self.get_at(key)[0]
+
+    def get_at(self, key):
+        """Read one key and the store's revision.
+
+        Args:
+            key: the key.
+
+        Returns:
+            (KeyValue or None, revision).
+
+        Raises:
+            StoreUnavailable: the store is down.
+        """
         with self._cond:
             self._enter('get')
-            return self._items.get(key)
+            return self._items.get(key), self.revision
 
     def range(self, prefix):
         with self._cond:
@@ -45,11 +69,17 @@
     def txn(self, compares, puts=(), deletes=()):
         with self._cond:
             self._enter('txn')
+            keys = [put.key for put in puts] + list(deletes)
+            if len(set(keys)) < len(keys):
+                raise errors.StoreUnavailable(detail='duplicate key in txn')
             succeeded = all(self._holds(item) for item in compares)
-            if succeeded and (puts or deletes):
+            if succeeded:
+                for put in puts:
+                    if put.lease and put.lease not in self._leases:
+                        raise errors.LeaseLost(lease_id=put.lease)
                 self._write(puts, deletes)
             if self.lose_next_reply:
-                self.lose_next_reply = False
+                self.lose_next_reply = int(self.lose_next_reply) - 1
                 raise errors.WriteUncertain(detail='injected')
             return base.TxnResult(succeeded, self.revision)
 
@@ -79,36 +109,51 @@
         next_revision = start_revision
         with self._cond:
             self._enter('watch')
+            origin = self.origin
         while not stop.is_set():
             items, next_revision = self.changes_since(
-                prefix, next_revision, 1000
+                prefix, next_revision, WATCH_WAIT_MS, origin
             )
             yield from items
             yield None
 
-    def changes_since(self, prefix, start_revision, wait_ms):
+    def changes_since(self, prefix, start_revision, wait_ms, origin=None):
         """Wait for changes below a prefix.
 
         Args:
             prefix: common start of the keys.
             start_revision: first revision of interest.
             wait_ms: longest wait in milliseconds.
+            origin: value of `origin` when the watch began.
 
         Returns:
             The KeyValue items, oldest first, and the next start revision.
 
         Raises:
-            StoreUnavailable: the store is down.
+            StoreUnavailable: the store is down, another state was restored
+                since the watch began, or the changes are not kept any more
+                (Compacted).
         """
         with self._cond:
+            if origin is None:
+                origin = self.origin
+            self._expire()
             changed = self._cond.wait_for(
-                lambda: self.down or self.revision >= start_revision,
+                lambda: self.down
+                or self.origin != origin
+                or self.revision >= start_revision,
                 wait_ms / 1000,
             )
             if self.down:
                 raise errors.StoreUnavailable(detail='injected outage')
+            if self.origin != origin:
+                raise errors.StoreUnavailable(detail='a state was restored')
             if not changed:
                 return [], start_revision
+            if start_revision <= self._compacted < self.revision:
+                # Revision 1 is the empty store: nothing happened at it.
+                if start_revision > 1 or self._compacted > 1:
+                    raise Compacted(revision=self._compacted + 1)
             items = [
                 item
                 for item in self._history
@@ -123,16 +168,35 @@
             self.down = down
             self._cond.notify_all()
 
+    def call_counts(self):
+        """Return the number of calls by kind."""
+        with self._cond:
+            return dict(self.calls)
+
     def dump(self):
         """Return the state, for a later restore()."""
         with self._cond:
-            return dict(self._items), self.revision
+            leases = {key: ttl for key, (ttl, _) in self._leases.items()}
+            return dict(self._items), self.revision, leases
 
     def restore(self, state):
-        """Return to an older state, as a store from a backup would."""
+        """Return to an older state, as a store from a backup would.
+
+        Watches break. The leases of the older state begin anew; ids that
+        were granted since are not used again.
+        """
         with self._cond:
-            self._items, self.revision = dict(state[0]), state[1]
+            items, revision, leases = state
+            self._items, self.revision = dict(items), revision
+            now_ms = self._clock.now_ms()
+            self._leases = {
+                key: (ttl_ms, now_ms + ttl_ms)
+                for key, ttl_ms in leases.items()
+            }
+            self._next_lease = max([self._next_lease - 1, *leases]) + 1
             self._history = []
+            self._compacted = revision
+            self.origin += 1
             self._cond.notify_all()
 
     def expire_leases(self):
@@ -164,6 +228,9 @@
         return current == compare.value
 
     def _write(self, puts, deletes):
+        deletes = [key for key in deletes if key in self._items]
+        if not puts and not deletes:
+            return
         self.revision += 1
         for put in puts:
             old = self._items.get(put.key)
@@ -177,10 +244,15 @@
             self._items[put.key] = item
             self._history.append(item)
         for key in deletes:
-            if self._items.pop(key, None) is None:
-                continue
+            del self._items[key]
             self._history.append(
                 base.KeyValue(key, b'', self.revision, deleted=True)
             )
-        del self._history[:-HISTORY_LENGTH]
+        self._trim()
         self._cond.notify_all()
+
+    def _trim(self):
+        surplus = len(self._history) - HISTORY_LENGTH
+        if surplus > 0:
+            self._compacted = self._history[surplus - 1].mod_revision
+            del self._history[:surplus]
