--- a/figtray/standins/service.py
+++ b/figtray/standins/service.py
@@ -1,5 +1,6 @@
 """HTTP server that the stand-ins share."""
 
+import contextlib
 import http.server
 import json
 import signal
@@ -15,6 +16,7 @@
 
 # Several hundred clients may reconnect at the same moment after an outage.
 BACKLOG = 512
+DRAIN_MS = 5000
 MAX_BODY_BYTES = 64 * 1024 * 1024
 
 
@@ -38,7 +40,9 @@
         if len(body) < int(length):
             self.close_connection = True
             return
-        self.server.service.handle(self, body)
+        with self.server.busy():
+            self.server.service.handle(self, body)
+            self.wfile.flush()
 
     do_POST = do_GET
     do_DELETE = do_GET
@@ -115,6 +119,8 @@
         self._max_connections = max_connections
         self._lock = threading.Lock()
         self._open = set()
+        self._answered = threading.Condition()
+        self._busy = 0
         self._thread = None
         super().__init__(connections.parse_address(address), Handler)
 
@@ -158,6 +164,23 @@
                 except OSError:
                     pass  # the client was faster
 
+    @contextlib.contextmanager
+    def busy(self):
+        """Count a request while it is answered."""
+        with self._answered:
+            self._busy += 1
+        try:
+            yield
+        finally:
+            with self._answered:
+                self._busy -= 1
+                self._answered.notify_all()
+
+    def drain(self, timeout_ms=DRAIN_MS):
+        """Wait until the responses that are being written have been sent."""
+        with self._answered:
+            self._answered.wait_for(lambda: not self._busy, timeout_ms / 1000)
+
     def start(self):
         """Serve in a thread of its own."""
         self._thread = threading.Thread(
--- a/figtray/workers/base.py
+++ b/figtray/workers/base.py
@@ -2,6 +2,8 @@
 
 import dataclasses
 
+from figtray import errors
+
 
 @dataclasses.dataclass(frozen=True)
 class TaskStart:
@@ -42,8 +44,26 @@
     running: tuple
 
 
+@dataclasses.dataclass(frozen=True)
+class WaitingStart:
+    """A start that was sent and has no answer yet."""
+
+    task_id: str
+    attempt_id: str
+    waiting_ms: int
+
+
 class WorkerClient:
-    """Starts tasks on workers and asks for their reports."""
+    """Starts tasks on workers and asks for their reports.
+
+    `foreign_answers` counts answers to other attempts, `late_answers` those
+    that came when nobody waited for them any more.
+    """
+
+    def __init__(self):
+        self.foreign_answers = 0
+        self.late_answers = 0
+        self._timeouts = {}
 
     def start(self, address, start, timeout_ms, check):
         """Start an attempt and wait for its answer.
@@ -94,5 +114,50 @@
         """
         raise NotImplementedError
 
+    def probe(self, address, timeout_ms):
+        """Tell whether a worker answers over a new connection.
+
+        If it does, its silent connections were half-open: the count of
+        time-outs starts anew.
+
+        Args:
+            address: IP number and port of the worker.
+            timeout_ms: longest wait in milliseconds.
+
+        Returns:
+            True if the worker answered.
+        """
+        try:
+            self.report(address, timeout_ms)
+        except errors.WorkerUnavailable:
+            return False
+        self._clear_timeouts(address)
+        return True
+
+    def timeouts(self, address):
+        """Return the starts in succession that got no answer in time."""
+        return self._timeouts.get(address, 0)
+
+    def waiting(self, address):
+        """Return the WaitingStart items of a worker, in the order sent."""
+        raise NotImplementedError
+
+    def abandon(self, address, attempt_id):
+        """Close the connection on which an attempt waits for its answer.
+
+        The start returns MayHaveRun; an unknown attempt is ignored.
+
+        Args:
+            address: IP number and port of the worker.
+            attempt_id: the attempt.
+        """
+        raise NotImplementedError
+
     def close(self):
         """Close all connections."""
+
+    def _note_timeout(self, address):
+        self._timeouts[address] = self._timeouts.get(address, 0) + 1
+
+    def _clear_timeouts(self, address):
+        self._timeouts.pop(address, None)
