--- a/figtray/connections.py
+++ b/figtray/connections.py
@@ -41,15 +41,20 @@
 class _Reader(io.RawIOBase):
     """Raw stream that reads from a socket until the connection's limit."""
 
-    def __init__(self, conn):
+    def __init__(self, sock):
         super().__init__()
-        self._conn = conn
+        self._sock = sock
 
     def readable(self):
         return True
 
     def readinto(self, buffer):
-        return self._conn.receive_into(buffer)
+        return self._sock.receive_into(buffer)
+
+    def close(self):
+        if not self.closed:
+            super().close()
+            self._sock.close()
 
 
 class _LimitedSocket:
@@ -63,6 +68,9 @@
     def __init__(self, sock, clock):
         self._sock = sock
         self._clock = clock
+        # http.client closes the connection of a last response before it
+        # reads the response through its file.
+        self._users = 1
         self.limit_ms = None
         self.sent_bytes = 0
 
@@ -79,10 +87,13 @@
         return self._sock.recv_into(buffer)
 
     def makefile(self, mode):
+        self._users += 1
         return io.BufferedReader(_Reader(self))
 
     def close(self):
-        self._sock.close()
+        self._users -= 1
+        if self._users == 0:
+            self._sock.close()
 
     def shutdown(self):
         try:
@@ -119,6 +130,7 @@
     def __init__(self, address, clock):
         super().__init__(*parse_address(address))
         self.address = address
+        self._channel = None
         self._clock = clock
 
     def open(self, limit_ms):
@@ -142,13 +154,13 @@
             (socket.TCP_KEEPCNT, KEEPALIVE_PROBES),
         ):
             sock.setsockopt(socket.IPPROTO_TCP, option, value)
-        self.sock = _LimitedSocket(sock, self._clock)
+        self.sock = self._channel = _LimitedSocket(sock, self._clock)
         self.set_limit(limit_ms)
 
     @property
     def sent_bytes(self):
         """Bytes of the present request that the kernel accepted."""
-        return self.sock.sent_bytes if self.sock else 0
+        return self._channel.sent_bytes if self._channel else 0
 
     def set_limit(self, limit_ms):
         """Begin a request that must be complete at a local time.
@@ -156,8 +168,8 @@
         Args:
             limit_ms: local time in milliseconds; None = no limit.
         """
-        self.sock.limit_ms = limit_ms
-        self.sock.sent_bytes = 0
+        self._channel.limit_ms = limit_ms
+        self._channel.sent_bytes = 0
 
     def pending(self):
         """Look for unread input without waiting.
@@ -170,6 +182,5 @@
 
     def abort(self):
         """Wake a thread that waits for this connection; it gets an error."""
-        sock = self.sock
-        if sock:
-            sock.shutdown()
+        if self._channel:
+            self._channel.shutdown()
--- a/figtray/store/etcd.py
+++ b/figtray/store/etcd.py
@@ -14,7 +14,7 @@
 IDLE_CONNECTIONS = 4
 WATCH_QUEUE = 1000
 WATCH_TICK_S = 1.0
-MAX_REPLY_BYTES = 64 * 1024 * 1024
+MAX_ERROR_BYTES = 64 * 1024
 
 # gRPC codes with which etcd rejects a request before it takes effect:
 # INVALID_ARGUMENT, NOT_FOUND, PERMISSION_DENIED, RESOURCE_EXHAUSTED,
@@ -217,7 +217,10 @@
                 'start_revision': str(start_revision),
             }
         }
-        conn, resp = self._on_endpoints('/v3/watch', request, self._begin)
+        try:
+            conn, resp = self._on_endpoints('/v3/watch', request, self._begin)
+        except _CallFailed as exc:
+            raise errors.StoreUnavailable(detail=exc)
         try:
             with self._parsing():
                 reply = json.loads(resp.readline())['result']
@@ -300,8 +303,6 @@
             except _CallFailed as exc:
                 final = exc.code in REJECTED_CODES
                 if final or number + 1 == count or exc.sent and not repeat:
-                    if action == self._begin:
-                        raise errors.StoreUnavailable(detail=exc)
                     raise
 
     def _take(self, address, limit_ms):
@@ -335,7 +336,7 @@
             resp = conn.getresponse()
             if resp.status == 200:
                 return conn, resp
-            reply = resp.read(MAX_REPLY_BYTES)
+            reply = resp.read(MAX_ERROR_BYTES)
         except _FAILURES as exc:
             if conn:
                 conn.close()
--- a/figtray/store/memory.py
+++ b/figtray/store/memory.py
@@ -8,6 +8,8 @@
 
 HISTORY_LENGTH = 10_000
 WATCH_WAIT_MS = 1000
+# Default bound of etcd.
+MAX_TXN_OPERATIONS = 128
 
 
 class Compacted(errors.StoreUnavailable):
@@ -16,6 +18,12 @@
     msg_fmt = 'Changes before revision {revision} are not kept.'
 
 
+class InvalidTxn(errors.StoreUnavailable):
+    """The store rejected a transaction that it can never execute."""
+
+    msg_fmt = 'The store rejected the transaction: {detail}'
+
+
 class MemoryStore(base.Store):
     """Key-value service in memory.
 
@@ -32,7 +40,7 @@
         self._leases = {}
         self._next_lease = 1
         self.revision = 1
-        self.origin = 0
+        self._origin = 0
         self.calls = {}
         self.down = False
         self.lose_next_reply = 0
@@ -71,7 +79,9 @@
             self._enter('txn')
             keys = [put.key for put in puts] + list(deletes)
             if len(set(keys)) < len(keys):
-                raise errors.StoreUnavailable(detail='duplicate key in txn')
+                raise InvalidTxn(detail='duplicate key')
+            if max(len(keys), len(compares)) > MAX_TXN_OPERATIONS:
+                raise InvalidTxn(detail='too many operations')
             succeeded = all(self._holds(item) for item in compares)
             if succeeded:
                 for put in puts:
@@ -107,9 +117,7 @@
 
     def watch(self, prefix, start_revision, stop):
         next_revision = start_revision
-        with self._cond:
-            self._enter('watch')
-            origin = self.origin
+        origin = self.begin_watch()
         while not stop.is_set():
             items, next_revision = self.changes_since(
                 prefix, next_revision, WATCH_WAIT_MS, origin
@@ -117,6 +125,19 @@
             yield from items
             yield None
 
+    def begin_watch(self):
+        """Count a watch.
+
+        Returns:
+            The value that changes_since() needs as `origin`.
+
+        Raises:
+            StoreUnavailable: the store is down.
+        """
+        with self._cond:
+            self._enter('watch')
+            return self._origin
+
     def changes_since(self, prefix, start_revision, wait_ms, origin=None):
         """Wait for changes below a prefix.
 
@@ -124,7 +145,7 @@
             prefix: common start of the keys.
             start_revision: first revision of interest.
             wait_ms: longest wait in milliseconds.
-            origin: value of `origin` when the watch began.
+            origin: result of begin_watch(); None = now.
 
         Returns:
             The KeyValue items, oldest first, and the next start revision.
@@ -136,17 +157,17 @@
         """
         with self._cond:
             if origin is None:
-                origin = self.origin
+                origin = self._origin
             self._expire()
             changed = self._cond.wait_for(
                 lambda: self.down
-                or self.origin != origin
+                or self._origin != origin
                 or self.revision >= start_revision,
                 wait_ms / 1000,
             )
             if self.down:
                 raise errors.StoreUnavailable(detail='injected outage')
-            if self.origin != origin:
+            if self._origin != origin:
                 raise errors.StoreUnavailable(detail='a state was restored')
             if not changed:
                 return [], start_revision
@@ -196,7 +217,7 @@
             self._next_lease = max([self._next_lease - 1, *leases]) + 1
             self._history = []
             self._compacted = revision
-            self.origin += 1
+            self._origin += 1
             self._cond.notify_all()
 
     def expire_leases(self):
--- a/figtray/workers/http.py
+++ b/figtray/workers/http.py
@@ -316,7 +316,6 @@
             pool.waiting[start.attempt_id] = _Sent(
                 start.task_id, conn, self._clock.now_ms()
             )
-        sock = conn.sock
         try:
             allowed = check()
             if isinstance(allowed, verdict.NotRun):
@@ -334,7 +333,7 @@
             if timed_out:
                 # The other connections may be half-open as well.
                 self._drop_idle(pool)
-            if not sock.sent_bytes:
+            if not conn.sent_bytes:
                 if isinstance(exc, ValueError):
                     return verdict.NotRun(
                         verdict.RefusalReason.BAD_REQUEST, str(exc)
--- a/figtray/workers/memory.py
+++ b/figtray/workers/memory.py
@@ -221,7 +221,9 @@
 
     def _boot(self):
         self._boots += 1
-        self.boot_id = f'{self.host}-boot-{self._boots}'
+        # A restarted process must not look like the boot before it.
+        now_ms = self._clock.now_ms()
+        self.boot_id = f'{self.host}-{now_ms:x}-{self._boots}'
         seed = zlib.crc32(self.boot_id.encode())
         self._offset_ms = seed % OFFSET_RANGE_MS
         self._running = {}
