--- a/figtray/api/app.py
+++ b/figtray/api/app.py
@@ -5,7 +5,6 @@
 import urllib.parse
 import uuid
 
-import logbook
 import msgspec
 
 from figtray.api import cache as cache_lib
@@ -18,6 +17,7 @@
 from figtray.configuration import archive as archive_lib
 from figtray.configuration import resources
 from figtray import errors
+from figtray.events import log
 from figtray.keys import caller_keys
 
 DEFAULT_PAGE = 100
@@ -42,8 +42,6 @@
     routing.Route('DELETE', '/v1/<kind>/<name>', 'delete_resource'),
 )
 
-_LOG = logbook.Logger('figtray.api')
-
 
 class PutBody(msgspec.Struct, forbid_unknown_fields=True):
     """Body of a PUT."""
@@ -124,7 +122,7 @@
         except Exception as exc:
             problem = problems.from_error(exc)
             if problem.status == http.HTTPStatus.INTERNAL_SERVER_ERROR:
-                _LOG.exception('Unexpected error in an operator request')
+                log.emit_exception('operator request', exc)
             response = messages.Response(
                 problem.status,
                 problem.document,
@@ -373,7 +371,8 @@
         return progress_lib.Status(True, not unconfirmed, tuple(unconfirmed))
 
     def _dry_run(self, edits):
-        edits_lib.check(edits)
+        # No transaction follows, so only the length of the body is bounded.
+        edits_lib.check(edits, messages.MAX_BODY_BYTES)
         snapshot = self._cache.view(0).snapshot
         items = edits_lib.build(snapshot, edits)
         archive_lib.check_items(snapshot, items)
--- a/figtray/api/edits.py
+++ b/figtray/api/edits.py
@@ -54,19 +54,20 @@
     kind: resources.Kind = resources.Kind.ZONE
 
 
-def check(edits):
+def check(edits, max_edits=MAX_EDITS):
     """Check what does not depend on the configuration.
 
     Args:
         edits: the edits of one change.
+        max_edits: largest number of edits.
 
     Raises:
         ValidationFailed: a name or specification is not allowed, or a
             resource occurs twice.
     """
-    if not 1 <= len(edits) <= MAX_EDITS:
+    if not 1 <= len(edits) <= max_edits:
         raise errors.ValidationFailed(
-            field='resources', value=len(edits), allowed=f'1 to {MAX_EDITS}'
+            field='resources', value=len(edits), allowed=f'1 to {max_edits}'
         )
     seen = set()
     for edit in edits:
