Preview plans of resource files; store specifications as plain lists

Cause: applying the example deployments and comparing them again showed 7 differences each: specifications kept tuples, which the store returns as lists. A repeated change of a queue was therefore refused as another change, and items of equal content compared as different. Ruled out: comparing with tuples converted, because every comparison would have to know about it. Change: spec_data() returns the stored form. POST /v1/plan takes the same edits as POST /v1/changes and passes the resulting items to the planner. Conclusion: both example deployments apply without a difference.

--- a/figtray/api/app.py
+++ b/figtray/api/app.py
@@ -69,6 +69,12 @@
     dry_run: bool = False
 
 
+class PlanBody(msgspec.Struct, forbid_unknown_fields=True):
+    """Body of a preview: the change to preview, which may be empty."""
+
+    resources: list[Edit] = []
+
+
 class KeyBody(msgspec.Struct, forbid_unknown_fields=True):
     """Body of a new key."""
 
@@ -86,8 +92,9 @@
         clock: the Clock.
         deployment: name of the deployment.
         credential_hash: SHA-256 of the bearer credential in hexadecimal.
-        planner: function of (Snapshot, body of the request) that returns a
-            document with a plan; None if there is no planner.
+        planner: function of (Snapshot, changed Items) that returns a
+            document with the plan after that change; None if there is no
+            planner.
     """
 
     def __init__(
@@ -235,6 +242,8 @@
         """Make several edits in one change, or only check them."""
         body = req.decode(ChangesBody)
         edits = [_edit(edit) for edit in body.resources]
+        if not edits:
+            raise problems.invalid('resources', [], 'at least one')
         if body.dry_run:
             return self._dry_run(edits)
         committed, change_id = self._commit(req, edits)
@@ -303,9 +312,14 @@
                 'no-planner',
                 'No capacity planner is configured for this API.',
             )
-        body = req.decode(dict)
-        view = self._view(req)
-        return messages.Response(200, self._planner(view.snapshot, body))
+        body = req.decode(PlanBody)
+        snapshot, items = self._try_out(
+            [_edit(edit) for edit in body.resources]
+        )
+        document = self._planner(snapshot, items)
+        return messages.Response(
+            200, {'generation': snapshot.generation, 'plan': document}
+        )
 
     def _view(self, req):
         max_age_ms = 0 if req.wants_fresh else cache_lib.MAX_AGE_MS
@@ -371,11 +385,7 @@
         return progress_lib.Status(True, not unconfirmed, tuple(unconfirmed))
 
     def _dry_run(self, edits):
-        # No transaction follows, so only the length of the body is bounded.
-        edits_lib.check(edits, messages.MAX_BODY_BYTES)
-        snapshot = self._cache.view(0).snapshot
-        items = edits_lib.build(snapshot, edits)
-        archive_lib.check_items(snapshot, items)
+        snapshot, items = self._try_out(edits)
         return messages.Response(
             200,
             {
@@ -385,6 +395,15 @@
             },
         )
 
+    def _try_out(self, edits):
+        """Return (newest Snapshot, Items that the edits result in)."""
+        # No transaction follows, so only the length of the body is bounded.
+        edits_lib.check(edits, messages.MAX_BODY_BYTES)
+        snapshot = self._cache.view(0).snapshot
+        items = edits_lib.build(snapshot, edits)
+        archive_lib.check_items(snapshot, items)
+        return snapshot, items
+
 
 def _edit(edit):
     if edit.version < 0:
--- a/figtray/api/client.py
+++ b/figtray/api/client.py
@@ -171,9 +171,9 @@
         action = 'in' if in_service else 'out'
         return self._change('POST', f'{_path("zones", zone)}/{action}')
 
-    def plan(self, body):
-        """Preview a plan."""
-        return self._call('POST', '/v1/plan', body)
+    def plan(self, edits=()):
+        """Preview the plan after some edits; see change()."""
+        return self._call('POST', '/v1/plan', {'resources': list(edits)})
 
     def status(self):
         """Return the state of the configuration and the entries."""
--- a/figtray/api/edits.py
+++ b/figtray/api/edits.py
@@ -65,9 +65,9 @@
         ValidationFailed: a name or specification is not allowed, or a
             resource occurs twice.
     """
-    if not 1 <= len(edits) <= max_edits:
+    if len(edits) > max_edits:
         raise errors.ValidationFailed(
-            field='resources', value=len(edits), allowed=f'1 to {max_edits}'
+            field='resources', value=len(edits), allowed=f'up to {max_edits}'
         )
     seen = set()
     for edit in edits:
--- a/figtray/api/tests/test_app.py
+++ b/figtray/api/tests/test_app.py
@@ -225,6 +225,18 @@
         )
         assert (status, made['version']) == (201, generation)
 
+    def test_repeated_change_is_recognised(self, deployment):
+        spec = {'pool': 'quoting', 'teams': ['mill']}
+        made = deployment.put('/v1/queues/q', spec, Change_Id='c1')
+        assert made[0] == 201
+        assert deployment.put('/v1/queues/q', spec, Change_Id='c1') == made
+        other = deployment.make_app()
+        body = {'spec': spec}
+        headers = {'If_None_Match': '*', 'Change_Id': 'c1'}
+        path = '/v1/queues/q'
+        again = deployment.call('PUT', path, body, app=other, **headers)
+        assert again == made
+
     def test_change_id_of_another_change(self, deployment):
         deployment.put('/v1/teams/farm', {'limit': 1}, Change_Id='c1')
         status, _, problem = deployment.put(
@@ -263,10 +275,11 @@
         versions = {item['version'] for item in made['resources']}
         assert versions == {made['generation']}
 
-    def test_same_resource_twice(self, deployment):
+    def test_wrong_number_of_resources(self, deployment):
         edit = {'kind': 'pools', 'name': 'gate', 'version': 0, 'spec': {}}
-        body = {'resources': [edit, edit]}
-        assert deployment.call('POST', '/v1/changes', body)[0] == 422
+        for edits in ([edit, edit], [], [edit] * 101):
+            body = {'resources': edits}
+            assert deployment.call('POST', '/v1/changes', body)[0] == 422
 
 
 class TestInForce:
@@ -309,9 +322,14 @@
     def test_without_planner(self, deployment):
         assert deployment.call('POST', '/v1/plan', {})[0] == 501
 
-    def test_with_planner(self):
+    def test_plan_after_a_change_that_is_not_made(self):
         deployment = support.Deployment(
-            planner=lambda snapshot, body: {'generation': snapshot.generation}
+            planner=lambda snapshot, items: [item.name for item in items]
         )
-        result = deployment.call('POST', '/v1/plan', {})
-        assert result[2] == {'generation': 0}
+        edit = {'kind': 'pools', 'name': 'gate', 'version': 0, 'spec': {}}
+        body = {'resources': [edit]}
+        assert deployment.call('POST', '/v1/plan', body)[2] == {
+            'generation': 0,
+            'plan': ['gate'],
+        }
+        assert deployment.call('GET', '/v1/pools/gate')[0] == 404
--- a/figtray/cli/documents.py
+++ b/figtray/cli/documents.py
@@ -26,6 +26,10 @@
 )
 
 
+_KINDS = {kind.value for kind in resources.Kind}
+_ByKind = dict[resources.Kind, dict[str, dict]]
+
+
 class DocumentError(errors.FigtrayError):
     """A file can't be used."""
 
@@ -80,6 +84,9 @@
 def load(path):
     """Read resources from a file, or all files of a directory.
 
+    A file holds one resource, a list of them, an object with a field
+    `resources`, or an object of specifications by kind and name.
+
     Args:
         path: path of the file or directory.
 
@@ -150,6 +157,13 @@
             return msgspec.convert(data, list[Document])
         if isinstance(data, dict) and 'resources' in data:
             return msgspec.convert(data, Documents).resources
+        if isinstance(data, dict) and not data.keys() - _KINDS:
+            by_kind = msgspec.convert(data, _ByKind)
+            return [
+                Document(kind, name, spec)
+                for kind, specs in by_kind.items()
+                for name, spec in specs.items()
+            ]
         return [msgspec.convert(data, Document)]
     except msgspec.ValidationError as exc:
         raise DocumentError(path=file, problem=exc) from exc
--- a/figtray/cli/main.py
+++ b/figtray/cli/main.py
@@ -8,7 +8,6 @@
 import pathlib
 import typing
 
-import pyjson5
 import typer
 import typer.core
 
@@ -393,20 +392,16 @@
 def plan(
     ctx: typer.Context,
     path: typing.Annotated[
-        str, typer.Argument(help='File with parameters of the plan.')
+        str,
+        typer.Argument(help='File or directory of resources to try out.'),
     ] = '',
 ):
-    """Preview what the capacity planner would do."""
-    body = {}
-    if path:
-        try:
-            body = pyjson5.decode(pathlib.Path(path).read_text())
-        except (OSError, UnicodeError, pyjson5.Json5Exception) as exc:
-            raise UsageFailed(f'{path}: {exc}') from exc
-        if not isinstance(body, dict):
-            raise UsageFailed(f'{path}: not an object')
-    document = ctx.obj.client.plan(body)
-    ctx.obj.show(document, ('field', 'value'), document.items())
+    """Preview the capacity plan, as it is or after applying resources."""
+    client = ctx.obj.client
+    differences = _differences(client, path) if path else []
+    document = client.plan([item.edit for item in differences])
+    rows = document['plan'].items()
+    ctx.obj.show(document, ('field', 'value'), rows)
 
 
 @app.command()
--- a/figtray/cli/tests/test_main.py
+++ b/figtray/cli/tests/test_main.py
@@ -1,6 +1,7 @@
 """Tests of the operators' command line against the real application."""
 
 import json
+import pathlib
 
 import pytest
 import typer.testing
@@ -13,14 +14,14 @@
 class Shell:
     """Runs commands against a deployment in this process."""
 
-    def __init__(self):
+    def __init__(self, populate=True):
         self.deployment = support.Deployment(
-            planner=lambda snapshot, body: {
-                'generation': snapshot.generation,
-                **body,
+            planner=lambda snapshot, items: {
+                'moves': [item.name for item in items]
             }
         )
-        self.deployment.populate()
+        if populate:
+            self.deployment.populate()
         self.transport = support.WsgiTransport(self.deployment.app)
         self._runner = typer.testing.CliRunner()
 
@@ -93,10 +94,10 @@
         assert output.splitlines()[-1].split() == ['entry-3', '-', '-']
 
     def test_plan(self, shell, write):
-        assert shell.json('plan') == {'generation': 5}
-        path = write('{outage: "north"}')
-        assert shell.json('plan', path)['outage'] == 'north'
-        shell.run('plan', write('[]'), status=main.ExitStatus.USAGE)
+        assert shell.json('plan')['plan'] == {'moves': []}
+        document = shell.json('plan', write(TWO_TEAMS))
+        assert document['plan'] == {'moves': ['farm', 'mill']}
+        assert shell.generation() == document['generation'] == 5
 
 
 class TestApply:
@@ -141,6 +142,16 @@
         names = [change['resources'][0]['name'] for change in changes]
         assert names == ['p', 'q']
 
+    @pytest.mark.parametrize('name', ['co-operative', 'bureau'])
+    def test_examples(self, name):
+        shell = Shell(populate=False)
+        root = pathlib.Path(main.__file__).parents[2]
+        path = str(root / 'examples' / name / 'deployment.json5')
+        shell.run('apply', '--dry-run', path)
+        shell.run('apply', path)
+        assert shell.json('diff', path) == []
+        assert shell.run('list', 'hosts').stdout.count('127.') >= 30
+
     @pytest.mark.parametrize(
         ('text', 'status'),
         [
--- a/figtray/configuration/snapshot.py
+++ b/figtray/configuration/snapshot.py
@@ -236,7 +236,11 @@
 
 
 def spec_data(spec):
-    """Return the plain data of a specification."""
-    data = msgspec.to_builtins(spec)
+    """Return the plain data of a specification.
+
+    The data is the same as after a way through the store, with lists in
+    place of tuples, so that items of both origins compare equal.
+    """
+    data = msgspec.json.decode(msgspec.json.encode(spec))
     assert isinstance(data, collections.abc.Mapping)
     return data
--- a/figtray/configuration/tests/test_snapshot.py
+++ b/figtray/configuration/tests/test_snapshot.py
@@ -65,3 +65,13 @@
             snapshot_lib.make_change(*variant).checksum for variant in variants
         }
         assert len(checksums) == len(variants)
+
+
+class TestSpecData:
+    """Guards against items that differ from their stored form."""
+
+    def test_is_the_stored_form(self):
+        spec = resources.Queue(pool='p', teams=('a', 'b'))
+        data = snapshot_lib.spec_data(spec)
+        assert data == msgspec.json.decode(msgspec.json.encode(data))
+        assert resources.decode_spec(resources.Kind.QUEUE, data) == spec
--- a/figtray/configuration/writer.py
+++ b/figtray/configuration/writer.py
@@ -111,7 +111,7 @@
         if mark.generation > base.generation
     }
     for mark in sorted(ahead, key=lambda mark: -mark.generation):
-        snapshot = entries.fetch(ahead[mark])
+        snapshot = _fetch(entries, ahead[mark], base)
         if _support(snapshot, marks) >= needed:
             return snapshot, ahead[mark]
     if _support(base, marks) >= needed:
@@ -119,6 +119,19 @@
     return None
 
 
+def _fetch(entries, slot, base):
+    """Read a slot's configuration, by its changes after `base` if possible."""
+    snapshot = base
+    for change in entries.changes(slot, base.generation) or ():
+        if change.parent_checksum != snapshot.mark.checksum:
+            break
+        snapshot = snapshot.apply(change)
+    else:
+        if snapshot is not base:
+            return snapshot
+    return entries.fetch(slot)
+
+
 def _support(snapshot, marks):
     return sum(snapshot.contains(mark) is True for mark in marks.values())
 
