--- a/figtray/api/app.py
+++ b/figtray/api/app.py
@@ -17,8 +17,10 @@
 from figtray.configuration import archive as archive_lib
 from figtray.configuration import resources
 from figtray import errors
+from figtray.events import catalogue
 from figtray.events import log
 from figtray.keys import caller_keys
+from figtray import metrics as metrics_lib
 
 DEFAULT_PAGE = 100
 MAX_PAGE = 1000
@@ -27,7 +29,14 @@
 # Changes of one process queue for this long behind a slow store.
 COMMIT_WAIT_MS = 10_000
 
+# Open to the load balancer without a credential.
+HEALTH_PATHS = ('/live', '/ready')
+# Long polls at one time; more of them are answered at once, so that they
+# never take all threads of the listener.
+MAX_LONG_POLLS = 8
+
 ROUTES = (
+    routing.Route('GET', '/metrics', 'get_metrics'),
     routing.Route('GET', '/v1/status', 'get_status'),
     routing.Route('POST', '/v1/changes', 'post_changes'),
     routing.Route('GET', '/v1/changes/<generation>', 'get_change'),
@@ -95,6 +104,8 @@
         planner: function of (Snapshot, changed Items) that returns a
             document with the plan after that change; None if there is no
             planner.
+        metrics_page: function that returns the text page of the metrics;
+            None if there is none.
     """
 
     def __init__(
@@ -106,6 +117,7 @@
         deployment,
         credential_hash,
         planner=None,
+        metrics_page=None,
     ):
         self._writer = writer
         self._entries = entries
@@ -113,9 +125,11 @@
         self._deployment = deployment
         self._credential_hash = credential_hash
         self._planner = planner
+        self._metrics_page = metrics_page
         self._cache = cache_lib.Cache(deployment, entries, archive, clock)
         self._progress = progress_lib.Progress(entries.slots, clock)
         self._commit_lock = threading.Lock()
+        self._long_polls = threading.Semaphore(MAX_LONG_POLLS)
         self._stopped = threading.Event()
 
     def close(self):
@@ -148,6 +162,8 @@
         return [body]
 
     def _respond(self, environ):
+        if environ.get('PATH_INFO') in HEALTH_PATHS:
+            return self._health()
         credentials.check(
             environ.get('HTTP_AUTHORIZATION', ''), self._credential_hash
         )
@@ -155,6 +171,21 @@
         handler, params = routing.find(ROUTES, req.method, req.path)
         return getattr(self, handler)(req, **params)
 
+    def _health(self):
+        """Tell the load balancer whether to send requests here."""
+        is_ready = not self._stopped.is_set()
+        return messages.Response(200 if is_ready else 503, {'ready': is_ready})
+
+    def get_metrics(self, req):
+        """Show the metrics of this process."""
+        if self._metrics_page is None:
+            raise problems.ProblemError(
+                404, 'not-found', 'This process has no metrics.'
+            )
+        return messages.Response(
+            200, self._metrics_page(), content_type=metrics_lib.CONTENT_TYPE
+        )
+
     def get_status(self, req):
         """Show the generation, the entries and the last change's status."""
         view = self._view(req)
@@ -267,15 +298,23 @@
         if not 1 <= number < 10**15:
             raise problems.invalid('generation', generation, 'a number')
         wait_ms = req.number('wait_ms', 0, 0, MAX_WAIT_MS)
+        if wait_ms and self._long_polls.acquire(blocking=False):
+            try:
+                status = self._wait_in_force(number, wait_ms)
+            finally:
+                self._long_polls.release()
+        else:
+            status = self._status(number, self._cache.view(POLL_MS))
+        return messages.Response(200, {'generation': number, 'status': status})
+
+    def _wait_in_force(self, generation, wait_ms):
         deadline_ms = self._clock.now_ms() + wait_ms
         while True:
-            view = self._cache.view(POLL_MS)
-            status = self._status(number, view)
+            status = self._status(generation, self._cache.view(POLL_MS))
             left_ms = deadline_ms - self._clock.now_ms()
             if status.in_force or left_ms <= 0 or self._stopped.is_set():
-                break
+                return status
             self._clock.wait(self._stopped, min(POLL_MS, left_ms))
-        return messages.Response(200, {'generation': number, 'status': status})
 
     def post_key(self, req):
         """Create a key and show its secret this one time."""
@@ -365,6 +404,16 @@
             )
         except Exception as exc:
             problem = problems.from_error(exc)
+            # Only failures of the deployment; a refused request is the
+            # operator's own.
+            if problem.status >= http.HTTPStatus.INTERNAL_SERVER_ERROR:
+                log.emit(
+                    catalogue.OPERATOR_CHANGE_FAILED,
+                    change_id=change_id,
+                    resources=_names(edits),
+                    outcome=problem.document['outcome'].value,
+                    detail=str(exc),
+                )
             problem.document['change_id'] = change_id
             problem.headers += (('Change-Id', change_id),)
             raise problem from exc
@@ -374,6 +423,13 @@
         self._progress.accepted(
             committed.change.generation, committed.accepted_ms
         )
+        log.emit(
+            catalogue.OPERATOR_CHANGE,
+            change_id=change_id,
+            generation=committed.change.generation,
+            resources=_names(committed.change.items),
+            unconfirmed=len(self._entries.slots) - len(committed.confirmed),
+        )
         return committed
 
     def _committed_status(self, committed):
@@ -415,6 +471,13 @@
     return edits_lib.Put(edit.kind, edit.name, edit.spec, edit.version)
 
 
+def _names(resources_or_edits):
+    return ', '.join(
+        f'{getattr(item.kind, "value", item.kind)}/{item.name}'
+        for item in resources_or_edits
+    )
+
+
 def _plain(item):
     return {
         'kind': item.kind,
--- a/figtray/api/client.py
+++ b/figtray/api/client.py
@@ -198,6 +198,8 @@
             )
             if document['status']['in_force'] or left_ms == 0:
                 return document
+            # The API answers at once when it has too many long polls.
+            self._clock.wait(self._never, min(left_ms, RETRY_MS))
 
     def _change(self, method, path, body=None, headers=None):
         change_id = uuid.uuid4().hex
--- a/figtray/api/messages.py
+++ b/figtray/api/messages.py
@@ -22,7 +22,7 @@
 
 @dataclasses.dataclass(frozen=True)
 class Response:
-    """Status, JSON document and headers of a response."""
+    """Status, JSON document or text, and headers of a response."""
 
     status: int
     document: object = None
@@ -34,6 +34,8 @@
         """The encoded document; empty without one."""
         if self.document is None:
             return b''
+        if self.content_type.startswith('text/'):
+            return self.document.encode()
         return msgspec.json.encode(self.document)
 
 
--- a/figtray/api/tests/test_app.py
+++ b/figtray/api/tests/test_app.py
@@ -315,6 +315,36 @@
         document = deployment.call('GET', '/v1/changes/99?wait_ms=50')[2]
         assert document['status']['accepted'] is False
 
+    def test_too_many_long_polls_are_answered_at_once(
+        self, deployment, monkeypatch
+    ):
+        monkeypatch.setattr(app_lib, 'MAX_LONG_POLLS', 0)
+        app = deployment.make_app()
+        before_ms = deployment.clock.now_ms()
+        path = '/v1/changes/99?wait_ms=10000'
+        assert deployment.call('GET', path, app=app)[0] == 200
+        assert deployment.clock.now_ms() == before_ms
+
+    def test_stop_ends_the_wait(self, deployment):
+        deployment.app.close()
+        before_ms = deployment.clock.now_ms()
+        path = '/v1/changes/99?wait_ms=10000'
+        assert deployment.call('GET', path)[0] == 200
+        assert deployment.clock.now_ms() == before_ms
+
+
+class TestHealth:
+    """Guards against a stopping process that still gets requests."""
+
+    def test_ready_until_the_stop(self, deployment):
+        assert deployment.call('GET', '/ready', Authorization='')[0] == 200
+        deployment.app.close()
+        assert deployment.call('GET', '/ready', Authorization='')[0] == 503
+
+    def test_metrics_need_the_credential(self, deployment):
+        assert deployment.call('GET', '/metrics', Authorization='')[0] == 401
+        assert deployment.call('GET', '/metrics')[0] == 404
+
 
 class TestPlan:
     """Guards against an unclear answer without a planner."""
--- a/figtray/api/tests/test_client.py
+++ b/figtray/api/tests/test_client.py
@@ -7,6 +7,7 @@
 from figtray.api import client as client_lib
 from figtray.api.tests import support
 from figtray.configuration import resources
+from figtray import listener
 
 
 def lose_answer():
@@ -97,6 +98,22 @@
         with pytest.raises(ValueError):
             client_lib.HttpTransport(server)
 
+    def test_over_a_socket(self, deployment):
+        server = listener.Listener('127.0.0.1:0', deployment.app)
+        server.start()
+        try:
+            client = client_lib.Client(
+                client_lib.HttpTransport(f'http://{server.address}'),
+                support.CREDENTIAL,
+                deployment.clock,
+            )
+            client.put(resources.Kind.TEAM, 'farm', {'limit': 1}, 0)
+            with pytest.raises(client_lib.Conflict) as caught:
+                client.put(resources.Kind.TEAM, 'farm', {'limit': 1}, 0)
+        finally:
+            server.close()
+        assert caught.value.problem['current']['spec']['limit'] == 1
+
     def test_refused_connection_was_not_sent(self):
         with socket.socket() as bound:
             # Bound without listening, so connections are refused.
--- a/figtray/configuration/writer.py
+++ b/figtray/configuration/writer.py
@@ -4,6 +4,7 @@
 import dataclasses
 import uuid
 
+from figtray import clock as clock_lib
 from figtray.configuration import archive as archive_lib
 from figtray.configuration import replica as replica_lib
 from figtray.configuration import snapshot as snapshot_lib
@@ -14,6 +15,9 @@
 # entries that lag behind, and those since the last read of the store.
 # Entries that lag further catch up from each other.
 MAX_STEPS = 32
+# A round of calls waits this much longer for the others once a majority has
+# answered: a frozen entry must not delay a change by its timeout.
+GRACE_MS = 100
 
 # Errors after which the change of this attempt was not made.
 _NOT_MADE = (
@@ -397,7 +401,9 @@
         }
 
 
-def in_parallel(executor, function, items, timeout_ms):
+def in_parallel(
+    executor, function, items, timeout_ms, enough=None, counts=bool
+):
     """Call a function for each item at once.
 
     Args:
@@ -405,17 +411,33 @@
         function: called with one item.
         items: the items.
         timeout_ms: longest wait for all in milliseconds.
+        enough: number of results after which the others get only GRACE_MS;
+            they go on, but their results are not returned.
+        counts: function of a result that tells whether it counts towards
+            `enough`.
 
     Yields:
         (item, result) of each call that returned in time without an error
         of figtray.
     """
+    clock = clock_lib.SystemClock()
+    deadline_ms = clock.now_ms() + timeout_ms
     futs = {executor.submit(function, item): item for item in items}
-    try:
-        for fut in concurrent.futures.as_completed(futs, timeout_ms / 1000):
+    waiting = set(futs)
+    left = enough
+    while waiting and (left_ms := deadline_ms - clock.now_ms()) > 0:
+        done, waiting = concurrent.futures.wait(
+            waiting, left_ms / 1000, concurrent.futures.FIRST_COMPLETED
+        )
+        for fut in done:
             if isinstance(fut.exception(), errors.FigtrayError):
                 continue
             yield futs[fut], fut.result()
-    except concurrent.futures.TimeoutError:
-        for fut in futs:
+            if left and counts(fut.result()):
+                left -= 1
+                if left == 0:
+                    grace_end_ms = clock.now_ms() + GRACE_MS
+                    deadline_ms = min(deadline_ms, grace_end_ms)
+    if enough is None:
+        for fut in waiting:
             fut.cancel()
--- a/figtray/events/catalogue.py
+++ b/figtray/events/catalogue.py
@@ -227,6 +227,19 @@
     ('team', 'queue', 'reason', 'verdict'),
 )
 
+OPERATOR_CHANGE = Event(
+    1100,
+    logbook.INFO,
+    'An operator change was accepted.',
+    ('change_id', 'generation', 'resources', 'unconfirmed'),
+)
+OPERATOR_CHANGE_FAILED = Event(
+    1101,
+    logbook.WARNING,
+    'An operator change was not accepted.',
+    ('change_id', 'resources', 'outcome', 'detail'),
+)
+
 
 def by_name():
     """Return all events by name, in the order of their numbers.
--- a/figtray/peers/group.py
+++ b/figtray/peers/group.py
@@ -1,6 +1,8 @@
 """Calls from the API or the controller to all entries at once."""
 
+import collections
 import concurrent.futures
+import threading
 
 from figtray.configuration import snapshot as snapshot_lib
 from figtray.configuration import writer
@@ -9,6 +11,10 @@
 from figtray.peers import link as link_lib
 from figtray.peers import messages
 
+# Calls to one slot at a time, of those that wait for a majority only. The
+# second one waits for the link while the first one times out.
+MAX_PENDING = 2
+
 
 class PeerGroup(writer.EntryGroup, recount.EntryCalls):
     """The entries, each behind a link of its own."""
@@ -28,10 +34,11 @@
             slot: link_lib.Link(slot, address, sender, run_id)
             for slot, address in addresses.items()
         }
-        # Two calls for each slot: a frozen entry must not delay the calls
-        # of the next round to the others.
+        self._pending = collections.Counter()
+        self._pending_lock = threading.Lock()
         self._executor = concurrent.futures.ThreadPoolExecutor(
-            2 * len(addresses), thread_name_prefix='peer-group'
+            (MAX_PENDING + 1) * len(addresses),
+            thread_name_prefix='peer-group',
         )
 
     def status(self):
@@ -39,10 +46,11 @@
         return dict(self._call_all(messages.StatusRequest()))
 
     def marks(self):
+        replies = self._call_majority(
+            messages.StatusRequest(), lambda reply: reply.synchronised
+        )
         return {
-            slot: reply.mark
-            for slot, reply in self._call_all(messages.StatusRequest())
-            if reply.synchronised
+            slot: reply.mark for slot, reply in replies if reply.synchronised
         }
 
     def fetch(self, slot):
@@ -61,11 +69,10 @@
         return reply.changes if reply.snapshot is None else None
 
     def push(self, change):
-        return {
-            slot
-            for slot, reply in self._call_all(messages.ChangePush(change))
-            if reply.holds
-        }
+        replies = self._call_majority(
+            messages.ChangePush(change), lambda reply: reply.holds
+        )
+        return {slot for slot, reply in replies if reply.holds}
 
     def push_to(self, slot, changes):
         """Send missed changes to one slot.
@@ -113,3 +120,35 @@
         return writer.in_parallel(
             self._executor, call, self.slots, self._timeout_ms
         )
+
+    def _call_majority(self, message, counts):
+        """Call all slots, but wait only briefly after a majority."""
+
+        def call(slot):
+            try:
+                return self._links[slot].call(message, self._timeout_ms)
+            finally:
+                self._count(slot, -1)
+
+        slots = [slot for slot in self.slots if self._count(slot, 1)]
+        return writer.in_parallel(
+            self._executor,
+            call,
+            slots,
+            self._timeout_ms,
+            enough=writer.majority(len(self.slots)),
+            counts=counts,
+        )
+
+    def _count(self, slot, change):
+        """Count a call that begins or ends.
+
+        Returns:
+            False if the slot has too many calls already; a frozen entry
+            must not use up the threads.
+        """
+        with self._pending_lock:
+            if change > 0 and self._pending[slot] >= MAX_PENDING:
+                return False
+            self._pending[slot] += change
+            return True
