--- a/figtray/api/app.py
+++ b/figtray/api/app.py
@@ -5,7 +5,6 @@
 import urllib.parse
 import uuid
 
-import logbook
 import msgspec
 
 from figtray.api import cache as cache_lib
@@ -18,7 +17,10 @@
 from figtray.configuration import archive as archive_lib
 from figtray.configuration import resources
 from figtray import errors
+from figtray.events import catalogue
+from figtray.events import log
 from figtray.keys import caller_keys
+from figtray import metrics as metrics_lib
 
 DEFAULT_PAGE = 100
 MAX_PAGE = 1000
@@ -27,7 +29,14 @@
 # Changes of one process queue for this long behind a slow store.
 COMMIT_WAIT_MS = 10_000
 
+# Open to the load balancer without a credential.
+HEALTH_PATHS = ('/live', '/ready')
+# Long polls at one time; more of them are answered at once, so that they
+# never take all threads of the listener.
+MAX_LONG_POLLS = 8
+
 ROUTES = (
+    routing.Route('GET', '/metrics', 'get_metrics'),
     routing.Route('GET', '/v1/status', 'get_status'),
     routing.Route('POST', '/v1/changes', 'post_changes'),
     routing.Route('GET', '/v1/changes/<generation>', 'get_change'),
@@ -42,8 +51,6 @@
     routing.Route('DELETE', '/v1/<kind>/<name>', 'delete_resource'),
 )
 
-_LOG = logbook.Logger('figtray.api')
-
 
 class PutBody(msgspec.Struct, forbid_unknown_fields=True):
     """Body of a PUT."""
@@ -71,6 +78,12 @@
     dry_run: bool = False
 
 
+class PlanBody(msgspec.Struct, forbid_unknown_fields=True):
+    """Body of a preview: the change to preview, which may be empty."""
+
+    resources: list[Edit] = []
+
+
 class KeyBody(msgspec.Struct, forbid_unknown_fields=True):
     """Body of a new key."""
 
@@ -88,8 +101,11 @@
         clock: the Clock.
         deployment: name of the deployment.
         credential_hash: SHA-256 of the bearer credential in hexadecimal.
-        planner: function of (Snapshot, body of the request) that returns a
-            document with a plan; None if there is no planner.
+        planner: function of (Snapshot, changed Items) that returns a
+            document with the plan after that change; None if there is no
+            planner.
+        metrics_page: function that returns the text page of the metrics;
+            None if there is none.
     """
 
     def __init__(
@@ -101,6 +117,7 @@
         deployment,
         credential_hash,
         planner=None,
+        metrics_page=None,
     ):
         self._writer = writer
         self._entries = entries
@@ -108,9 +125,11 @@
         self._deployment = deployment
         self._credential_hash = credential_hash
         self._planner = planner
+        self._metrics_page = metrics_page
         self._cache = cache_lib.Cache(deployment, entries, archive, clock)
         self._progress = progress_lib.Progress(entries.slots, clock)
         self._commit_lock = threading.Lock()
+        self._long_polls = threading.Semaphore(MAX_LONG_POLLS)
         self._stopped = threading.Event()
 
     def close(self):
@@ -124,7 +143,7 @@
         except Exception as exc:
             problem = problems.from_error(exc)
             if problem.status == http.HTTPStatus.INTERNAL_SERVER_ERROR:
-                _LOG.exception('Unexpected error in an operator request')
+                log.emit_exception('operator request', exc)
             response = messages.Response(
                 problem.status,
                 problem.document,
@@ -143,6 +162,8 @@
         return [body]
 
     def _respond(self, environ):
+        if environ.get('PATH_INFO') in HEALTH_PATHS:
+            return self._health()
         credentials.check(
             environ.get('HTTP_AUTHORIZATION', ''), self._credential_hash
         )
@@ -150,6 +171,21 @@
         handler, params = routing.find(ROUTES, req.method, req.path)
         return getattr(self, handler)(req, **params)
 
+    def _health(self):
+        """Tell the load balancer whether to send requests here."""
+        is_ready = not self._stopped.is_set()
+        return messages.Response(200 if is_ready else 503, {'ready': is_ready})
+
+    def get_metrics(self, req):
+        """Show the metrics of this process."""
+        if self._metrics_page is None:
+            raise problems.ProblemError(
+                404, 'not-found', 'This process has no metrics.'
+            )
+        return messages.Response(
+            200, self._metrics_page(), content_type=metrics_lib.CONTENT_TYPE
+        )
+
     def get_status(self, req):
         """Show the generation, the entries and the last change's status."""
         view = self._view(req)
@@ -237,6 +273,8 @@
         """Make several edits in one change, or only check them."""
         body = req.decode(ChangesBody)
         edits = [_edit(edit) for edit in body.resources]
+        if not edits:
+            raise problems.invalid('resources', [], 'at least one')
         if body.dry_run:
             return self._dry_run(edits)
         committed, change_id = self._commit(req, edits)
@@ -260,15 +298,23 @@
         if not 1 <= number < 10**15:
             raise problems.invalid('generation', generation, 'a number')
         wait_ms = req.number('wait_ms', 0, 0, MAX_WAIT_MS)
+        if wait_ms and self._long_polls.acquire(blocking=False):
+            try:
+                status = self._wait_in_force(number, wait_ms)
+            finally:
+                self._long_polls.release()
+        else:
+            status = self._status(number, self._cache.view(POLL_MS))
+        return messages.Response(200, {'generation': number, 'status': status})
+
+    def _wait_in_force(self, generation, wait_ms):
         deadline_ms = self._clock.now_ms() + wait_ms
         while True:
-            view = self._cache.view(POLL_MS)
-            status = self._status(number, view)
+            status = self._status(generation, self._cache.view(POLL_MS))
             left_ms = deadline_ms - self._clock.now_ms()
             if status.in_force or left_ms <= 0 or self._stopped.is_set():
-                break
+                return status
             self._clock.wait(self._stopped, min(POLL_MS, left_ms))
-        return messages.Response(200, {'generation': number, 'status': status})
 
     def post_key(self, req):
         """Create a key and show its secret this one time."""
@@ -305,9 +351,14 @@
                 'no-planner',
                 'No capacity planner is configured for this API.',
             )
-        body = req.decode(dict)
-        view = self._view(req)
-        return messages.Response(200, self._planner(view.snapshot, body))
+        body = req.decode(PlanBody)
+        snapshot, items = self._try_out(
+            [_edit(edit) for edit in body.resources]
+        )
+        document = self._planner(snapshot, items)
+        return messages.Response(
+            200, {'generation': snapshot.generation, 'plan': document}
+        )
 
     def _view(self, req):
         max_age_ms = 0 if req.wants_fresh else cache_lib.MAX_AGE_MS
@@ -353,6 +404,16 @@
             )
         except Exception as exc:
             problem = problems.from_error(exc)
+            # Only failures of the deployment; a refused request is the
+            # operator's own.
+            if problem.status >= http.HTTPStatus.INTERNAL_SERVER_ERROR:
+                log.emit(
+                    catalogue.OPERATOR_CHANGE_FAILED,
+                    change_id=change_id,
+                    resources=_names(edits),
+                    outcome=problem.document['outcome'].value,
+                    detail=str(exc),
+                )
             problem.document['change_id'] = change_id
             problem.headers += (('Change-Id', change_id),)
             raise problem from exc
@@ -362,6 +423,13 @@
         self._progress.accepted(
             committed.change.generation, committed.accepted_ms
         )
+        log.emit(
+            catalogue.OPERATOR_CHANGE,
+            change_id=change_id,
+            generation=committed.change.generation,
+            resources=_names(committed.change.items),
+            unconfirmed=len(self._entries.slots) - len(committed.confirmed),
+        )
         return committed
 
     def _committed_status(self, committed):
@@ -373,10 +441,7 @@
         return progress_lib.Status(True, not unconfirmed, tuple(unconfirmed))
 
     def _dry_run(self, edits):
-        edits_lib.check(edits)
-        snapshot = self._cache.view(0).snapshot
-        items = edits_lib.build(snapshot, edits)
-        archive_lib.check_items(snapshot, items)
+        snapshot, items = self._try_out(edits)
         return messages.Response(
             200,
             {
@@ -386,6 +451,15 @@
             },
         )
 
+    def _try_out(self, edits):
+        """Return (newest Snapshot, Items that the edits result in)."""
+        # No transaction follows, so only the length of the body is bounded.
+        edits_lib.check(edits, messages.MAX_BODY_BYTES)
+        snapshot = self._cache.view(0).snapshot
+        items = edits_lib.build(snapshot, edits)
+        archive_lib.check_items(snapshot, items)
+        return snapshot, items
+
 
 def _edit(edit):
     if edit.version < 0:
@@ -397,6 +471,13 @@
     return edits_lib.Put(edit.kind, edit.name, edit.spec, edit.version)
 
 
+def _names(resources_or_edits):
+    return ', '.join(
+        f'{getattr(item.kind, "value", item.kind)}/{item.name}'
+        for item in resources_or_edits
+    )
+
+
 def _plain(item):
     return {
         'kind': item.kind,
