--- a/figtray/load/__init__.py
+++ b/figtray/load/__init__.py
@@ -1,1 +1,1 @@
-"""Placeholder."""
+"""Open-loop load generator for the callers' API."""
