--- a/figtray/capacity/demand.py
+++ b/figtray/capacity/demand.py
@@ -27,6 +27,34 @@
     run_ms: float = 0
 
 
+def from_status(status):
+    """Sum the load of the pools over the entries.
+
+    Args:
+        status: mapping of slot to messages.StatusReply.
+
+    Returns:
+        Mapping of pool to PoolLoad.
+    """
+    running = collections.Counter()
+    queued = collections.Counter()
+    run_ms = {}
+    for reply in status.values():
+        for pool in reply.demand.pools if reply.demand else ():
+            running[pool.pool] += sum(team.running for team in pool.teams)
+            queued[pool.pool] += sum(team.queued for team in pool.teams)
+        for pool, mean_ms in reply.run_ms.items():
+            run_ms.setdefault(pool, []).append(mean_ms)
+    return {
+        pool: PoolLoad(
+            running[pool],
+            queued[pool],
+            sum(run_ms.get(pool, ())) / max(1, len(run_ms.get(pool, ()))),
+        )
+        for pool in {*running, *queued, *run_ms}
+    }
+
+
 @dataclasses.dataclass
 class _History:
     """Last sample and recent smoothed values of a pool."""
--- a/figtray/configuration/tests/test_writer.py
+++ b/figtray/configuration/tests/test_writer.py
@@ -262,7 +262,8 @@
         system.commit('b')
         # Bring the head to the revision that the delayed write compares.
         while system.archive.read_head()[1] != revision:
-            system.store.restore((system.store.dump()[0], revision - 1))
+            items, _, leases = system.store.dump()
+            system.store.restore((items, revision - 1, leases))
             system.commit('c')
         system.store.deliver_held()
         assert system.archive.read_snapshot()[0].contains(
--- a/figtray/controller/recount_duty.py
+++ b/figtray/controller/recount_duty.py
@@ -32,7 +32,16 @@
     """Starts a recount when allotment is missing."""
 
     def __init__(
-        self, store, deployment, writer, group, client, clock, wait, executor
+        self,
+        store,
+        deployment,
+        writer,
+        group,
+        client,
+        clock,
+        wait,
+        executor,
+        report_executor,
     ):
         """Set up.
 
@@ -45,8 +54,9 @@
             clock: a Clock.
             wait: function that waits for a number of milliseconds and
                 returns False if the process stops meanwhile.
-            executor: for the recount itself and the questions to workers;
-                the control loop must go on to renew its lease.
+            executor: for the recount; the control loop must go on to renew
+                its lease.
+            report_executor: for the questions to workers.
         """
         self._store = store
         self._key = f'/figtray/{deployment}/controller/members'
@@ -55,6 +65,7 @@
         self._client = client
         self._clock = clock
         self._executor = executor
+        self._report_executor = report_executor
         self._recount = recount_lib.Recount(
             group, self._ask_workers, clock, wait
         )
@@ -155,7 +166,7 @@
     def _ask_workers(self, snapshot):
         hosts = snapshot.specs(resources.Kind.HOST)
         futs = {
-            host: self._executor.submit(self._report, spec.address)
+            host: self._report_executor.submit(self._report, spec.address)
             for host, spec in hosts.items()
         }
         concurrent.futures.wait(futs.values())
--- a/figtray/dispatch/silence.py
+++ b/figtray/dispatch/silence.py
@@ -25,7 +25,7 @@
         """Set up.
 
         Args:
-            client: a WorkerClient with abort(attempt_id).
+            client: a WorkerClient.
             running: mapping of attempt id to the running attempt.
             clock: a Clock.
         """
@@ -71,4 +71,4 @@
             if misses >= MISSES:
                 self._misses.pop(attempt_id)
                 self.aborted += 1
-                self._client.abort(attempt_id)
+                self._client.abandon(address, attempt_id)
--- a/figtray/entry/main.py
+++ b/figtray/entry/main.py
@@ -32,11 +32,9 @@
         metrics,
     )
     host_list = hostlist_http.HttpHostList(
-        cfg.host_list.address, cfg.host_list.timeout_ms
-    )
-    client = workers_http.HttpWorkerClient(
-        clock, cfg.connections_per_worker, cfg.worker_connect_timeout_ms
+        cfg.host_list.address, cfg.host_list.timeout_ms, clock
     )
+    client = workers_http.HttpWorkerClient(clock, cfg.connections_per_worker)
     node = node_lib.Node(cfg, store, host_list, client, clock, metrics)
     state = _State(node)
     callers = listener.Listener(
@@ -64,6 +62,7 @@
     state.stopping = True
     # The load balancer sees `not ready` before requests are refused.
     clock.wait(threading.Event(), cfg.ready_grace_ms)
+    callers.stop_accepting()
     node.drain()
     callers.close(timeout_ms=cfg.drain_ms)
     node.close()
--- a/figtray/entry/node.py
+++ b/figtray/entry/node.py
@@ -546,6 +546,7 @@
             synchronised=self.right.synchronised,
             serving=self.right.holds(),
             demand=self.view.peek(),
+            run_ms=self.view.run_times(),
             allotments=self.allotments.report(),
         )
 
--- a/figtray/peers/messages.py
+++ b/figtray/peers/messages.py
@@ -85,7 +85,7 @@
 
 @codec.register
 class StatusReply(msgspec.Struct, frozen=True, omit_defaults=True):
-    """State of an entry."""
+    """State of an entry; `run_ms` is the mean run time by pool."""
 
     slot: str
     incarnation: str
@@ -94,6 +94,7 @@
     synchronised: bool
     serving: bool
     demand: view.DemandReport | None = None
+    run_ms: dict[str, float] = {}
     allotments: tuple[TeamAllotment, ...] = ()
 
 
--- a/figtray/shares/view.py
+++ b/figtray/shares/view.py
@@ -320,6 +320,15 @@
             self._refresh(state, pool, team)
             return state.totals.get(team, 0)
 
+    def run_times(self):
+        """Return the mean run time in milliseconds of each pool."""
+        with self._lock:
+            return {
+                name: state.mean_run_ms
+                for name, state in self._pools.items()
+                if state.mean_run_ms
+            }
+
     def portion(self, pool, team):
         """Return the slots of the team that this entry is allocated."""
         with self._lock:
