Keep the failed answer of a task whose retry is refused

Cause: a task that had answered 500 and was queued again for a retry lost that answer. When the retry was refused (cancelled, deadline, key, queue), the caller was told "not run". Steps: an idempotent request fails on a worker, waits for its retry and is cancelled. Ruled out: the replacement of NotRun after MayHaveRun works; only answers were not kept. Change: Task.has_run holds the last verdict that shows a run, answered or uncertain, and replaces any later NotRun.

--- a/figtray/dispatch/dispatcher.py
+++ b/figtray/dispatch/dispatcher.py
@@ -237,7 +237,7 @@
                 self._selector.ended(
                     attempt.host, selection.UNREACHABLE_PAUSE_MS
                 )
-                task.may_have_run = verdict
+                task.has_run = verdict
             case verdict_lib.NotRun(reason=reason):
                 self._allotments.release(attempt.permit)
                 self._selector.ended(attempt.host, _pause_ms(reason))
@@ -245,6 +245,7 @@
         is_bad_job = self._record_health(attempt, verdict)
         if not is_bad_job and self._may_retry(queued, verdict):
             if not isinstance(verdict, verdict_lib.NotRun):
+                task.has_run = verdict
                 task.failed_hosts += (attempt.host,)
             self._metrics.count_retry(task.req.team)
             self._retry(queued, getattr(verdict, 'reason', None))
--- a/figtray/dispatch/tasks.py
+++ b/figtray/dispatch/tasks.py
@@ -44,9 +44,9 @@
         self.attempts = 0
         self.started_ms = None
         self.failed_hosts = ()
-        # Set once an attempt ended without a certain outcome: from then on
-        # no refusal may say that the request did not run.
-        self.may_have_run = None
+        # Verdict of the last attempt that ran or may have: from then on no
+        # refusal may say that the request did not run.
+        self.has_run = None
         # Slot and task id of the owner, for a request that was forwarded.
         self.owner = None
         self._lock = threading.Lock()
@@ -60,14 +60,14 @@
         """Set the outcome; only the first one counts.
 
         Args:
-            verdict: the Verdict. NotRun is replaced if an earlier attempt
-                may have run.
+            verdict: the Verdict. NotRun is replaced by the verdict of an
+                earlier attempt that ran or may have.
 
         Returns:
             True if this call set it.
         """
-        if isinstance(verdict, verdict_lib.NotRun) and self.may_have_run:
-            verdict = self.may_have_run
+        if isinstance(verdict, verdict_lib.NotRun) and self.has_run:
+            verdict = self.has_run
         with self._lock:
             if self.fut.done():
                 return False
--- a/figtray/entry/forwarding.py
+++ b/figtray/entry/forwarding.py
@@ -114,7 +114,7 @@
         if exc.sent:
             # The owner may hold the request and report its outcome yet;
             # check() settles it otherwise.
-            task.may_have_run = verdict_lib.MayHaveRun(
+            task.has_run = verdict_lib.MayHaveRun(
                 verdict_lib.UncertainReason.OWNER_UNREACHABLE, owner
             )
             return
