Hold an ordered queue while an attempt may still run

Cause: an attempt with an unknown outcome ended its request, so the next request of the ordered queue started while the first task could still be running on its worker. Steps: two requests on an ordered queue; the connection of the first breaks while it runs; the second starts at once. Ruled out: requests taken and not yet settled do block the queue. Change: QueueSet.hold() keeps the later requests of the queue back until DoubtfulAttempts knows that the attempt runs no more. A retry of the same request may go on.

--- a/figtray/dispatch/dispatcher.py
+++ b/figtray/dispatch/dispatcher.py
@@ -78,7 +78,7 @@
         self._sequence = itertools.count()
         self.running = {}
         self.doubtful = doubtful_lib.DoubtfulAttempts(
-            client, allotments.release, clock
+            client, self._doubt_ended, clock
         )
 
     def submit(self, task):
@@ -233,6 +233,7 @@
                 self._allotments.release(attempt.permit)
                 self._selector.ended(attempt.host)
             case verdict_lib.MayHaveRun():
+                self._queues.hold(queued)
                 self.doubtful.add(attempt.doubtful())
                 self._selector.ended(
                     attempt.host, selection.UNREACHABLE_PAUSE_MS
@@ -253,6 +254,11 @@
         self._queues.ended(task.task_id, run_ms)
         task.finish(verdict)
 
+    def _doubt_ended(self, item):
+        self._allotments.release(item.permit)
+        self._queues.release_hold(item.queued)
+        self.notify()
+
     def _record_health(self, attempt, verdict):
         """Account for success or failure.
 
@@ -424,6 +430,7 @@
             attempt_id=self.attempt_id,
             address=self.address,
             permit=self.permit,
+            queued=self.queued,
             start_by_ms=self.start_by_ms,
             end_by_ms=self.start_by_ms + self.lease_ms,
         )
--- a/figtray/dispatch/doubtful.py
+++ b/figtray/dispatch/doubtful.py
@@ -21,6 +21,7 @@
     attempt_id: str
     address: str
     permit: object
+    queued: object
     start_by_ms: int
     end_by_ms: int
 
@@ -28,16 +29,16 @@
 class DoubtfulAttempts:
     """Keeps the permits of doubtful attempts until they run no more."""
 
-    def __init__(self, client, release, clock):
+    def __init__(self, client, on_end, clock):
         """Set up.
 
         Args:
             client: a WorkerClient.
-            release: called with each permit that is free again.
+            on_end: called with each Doubtful that certainly runs no more.
             clock: a Clock.
         """
         self._client = client
-        self._release = release
+        self._on_end = on_end
         self._clock = clock
         self._lock = threading.Lock()
         self._items = {}
@@ -81,4 +82,4 @@
         with self._lock:
             if self._items.pop(item.attempt_id, None) is None:
                 return
-        self._release(item.permit)
+        self._on_end(item)
--- a/figtray/queues/queueset.py
+++ b/figtray/queues/queueset.py
@@ -74,11 +74,19 @@
         # time to find its first key after many removals at the front.
         self.requests = collections.OrderedDict()
         self.in_flight = 0
+        # Task id -> attempts of it that may still run.
+        self.doubtful = collections.Counter()
 
     def startable(self, ordered):
         if not ordered:
             return len(self.requests)
-        return 1 if self.requests and not self.in_flight else 0
+        if not self.requests or self.in_flight:
+            return 0
+        # The request itself may be tried again beside its doubtful attempt.
+        return int(self.doubtful.keys() <= {next(iter(self.requests))})
+
+    def is_used(self):
+        return bool(self.in_flight or self.doubtful)
 
 
 class QueueSet:
@@ -223,6 +231,23 @@
                     collections.deque(maxlen=SERVICE_SAMPLES),
                 ).append(run_ms)
 
+    def hold(self, request):
+        """Note that an attempt of a taken request may run beyond its end.
+
+        Until release_hold(), no later request of an ordered queue starts
+        after it.
+        """
+        with self._lock:
+            self._lane_of(request).doubtful[request.task_id] += 1
+
+    def release_hold(self, request):
+        """Note that the attempt of hold() certainly runs no more."""
+        with self._lock:
+            doubtful = self._lane_of(request).doubtful
+            doubtful[request.task_id] -= 1
+            if not doubtful[request.task_id]:
+                del doubtful[request.task_id]
+
     def take(self, pool, team, urgent):
         """Hand out the next request of a team and class.
 
@@ -316,7 +341,7 @@
                 for task_id in list(lane.requests)
             ]
             for lane in lanes:
-                if not lane.in_flight:
+                if not lane.is_used():
                     del self._lanes[lane.queue, lane.team, lane.urgent]
             self._queues.pop(queue, None)
             return dropped
@@ -439,10 +464,12 @@
         request = self._taken.pop(task_id, None)
         if request is None:
             raise ValueError(f'task {task_id} is not taken')
-        key = (request.queue, request.team, request.urgent)
-        self._lanes[key].in_flight -= 1
+        self._lane_of(request).in_flight -= 1
         return request
 
+    def _lane_of(self, request):
+        return self._lanes[request.queue, request.team, request.urgent]
+
     def _list(self, lane):
         if lane.requests:
             pool = self._queues[lane.queue].pool
