Check before the send that the host is not leaving

Cause: an attempt that had chosen its host before the host list named the host as leaving started there at any later time. Only the worker's own refusal prevented it. Steps: choose a host, connect, receive a host list that names it, send. Change: check_start() asks the selector.

--- a/figtray/dispatch/dispatcher.py
+++ b/figtray/dispatch/dispatcher.py
@@ -372,6 +372,8 @@
             return verdict_lib.NotRun(reason.LEAVING)
         if spec.pool != attempt.queued.pool:
             return verdict_lib.NotRun(reason.LEAVING)
+        if self._selector.is_leaving(attempt.host):
+            return verdict_lib.NotRun(reason.LEAVING)
         if not self._allotments.is_valid(attempt.permit):
             return verdict_lib.NotRun(reason.TEAM_LIMIT)
         if now_ms >= req.deadline_ms:
--- a/figtray/dispatch/selection.py
+++ b/figtray/dispatch/selection.py
@@ -78,6 +78,10 @@
         with self._lock:
             self._leaving = leaving
 
+    def is_leaving(self, host):
+        """Tell whether the host list says that a host is leaving."""
+        return host in self._leaving
+
     def pools(self):
         """Return the names of the pools."""
         with self._lock:
