Admit a key again whose withdrawal was undone

Cause: the queue set refuses the requests of a withdrawn key, and nothing called restore_key() when the key was changed back. Entries that had seen the withdrawal refused the key until their next start. Change: the dispatcher follows queues and keys of the configuration itself and restores such keys; the entry only passes the change on.

--- a/figtray/dispatch/dispatcher.py
+++ b/figtray/dispatch/dispatcher.py
@@ -120,6 +120,27 @@
                 verdict_lib.NotRun(verdict_lib.RefusalReason.CANCELLED),
             )
 
+    def on_configuration(self, old, new):
+        """Follow the queues and keys of a configuration change."""
+        queues = new.specs(resources.Kind.QUEUE)
+        for name, spec in queues.items():
+            if old.spec(resources.Kind.QUEUE, name) != spec:
+                self._queues.configure(
+                    name, spec.pool, spec.max_queued, spec.ordered
+                )
+        for name in set(old.specs(resources.Kind.QUEUE)) - set(queues):
+            self.drop_queue(name)
+        keys = new.specs(resources.Kind.KEY)
+        old_keys = old.specs(resources.Kind.KEY)
+        for name, spec in old_keys.items():
+            current = keys.get(name)
+            if not spec.withdrawn and (current is None or current.withdrawn):
+                self.drop_key(name)
+        for name, spec in keys.items():
+            before = old_keys.get(name)
+            if not spec.withdrawn and (before is None or before.withdrawn):
+                self._queues.restore_key(name)
+
     def drop_key(self, key_id):
         """Refuse all waiting requests of a withdrawn key."""
         refusal = verdict_lib.NotRun(verdict_lib.RefusalReason.KEY_REFUSED)
--- a/figtray/entry/node.py
+++ b/figtray/entry/node.py
@@ -420,19 +420,7 @@
             change_id='',
             items=len(new.specs(resources.Kind.HOST)),
         )
-        queues = new.specs(resources.Kind.QUEUE)
-        for name, spec in queues.items():
-            if old.spec(resources.Kind.QUEUE, name) != spec:
-                self.queues.configure(
-                    name, spec.pool, spec.max_queued, spec.ordered
-                )
-        for name in set(old.specs(resources.Kind.QUEUE)) - set(queues):
-            self.dispatcher.drop_queue(name)
-        keys = new.specs(resources.Kind.KEY)
-        for name, spec in old.specs(resources.Kind.KEY).items():
-            current = keys.get(name)
-            if not spec.withdrawn and (current is None or current.withdrawn):
-                self.dispatcher.drop_key(name)
+        self.dispatcher.on_configuration(old, new)
 
     def _on_epoch(self, epoch):
         self.right.set_epoch(epoch)
