Count waiting requests for the pool their queue has now

Cause: three paths left demand without requests in the share view, which then kept slots for nobody: a queue that moved to another pool, a request that started before its submission had counted it, and a request put back because no second host was free. Change: requests are counted before they are queued, under a lock shared with changes of the queues, and queued requests take over the new pool.

--- a/figtray/dispatch/dispatcher.py
+++ b/figtray/dispatch/dispatcher.py
@@ -71,6 +71,7 @@
         self._metrics = metrics
         self._rng = rng or random.Random()
         self._budgets = {}
+        self._placing = threading.Lock()
         self._cond = threading.Condition()
         self._notified = False
         self._free_threads = cfg.attempt_threads
@@ -103,11 +104,9 @@
             size_bytes=len(req.body),
             item=task,
         )
-        refusal = self._queues.add(queued)
+        refusal = self._place(queued, self._queues.add)
         if refusal is not None:
-            task.finish(refusal)
             return refusal
-        self._view.queued(req.pool, req.team, req.urgent)
         self.notify()
         return None
 
@@ -125,9 +124,7 @@
         queues = new.specs(resources.Kind.QUEUE)
         for name, spec in queues.items():
             if old.spec(resources.Kind.QUEUE, name) != spec:
-                self._queues.configure(
-                    name, spec.pool, spec.max_queued, spec.ordered
-                )
+                self._configure_queue(name, spec)
         for name in set(old.specs(resources.Kind.QUEUE)) - set(queues):
             self.drop_queue(name)
         keys = new.specs(resources.Kind.KEY)
@@ -141,6 +138,15 @@
             if not spec.withdrawn and (before is None or before.withdrawn):
                 self._queues.restore_key(name)
 
+    def _configure_queue(self, name, spec):
+        with self._placing:
+            moved = self._queues.configure(
+                name, spec.pool, spec.max_queued, spec.ordered
+            )
+            for queued in moved:
+                self._view.removed(queued.pool, queued.team, queued.urgent)
+                self._view.queued(spec.pool, queued.team, queued.urgent)
+
     def drop_key(self, key_id):
         """Refuse all waiting requests of a withdrawn key."""
         refusal = verdict_lib.NotRun(verdict_lib.RefusalReason.KEY_REFUSED)
@@ -215,6 +221,7 @@
             other = self._selector.pick(item.pool, failed)
             candidate = other or self._selector.pick(item.pool)
             if candidate is None:
+                self._view.removed(queued.pool, queued.team, urgent)
                 self._retry(queued, verdict_lib.RefusalReason.BUSY)
                 return False
         self._view.started(queued.pool, queued.team, urgent)
@@ -352,11 +359,21 @@
             self._requeue(queued)
 
     def _requeue(self, queued):
-        refusal = self._queues.retry(queued)
+        self._place(queued, self._queues.retry)
+
+    def _place(self, queued, insert):
+        """Put a request into its queue and count it.
+
+        It is counted first, as it may be started while this call returns,
+        and for the pool that the queue has now.
+        """
+        with self._placing:
+            queued = self._queues.in_current_pool(queued)
+            self._view.queued(queued.pool, queued.team, queued.urgent)
+            refusal = insert(queued)
         if refusal is not None:
-            queued.item.finish(refusal)
-            return
-        self._view.queued(queued.pool, queued.team, queued.urgent)
+            self._drop(queued, refusal)
+        return refusal
 
     def _drop(self, queued, refusal):
         self._view.removed(queued.pool, queued.team, queued.urgent)
--- a/figtray/queues/queueset.py
+++ b/figtray/queues/queueset.py
@@ -135,20 +135,36 @@
             max_queued: largest number of queued requests.
             ordered: whether a request starts only after the one before it
                 of the same team and class has ended.
+
+        Returns:
+            List of the queued QueuedRequests that had another pool.
         """
         with self._lock:
             state = self._queues.get(queue)
             if state is None:
                 self._queues[queue] = _Queue(pool, max_queued, ordered)
-                return
+                return []
             lanes = [ln for ln in self._lanes.values() if ln.queue == queue]
             for lane in lanes:
                 self._unlist(lane)
             state.pool = pool
             state.max_queued = max_queued
             state.ordered = ordered
+            moved = []
             for lane in lanes:
                 self._list(lane)
+                moved += [r for r in lane.requests.values() if r.pool != pool]
+            for request in moved:
+                self._replace(dataclasses.replace(request, pool=pool))
+            return moved
+
+    def in_current_pool(self, request):
+        """Return a request with the pool that its queue has now."""
+        with self._lock:
+            queue = self._queues.get(request.queue)
+            if queue is None or queue.pool == request.pool:
+                return request
+            return dataclasses.replace(request, pool=queue.pool)
 
     def add(self, request, slots=None):
         """Queue a request at the end of its lane.
@@ -438,6 +454,16 @@
             (request.deadline_ms, next(self._sequence), request),
         )
 
+    def _replace(self, request):
+        """Change fields of a queued request that its order is not by."""
+        task_id = request.task_id
+        lane = self._lane_of(request)
+        lane.requests[task_id] = self._queued[task_id] = request
+        heapq.heappush(
+            self._deadlines,
+            (request.deadline_ms, next(self._sequence), request),
+        )
+
     def _remove(self, task_id):
         request = self._queued.pop(task_id)
         key = (request.queue, request.team, request.urgent)
