Settle delayed retries at their deadline, cancellation and stop

Cause: a request in the pause before a retry was in no queue. It was answered up to 2 s after its deadline, a cancellation waited for the end of the pause, and a graceful stop left it without an outcome. Change: the pause ends at the deadline, and cancellation, withdrawn keys, dropped queues and the stop settle delayed requests at once.

--- a/figtray/dispatch/dispatcher.py
+++ b/figtray/dispatch/dispatcher.py
@@ -113,11 +113,12 @@
     def cancel(self, task):
         """Cancel a task; one that waits never starts."""
         queued = self._queues.cancel(task.task_id)
-        if queued is not None:
-            self._drop(
-                queued,
-                verdict_lib.NotRun(verdict_lib.RefusalReason.CANCELLED),
-            )
+        if queued is None:
+            self._hasten(lambda delayed: delayed.item is task)
+            return
+        self._drop(
+            queued, verdict_lib.NotRun(verdict_lib.RefusalReason.CANCELLED)
+        )
 
     def on_configuration(self, old, new):
         """Follow the queues and keys of a configuration change."""
@@ -152,15 +153,18 @@
         refusal = verdict_lib.NotRun(verdict_lib.RefusalReason.KEY_REFUSED)
         for queued in self._queues.drop_key(key_id):
             self._drop(queued, refusal)
+        self._hasten(lambda delayed: delayed.key_id == key_id)
 
     def drop_queue(self, queue):
         """Refuse all waiting requests of a deleted queue."""
         refusal = verdict_lib.NotRun(verdict_lib.RefusalReason.UNKNOWN_QUEUE)
         for queued in self._queues.drop_queue(queue):
             self._drop(queued, refusal)
+        self._hasten(lambda delayed: delayed.queue == queue)
 
     def refuse_all(self, reason):
         """Refuse all waiting requests, at the end of a graceful stop."""
+        self._hasten(lambda delayed: True)
         for queued in self._queues.drop_all():
             self._drop(queued, verdict_lib.NotRun(reason))
 
@@ -341,7 +345,8 @@
             or not isinstance(reason, verdict_lib.RefusalReason)
         ):
             delay_ms = budget_lib.backoff_ms(queued.item.attempts, self._rng)
-            ready_ms = self._clock.now_ms() + delay_ms
+            # A request that is too late is refused at its deadline.
+            ready_ms = min(self._clock.now_ms() + delay_ms, queued.deadline_ms)
             with self._cond:
                 heapq.heappush(
                     self._delayed, (ready_ms, next(self._sequence), queued)
@@ -358,6 +363,15 @@
         for queued in ready:
             self._requeue(queued)
 
+    def _hasten(self, matches):
+        """Queue the delayed requests that match without further delay."""
+        with self._cond:
+            ready = [e[2] for e in self._delayed if matches(e[2])]
+            self._delayed = [e for e in self._delayed if not matches(e[2])]
+            heapq.heapify(self._delayed)
+        for queued in ready:
+            self._requeue(queued)
+
     def _requeue(self, queued):
         self._place(queued, self._queues.retry)
 
