--- a/figtray/workers/memory.py
+++ b/figtray/workers/memory.py
@@ -283,6 +283,7 @@
     down: bool = False
     silent: bool = False
     lose_answers: int = 0
+    delay_sends: int = 0
     swap_answers: int = 0
     truncate_answers: int = 0
 
@@ -314,6 +315,8 @@
         self._answers = {}
         self._waiting = {}
         self.held = set()
+        # Starts whose connection broke after the send, for deliver().
+        self.in_transit = []
 
     def add(self, address, worker):
         """Make a MemoryWorker reachable at an address."""
@@ -338,12 +341,19 @@
                 verdict.RefusalReason.CONNECT_FAILED, 'connection refused'
             )
         sample_ms, now_ms = worker.clock_ms(), self._clock.now_ms()
+        self._before_check(start)
         allowed = check()
         if isinstance(allowed, verdict.NotRun):
             return allowed
         if allowed <= self._clock.now_ms():
             return verdict.NotRun(verdict.RefusalReason.START_EXPIRED)
-        execution = worker.begin(start, sample_ms + allowed - now_ms)
+        self._before_send(start)
+        start_by_ms = sample_ms + allowed - now_ms
+        if faults.take('delay_sends'):
+            self.in_transit.append((worker, start, start_by_ms))
+            reason = verdict.UncertainReason.CONNECTION_LOST
+            return verdict.MayHaveRun(reason)
+        execution = worker.begin(start, start_by_ms)
         if isinstance(execution, str):
             return refusal_verdict(execution)
         status, body = 200, start.body
@@ -354,6 +364,12 @@
             worker.end(execution, str(status))
         return self._outcome(address, status, body)
 
+    def deliver(self):
+        """Let the starts of broken connections reach their workers."""
+        arriving, self.in_transit = self.in_transit, []
+        for worker, start, start_by_ms in arriving:
+            worker.begin(start, start_by_ms)
+
     def report(self, address, timeout_ms):
         worker = self._workers.get(address)
         if worker is None or self._faults[address].down:
@@ -375,6 +391,12 @@
     def abandon(self, address, attempt_id):
         self.finish(attempt_id, 0)
 
+    def _before_check(self, start):
+        """Run between the connection and the check; for subclasses."""
+
+    def _before_send(self, start):
+        """Run between the check and the send; for subclasses."""
+
     def _wait(self, address, start):
         with self._cond:
             item = base.WaitingStart(start.task_id, start.attempt_id, 0)
