Freeze attempts around changes in the dispatch machine

It now has a rule that freezes attempts, changes one thing, lets time pass and goes on; direct tests cover the pool of a moved host, dropped requests and the host that is given back.

--- a/figtray/dispatch/tests/test_dispatch_machine.py
+++ b/figtray/dispatch/tests/test_dispatch_machine.py
@@ -237,7 +237,7 @@
         queue=strategies.sampled_from(['plain', 'open', 'ord']),
         idempotent=strategies.booleans(),
         answer=strategies.sampled_from([None, (500, b''), (0, b'')]),
-        wait_ms=strategies.sampled_from([0, 250, 3_000]),
+        wait_ms=strategies.sampled_from([0, 250, 6_000]),
     )
     def lose_and_start(self, queue, idempotent, answer, wait_ms):
         """End attempts in one way and start what may start after it."""
@@ -252,6 +252,40 @@
         self._pass_time(wait_ms)
         self.start_all()
 
+    @stateful.rule(
+        point=strategies.sampled_from(['connected', 'checked']),
+        change=strategies.sampled_from(
+            ['none', 'key', 'zone', 'host', 'leaving', 'queue', 'peers']
+        ),
+        wait_ms=strategies.sampled_from([0, 1_000, 3_000]),
+        left_ms=strategies.sampled_from([700, 30_000]),
+    )
+    def freeze(self, point, change, wait_ms, left_ms):
+        """Freeze attempts on their way, change something, go on."""
+        for urgent in (True, False):
+            self._submit('plain', 'k1', urgent, False, left_ms)
+        self.cell.housekeep()
+        runs = list(self.cell.executor.runs)
+        for run in runs:
+            if run.point in ('submitted', 'connected'):
+                self._move(run, point)
+        match change:
+            case 'key':
+                self.toggle_key('k1')
+            case 'zone':
+                self.toggle_zone('z2')
+            case 'host':
+                self.toggle_host('h2')
+            case 'leaving':
+                self.host_list(set(harness.HOSTS) - {'h4'})
+            case 'queue':
+                self.delete_queue('plain')
+            case 'peers':
+                self.toggle_peers()
+        self._pass_time(wait_ms)
+        for run in runs:
+            self._move(run, 'running')
+
     @stateful.rule()
     def deliver(self):
         """Let sends of broken connections arrive."""
--- a/figtray/dispatch/tests/test_dispatcher.py
+++ b/figtray/dispatch/tests/test_dispatcher.py
@@ -45,6 +45,25 @@
         assert len(starts) == 1
         assert task.fut.result(0) == verdict_lib.Answered(500, b'')
 
+    def test_only_the_first_outcome_counts(self):
+        """Guards against a caller that is told two outcomes."""
+        cell, _ = make_cell()
+        task = submit(cell)
+        refusal = verdict_lib.NotRun(REASON.CANCELLED)
+        assert task.finish(refusal)
+        assert not task.finish(verdict_lib.Answered(200, b''))
+        assert task.fut.result(0) == refusal
+
+    def test_waiting_requests_are_refused_with_their_key_or_queue(self):
+        """Guards against callers that wait for what can't start."""
+        cell, _ = make_cell()
+        tasks = [submit(cell, queue) for queue in 9 * ['plain'] + 2 * ['ord']]
+        cell.change({'queues': {'ord': None}})
+        assert tasks[-1].fut.result(0).reason is REASON.UNKNOWN_QUEUE
+        key = {**harness.SPECS['keys']['k1'], 'withdrawn': True}
+        cell.change({'keys': {'k1': key}})
+        assert tasks[-3].fut.result(0).reason is REASON.KEY_REFUSED
+
     def test_late_retry_is_refused_at_its_deadline(self):
         """Guards against an answer that is later than the deadline."""
         cell, _ = make_cell()
@@ -164,6 +183,26 @@
         cell.run(run)
         assert not starts
 
+    def test_host_that_was_moved_since_it_was_chosen(self):
+        """Guards against a start on a host of another pool."""
+        cell, starts = make_cell()
+        submit(cell)
+        run = cell.executor.runs[0]
+        cell.run(run, 'connected')
+        for host in ('h1', 'h2', 'h3'):
+            data = {**harness.SPECS['hosts'][host], 'pool': 'q'}
+            cell.change({'hosts': {host: data}})
+        cell.run(run)
+        assert not starts
+
+    def test_host_is_given_back_when_the_request_is_gone(self):
+        """Guards against a host that stays in use without an attempt."""
+        cell, _ = make_cell()
+        cell.queues.take = lambda *args: None
+        submit(cell)
+        hosts = cell.selector.describe().values()
+        assert not any(host['in_flight'] for host in hosts)
+
 
 class TestDoubtfulPermits:
     def test_report_of_a_past_time_releases_no_permit(self):
