Let no new run of an owner take a repeated forwarded request

Cause: a forwarded request without a key is sent up to twice. If the owner had taken it and restarted before its reply arrived, the new run did not know the call and accepted it again: a non-idempotent request on an ordered queue could run twice. Steps: forward a request, restart the owner after it took the call, repeat the call. Ruled out: keyed requests, because a new run does not take unknown keys. Change: such a request names the run of the owner it was first sent to, and another run refuses it as "may have run". It is sent once if the run is not known.

--- a/figtray/entry/forwarding.py
+++ b/figtray/entry/forwarding.py
@@ -1,6 +1,6 @@
 """Requests that another slot owns, and outcomes on their way back."""
 
-import queue
+import collections
 import threading
 
 from figtray.entry import outcomes
@@ -42,6 +42,7 @@
             owner: the slot that owns it.
         """
         req = task.req
+        owner_run = self._register.run_of(owner)
         message = messages.Forward(
             request_id=task.task_id,
             queue=req.queue,
@@ -53,16 +54,18 @@
             urgent=req.urgent,
             idempotency_key=req.idempotency_key,
             job=req.job,
+            # A new run of the owner would take a repeated call for a new
+            # one. Keyed requests are protected by the records of keys.
+            owner_run='' if req.idempotency_key else owner_run,
         )
+        attempts = FORWARD_ATTEMPTS
+        if not req.idempotency_key and not owner_run:
+            attempts = 1
         with self._lock:
-            self._open[task.task_id] = (
-                task,
-                owner,
-                self._register.run_of(owner),
-            )
+            self._open[task.task_id] = (task, owner, owner_run)
         try:
             reply = self._links[owner].call(
-                message, FORWARD_TIMEOUT_MS, FORWARD_ATTEMPTS
+                message, FORWARD_TIMEOUT_MS, attempts
             )
         except errors.PeerUnavailable as exc:
             self._unreachable(task, owner, exc)
@@ -141,14 +144,13 @@
     def __init__(self, link, clock):
         self._link = link
         self._clock = clock
-        self._queue = queue.SimpleQueue()
-        self._pending = 0
-        self._lock = threading.Lock()
+        self._queue = collections.deque()
+        self._wake = threading.Event()
 
     @property
     def pending(self):
         """Number of outcomes that the peer has not confirmed."""
-        return self._pending
+        return len(self._queue)
 
     def put(self, outcome, deadline_ms):
         """Report an outcome until it is confirmed or of no more use.
@@ -157,23 +159,29 @@
             outcome: the messages.Outcome.
             deadline_ms: local time after which the peer needs it no more.
         """
-        with self._lock:
-            self._pending += 1
-        self._queue.put((outcome, deadline_ms))
+        self._queue.append((outcome, deadline_ms))
+        self._wake.set()
 
     def run(self, stop):
         """Report until the process stops."""
         while not stop.is_set():
-            try:
-                outcome, deadline_ms = self._queue.get(timeout=0.2)
-            except queue.Empty:
-                continue
-            while not stop.is_set() and not self._report(outcome):
-                if self._clock.now_ms() > deadline_ms:
-                    break
-                self._clock.wait(stop, OUTCOME_RETRY_MS)
-            with self._lock:
-                self._pending -= 1
+            if not self.report_next():
+                self._clock.wait(self._wake, OUTCOME_RETRY_MS)
+                self._wake.clear()
+
+    def report_next(self):
+        """Report the oldest outcome.
+
+        Returns:
+            True if one was confirmed or is of no more use.
+        """
+        if not self._queue:
+            return False
+        outcome, deadline_ms = self._queue[0]
+        if not self._report(outcome) and self._clock.now_ms() <= deadline_ms:
+            return False
+        self._queue.popleft()
+        return True
 
     def _report(self, outcome):
         try:
--- a/figtray/entry/handlers.py
+++ b/figtray/entry/handlers.py
@@ -136,6 +136,13 @@
 
     def _forward(self, sender, message):
         entry = self._entry
+        if message.owner_run not in ('', entry.run_id):
+            # The call may be the repetition of one that the former run took.
+            return messages.ForwardReply(
+                accepted=False,
+                reason=verdict_lib.UncertainReason.OWNER_RESTARTED.value,
+                may_have_run=True,
+            )
         now_ms = entry.clock.now_ms()
         req = tasks_lib.TaskRequest(
             queue=message.queue,
--- a/figtray/peers/messages.py
+++ b/figtray/peers/messages.py
@@ -172,7 +172,10 @@
 
 @codec.register
 class Forward(msgspec.Struct, frozen=True, omit_defaults=True):
-    """A request for its owner; `left_ms` is its remaining time."""
+    """A request for its owner; `left_ms` is its remaining time.
+
+    An owner of another run than `owner_run` refuses it, if that is set.
+    """
 
     request_id: str
     queue: str
@@ -184,6 +187,7 @@
     urgent: bool = False
     idempotency_key: str = ''
     job: str = ''
+    owner_run: str = ''
 
 
 @codec.register
