Hand over every key that may be in use

Cause: a graceful stop handed over only the keys of finished tasks, and handed over the memory of a run that did not yet know the keys of a crashed run before it. The successor took both for complete and ran such keys a second time. A task that was refused late also freed the key of a later task. Steps: (1) run a key, stop its owner before the task ends, submit the key again; (2) run a key, crash its owner, stop the next run, submit again. Ruled out: a hand-over of another run than the last one is not taken. Change: keys of open tasks are handed over as "may have run", together with the time for which unknown keys stay uncertain; no key is claimed after that; forgetting a key names its task. The hand-over moves from the node into the class Succession.

--- a/figtray/entry/intake.py
+++ b/figtray/entry/intake.py
@@ -97,7 +97,7 @@
         match claim:
             case records_lib.Claim.FIRST:
                 task.fut.add_done_callback(
-                    lambda fut: self._forget_if_not_run(owner_key, fut)
+                    lambda fut: self._forget_if_not_run(owner_key, task)
                 )
                 self._dispatcher.submit(task)
                 return Accepted(task)
@@ -117,10 +117,12 @@
                 )
             case records_lib.Claim.FULL:
                 return Rejected(_refuse('QUEUE_FULL', 'too many keys'))
+            case records_lib.Claim.CLOSED:
+                return Rejected(_refuse('DRAINING', 'this entry is stopping'))
 
-    def _forget_if_not_run(self, owner_key, fut):
-        if isinstance(fut.result(), verdict_lib.NotRun):
-            self._keys.forget(owner_key)
+    def _forget_if_not_run(self, owner_key, task):
+        if isinstance(task.fut.result(), verdict_lib.NotRun):
+            self._keys.forget(owner_key, task)
 
     def _refusal(self, req):
         snapshot = self._replica.snapshot
--- a/figtray/entry/node.py
+++ b/figtray/entry/node.py
@@ -15,7 +15,7 @@
 from figtray.entry import forwarding
 from figtray.entry import handlers as handlers_lib
 from figtray.entry import intake as intake_lib
-from figtray.entry import outcomes
+from figtray.entry import succession
 from figtray import errors
 from figtray.events import catalogue
 from figtray.events import log
@@ -35,7 +35,6 @@
 
 HOUSEKEEPING_MS = 250
 STORE_RETRY_MS = 500
-KEY_FETCH_TIMEOUT_MS = 1_000
 HANDOVER_TIMEOUT_MS = 1_000
 # Time after which the entry asks the store although peers may answer yet.
 PEERS_FIRST_MS = 1_500
@@ -82,6 +81,9 @@
         self.keys = records_lib.KeyRecords(
             cfg.idempotency_retention_ms, cfg.max_tasks, clock
         )
+        record = registration.Registration(
+            store, cfg.deployment, cfg.slot, self.run_id
+        )
         self.handovers = handover.Handovers(self.register)
         self.health = health_lib.WorkerHealth(clock, cfg)
         self.selector = selection.HostSelector(
@@ -137,6 +139,15 @@
             self.dispatcher,
             self.forwarder,
         )
+        self.succession = succession.Succession(
+            cfg.slot,
+            self.run_id,
+            record,
+            self.keys,
+            self.table,
+            self._links['data'],
+            clock,
+        )
         self._synchroniser = heartbeat.Synchroniser(
             self.slots, cfg.slot, self.replica, self.right, clock
         )
@@ -266,17 +277,7 @@
         Returns:
             How many key records were handed over.
         """
-        records = tuple(
-            messages.KeyRecordItem(
-                owner_key,
-                digest,
-                age_ms,
-                outcomes.to_message(owner_key, task.fut.result()),
-            )
-            for owner_key, digest, age_ms, task in self.keys.export()
-            if task.done
-        )
-        keys = messages.KeyHandover(self.cfg.slot, self.run_id, records)
+        keys = self.succession.end()
         allotments = self.allotments.surrender()
         for link in self._links['data'].values():
             try:
@@ -288,7 +289,7 @@
                     link.call(offered, HANDOVER_TIMEOUT_MS, 2)
             except errors.PeerUnavailable:
                 continue
-        return len(records)
+        return len(keys.records)
 
     # -- tasks --------------------------------------------------------------
 
@@ -367,49 +368,12 @@
             self.clock.wait(self._stop, STORE_RETRY_MS)
 
     def _register_run(self):
-        record = registration.Registration(
-            self._store, self.cfg.deployment, self.cfg.slot, self.run_id
-        )
         while not self._stop.is_set():
             try:
-                former = record.register()
-                break
+                self.succession.begin()
+                return
             except (errors.StoreUnavailable, errors.WriteUncertain):
                 self.clock.wait(self._stop, STORE_RETRY_MS)
-        else:
-            return
-        if former:
-            self._take_over_keys(former)
-        self.keys.recorded(first_run=not former)
-
-    def _take_over_keys(self, former):
-        for link in self._links['data'].values():
-            try:
-                reply = link.call(
-                    messages.FetchKeys(self.cfg.slot), KEY_FETCH_TIMEOUT_MS
-                )
-            except errors.PeerUnavailable:
-                continue
-            if reply.run_id == former:
-                self.keys.take_over(self._keep_records(reply.records))
-                return
-
-    def _keep_records(self, items):
-        for item in items:
-            req = tasks_lib.TaskRequest(
-                queue='',
-                pool='',
-                team=item.owner_key.partition('\0')[0],
-                key_id='',
-                body=b'',
-                received_ms=self.clock.now_ms(),
-                deadline_ms=self.clock.now_ms(),
-            )
-            task = self.table.add(req)
-            if task is None:
-                task = tasks_lib.Task(f'{self.cfg.slot}.handed-over', req)
-            task.finish(outcomes.from_message(item.outcome))
-            yield item.owner_key, item.digest, item.age_ms, task
 
     # -- configuration ------------------------------------------------------
 
--- a/figtray/idempotency/handover.py
+++ b/figtray/idempotency/handover.py
@@ -38,4 +38,6 @@
         if handover is None or runs and runs[-1] != handover.run_id:
             # A later run may have taken keys that these records lack.
             return messages.KeysReply()
-        return messages.KeysReply(handover.run_id, handover.records)
+        return messages.KeysReply(
+            handover.run_id, handover.records, handover.uncertain_ms
+        )
--- a/figtray/idempotency/records.py
+++ b/figtray/idempotency/records.py
@@ -14,6 +14,7 @@
     OTHER_BODY = 'other-body'
     UNCERTAIN = 'uncertain'
     FULL = 'full'
+    CLOSED = 'closed'
 
 
 @dataclasses.dataclass
@@ -40,6 +41,7 @@
         self._records = collections.OrderedDict()
         self._complete_ms = clock.now_ms() + retention_ms
         self._recorded = False
+        self._closed = False
 
     @property
     def complete(self):
@@ -78,6 +80,8 @@
                 return Claim.REPEATED, record.task
             if not self.complete:
                 return Claim.UNCERTAIN, None
+            if self._closed:
+                return Claim.CLOSED, None
             if len(self._records) >= self._max_records:
                 return Claim.FULL, None
             task = make_task()
@@ -88,26 +92,44 @@
             )
             return Claim.FIRST, task
 
-    def forget(self, owner_key):
-        """Drop a key whose request certainly did not run."""
+    def forget(self, owner_key, task):
+        """Drop a key whose task certainly did not run.
+
+        Args:
+            owner_key: team and key.
+            task: the task; a later task of the same key is kept.
+        """
         with self._lock:
-            self._records.pop(owner_key, None)
+            record = self._records.get(owner_key)
+            if record is not None and record.task is task:
+                del self._records[owner_key]
+
+    def close(self):
+        """Take no further key, so that an export stays complete.
 
-    def export(self):
-        """Return (owner key, digest, age in ms, task) of each record."""
+        Returns:
+            (records, uncertain_ms): (owner key, digest, age in ms, task) of
+            each record, and the time in ms for which an unknown key may
+            still belong to a request that has run.
+        """
         now_ms = self._clock.now_ms()
         with self._lock:
+            self._closed = True
             self._expire()
+            uncertain_ms = self._retention_ms
+            if self._recorded:
+                uncertain_ms = max(0, self._complete_ms - now_ms)
             return [
                 (key, record.digest, now_ms - record.claimed_ms, record.task)
                 for key, record in self._records.items()
-            ]
+            ], uncertain_ms
 
-    def take_over(self, records):
+    def take_over(self, records, uncertain_ms=0):
         """Add the records that the slot's former run handed over.
 
         Args:
             records: iterable of (owner key, digest, age in ms, task).
+            uncertain_ms: what close() returned in the former run.
         """
         now_ms = self._clock.now_ms()
         with self._lock:
@@ -121,7 +143,7 @@
                     key=lambda entry: entry[1].claimed_ms,
                 )
             )
-            self._complete_ms = now_ms
+            self._complete_ms = now_ms + uncertain_ms
 
     def _expire(self):
         oldest_ms = self._clock.now_ms() - self._retention_ms
--- a/figtray/idempotency/tests/test_records.py
+++ b/figtray/idempotency/tests/test_records.py
@@ -81,7 +81,10 @@
     def test_request_that_did_not_run_frees_its_key(self):
         records, _ = make_records()
         records.claim('k', 'd', lambda: 'task')
-        records.forget('k')
+        records.forget('k', 'other task')
+        claim, _ = records.claim('k', 'd', pytest.fail)
+        assert claim is records_lib.Claim.REPEATED
+        records.forget('k', 'task')
         claim, _ = records.claim('k', 'd', lambda: 'task')
         assert claim is records_lib.Claim.FIRST
 
@@ -124,6 +127,21 @@
             record.register()
         assert record.register() == 'one'
 
+    def test_run_that_registers_in_between_is_the_former_one(self):
+        store = memory.MemoryStore(clock_lib.ManualClock())
+        self.make(store, 'one').register()
+        record, get = self.make(store, 'three'), store.get
+
+        def get_before_another(key):
+            item, store.get = get(key), get
+            self.make(store, 'two').register()
+            return item
+
+        store.get = get_before_another
+        with pytest.raises(errors.StoreUnavailable):
+            record.register()
+        assert record.register() == 'two'
+
 
 class TestHandovers:
     """Guards against records that lack the keys of a later run."""
--- a/figtray/peers/messages.py
+++ b/figtray/peers/messages.py
@@ -253,11 +253,15 @@
 
 @codec.register
 class KeyHandover(msgspec.Struct, frozen=True):
-    """Key records of a run that stops, for the slot's next run to fetch."""
+    """Key records of a run that stops, for the slot's next run to fetch.
+
+    For `uncertain_ms` a key that is not among them may have been used.
+    """
 
     slot: str
     run_id: str
     records: tuple[KeyRecordItem, ...]
+    uncertain_ms: int = 0
 
 
 @codec.register
@@ -273,3 +277,4 @@
 
     run_id: str = ''
     records: tuple[KeyRecordItem, ...] = ()
+    uncertain_ms: int = 0
