Look a key up before its request is refused

Cause: an entry that was stopping, had no serving right or too many tasks refused a repeated key as "not run", although the key had run. Steps: run a key, stop its owner or take its serving right, submit the key again. Change: the owner looks the key up first and says "not run" only of a key that is certainly new. Another slot that can't ask the owner says "may have run" for a request with a key.

--- a/figtray/entry/intake.py
+++ b/figtray/entry/intake.py
@@ -50,15 +50,16 @@
         Returns:
             Accepted or Rejected.
         """
-        refusal = self._refusal(req)
-        if refusal is not None:
-            return Rejected(refusal)
         owner = self.owner_of(req)
         if owner in (None, self._slot):
             return self.submit_here(req)
+        refusal = self._refusal(req)
+        if refusal is not None:
+            return Rejected(_unless_keyed(req, refusal))
         task = self._table.add(req)
         if task is None:
-            return Rejected(_refuse('QUEUE_FULL', 'too many open tasks'))
+            refusal = _refuse('QUEUE_FULL', 'too many open tasks')
+            return Rejected(_unless_keyed(req, refusal))
         self._forwarder.forward(task, owner)
         return Accepted(task)
 
@@ -69,15 +70,15 @@
             Accepted or Rejected.
         """
         refusal = self._refusal(req)
+        if req.idempotency_key:
+            return self._submit_keyed(req, refusal)
         if refusal is not None:
             return Rejected(refusal)
-        if not req.idempotency_key:
-            task = self._table.add(req)
-            if task is None:
-                return Rejected(_refuse('QUEUE_FULL', 'too many open tasks'))
-            self._dispatcher.submit(task)
-            return Accepted(task)
-        return self._submit_keyed(req)
+        task = self._table.add(req)
+        if task is None:
+            return Rejected(_refuse('QUEUE_FULL', 'too many open tasks'))
+        self._dispatcher.submit(task)
+        return Accepted(task)
 
     def owner_of(self, req):
         """Return the slot that owns a request, or None if any may run it."""
@@ -89,11 +90,24 @@
             return owners.owner_slot(self._slots, owners.queue_key(req.queue))
         return None
 
-    def _submit_keyed(self, req):
+    def _submit_keyed(self, req, refusal):
+        """Find the task of a key, or accept the request as its first.
+
+        A refusal says "not run" only of a key that is certainly new.
+        """
         owner_key = f'{req.team}\0{req.idempotency_key}'
         claim, task = self._keys.claim(
-            owner_key, req.digest, lambda: self._table.add(req)
+            owner_key,
+            req.digest,
+            lambda: None if refusal else self._table.add(req),
+        )
+        is_known = claim not in (
+            records_lib.Claim.FIRST,
+            records_lib.Claim.FULL,
+            records_lib.Claim.CLOSED,
         )
+        if is_known and not self._is_admitted(req):
+            return Rejected(_uncertain('the key does not admit the team'))
         match claim:
             case records_lib.Claim.FIRST:
                 task.fut.add_done_callback(
@@ -110,13 +124,12 @@
                 )
             case records_lib.Claim.UNCERTAIN:
                 return Rejected(
-                    verdict_lib.MayHaveRun(
-                        verdict_lib.UncertainReason.OWNER_RESTARTED,
-                        'the keys of the former run are not known yet',
-                    )
+                    _uncertain('the keys of the former run are not known yet')
                 )
             case records_lib.Claim.FULL:
-                return Rejected(_refuse('QUEUE_FULL', 'too many keys'))
+                return Rejected(
+                    refusal or _refuse('QUEUE_FULL', 'too many keys')
+                )
             case records_lib.Claim.CLOSED:
                 return Rejected(_refuse('DRAINING', 'this entry is stopping'))
 
@@ -124,6 +137,9 @@
         if isinstance(task.fut.result(), verdict_lib.NotRun):
             self._keys.forget(owner_key, task)
 
+    def _is_admitted(self, req):
+        return dispatcher_lib.is_admitted(self._replica.snapshot, req)
+
     def _refusal(self, req):
         snapshot = self._replica.snapshot
         if self.draining:
@@ -132,10 +148,26 @@
             return _refuse('NO_SERVING_RIGHT', 'no majority of entries')
         if snapshot.spec(resources.Kind.QUEUE, req.queue) is None:
             return _refuse('UNKNOWN_QUEUE', req.queue)
-        if not dispatcher_lib.is_admitted(snapshot, req):
+        if not self._is_admitted(req):
             return _refuse('KEY_REFUSED', 'the key does not admit the team')
         return None
 
 
+def _unless_keyed(req, refusal):
+    """Return a refusal, or MayHaveRun for a key that its owner may know."""
+    if not req.idempotency_key:
+        return refusal
+    return verdict_lib.MayHaveRun(
+        verdict_lib.UncertainReason.OWNER_UNREACHABLE,
+        f'the owner was not asked: {refusal.reason.value}',
+    )
+
+
+def _uncertain(detail):
+    return verdict_lib.MayHaveRun(
+        verdict_lib.UncertainReason.OWNER_RESTARTED, detail
+    )
+
+
 def _refuse(reason, detail=''):
     return verdict_lib.NotRun(verdict_lib.RefusalReason[reason], detail)
