Cover the closed key records and a start frozen beyond its deadline

Cause: mutations of the closed state of the key records and of the deadline check directly before the send were not caught by the machines. Ruled out: a fault of figtray; the unchanged code passes. Change: two direct tests.

--- a/figtray/dispatch/tests/test_dispatcher.py
+++ b/figtray/dispatch/tests/test_dispatcher.py
@@ -183,6 +183,16 @@
         cell.run(run)
         assert not starts
 
+    def test_start_that_was_frozen_beyond_its_deadline(self):
+        """Guards against a task that starts after its deadline."""
+        cell, starts = make_cell()
+        submit(cell, left_ms=700)
+        run = cell.executor.runs[0]
+        cell.run(run, 'checked')
+        cell.clock.advance(1_000)
+        cell.run(run)
+        assert not starts
+
     def test_host_that_was_moved_since_it_was_chosen(self):
         """Guards against a start on a host of another pool."""
         cell, starts = make_cell()
--- a/figtray/idempotency/tests/test_records.py
+++ b/figtray/idempotency/tests/test_records.py
@@ -88,6 +88,15 @@
         claim, _ = records.claim('k', 'd', lambda: 'task')
         assert claim is records_lib.Claim.FIRST
 
+    def test_closed_records_take_no_new_key(self):
+        records, _ = make_records()
+        records.claim('k', 'd', lambda: 'task')
+        assert records.close() == ([('k', 'd', 0, 'task')], 0)
+        claim, _ = records.claim('new', 'd', pytest.fail)
+        assert claim is records_lib.Claim.CLOSED
+        claim, _ = records.claim('k', 'd', pytest.fail)
+        assert claim is records_lib.Claim.REPEATED
+
 
 class TestOwners:
     """Guards against two owners of one key, and against hot spots."""
