--- a/figtray/dispatch/tests/harness.py
+++ b/figtray/dispatch/tests/harness.py
@@ -150,7 +150,7 @@
         cfg = types.SimpleNamespace(
             attempt_threads=7,
             connections_per_worker=6,
-            zone_ramp_ms=4_000,
+            zone_ramp_ms=500,
             job_max_workers=3,
             worker_max_failures=5,
             retry_budget_percent=10,
--- a/figtray/dispatch/tests/test_dispatch_machine.py
+++ b/figtray/dispatch/tests/test_dispatch_machine.py
@@ -178,7 +178,11 @@
         """Cancel some open requests; a wave cancels most of them."""
         found = [r for r in self.oracle.requests.values() if not r.outcomes]
         for req in found[skip : skip + count * count]:
-            if not self._is_active(req):
+            # A lost start may still arrive and counts as sent.
+            arriving = [start for _, start, _ in self.cell.client.in_transit]
+            if not self._is_active(req) and not any(
+                start.task_id == req.task.task_id for start in arriving
+            ):
                 req.never = True
             self.cell.dispatcher.cancel(req.task)
 
@@ -241,6 +245,7 @@
     )
     def lose_and_start(self, queue, idempotent, answer, wait_ms):
         """End attempts in one way and start what may start after it."""
+        self.heal()
         for _ in range(2):
             self._submit(queue, 'k1', False, idempotent, 30_000)
         self.cell.housekeep()
@@ -262,6 +267,7 @@
     )
     def freeze(self, point, change, wait_ms, left_ms):
         """Freeze attempts on their way, change something, go on."""
+        self.heal()
         for urgent in (True, False):
             self._submit('plain', 'k1', urgent, False, left_ms)
         self.cell.housekeep()
@@ -390,6 +396,38 @@
 
     # -- serving right and time ---------------------------------------------
 
+    @stateful.rule()
+    def heal(self):
+        """End all faults and undo what operators took away."""
+        if not self.cell.connected:
+            self.toggle_peers()
+        for host, address in self.cell.addresses.items():
+            faults = self.cell.client.faults(address)
+            faults.down = faults.silent = False
+            self.cell.workers[host].refuse = None
+            self.cell.workers[host].fail_all = False
+        self.host_list(set())
+        for kind, name in list(self.oracle.forbidden):
+            match kind:
+                case 'key':
+                    self.toggle_key(name)
+                case 'zone':
+                    self.toggle_zone(name)
+                case 'host':
+                    self.toggle_host(name)
+                case 'queue':
+                    self.delete_queue(name)
+        for kind, named in (
+            ('hosts', harness.HOSTS),
+            ('queues', ('plain', 'ord')),
+        ):
+            for name in named:
+                data = self.cell.data(kind, name)
+                if data['pool'] != harness.SPECS[kind][name]['pool']:
+                    data['pool'] = harness.SPECS[kind][name]['pool']
+                    self.cell.change({kind: {name: data}})
+        self._pass_time(STEP_MS)
+
     @stateful.rule()
     def toggle_peers(self):
         self.cell.connected = not self.cell.connected
