Prefer the store's history when several are safe

Ruled out: ignoring minorities that are ahead, because such a minority can be the only witness of an accepted change. Change: newest_safe() prefers a history that continues the store's.

--- a/figtray/configuration/tests/faults.py
+++ b/figtray/configuration/tests/faults.py
@@ -49,6 +49,16 @@
                 # Nobody waits for the reply of a delayed write.
                 continue
 
+    def empty(self):
+        """Lose all keys, as after an operator's deletion."""
+        with self._cond:
+            self._items.clear()
+
+    def count_from(self, revision):
+        """Go on counting from an older revision, as a restored store does."""
+        with self._cond:
+            self.revision = revision
+
     def _run_hook(self, call):
         hook = self.before.pop(call, None)
         if hook:
--- a/figtray/configuration/tests/test_archive.py
+++ b/figtray/configuration/tests/test_archive.py
@@ -41,6 +41,15 @@
         assert not archive.write_change(before, second[0], 0)
         assert store.dump() == state
 
+    def test_late_write_after_a_restoration_without_log(self, archive, store):
+        before, _ = archive.read_snapshot()
+        late, _ = faults.make_changes(before, 1)
+        _, newest = faults.make_changes(before, 3, 'd')
+        assert archive.restore(newest, 0)
+        state = store.dump()
+        assert not archive.write_change(before, late[0], 0)
+        assert store.dump() == state
+
     def test_log_is_bounded(self, archive, monkeypatch):
         monkeypatch.setattr(archive_lib, 'LOG_LENGTH', 3)
         for _ in range(5):
--- a/figtray/configuration/writer.py
+++ b/figtray/configuration/writer.py
@@ -97,8 +97,8 @@
     Args:
         entries: the EntryGroup.
         marks: mapping of slot to Mark, as of EntryGroup.marks().
-        base: the Snapshot to prefer over those of the entries that are not
-            newer.
+        base: the Snapshot to prefer unless an entry has one that continues
+            it.
 
     Returns:
         (Snapshot, slot that it was fetched from, or None for `base`), or
@@ -114,13 +114,19 @@
         for slot, mark in marks.items()
         if mark.generation > base.generation
     }
+    elsewhere = None
     for mark in sorted(ahead, key=lambda mark: -mark.generation):
         snapshot = _fetch(entries, ahead[mark], base)
-        if _support(snapshot, marks) >= needed:
+        if _support(snapshot, marks) < needed:
+            continue
+        if snapshot.follows(base):
             return snapshot, ahead[mark]
+        # Two histories are safe if neither has an accepted change beyond
+        # their common part.
+        elsewhere = elsewhere or (snapshot, ahead[mark])
     if _support(base, marks) >= needed:
         return base, None
-    return None
+    return elsewhere
 
 
 def _fetch(entries, slot, base):
