--- a/figtray/peers/tests/test_serving_machine.py
+++ b/figtray/peers/tests/test_serving_machine.py
@@ -64,7 +64,7 @@
         self.right = serving.ServingRight(SLOTS, slot, fleet.clock)
         self.register = heartbeat.PeerRegister(fleet.clock)
         self.synchroniser = heartbeat.Synchroniser(
-            SLOTS, slot, self.replica, self.right, fleet.clock
+            SLOTS, self.replica, self.right, fleet.clock
         )
         self.dispatcher = types.SimpleNamespace(notify=lambda: None)
         self.handlers = handlers_lib.Handlers(self)
@@ -74,6 +74,7 @@
                 self.replica,
                 self.right,
                 self.synchroniser,
+                self.register,
                 self._describe,
                 fleet.clock,
                 Listener(),
@@ -112,7 +113,8 @@
         self.entries = {}
         self.cuts = set()
         self.delay_ms = 0
-        self.lost_replies = set()
+        self.lose_after = None
+        self.during_next_call = None
         for slot in SLOTS:
             self.start(slot)
 
@@ -130,9 +132,16 @@
             sender=name, incarnation=getattr(sender, 'run_id', 'api') + '/c'
         )
         reply = entry.handlers.handle(envelope, message)
-        self.clock.advance(self.delay_ms)
-        if peer in self.lost_replies:
-            raise errors.PeerUnavailable(peer=peer, detail='reply lost')
+        if self.during_next_call is not None:
+            action, self.during_next_call = self.during_next_call, None
+            action()
+        if sender is not None:
+            self.clock.advance(self.delay_ms)
+        if self.lose_after is not None:
+            self.lose_after -= 1
+            if self.lose_after < 0:
+                self.lose_after = None
+                raise errors.PeerUnavailable(peer=peer, detail='reply lost')
         return reply
 
     def _ask_all(self, message):
@@ -225,6 +234,12 @@
         for slot in SLOTS:
             self.beat(slot)
 
+    @stateful.rule(count=strategies.integers(1, 3))
+    def beat_for_seconds(self, count):
+        for _ in range(2 * count):
+            self.clock.advance(500)
+            self.beat_all()
+
     @stateful.rule(ms=strategies.sampled_from([100, 900, 1_600, 2_500]))
     def pass_time(self, ms):
         self.clock.advance(ms)
@@ -233,24 +248,27 @@
     def set_delay(self, ms):
         self.fleet.delay_ms = ms
 
-    @stateful.rule(slot=slots, other=strategies.sampled_from([*SLOTS, 'api']))
-    def cut_or_heal(self, slot, other):
-        self.fleet.cuts ^= {frozenset({slot, other})}
-
-    @stateful.rule(slot=slots)
-    def isolate(self, slot):
-        self.fleet.cuts |= {
-            frozenset({slot, other}) for other in (*SLOTS, 'api')
+    @stateful.rule(side=strategies.sets(slots, min_size=1, max_size=3))
+    def partition(self, side):
+        """Cut some slots off from the others and from the writer."""
+        self.fleet.cuts = {
+            frozenset({one, two})
+            for one in side
+            for two in {*SLOTS, 'api'} - side
         }
 
     @stateful.rule()
-    def heal_all(self):
-        self.fleet.cuts.clear()
-        self.fleet.lost_replies.clear()
+    def heal(self):
+        self.fleet.cuts = set()
 
-    @stateful.rule(slot=slots)
-    def lose_replies(self, slot):
-        self.fleet.lost_replies ^= {slot}
+    @stateful.rule(count=strategies.integers(0, 6))
+    def lose_a_reply(self, count):
+        self.fleet.lose_after = count
+
+    @stateful.rule()
+    def commit_during_next_call(self):
+        """Accept a change while a reply is on its way."""
+        self.fleet.during_next_call = self.commit
 
     @stateful.rule(slot=slots)
     def pause_or_resume(self, slot):
@@ -324,8 +342,8 @@
 
 
 ServingMachine.TestCase.settings = hypothesis.settings(
-    max_examples=200,
-    stateful_step_count=40,
+    max_examples=500,
+    stateful_step_count=30,
     deadline=None,
     derandomize=True,
     database=None,
@@ -334,3 +352,110 @@
 
 class TestServingUnderFaults(ServingMachine.TestCase):
     """Guards against work under a configuration that is not in force."""
+
+
+class TestServingScenarios:
+    """Guards against the faults that random steps reach too seldom."""
+
+    def make(self):
+        return ServingMachine()
+
+    def accept_without(self, machine, side):
+        """Accept a change that one side does not hear of."""
+        machine.partition(side)
+        machine.commit()
+        assert machine.accepted
+
+    def check_later(self, machine):
+        """Let all entries send heartbeats until the change is in force."""
+        for _ in range(8):
+            machine.clock.advance(500)
+            machine.beat_all()
+            machine.whoever_serves_knows_what_is_in_force()
+
+    def test_slow_replies_do_not_extend_the_right(self):
+        machine = self.make()
+        entry = machine.fleet.entries['a']
+        machine.fleet.cuts = {
+            frozenset({'a', other}) for other in ('d', 'e', 'api')
+        }
+        machine.fleet.delay_ms = 700
+
+        def beat_second():
+            machine.fleet.during_next_call = machine.commit
+            entry.tasks[1].beat()
+
+        machine.fleet.during_next_call = beat_second
+        entry.tasks[0].beat()
+        assert machine.accepted
+        _, accepted_ms = machine.accepted[0]
+        machine.clock.advance(
+            accepted_ms + serving.FRESHNESS_MS - machine.clock.now_ms()
+        )
+        machine.whoever_serves_knows_what_is_in_force()
+
+    def test_restarted_peer_does_not_confirm(self):
+        machine = self.make()
+        self.accept_without(machine, {'d', 'e'})
+        machine.restart('b')
+        machine.partition({'b', 'd', 'e'})
+        self.check_later(machine)
+
+    def test_restarted_entry_needs_a_majority_of_others(self):
+        machine = self.make()
+        self.accept_without(machine, {'d', 'e'})
+        machine.restart('a')
+        machine.partition({'a', 'd', 'e'})
+        self.check_later(machine)
+
+    def test_older_store_does_not_synchronise_a_restarted_entry(self):
+        machine = self.make()
+        machine.back_up_store()
+        self.accept_without(machine, {'d', 'e'})
+        machine.store_returns_older()
+        machine.restart('a')
+        machine.partition({'a', 'd', 'e'})
+        machine.beat_all()
+        machine.read_store(all_slots=True)
+        self.check_later(machine)
+
+    def test_change_that_a_minority_confirmed_is_not_accepted(self):
+        machine = self.make()
+        machine.fleet.cuts = {
+            frozenset({'api', slot}) for slot in ('c', 'd', 'e')
+        }
+        machine.commit()
+        assert not machine.accepted
+
+
+class TestOtherHistory:
+    """Guards against a confirmation by a peer with another history."""
+
+    def test_is_not_confirmed(self):
+        machine = ServingMachine()
+        machine.commit()
+        entry = machine.fleet.entries['a']
+        other = machine.fleet.entries['b']
+        change = snapshot_lib.make_change(
+            'test', snapshot_lib.Mark(0, 'other'), 'x', []
+        )
+        other.replica = replica_lib.Replica('test')
+        other.replica._replace(other.replica.snapshot.apply(change))
+        before = entry.right.last_confirmed()['b']
+        machine.clock.advance(100)
+        entry.tasks[0].beat()
+        assert entry.right.last_confirmed()['b'] == before
+
+
+class TestPeerRegister:
+    """Guards against two processes that both serve in one slot."""
+
+    def test_former_run_is_superseded_for_good(self):
+        clock = clock_lib.ManualClock()
+        register = heartbeat.PeerRegister(clock)
+        message = messages.Heartbeat(snapshot_lib.Mark(0, ''), True, 0)
+        assert not register.heard('a', 'one', message)
+        assert not register.heard('a', 'two', message)
+        assert register.heard('a', 'one', message)
+        assert register.run_of('a') == 'two'
+        assert register.runs_before('a', 'two') == ('one',)
