--- a/figtray/connections.py
+++ b/figtray/connections.py
@@ -38,23 +38,34 @@
     return bool(poll.poll(0))
 
 
+class _File(io.BufferedReader):
+    """Buffered stream that notes input after the end of a response."""
+
+    def close(self):
+        if not self.closed:
+            self.raw.paused = True
+            self.raw.sock.surplus |= bool(self.peek(1))
+        super().close()
+
+
 class _Reader(io.RawIOBase):
     """Raw stream that reads from a socket until the connection's limit."""
 
     def __init__(self, sock):
         super().__init__()
-        self._sock = sock
+        self.sock = sock
+        self.paused = False
 
     def readable(self):
         return True
 
     def readinto(self, buffer):
-        return self._sock.receive_into(buffer)
+        return None if self.paused else self.sock.receive_into(buffer)
 
     def close(self):
         if not self.closed:
             super().close()
-            self._sock.close()
+            self.sock.close()
 
 
 class _LimitedSocket:
@@ -73,6 +84,7 @@
         self._users = 1
         self.limit_ms = None
         self.sent_bytes = 0
+        self.surplus = False
 
     def sendall(self, data):
         view = memoryview(data)
@@ -88,7 +100,7 @@
 
     def makefile(self, mode):
         self._users += 1
-        return io.BufferedReader(_Reader(self))
+        return _File(_Reader(self))
 
     def close(self):
         self._users -= 1
@@ -102,7 +114,9 @@
             pass  # not connected any more
 
     def pending(self):
-        """Return None, b'' (closed by the peer) or the first byte."""
+        """Return None, b'' (closed by the peer) or a byte."""
+        if self.surplus:
+            return b'?'
         if not readable(self._sock):
             return None
         try:
@@ -176,7 +190,7 @@
 
         Returns:
             None if there is none, b'' if the peer closed the connection, or
-            the first byte.
+            one byte.
         """
         return self.sock.pending() if self.sock else b''
 
