--- a/figtray/standins/worker.py
+++ b/figtray/standins/worker.py
@@ -5,6 +5,7 @@
 import json
 import sys
 import threading
+import time
 import urllib.parse
 
 import typer
@@ -95,7 +96,7 @@
         if handler.connection in self._silent:
             return  # the connection stays open without an answer
         if self._delay_ms:
-            threading.Event().wait(self._delay_ms / 1000)
+            time.sleep(self._delay_ms / 1000)
         if (method, path) == ('GET', '/report'):
             report = dataclasses.asdict(self.worker.report())
             self._answer(handler, 200, json.dumps(report).encode())
@@ -107,11 +108,12 @@
         else:
             self._answer(handler, 404, b'no such path')
 
-    def set_faults(self, faults):
+    def set_faults(self, faults, keep=None):
         """Change faults.
 
         Args:
             faults: mapping of names to values; others stay as they are.
+            keep: connection that no fault touches.
 
         Returns:
             Mapping of all faults.
@@ -145,11 +147,11 @@
             int(faults.get('report_lag_ms', worker.report_lag_ms))
         )
         if faults.get('freeze'):
-            self._silent |= self.server.connections()
+            self._silent |= self.server.connections() - {keep}
         if faults.get('mute'):
-            self._muted |= self.server.connections()
+            self._muted |= self.server.connections() - {keep}
         if 'down' in faults:
-            self._set_down(bool(faults['down']))
+            self._set_down(bool(faults['down']), keep)
         return {
             'down': self._down,
             'delay_ms': self._delay_ms,
@@ -160,17 +162,15 @@
             **self._counts,
         }
 
-    def _set_down(self, down):
+    def _set_down(self, down, keep):
         """Break all connections and tasks, as a power failure does."""
         if down and not self._down:
             self._down = True
             self.worker.restart()
-            self.server.close_connections()
+            self.server.close_connections(keep)
         self._down = down
 
     def _control(self, handler, path, query, body):
-        # The connection of a control call is never one of the silent ones.
-        self._silent.discard(handler.connection)
         if path == '/log':
             fields = urllib.parse.parse_qs(query)
             since = _integer(fields.get('since', ['0'])[0]) or 0
@@ -180,12 +180,11 @@
             handler.reply_json(200, self.stats())
             return
         try:
-            reply = self.set_faults(json.loads(body or b'{}'))
+            faults = json.loads(body or b'{}')
+            reply = self.set_faults(faults, handler.connection)
         except (ValueError, TypeError, AttributeError) as exc:
             handler.reply_json(400, {'error': str(exc)})
             return
-        for connections_set in (self._silent, self._muted):
-            connections_set.discard(handler.connection)
         handler.reply_json(200, reply)
 
     def is_down(self):
--- a/figtray/store/tests/contract.py
+++ b/figtray/store/tests/contract.py
@@ -1,5 +1,6 @@
 """Behaviour that every Store has."""
 
+import concurrent.futures
 import dataclasses
 import threading
 
@@ -52,6 +53,23 @@
         assert rig.store.txn([created], (), ['/a']).succeeded
         assert rig.store.txn([absent], ()).succeeded
 
+    def test_concurrent_changes(self, rig):
+        """Guards against replies that reach another thread's call."""
+
+        def add_ten(_):
+            done = 0
+            while done < 10:
+                item = rig.store.get('/n')
+                value = int(item.value) if item else 0
+                revision = item.mod_revision if item else 0
+                compare = base.Compare('/n', 'mod_revision', revision)
+                put = base.Put('/n', b'%d' % (value + 1))
+                done += rig.store.txn([compare], [put]).succeeded
+
+        with concurrent.futures.ThreadPoolExecutor(4) as pool:
+            list(pool.map(add_ten, range(4)))
+        assert rig.store.get('/n').value == b'40'
+
     def test_one_transaction_has_one_revision(self, rig):
         """Guards against a reader that sees half a transaction."""
         rig.store.txn([], [base.Put('/p/old', b'1'), base.Put('/q', b'')])
--- a/figtray/workers/memory.py
+++ b/figtray/workers/memory.py
@@ -373,7 +373,9 @@
             ]
 
     def abandon(self, address, attempt_id):
-        self.finish(attempt_id, 0)
+        with self._cond:
+            if attempt_id in self._waiting:
+                self.finish(attempt_id, 0)
 
     def _wait(self, address, start):
         with self._cond:
