Abort waiting starts when the worker client closes

Cause: a thread that waited for an answer kept its connection after close(), up to its time limit. Ruled out: joining the threads, because the client does not own them. Change: close() aborts them; they return MayHaveRun.

--- a/figtray/workers/http.py
+++ b/figtray/workers/http.py
@@ -215,6 +215,9 @@
         with self._lock:
             self._closed = True
             pools = list(self._pools.values())
+            for pool in pools:
+                for sent in pool.waiting.values():
+                    sent.conn.abort()
         for pool in pools:
             self._drop_idle(pool)
 
@@ -325,7 +328,7 @@
                     verdict.RefusalReason.START_EXPIRED,
                     'the right to start ended before the send',
                 )
-            self._request(conn, start, conn.worker_time(allowed))
+            self._request(conn, start, conn.worker_time(int(allowed)))
             return self._receive(conn, start)
         except (OSError, http.client.HTTPException, ValueError) as exc:
             conn.close()
