Preview capacity plans in the operators' API

Cause: POST /v1/plan answered 501 in every deployment, because nobody wired the planner. Ruled out: asking the workers for reports, because the entries and the controller use all 64 connections of a worker. Change: figtray.api.planning runs capacity.preview over the host list, the entries' status and the edits of the request; figtray-api passes it to the application. An absent host list gives 503. Conclusion: a preview needs no worker.

--- a/figtray/api/main.py
+++ b/figtray/api/main.py
@@ -1,12 +1,16 @@
 """figtray-api: the operators' resource API of one host."""
 
+import concurrent.futures
 import uuid
 
 from figtray.api import app as app_lib
 from figtray.api import messages
+from figtray.api import planning
+from figtray.capacity import demand as demand_lib
 from figtray import clock as clock_lib
 from figtray.configuration import archive as archive_lib
 from figtray.configuration import writer as writer_lib
+from figtray.hostlist import http as hostlist_http
 from figtray import listener
 from figtray import metrics as metrics_lib
 from figtray.peers import group as group_lib
@@ -42,6 +46,12 @@
         uuid.uuid4().hex,
         cfg.push_timeout_ms,
     )
+    host_list = hostlist_http.HttpHostList(
+        cfg.host_list.address, cfg.host_list.timeout_ms, clock
+    )
+    executor = concurrent.futures.ThreadPoolExecutor(
+        1, thread_name_prefix='planner'
+    )
     app = app_lib.Application(
         writer_lib.Writer(store, cfg.deployment, group, clock),
         archive_lib.Archive(store, cfg.deployment),
@@ -49,6 +59,13 @@
         clock,
         cfg.deployment,
         credential_hash,
+        planner=planning.Planner(
+            host_list,
+            group,
+            lambda: demand_lib.from_status(group.status()),
+            clock,
+            executor,
+        ),
         metrics_page=metrics.page,
     )
     server = listener.Listener(
@@ -62,6 +79,7 @@
     stop.wait()
     app.close()
     server.close(timeout_ms=DRAIN_MS)
+    executor.shutdown(wait=False, cancel_futures=True)
     group.close()
     store.close()
     metrics.close()
--- a/figtray/api/problems.py
+++ b/figtray/api/problems.py
@@ -143,6 +143,10 @@
             return _unavailable('store-unavailable', exc, Outcome.NOT_CHANGED)
         case errors.PeerUnavailable():
             return _unavailable('peer-unavailable', exc, Outcome.NOT_CHANGED)
+        case errors.HostListUnavailable():
+            return _unavailable(
+                'host-list-unavailable', exc, Outcome.NOT_CHANGED
+            )
         case errors.FencedOut():
             return _unavailable('overtaken', exc, Outcome.NOT_CHANGED)
     # An unforeseen error may have come after the write.
--- /dev/null
+++ b/figtray/api/tests/test_main.py
@@ -0,0 +1,67 @@
+"""Tests of the program figtray-api."""
+
+import http.client
+import threading
+
+import msgspec
+
+from figtray.api import client as client_lib
+from figtray.api import credentials
+from figtray.api import main
+from figtray.settings import types
+
+LIMIT_S = 30
+CREDENTIAL = 'operator'
+
+
+class TestRun:
+    """Guards against a program that does not start or stop."""
+
+    def test_serves_until_the_stop(self, monkeypatch):
+        started = threading.Event()
+        servers = []
+
+        class Listener(main.listener.Listener):
+            def start(self):
+                super().start()
+                servers.append(self)
+                started.set()
+
+        monkeypatch.setattr(main.listener, 'Listener', Listener)
+        # Nothing listens on port 9 of this address, so neither the entry
+        # nor the store nor the host list answers.
+        nowhere = '127.255.255.254:9'
+        cfg = msgspec.convert(
+            {
+                'deployment': 'test',
+                'zone': 'z',
+                'entries': [{'slot': 'entry-1', 'address': nowhere}],
+                'store': {'endpoints': [nowhere]},
+                'host_list': {'address': nowhere},
+                'listen': '127.0.0.1:0',
+                'credential_hash': credentials.hash_credential(CREDENTIAL),
+            },
+            types.ApiSettings,
+        )
+        stop = threading.Event()
+        thread = threading.Thread(target=main._run, args=(cfg, stop))
+        thread.start()
+        try:
+            assert started.wait(LIMIT_S)
+            address = servers[0].address
+            conn = http.client.HTTPConnection(address, timeout=LIMIT_S)
+            conn.request('GET', '/ready')
+            assert conn.getresponse().status == 200
+            conn.close()
+            transport = client_lib.HttpTransport(address)
+            headers = {'Authorization': f'Bearer {CREDENTIAL}'}
+            status, body = transport.request(
+                'GET', '/v1/status', headers, None
+            )
+            assert (status, b'store-unavailable' in body) == (503, True)
+            status, body = transport.request('GET', '/metrics', headers, None)
+            assert (status, b'store_calls' in body) == (200, True)
+        finally:
+            stop.set()
+            thread.join(LIMIT_S)
+        assert not thread.is_alive()
