Test forks that an older store hides

Change: a unit test and a rule of the state machine let the store lose the accepted changes too, so that a fork in a minority continues the store. Conclusion: each condition of newest_safe() now has a test.

--- a/figtray/configuration/tests/test_history.py
+++ b/figtray/configuration/tests/test_history.py
@@ -137,10 +137,17 @@
         self.store.restore(self.dumps[-min(age, len(self.dumps))])
 
     @stateful.rule(
-        slot=_SLOTS, lost=st.integers(1, 3), later=st.integers(0, 2)
+        slot=_SLOTS,
+        lost=st.integers(1, 3),
+        later=st.integers(0, 2),
+        again=st.booleans(),
     )
-    def fork_one_slot(self, slot, lost, later):
-        """Lose stored changes that one slot has, and go on without it."""
+    def fork_one_slot(self, slot, lost, later, again):
+        """Lose stored changes that one slot has, and go on without it.
+
+        The store may lose the later changes as well, which the other slots
+        have accepted.
+        """
         state = self.store.dump()
         for _ in range(lost):
             self.reach_all()
@@ -151,6 +158,8 @@
         self.group.reachable = set(faults.SLOTS) - {slot}
         for _ in range(later):
             self.change(1)
+        if again:
+            self.store.restore(state)
         self.reach_all()
 
     @stateful.rule(slots=st.sets(_SLOTS, max_size=MAX_RESTARTED))
--- a/figtray/configuration/tests/test_writer.py
+++ b/figtray/configuration/tests/test_writer.py
@@ -346,6 +346,17 @@
         assert committed.confirmed == set(faults.SLOTS[1:])
         assert system.teams('entry-2') == ['a', 'b']
 
+    @pytest.mark.parametrize('count', [1, 2, 3])
+    def test_fork_is_passed_over_by_an_older_store(self, system, count):
+        state = system.store.dump()
+        self.fork(system, 'entry-1', count)
+        system.group.reachable = set(faults.SLOTS[1:])
+        system.commit('a')
+        system.group.reachable = set(faults.SLOTS)
+        system.store.restore(state)
+        system.commit('b')
+        assert system.teams('entry-2') == ['a', 'b']
+
     @pytest.mark.parametrize('count', [1, 2, 3])
     def test_ambiguous_forks_are_refused(self, system, count):
         self.fork(system, 'entry-1', count)
