--- a/figtray/bench/fleet.py
+++ b/figtray/bench/fleet.py
@@ -92,13 +92,16 @@
     )
 
 
-def layout_items(deployment, spare_hosts=None, fixed_hosts=None):
+def layout_items(
+    deployment, spare_hosts=None, fixed_hosts=None, run_limit_ms=5_000
+):
     """Yield the items of a deployment.
 
     Args:
         deployment: the Deployment.
         spare_hosts: hosts of the spare pool, if not as many as the others.
         fixed_hosts: hosts of each other pool, if not hosts_per_pool.
+        run_limit_ms: longest run time of a task in milliseconds.
     """
     kind = resources.Kind
     yield item(
@@ -113,7 +116,9 @@
     for pool in normal:
         spec = resources.Pool(min_slots=deployment.min_hosts * SLOTS)
         yield item(kind.POOL, pool, spec)
-        yield item(kind.QUEUE, pool, resources.Queue(pool, run_limit_ms=5000))
+        yield item(
+            kind.QUEUE, pool, resources.Queue(pool, run_limit_ms=run_limit_ms)
+        )
     yield item(kind.POOL, spare, resources.Pool(spare=True))
     per_pool = fixed_hosts or deployment.hosts_per_pool
     pools = [pool for pool in normal for _ in range(per_pool)]
--- a/figtray/capacity/observer.py
+++ b/figtray/capacity/observer.py
@@ -13,6 +13,9 @@
 
 FAILED_AFTER_MS = 10_000
 REPORT_TIMEOUT_MS = 1_000
+# Hosts that don't answer must not keep the controller from renewing its
+# lease; those that were not asked in time are asked in the next iteration.
+ROUND_TIMEOUT_MS = 2_000
 REPORTS_PER_ROUND = 256
 PROBES_PER_ROUND = 64
 DRAINS_KEPT = 200
@@ -152,10 +155,9 @@
             return self._workers.report(hosts[name].address, REPORT_TIMEOUT_MS)
 
         unique = list(dict.fromkeys(names))
-        rounds = -(-len(unique) // 32) or 1
         return dict(
             writer_lib.in_parallel(
-                self._executor, report, unique, rounds * REPORT_TIMEOUT_MS
+                self._executor, report, unique, ROUND_TIMEOUT_MS
             )
         )
 
--- a/figtray/capacity/tests/test_budget.py
+++ b/figtray/capacity/tests/test_budget.py
@@ -98,6 +98,27 @@
         if again.zone_lost == ledger.zone_lost:
             assert again.headroom == ledger.headroom
 
+    def test_hosts_below_the_common_size_are_no_spare(self):
+        hosts = oracles.make_hosts(12, 3, ('a',))
+        hosts += [
+            dataclasses.replace(host, name=f's{n}', pool='spare', slots=4)
+            for n, host in enumerate(hosts[:6])
+        ]
+        pools = model.PoolView('a', 96), model.PoolView('spare', spare=True)
+        ledger = budget.Ledger(model.Situation(tuple(hosts), pools))
+        assert ledger.headroom == -4
+
+    def test_a_large_host_gives_no_more_than_one(self):
+        hosts = oracles.make_hosts(12, 3, ('a', 'b'), per_rack=1)
+        hosts = [
+            dataclasses.replace(host, slots=16) if host.pool == 'b' else host
+            for host in hosts
+        ]
+        pools = model.PoolView('a', 48), model.PoolView('b', 32)
+        hosts += [dataclasses.replace(hosts[0], name='h12', slots=8)]
+        ledger = budget.Ledger(model.Situation(tuple(hosts), pools))
+        assert (ledger.unit, ledger.headroom) == (8, 0)
+
     def test_charges_every_host_once_and_the_lost_zone_as_one(self):
         hosts = oracles.make_hosts(12, 3, ('a', 'b'))
         situation = model.Situation(
--- a/figtray/controller/loop.py
+++ b/figtray/controller/loop.py
@@ -57,7 +57,9 @@
         failures = []
         self._step(failures)
         for duty in self.duties if self._role else ():
-            if not self._role.is_valid:
+            # Renews the lease as well: a duty may take seconds.
+            self._step(failures)
+            if self._role is None:
                 break
             try:
                 duty.run(self._role)
