--- a/figtray/errors.py
+++ b/figtray/errors.py
@@ -30,8 +30,8 @@
     msg_fmt = 'The reply to a store write was lost: {detail}'
 
 
-class LeaseLost(FigtrayError):
-    """A store lease has ended."""
+class LeaseLost(StoreUnavailable):
+    """A store lease has ended; a write that needs it did not take effect."""
 
     msg_fmt = 'The store lease {lease_id} has ended.'
 
@@ -84,6 +84,15 @@
     )
 
 
+class AlreadyChanged(FigtrayError):
+    """A change was made earlier, and its content is no longer kept."""
+
+    msg_fmt = (
+        'Change {change_id} was made as generation {generation}; its '
+        'content is no longer kept.'
+    )
+
+
 class FencedOut(FigtrayError):
     """This process lost its role or its incarnation was fenced."""
 
@@ -91,10 +100,18 @@
 
 
 class PeerUnavailable(FigtrayError):
-    """A peer did not answer within the time allowed."""
+    """A peer did not answer within the time allowed.
+
+    The field `sent` is False if the call certainly did not reach the peer.
+    """
 
     msg_fmt = 'Peer {peer} did not answer: {detail}'
 
+    @property
+    def sent(self):
+        """Whether the peer may have handled the call."""
+        return self.fields.get('sent', True)
+
 
 class CodecError(FigtrayError):
     """A message can't be decoded."""
@@ -112,3 +129,9 @@
     """The host list did not answer."""
 
     msg_fmt = 'The host list is unavailable: {detail}'
+
+
+class ListenFailed(FigtrayError):
+    """A program can't listen on an address of its settings."""
+
+    msg_fmt = 'Cannot listen on {address}: {detail}'
