Estimate demand from arrivals; ramp up only zones that came back

Cause: at the start of a peak, running + queued grows while nothing has ended yet, so the demand was counted twice and too many hosts were lent. A full queue hides what it refuses. Released hosts of peak moves were taken for a returning zone, and hosts of a returning zone for moves. A drain took two periods more than its freshness bound.

--- a/figtray/bench/fleet.py
+++ b/figtray/bench/fleet.py
@@ -142,10 +142,11 @@
     """A deployment whose tasks all run equally long, in steps of a second.
 
     Numbers of tasks need not be whole. A draining host finishes what it
-    began; the tasks of a host that goes down are lost.
+    began; the tasks of a host that goes down are lost. `duty` are further
+    arguments of the CapacityDuty.
     """
 
-    def __init__(self, deployment, items=None, task_ms=2_000):
+    def __init__(self, deployment, items=None, task_ms=2_000, **duty):
         self.deployment = deployment
         self.clock = clock_lib.ManualClock()
         self.store = store_memory.MemoryStore(self.clock)
@@ -171,6 +172,7 @@
         self.task_ms = task_ms
         self.queued = collections.Counter()
         self.tasks = collections.defaultdict(list)
+        self.arrived = collections.Counter()
         self.served = collections.Counter()
         self.boots = collections.Counter()
         self.down = set()
@@ -187,9 +189,11 @@
             self.demand,
             self.clock,
             self.wall_s,
+            **duty,
         )
         self.start_ms = self.clock.now_ms()
         self.skew_s = 0
+        self.counts_arrivals = True
 
     @property
     def snapshot(self):
@@ -213,7 +217,10 @@
             running[spec.pool] += self.running(name)
         return {
             pool: demand_lib.PoolLoad(
-                running[pool], self.queued[pool], self.task_ms
+                running[pool],
+                self.queued[pool],
+                self.task_ms,
+                self.arrived[pool] if self.counts_arrivals else None,
             )
             for pool in self.snapshot.specs(resources.Kind.POOL)
         }
@@ -257,6 +264,7 @@
             self.tasks[name] = [t for t in tasks if t[0] > now_ms]
         for pool, slots in arrivals.items():
             self.queued[pool] += slots * STEP_MS / self.task_ms
+            self.arrived[pool] += slots * STEP_MS / self.task_ms
             free = {
                 name: SLOTS - self.running(name) for name in self.serving(pool)
             }
--- a/figtray/capacity/demand.py
+++ b/figtray/capacity/demand.py
@@ -20,18 +20,24 @@
     """Load of a pool, summed over the entries.
 
     `run_ms` is the mean run time of its tasks; 0 if it is not known.
+    `arrived` counts all requests so far, those that a full queue refused
+    included; None if they are not counted.
     """
 
     running: float
     queued: float
     run_ms: float = 0
+    arrived: float | None = None
 
 
 @dataclasses.dataclass
 class _History:
     """Last sample and recent smoothed values of a pool."""
 
-    total: float
+    last: PoolLoad
+    running: collections.deque = dataclasses.field(
+        default_factory=collections.deque
+    )
     smoothed: float | None = None
     recent: collections.deque = dataclasses.field(
         default_factory=collections.deque
@@ -43,8 +49,9 @@
 
     Running + queued counts every queued request as a slot, and would move
     more hosts the longer a queue has grown. The tracker estimates how many
-    slots the arriving work keeps busy: those that run now, and by how much
-    running + queued grows in one run time.
+    slots the arriving work keeps busy: by the requests that arrived if they
+    are counted, else by the growth of running + queued. The growth doesn't
+    show what a full queue refuses.
     """
 
     def __init__(self):
@@ -69,11 +76,11 @@
         rate = 1 - math.exp(-elapsed_ms / window_ms)
         result = {}
         for pool, load in loads.items():
-            history = self._pools.setdefault(
-                pool, _History(load.running + load.queued)
+            history = self._pools.setdefault(pool, _History(load))
+            value = _needed_slots(
+                load, history, now_ms, elapsed_ms, interval_ms
             )
-            value = _needed_slots(load, history, elapsed_ms, interval_ms)
-            history.total = load.running + load.queued
+            history.last = load
             if history.smoothed is None:
                 history.smoothed = value
             recent = history.recent
@@ -89,11 +96,28 @@
         return result
 
 
-def _needed_slots(load, history, elapsed_ms, interval_ms):
+def _needed_slots(load, history, now_ms, elapsed_ms, interval_ms):
+    history.running.append((now_ms, load.running))
     if not load.run_ms:
         return load.running + load.queued
-    growth = load.running + load.queued - history.total
-    grown = growth / elapsed_ms * load.run_ms if elapsed_ms else 0
+    while len(history.running) > 1 and (
+        history.running[1][0] <= now_ms - load.run_ms
+    ):
+        history.running.popleft()
     clearing_ms = CLEARING_FACTOR * interval_ms
     clearing = load.queued * min(1, load.run_ms / clearing_ms)
-    return max(load.running + grown, 0) + clearing
+    return max(_arriving_slots(load, history, elapsed_ms), 0) + clearing
+
+
+def _arriving_slots(load, history, elapsed_ms):
+    last = history.last
+    run_times = load.run_ms / elapsed_ms if elapsed_ms else 0
+    if load.arrived is not None and last.arrived is not None:
+        # Entries that restart count from 0 again.
+        arrived = max(load.arrived - last.arrived, 0)
+        return arrived * run_times if elapsed_ms else load.running
+    # Tasks that started less than a run time ago have not ended yet;
+    # counting them would double the demand at the start of a peak.
+    ended = history.running[0][1]
+    growth = load.running + load.queued - last.running - last.queued
+    return ended + growth * run_times
--- a/figtray/capacity/duty.py
+++ b/figtray/capacity/duty.py
@@ -7,14 +7,29 @@
 from figtray.capacity import mover as mover_lib
 from figtray.capacity import planner
 from figtray.capacity import situation as situation_lib
+from figtray.configuration import resources
 
 MAX_CHANGES = 4
+# The second plan of an iteration assigns what the first one released, which
+# saves a period in each move.
+PLANS = 2
+# The first step of a returning zone does not wait.
+RETURN_PAUSE_MS = model.Thresholds().return_step_ms
 
 
 class CapacityDuty:
     """Observes, plans and acts once in each iteration of the controller."""
 
-    def __init__(self, writer, observer, read_demand, clock, wall_s=time.time):
+    def __init__(
+        self,
+        writer,
+        observer,
+        read_demand,
+        clock,
+        wall_s=time.time,
+        tracker=None,
+        make_plan=planner.plan,
+    ):
         """Create the duty.
 
         Args:
@@ -25,14 +40,18 @@
             clock: the Clock.
             wall_s: function that returns seconds since the epoch; it is
                 compared only with maintenance times, over weeks.
+            tracker: a demand.DemandTracker or a substitute.
+            make_plan: the planner; experiments compare it with others.
         """
         self._writer = writer
         self._observer = observer
         self._read_demand = read_demand
         self._clock = clock
         self._wall_s = wall_s
-        self._tracker = demand_lib.DemandTracker()
+        self._tracker = tracker or demand_lib.DemandTracker()
+        self._make_plan = make_plan
         self._returned_ms = {}
+        self._zones_out = set()
         self.last_plan = None
         self.last_observation = None
 
@@ -53,6 +72,7 @@
         """
         snapshot, _ = self._writer.read()
         now_ms = self._clock.now_ms()
+        self._note_zones(snapshot, now_ms)
         thresholds = model.make_thresholds(snapshot.policy)
         demand = self._tracker.update(
             self._read_demand(), now_ms, thresholds.interval_ms
@@ -63,32 +83,61 @@
             int(self._wall_s()),
             tuple(self._returned_ms.items()),
         )
-        situation = situation_lib.make_situation(snapshot, observation)
-        plan = planner.plan(situation)
-        self.last_plan = plan
         self.last_observation = observation
         mover = mover_lib.Mover(self._writer, role.guards)
         applied = []
+        for _ in range(PLANS):
+            step = self._act(snapshot, observation, mover)
+            applied.extend(step)
+            if not any(_frees_a_host(item) for item in step):
+                break
+            snapshot, _ = self._writer.read()
+        return applied
+
+    def _act(self, snapshot, observation, mover):
+        """Plan and carry out a bounded number of actions."""
+        situation = situation_lib.make_situation(snapshot, observation)
+        plan = self._make_plan(situation)
+        self.last_plan = plan
+        applied = []
         size = mover_lib.ACTIONS_PER_CHANGE
         for start in range(
             0, min(len(plan.actions), MAX_CHANGES * size), size
         ):
             chunk = plan.actions[start : start + size]
             applied.append(mover.apply(chunk, observation))
-            self._note_returns(situation, applied[-1].done)
+            self._observer.note_accepted(applied[-1])
+            self._note_steps(situation, applied[-1].done)
         return applied
 
-    def _note_returns(self, situation, done):
-        """Remember when a returning zone got back some of its hosts."""
-        zones = {host.name: host.zone for host in situation.hosts}
-        now_ms = self._clock.now_ms()
-        for action in done:
-            if isinstance(action, model.Assign):
-                if action.reason is not model.Reason.PEAK:
-                    self._returned_ms[zones[action.host]] = now_ms
-        keep_ms = 10 * situation.thresholds.return_step_ms
+    def _note_zones(self, snapshot, now_ms):
+        """Notice which zones came back; they ramp up until all serve."""
+        zones = snapshot.specs(resources.Kind.ZONE)
+        out = {name for name, spec in zones.items() if not spec.in_service}
+        for zone in self._zones_out - out:
+            self._returned_ms[zone] = now_ms - RETURN_PAUSE_MS
+        self._zones_out = out
+        waiting = {
+            spec.zone
+            for spec in snapshot.specs(resources.Kind.HOST).values()
+            if spec.state is not resources.HostState.SERVING
+        }
         self._returned_ms = {
             zone: at_ms
             for zone, at_ms in self._returned_ms.items()
-            if now_ms - at_ms < keep_ms
+            if zone in waiting and zone not in out
         }
+
+    def _note_steps(self, situation, done):
+        """Remember when a returning zone got back some of its hosts."""
+        zones = {host.name: host.zone for host in situation.hosts}
+        returning = planner.returning_zones(situation)
+        for action in done:
+            if isinstance(action, model.Assign):
+                zone = zones[action.host]
+                if zone in returning:
+                    self._returned_ms[zone] = situation.now_ms
+
+
+def _frees_a_host(applied):
+    return any(isinstance(action, model.Release) for action in applied.done)
--- a/figtray/capacity/model.py
+++ b/figtray/capacity/model.py
@@ -81,7 +81,8 @@
     `drained` are hosts without a running task whose drain is in force
     everywhere. `rebooted` came back from maintenance; `stuck` did not in
     the time that reboots take; `not_rebooted` are up, but no reboot was
-    seen. `returned_ms` has the time of the last step by zone.
+    seen. `returned_ms` has the zones that came back into service with the
+    time of the last step of each.
     """
 
     hosts: tuple[HostView, ...]
--- a/figtray/capacity/mover.py
+++ b/figtray/capacity/mover.py
@@ -29,9 +29,14 @@
 
 @dataclasses.dataclass(frozen=True)
 class Applied:
-    """Outcome of some actions; `refused` has (action, detail) pairs."""
+    """Outcome of some actions; `refused` has (action, detail) pairs.
 
-    generation: int
+    `generation` is 0 if nothing was changed; `accepted_ms` is the time at
+    which the change was accepted.
+    """
+
+    generation: int = 0
+    accepted_ms: int = 0
     done: tuple = ()
     refused: tuple = ()
 
@@ -91,9 +96,10 @@
                 build, change_id=uuid.uuid4().hex, guards=guards
             )
         except Nothing:
-            return Applied(0, (), tuple(outcome['refused']))
+            return Applied(refused=tuple(outcome['refused']))
         return Applied(
             committed.change.generation,
+            committed.accepted_ms,
             tuple(outcome['done']),
             tuple(outcome['refused']),
         )
@@ -249,6 +255,12 @@
         self._entries = entries
         self._clock = clock
         self._in_force_ms = {}
+        self._accepted_ms = {}
+
+    def note_accepted(self, applied):
+        """Learn when a change was accepted, from an Applied."""
+        if applied.generation:
+            self._accepted_ms[applied.generation] = applied.accepted_ms
 
     def update(self, snapshot):
         """Learn which draining states the entries hold.
@@ -276,8 +288,10 @@
             now_ms = self._clock.now_ms()
             for name, version in draining.items():
                 if name not in known and version <= accepted:
-                    known[name] = version, now_ms + FRESHNESS_MS + MARGIN_MS
+                    at_ms = self._accepted_ms.get(version, now_ms)
+                    known[name] = version, at_ms + FRESHNESS_MS + MARGIN_MS
         self._in_force_ms = known
+        self._accepted_ms.clear()
         now_ms = self._clock.now_ms()
         return {name for name, (_, at_ms) in known.items() if at_ms <= now_ms}
 
--- a/figtray/capacity/observer.py
+++ b/figtray/capacity/observer.py
@@ -112,6 +112,14 @@
             returned_ms=returned_ms,
         )
 
+    def note_accepted(self, applied):
+        """Learn when a change of this controller was accepted.
+
+        Args:
+            applied: the mover.Applied.
+        """
+        self._drains.note_accepted(applied)
+
     def _read_list(self, hosts):
         now_ms = self._clock.now_ms()
         try:
--- a/figtray/capacity/planner.py
+++ b/figtray/capacity/planner.py
@@ -28,6 +28,34 @@
     return _Planning(situation).run()
 
 
+def returning_zones(situation):
+    """Return the zones that are ramping up, with the hosts of one step.
+
+    A controller that saw a zone come back names it in `returned_ms`. One
+    that took over in the meantime knows it by its released hosts: moves
+    never leave most of a zone released.
+
+    Args:
+        situation: the model.Situation.
+
+    Returns:
+        Mapping of zone to the number of hosts of a step.
+    """
+    totals = collections.Counter(host.zone for host in situation.hosts)
+    released = collections.Counter(
+        host.zone
+        for host in situation.hosts
+        if host.state is resources.HostState.RELEASED
+    )
+    known = dict(situation.returned_ms)
+    return {
+        zone: math.ceil(totals[zone] / situation.thresholds.return_steps)
+        for zone, count in released.items()
+        if zone not in situation.zones_out
+        and (zone in known or 2 * count > totals[zone])
+    }
+
+
 class _Planning:
     """One run of the planner."""
 
@@ -152,7 +180,7 @@
         return self.need[pool] - self.ledger.slots[pool] - self.promised[pool]
 
     def _assign(self, released):
-        allowed = self._return_allowance(released)
+        allowed = self._return_allowance()
         for host in sorted(released, key=lambda h: (h.zone, h.name)):
             if allowed.get(host.zone, 1) <= 0:
                 self.coming += 1
@@ -163,22 +191,13 @@
             self.actions.append(model.Assign(host.name, pool, reason))
             self.promised[pool] += host.slots
 
-    def _return_allowance(self, released):
+    def _return_allowance(self):
         """Return how many hosts of each returning zone may serve now."""
-        situation = self.situation
-        totals = collections.Counter(host.zone for host in situation.hosts)
-        waiting = collections.Counter(host.zone for host in released)
-        returned_ms = dict(situation.returned_ms)
+        returned_ms = dict(self.situation.returned_ms)
         allowed = {}
-        for zone, count in waiting.items():
-            step = math.ceil(totals[zone] / self.thresholds.return_steps)
-            last_ms = returned_ms.get(zone)
-            if count <= step and last_ms is None:
-                continue
-            pause_ms = self.thresholds.return_step_ms
-            rests = (
-                last_ms is not None and situation.now_ms - last_ms < pause_ms
-            )
+        for zone, step in returning_zones(self.situation).items():
+            next_ms = returned_ms.get(zone, 0) + self.thresholds.return_step_ms
+            rests = next_ms > self.situation.now_ms
             allowed[zone] = 0 if rests else step
         return allowed
 
