--- a/figtray/capacity/duty.py
+++ b/figtray/capacity/duty.py
@@ -1,5 +1,6 @@
 """The controller's duty to keep the capacity in its planned state."""
 
+import dataclasses
 import time
 
 from figtray.capacity import demand as demand_lib
@@ -73,7 +74,9 @@
         snapshot, _ = self._writer.read()
         now_ms = self._clock.now_ms()
         self._note_zones(snapshot, now_ms)
-        thresholds = model.make_thresholds(snapshot.policy)
+        thresholds = model.make_thresholds(
+            snapshot.policy, outage=bool(self._zones_out)
+        )
         demand = self._tracker.update(
             self._read_demand(), now_ms, thresholds.interval_ms
         )
@@ -92,6 +95,9 @@
             if not any(_frees_a_host(item) for item in step):
                 break
             snapshot, _ = self._writer.read()
+            observation = dataclasses.replace(
+                observation, returned_ms=tuple(self._returned_ms.items())
+            )
         return applied
 
     def _act(self, snapshot, observation, mover):
--- a/figtray/capacity/model.py
+++ b/figtray/capacity/model.py
@@ -186,17 +186,20 @@
     forecast: Forecast
 
 
-def make_thresholds(policy):
+def make_thresholds(policy, outage=False):
     """Derive the thresholds from a policy.
 
     An operator who weighs moves most gets a longer interval and moves that
     must pay more; one who weighs outage work and share most gets hosts lent
     more quickly. The pay factor grows with the square of the interval's
     factor, because the gain is counted over the interval; it is at least 1,
-    as every move has to pay for its drain.
+    as every move has to pay for its drain. While a zone is out of service,
+    lending is quick whatever the weights: there is little slack to absorb a
+    peak, and work lost in an outage is not made up.
 
     Args:
         policy: the resources.Policy.
+        outage: True while a zone is out of service.
 
     Returns:
         The Thresholds.
@@ -204,6 +207,8 @@
     weights = policy.weights
     quick = max(weights.outage_work + weights.share, 1) / 2
     factor = max(weights.moves, 0.5) / quick
+    if outage:
+        factor = 0
     factor = min(max(factor, 1 / MAX_HYSTERESIS_FACTOR), MAX_HYSTERESIS_FACTOR)
     return Thresholds(
         interval_ms=round(BASE_INTERVAL_MS * factor),
--- a/figtray/capacity/situation.py
+++ b/figtray/capacity/situation.py
@@ -47,6 +47,9 @@
         for field in dataclasses.fields(observation)
         if field.name != 'demand'
     }
+    zones_out = frozenset(
+        name for name, spec in zones.items() if not spec.in_service
+    )
     for name in ('drained', 'rebooted', 'not_rebooted'):
         seen[name] = _still_valid(snapshot, seen[name])
     return model.Situation(
@@ -55,10 +58,8 @@
             _make_pool(name, spec, observation.demand)
             for name, spec in snapshot.specs(resources.Kind.POOL).items()
         ),
-        zones_out=frozenset(
-            name for name, spec in zones.items() if not spec.in_service
-        ),
-        thresholds=model.make_thresholds(snapshot.policy),
+        zones_out=zones_out,
+        thresholds=model.make_thresholds(snapshot.policy, bool(zones_out)),
         **seen,
     )
 
