--- a/figtray/entry/node.py
+++ b/figtray/entry/node.py
@@ -138,7 +138,7 @@
             self.forwarder,
         )
         self._synchroniser = heartbeat.Synchroniser(
-            self.slots, cfg.slot, self.replica, self.right, clock
+            self.slots, self.replica, self.right, clock
         )
         self._heartbeats = [
             heartbeat.HeartbeatTask(
@@ -546,6 +546,7 @@
             synchronised=self.right.synchronised,
             serving=self.right.holds(),
             demand=self.view.peek(),
+            run_ms=self.view.run_times(),
             allotments=self.allotments.report(),
         )
 
