Count arrivals in the entries for the planner's demand

The status of an entry carries the requests that arrived by pool; the reader adds them up by entry and incarnation, so that a restart or a late reply does not look like a peak.

--- a/figtray/bench/fleet.py
+++ b/figtray/bench/fleet.py
@@ -146,7 +146,14 @@
     arguments of the CapacityDuty.
     """
 
-    def __init__(self, deployment, items=None, task_ms=2_000, **duty):
+    def __init__(
+        self,
+        deployment,
+        items=None,
+        task_ms=2_000,
+        counts_arrivals=True,
+        **duty,
+    ):
         self.deployment = deployment
         self.clock = clock_lib.ManualClock()
         self.store = store_memory.MemoryStore(self.clock)
@@ -193,7 +200,7 @@
         )
         self.start_ms = self.clock.now_ms()
         self.skew_s = 0
-        self.counts_arrivals = True
+        self.counts_arrivals = counts_arrivals
 
     @property
     def snapshot(self):
--- a/figtray/capacity/demand.py
+++ b/figtray/capacity/demand.py
@@ -30,32 +30,48 @@
     arrived: float | None = None
 
 
-def from_status(status):
-    """Sum the load of the pools over the entries.
+class LoadReader:
+    """Sums the load of the pools over the entries.
 
-    Args:
-        status: mapping of slot to messages.StatusReply.
-
-    Returns:
-        Mapping of pool to PoolLoad.
+    Arrivals are added up by entry, so that an entry that restarts, or whose
+    status comes late, does not look like a fall and a peak.
     """
-    running = collections.Counter()
-    queued = collections.Counter()
-    run_ms = {}
-    for reply in status.values():
-        for pool in reply.demand.pools if reply.demand else ():
-            running[pool.pool] += sum(team.running for team in pool.teams)
-            queued[pool.pool] += sum(team.queued for team in pool.teams)
-        for pool, mean_ms in reply.run_ms.items():
-            run_ms.setdefault(pool, []).append(mean_ms)
-    return {
-        pool: PoolLoad(
-            running[pool],
-            queued[pool],
-            sum(run_ms.get(pool, ())) / max(1, len(run_ms.get(pool, ()))),
-        )
-        for pool in {*running, *queued, *run_ms}
-    }
+
+    def __init__(self):
+        self._counted = {}
+        self._arrived = collections.Counter()
+
+    def read(self, status):
+        """Take in the status of the entries that answered.
+
+        Args:
+            status: mapping of slot to messages.StatusReply.
+
+        Returns:
+            Mapping of pool to PoolLoad.
+        """
+        running = collections.Counter()
+        queued = collections.Counter()
+        run_ms = collections.defaultdict(list)
+        for reply in status.values():
+            for pool in reply.demand.pools if reply.demand else ():
+                running[pool.pool] += sum(team.running for team in pool.teams)
+                queued[pool.pool] += sum(team.queued for team in pool.teams)
+            for pool, mean_ms in reply.run_ms.items():
+                run_ms[pool].append(mean_ms)
+            for pool, count in reply.arrived.items():
+                key = reply.slot, reply.incarnation, pool
+                self._arrived[pool] += count - self._counted.get(key, count)
+                self._counted[key] = count
+        return {
+            pool: PoolLoad(
+                running[pool],
+                queued[pool],
+                sum(run_ms[pool]) / max(1, len(run_ms[pool])),
+                self._arrived[pool] if pool in self._arrived else None,
+            )
+            for pool in {*running, *queued, *run_ms}
+        }
 
 
 @dataclasses.dataclass
@@ -141,8 +157,7 @@
     last = history.last
     run_times = load.run_ms / elapsed_ms if elapsed_ms else 0
     if load.arrived is not None and last.arrived is not None:
-        # Entries that restart count from 0 again.
-        arrived = max(load.arrived - last.arrived, 0)
+        arrived = load.arrived - last.arrived
         return arrived * run_times if elapsed_ms else load.running
     # Tasks that started less than a run time ago have not ended yet;
     # counting them would double the demand at the start of a peak.
--- a/figtray/capacity/tests/test_demand.py
+++ b/figtray/capacity/tests/test_demand.py
@@ -1,6 +1,8 @@
 """Tests of the demand tracker."""
 
 from figtray.capacity import demand
+from figtray.configuration import snapshot
+from figtray.peers import messages
 
 INTERVAL_MS = 10_000
 RUN_MS = 2_000
@@ -29,6 +31,37 @@
         yield demand.PoolLoad(sum(starts), queued, RUN_MS, arrived)
 
 
+class TestLoadReader:
+    """Guards against restarts and late replies that look like peaks."""
+
+    def test_sums_arrivals_by_entry_and_incarnation(self):
+        reader = demand.LoadReader()
+        rounds = (
+            {'e1': ('i1', 100), 'e2': ('i2', 50)},
+            {'e1': ('i1', 110)},
+            {'e1': ('i1', 120), 'e2': ('i2', 80)},
+            {'e1': ('i3', 5), 'e2': ('i2', 80)},
+            {'e1': ('i3', 9), 'e2': ('i2', 80)},
+        )
+        arrived = []
+        for replies in rounds:
+            status = {
+                slot: messages.StatusReply(
+                    slot,
+                    incarnation,
+                    1,
+                    snapshot.Mark(1, ''),
+                    True,
+                    True,
+                    run_ms={'a': 50},
+                    arrived={'a': count},
+                )
+                for slot, (incarnation, count) in replies.items()
+            }
+            arrived.append(reader.read(status)['a'].arrived)
+        assert arrived == [0, 10, 50, 50, 54]
+
+
 class TestDemandTracker:
     """Guards against demand that is overstated, or hidden by refusals."""
 
--- a/figtray/controller/main.py
+++ b/figtray/controller/main.py
@@ -59,6 +59,7 @@
     election = election_lib.Election(
         store, cfg.deployment, cfg.name, clock, cfg.lease_ttl_ms
     )
+    loads = demand_lib.LoadReader()
     duties = [
         propagation.PropagationDuty(store, cfg.deployment, writer, group),
         recount_duty.RecountDuty(
@@ -75,7 +76,7 @@
         duty_lib.CapacityDuty(
             writer,
             observer_lib.Observer(host_list, client, group, clock, executor),
-            lambda: demand_lib.from_status(group.status()),
+            lambda: loads.read(group.status()),
             clock,
         ),
     ]
--- a/figtray/dispatch/dispatcher.py
+++ b/figtray/dispatch/dispatcher.py
@@ -103,6 +103,7 @@
             size_bytes=len(req.body),
             item=task,
         )
+        self._view.arrived(req.pool)
         refusal = self._queues.add(queued)
         if refusal is not None:
             task.finish(refusal)
--- a/figtray/entry/node.py
+++ b/figtray/entry/node.py
@@ -547,6 +547,7 @@
             serving=self.right.holds(),
             demand=self.view.peek(),
             run_ms=self.view.run_times(),
+            arrived=self.view.arrivals(),
             allotments=self.allotments.report(),
         )
 
--- a/figtray/peers/messages.py
+++ b/figtray/peers/messages.py
@@ -85,7 +85,11 @@
 
 @codec.register
 class StatusReply(msgspec.Struct, frozen=True, omit_defaults=True):
-    """State of an entry; `run_ms` is the mean run time by pool."""
+    """State of an entry; `run_ms` is the mean run time by pool.
+
+    `arrived` counts the requests of a pool in this incarnation, those that
+    were refused for want of capacity included.
+    """
 
     slot: str
     incarnation: str
@@ -95,6 +99,7 @@
     serving: bool
     demand: view.DemandReport | None = None
     run_ms: dict[str, float] = {}
+    arrived: dict[str, int] = {}
     allotments: tuple[TeamAllotment, ...] = ()
 
 
--- a/figtray/shares/view.py
+++ b/figtray/shares/view.py
@@ -96,6 +96,7 @@
         self.teams = {}
         self.own = {}
         self.mean_run_ms = 0.0
+        self.arrived = 0
         self.is_dirty = True
         self.computed_ms = None
         self.is_saturated = False
@@ -161,6 +162,18 @@
         with self._lock:
             self._pools.pop(pool, None)
 
+    def arrived(self, pool):
+        """Count a request before it is queued or refused."""
+        with self._lock:
+            state = self._pools.get(pool)
+            if state is not None:
+                state.arrived += 1
+
+    def arrivals(self):
+        """Return the requests that arrived so far for each pool."""
+        with self._lock:
+            return {name: state.arrived for name, state in self._pools.items()}
+
     def queued(self, pool, team, urgent=False, count=1):
         """Count requests that were added to the queues."""
         with self._lock:
