Preview plans in the operators' API

POST /v1/plan answered 501 as no planner was configured. The previewer uses the host list; it does not know the demand, so moves for present peaks are not part of a preview.

--- a/figtray/api/main.py
+++ b/figtray/api/main.py
@@ -4,9 +4,11 @@
 
 from figtray.api import app as app_lib
 from figtray.api import messages
+from figtray.capacity import preview
 from figtray import clock as clock_lib
 from figtray.configuration import archive as archive_lib
 from figtray.configuration import writer as writer_lib
+from figtray.hostlist import http as hostlist_http
 from figtray import listener
 from figtray import metrics as metrics_lib
 from figtray.peers import group as group_lib
@@ -42,6 +44,9 @@
         uuid.uuid4().hex,
         cfg.push_timeout_ms,
     )
+    host_list = hostlist_http.HttpHostList(
+        cfg.host_list.address, cfg.host_list.timeout_ms, clock
+    )
     app = app_lib.Application(
         writer_lib.Writer(store, cfg.deployment, group, clock),
         archive_lib.Archive(store, cfg.deployment),
@@ -49,6 +54,7 @@
         clock,
         cfg.deployment,
         credential_hash,
+        planner=preview.Previewer(host_list),
         metrics_page=metrics.page,
     )
     server = listener.Listener(
--- a/figtray/bench/capacity.py
+++ b/figtray/bench/capacity.py
@@ -52,9 +52,10 @@
 class MovesRow:
     """Host moves in one cycle of the peaks.
 
-    `needs_met` is the fewest if the pool at its peak gets just the hosts
-    that its demand fills; `greedy` has no hysteresis. The served parts are
-    of the arrived work.
+    The fewest give the pool at its peak just the hosts that its demand
+    fills. Greedy moves follow running + queued without hysteresis. The
+    uncounted moves are those of the planner without arrival counts. The
+    served parts are of the arrived work.
     """
 
     deployment: str
@@ -62,6 +63,7 @@
     fewest_moves: float
     greedy_moves: float
     ratio: float
+    uncounted_moves: float
     planner_served: float
     greedy_served: float
     unmoved_served: float
@@ -91,6 +93,7 @@
 
     deployment: str
     work: float
+    uncounted_work: float
     unmoved_work: float
     largest_step: float
     unmoved_step: float
@@ -244,6 +247,7 @@
     _, unmoved_served = _count_moves(
         deployment, cycles, make_plan=plan_without_moves
     )
+    uncounted, _ = _count_moves(deployment, cycles, counts_arrivals=False)
     fewest = fewest_moves(deployment)
     return MovesRow(
         deployment.name,
@@ -251,6 +255,7 @@
         fewest,
         greedy,
         by_planner / fewest,
+        uncounted,
         served,
         greedy_served,
         unmoved_served,
@@ -381,7 +386,10 @@
     unmoved_work, unmoved_step = _outage(
         deployment, load, make_plan=plan_without_moves
     )
-    return OutageRow(deployment.name, work, unmoved_work, step, unmoved_step)
+    uncounted, _ = _outage(deployment, load, counts_arrivals=False)
+    return OutageRow(
+        deployment.name, work, uncounted, unmoved_work, step, unmoved_step
+    )
 
 
 def _outage(deployment, load, **duty):
--- a/figtray/capacity/tests/test_preview.py
+++ b/figtray/capacity/tests/test_preview.py
@@ -53,3 +53,24 @@
         result = self.preview(resources.Kind.POOL, 'hydro', min_slots=8)
         assert (result.moves, result.duration_ms) == ((), 0)
         assert result.buffer_hosts == -3
+
+    def test_the_api_previews_with_what_the_host_list_says(self):
+        host_list = self.fleet.host_list
+        self.fleet._report()
+        del host_list.hosts['host-000']
+        previewer = preview.Previewer(host_list, self.fleet.wall_s)
+        zone = resources.Zone(in_service=False)
+        items = [fleet_lib.item(resources.Kind.ZONE, 'dc-2', zone)]
+        document = previewer(self.fleet.snapshot, items)
+        # The pool of the failed host loses two more and gets one back.
+        reasons = [move['reason'] for move in document['moves']]
+        assert (reasons.count('zone_out'), reasons.count('guarantee')) == (
+            10,
+            1,
+        )
+        assert document['left'] == 3
+        assert document['host_list_answered']
+        host_list.down = True
+        document = previewer(self.fleet.snapshot, ())
+        assert (document['left'], len(document['moves'])) == (4, 0)
+        assert not document['host_list_answered']
