--- a/figtray/capacity/demand.py
+++ b/figtray/capacity/demand.py
@@ -20,46 +20,68 @@
     """Load of a pool, summed over the entries.
 
     `run_ms` is the mean run time of its tasks; 0 if it is not known.
+    `arrived` counts all requests so far, those that a full queue refused
+    included; None if they are not counted.
     """
 
     running: float
     queued: float
     run_ms: float = 0
+    arrived: float | None = None
 
 
-def from_status(status):
-    """Sum the load of the pools over the entries.
+class LoadReader:
+    """Sums the load of the pools over the entries.
 
-    Args:
-        status: mapping of slot to messages.StatusReply.
-
-    Returns:
-        Mapping of pool to PoolLoad.
+    Arrivals are added up by entry, so that an entry that restarts, or whose
+    status comes late, does not look like a fall and a peak.
     """
-    running = collections.Counter()
-    queued = collections.Counter()
-    run_ms = {}
-    for reply in status.values():
-        for pool in reply.demand.pools if reply.demand else ():
-            running[pool.pool] += sum(team.running for team in pool.teams)
-            queued[pool.pool] += sum(team.queued for team in pool.teams)
-        for pool, mean_ms in reply.run_ms.items():
-            run_ms.setdefault(pool, []).append(mean_ms)
-    return {
-        pool: PoolLoad(
-            running[pool],
-            queued[pool],
-            sum(run_ms.get(pool, ())) / max(1, len(run_ms.get(pool, ()))),
-        )
-        for pool in {*running, *queued, *run_ms}
-    }
+
+    def __init__(self):
+        self._counted = {}
+        self._arrived = collections.Counter()
+
+    def read(self, status):
+        """Take in the status of the entries that answered.
+
+        Args:
+            status: mapping of slot to messages.StatusReply.
+
+        Returns:
+            Mapping of pool to PoolLoad.
+        """
+        running = collections.Counter()
+        queued = collections.Counter()
+        run_ms = collections.defaultdict(list)
+        for reply in status.values():
+            for pool in reply.demand.pools if reply.demand else ():
+                running[pool.pool] += sum(team.running for team in pool.teams)
+                queued[pool.pool] += sum(team.queued for team in pool.teams)
+            for pool, mean_ms in reply.run_ms.items():
+                run_ms[pool].append(mean_ms)
+            for pool, count in reply.arrived.items():
+                key = reply.slot, reply.incarnation, pool
+                self._arrived[pool] += count - self._counted.get(key, count)
+                self._counted[key] = count
+        return {
+            pool: PoolLoad(
+                running[pool],
+                queued[pool],
+                sum(run_ms[pool]) / max(1, len(run_ms[pool])),
+                self._arrived[pool] if pool in self._arrived else None,
+            )
+            for pool in {*running, *queued, *run_ms}
+        }
 
 
 @dataclasses.dataclass
 class _History:
     """Last sample and recent smoothed values of a pool."""
 
-    total: float
+    last: PoolLoad
+    running: collections.deque = dataclasses.field(
+        default_factory=collections.deque
+    )
     smoothed: float | None = None
     recent: collections.deque = dataclasses.field(
         default_factory=collections.deque
@@ -71,8 +93,9 @@
 
     Running + queued counts every queued request as a slot, and would move
     more hosts the longer a queue has grown. The tracker estimates how many
-    slots the arriving work keeps busy: those that run now, and by how much
-    running + queued grows in one run time.
+    slots the arriving work keeps busy: by the requests that arrived if they
+    are counted, else by the growth of running + queued. The growth doesn't
+    show what a full queue refuses.
     """
 
     def __init__(self):
@@ -97,11 +120,11 @@
         rate = 1 - math.exp(-elapsed_ms / window_ms)
         result = {}
         for pool, load in loads.items():
-            history = self._pools.setdefault(
-                pool, _History(load.running + load.queued)
+            history = self._pools.setdefault(pool, _History(load))
+            value = _needed_slots(
+                load, history, now_ms, elapsed_ms, interval_ms
             )
-            value = _needed_slots(load, history, elapsed_ms, interval_ms)
-            history.total = load.running + load.queued
+            history.last = load
             if history.smoothed is None:
                 history.smoothed = value
             recent = history.recent
@@ -117,11 +140,27 @@
         return result
 
 
-def _needed_slots(load, history, elapsed_ms, interval_ms):
+def _needed_slots(load, history, now_ms, elapsed_ms, interval_ms):
+    history.running.append((now_ms, load.running))
     if not load.run_ms:
         return load.running + load.queued
-    growth = load.running + load.queued - history.total
-    grown = growth / elapsed_ms * load.run_ms if elapsed_ms else 0
+    while len(history.running) > 1 and (
+        history.running[1][0] <= now_ms - load.run_ms
+    ):
+        history.running.popleft()
     clearing_ms = CLEARING_FACTOR * interval_ms
     clearing = load.queued * min(1, load.run_ms / clearing_ms)
-    return max(load.running + grown, 0) + clearing
+    return max(_arriving_slots(load, history, elapsed_ms), 0) + clearing
+
+
+def _arriving_slots(load, history, elapsed_ms):
+    last = history.last
+    run_times = load.run_ms / elapsed_ms if elapsed_ms else 0
+    if load.arrived is not None and last.arrived is not None:
+        arrived = load.arrived - last.arrived
+        return arrived * run_times if elapsed_ms else load.running
+    # Tasks that started less than a run time ago have not ended yet;
+    # counting them would double the demand at the start of a peak.
+    ended = history.running[0][1]
+    growth = load.running + load.queued - last.running - last.queued
+    return ended + growth * run_times
--- a/figtray/capacity/observer.py
+++ b/figtray/capacity/observer.py
@@ -13,6 +13,9 @@
 
 FAILED_AFTER_MS = 10_000
 REPORT_TIMEOUT_MS = 1_000
+# Hosts that don't answer must not keep the controller from renewing its
+# lease; those that were not asked in time are asked in the next iteration.
+ROUND_TIMEOUT_MS = 2_000
 REPORTS_PER_ROUND = 256
 PROBES_PER_ROUND = 64
 DRAINS_KEPT = 200
@@ -109,6 +112,14 @@
             returned_ms=returned_ms,
         )
 
+    def note_accepted(self, applied):
+        """Learn when a change of this controller was accepted.
+
+        Args:
+            applied: the mover.Applied.
+        """
+        self._drains.note_accepted(applied)
+
     def _read_list(self, hosts):
         now_ms = self._clock.now_ms()
         try:
@@ -152,10 +163,9 @@
             return self._workers.report(hosts[name].address, REPORT_TIMEOUT_MS)
 
         unique = list(dict.fromkeys(names))
-        rounds = -(-len(unique) // 32) or 1
         return dict(
             writer_lib.in_parallel(
-                self._executor, report, unique, rounds * REPORT_TIMEOUT_MS
+                self._executor, report, unique, ROUND_TIMEOUT_MS
             )
         )
 
