Look up the allotments of a team once per recount

Cause: for each team the recount went through every team's allotment in every report, so its time grew with teams squared times entries.

Change: the reports are indexed by team first. A team whose limit an entry knows in another version is left out as before.

--- a/figtray/limits/recount.py
+++ b/figtray/limits/recount.py
@@ -155,10 +155,17 @@
     def _grant(self, epoch, snapshot, reports, orphans, unknown_slots):
         grants = {slot: [] for slot in reports}
         granted = {}
+        by_team = _by_team(reports)
         for team, spec in snapshot.specs(resources.Kind.TEAM).items():
             version = snapshot.item(resources.Kind.TEAM, team).version
-            items = _items_of(team, version, reports)
-            if items is None:
+            items = {
+                slot: item
+                for slot, item in by_team.get(team, {}).items()
+                if item.version == version
+            }
+            if len(items) < len(reports):
+                # An entry has another version of the limit: the numbers
+                # can't be compared.
                 continue
             taken = sum(max(i.held, i.in_use) for i in items.values())
             free = spec.limit - taken - orphans[team] - unknown_slots
@@ -174,19 +181,13 @@
         return granted
 
 
-def _items_of(team, version, reports):
-    """Return the report of a team by slot.
-
-    Returns:
-        Mapping of slot to TeamAllotment, or None if an entry has another
-        version of the limit: its numbers can't be compared.
-    """
+def _by_team(reports):
+    """Return the TeamAllotment of each team by slot."""
     result = {}
     for slot, report in reports.items():
         for item in report.allotments:
-            if item.team == team and item.version == version:
-                result[slot] = item
-    return result if len(result) == len(reports) else None
+            result.setdefault(item.team, {})[slot] = item
+    return result
 
 
 def spread(free, items):
