Ask for the unusable workers of a pool once, not for each host

Cause: the choice of a host and the capacity of a pool asked the worker health for every host, each time under its lock.

Change: WorkerHealth.unusable(pool) returns the suspended workers in one call. A worker that is quarantined between this call and the choice gets one start as a probe; before, the same could happen between the check of a host and its claim. The test of quarantines compares both at each step.

Ruled out: a cached capacity, because probes become due, zones return in steps and the host list changes without any message.

--- a/figtray/dispatch/health.py
+++ b/figtray/dispatch/health.py
@@ -130,6 +130,24 @@
                 or self._clock.now_ms() >= worker.probe_at_ms
             )
 
+    def unusable(self, pool):
+        """Return the workers of a pool that may get no start now.
+
+        One call for all workers of a pool costs a fraction of is_usable()
+        for each, which counts for pools of hundreds of hosts.
+        """
+        with self._lock:
+            workers = self._pools.get(pool, {})
+            suspended = [w for w in workers.items() if w[1].is_quarantined]
+            if not suspended:
+                return frozenset()
+            now_ms = self._clock.now_ms()
+            return frozenset(
+                host
+                for host, worker in suspended
+                if now_ms < worker.probe_at_ms
+            )
+
     def claim(self, pool, host):
         """Note that a usable worker gets a start.
 
--- a/figtray/dispatch/selection.py
+++ b/figtray/dispatch/selection.py
@@ -90,10 +90,11 @@
         do not get a surge of work at once.
         """
         with self._lock:
+            unusable = self._unusable(pool)
             return sum(
                 self._usable_slots(candidate)
                 for candidate in self._pools.get(pool, ())
-                if self._is_usable(pool, candidate)
+                if candidate.host not in unusable
             )
 
     def pick(self, pool, excluded=()):
@@ -111,14 +112,15 @@
         with self._lock:
             best = None
             best_load = 1.0
+            unusable = self._unusable(pool)
             for candidate in self._pools.get(pool, ()):
                 host = candidate.host
-                if host in excluded or now_ms < self._paused_until_ms.get(
-                    host, 0
+                if (
+                    host in excluded
+                    or host in unusable
+                    or now_ms < self._paused_until_ms.get(host, 0)
                 ):
                     continue
-                if not self._is_usable(pool, candidate):
-                    continue
                 room = min(self._usable_slots(candidate), self._connections)
                 in_flight = self._in_flight.get(host, 0)
                 if room and in_flight / room < best_load:
@@ -157,12 +159,13 @@
         """Return why each host is or is not used, for the debug page."""
         now_ms = self._clock.now_ms()
         with self._lock:
+            unusable = {pool: self._unusable(pool) for pool in self._pools}
             return {
                 candidate.host: {
                     'pool': pool,
                     'in_flight': self._in_flight.get(candidate.host, 0),
                     'leaving': candidate.host in self._leaving,
-                    'usable': self._is_usable(pool, candidate),
+                    'usable': candidate.host not in unusable[pool],
                     'usable_slots': self._usable_slots(candidate),
                     'paused_ms': max(
                         0,
@@ -173,10 +176,8 @@
                 for candidate in candidates
             }
 
-    def _is_usable(self, pool, candidate):
-        return candidate.host not in self._leaving and self._health.is_usable(
-            pool, candidate.host
-        )
+    def _unusable(self, pool):
+        return self._leaving | self._health.unusable(pool)
 
     def _usable_slots(self, candidate):
         slots = candidate.spec.slots
--- a/figtray/dispatch/tests/test_health.py
+++ b/figtray/dispatch/tests/test_health.py
@@ -41,7 +41,9 @@
         for _attempt in range(4):
             manual.advance(step_ms)
             address = rng.choice(GOOD)
-            if not workers.is_usable('p', address):
+            is_usable = workers.is_usable('p', address)
+            assert (address not in workers.unusable('p')) == is_usable
+            if not is_usable:
                 continue
             if workers.is_bad_job(task):
                 break
