--- a/figtray/events/catalogue.py
+++ b/figtray/events/catalogue.py
@@ -141,7 +141,13 @@
     501,
     logbook.INFO,
     'A recount of allotments has finished.',
-    ('epoch', 'joined', 'fenced', 'duration_ms'),
+    ('epoch', 'granted', 'orphans', 'duration_ms'),
+)
+RECOUNT_ABANDONED = Event(
+    503,
+    logbook.WARNING,
+    'A recount of allotments was abandoned; nothing was granted.',
+    ('epoch', 'reason'),
 )
 GRANT_REFUSED = Event(
     502,
@@ -227,6 +233,19 @@
     ('team', 'queue', 'reason', 'verdict'),
 )
 
+OPERATOR_CHANGE = Event(
+    1100,
+    logbook.INFO,
+    'An operator change was accepted.',
+    ('change_id', 'generation', 'resources', 'unconfirmed'),
+)
+OPERATOR_CHANGE_FAILED = Event(
+    1101,
+    logbook.WARNING,
+    'An operator change was not accepted.',
+    ('change_id', 'resources', 'outcome', 'detail'),
+)
+
 
 def by_name():
     """Return all events by name, in the order of their numbers.
