--- a/figtray/bench/slopes.py
+++ b/figtray/bench/slopes.py
@@ -27,6 +27,8 @@
 from figtray.entry import app as app_lib
 from figtray.entry import handlers as handlers_lib
 from figtray.events import log
+from figtray.hostlist import base as hostlist_base
+from figtray.hostlist import http as hostlist_http
 from figtray.limits import allotments as allotments_lib
 from figtray.limits import recount as recount_lib
 from figtray.peers import messages
@@ -277,6 +279,30 @@
     }
 
 
+def measure_host_list(hosts, repeats):
+    """Measure one read of the host list, as each process makes it."""
+    data = json.dumps(
+        {
+            'hosts': [
+                {
+                    'host': f'host-{number:05d}',
+                    'presence': hostlist_base.HostPresence.LIVE.value,
+                    'boot_id': f'{number:032x}',
+                    'running': 5,
+                    'age_ms': 1_000,
+                }
+                for number in range(hosts)
+            ]
+        }
+    ).encode()
+    return {
+        'host list (bytes)': len(data),
+        'read the host list (us)': cpu_us(
+            lambda: hostlist_http.parse_hosts(data), repeats
+        ),
+    }
+
+
 # -- peers and shares ---------------------------------------------------------
 
 
@@ -429,10 +455,10 @@
         self.slots = tuple(reports)
         self._reports = reports
 
-    def join(self, epoch):
+    def join(self, epoch, floor):
         return dict(self._reports)
 
-    def fence(self, slot, epoch):
+    def fence(self, floor):
         return set(self.slots)
 
     def grant(self, slot, grant):
@@ -459,11 +485,13 @@
     recount = recount_lib.Recount(
         _Entries(reports), lambda _: {}, clock, lambda _: True
     )
-    known = {slot: report.incarnation for slot, report in reports.items()}
+    known = recount_lib.Members(
+        0, {slot: report.incarnation for slot, report in reports.items()}
+    )
     allotments = allotments_lib.Allotments('entry-1', 'run', clock)
     return {
         'recount without workers (us)': cpu_us(
-            lambda: recount.run(1, snapshot, known), repeats
+            lambda: recount.run(1, snapshot, known, lambda _: None), repeats
         ),
         'is a recount needed (us)': cpu_us(
             lambda: recount_duty.is_needed(snapshot, status), repeats
@@ -695,6 +723,7 @@
         (64, 128, 256, 512),
         2,
     ),
+    Group('host list', 'hosts', measure_host_list, _HOSTS, _QUICK_HOSTS, 4),
     Group('writer', 'hosts', measure_writer, _HOSTS, _QUICK_HOSTS, 4),
     Group(
         'heartbeat',
