Ask entries for a brief status where only their mark is wanted

Cause: EntryGroup.marks() is called for every read and write of the configuration: five times a second by an active controller, once a second by an API that is read. Each call made every entry report its demand and allotments, which grow with pools times teams, to use the mark alone.

Change: StatusRequest has a field `brief`; the reply to it leaves out demand, run times and allotments. Entries and callers of the version before ignore the field and send the whole status, which still works.

The fake entry of test_serving_machine.py takes the new argument; its checks are unchanged. A test guards that marks() asks briefly and status() does not.

Ruled out: a shorter interval between the controller's reads, which would delay the repair of a store with an older state.

--- a/figtray/bench/slopes.py
+++ b/figtray/bench/slopes.py
@@ -335,10 +335,13 @@
     reply = codec.encode('a', 'run', 1, handlers.handle(envelope, message))
     status = codec.encode('a', 'run', 1, node.status())
     exchange = exchange_bytes(len(encoded), len(reply))
+    brief = codec.encode('a', 'run', 1, node.status(brief=True))
     return {
         'heartbeat (bytes)': len(encoded),
         'heartbeat and reply with overhead (bytes)': exchange,
         'status reply (bytes)': len(status),
+        'brief status reply (bytes)': len(brief),
+        'status (us)': cpu_us(node.status, repeats),
         'build (us)': cpu_us(node._describe, repeats),
         'encode (us)': cpu_us(
             lambda: codec.encode('entry-2', 'run/control', 1, message),
--- a/figtray/bench/tests/test_slopes.py
+++ b/figtray/bench/tests/test_slopes.py
@@ -74,6 +74,15 @@
             slopes.SEGMENT_OVERHEAD_BYTES
         )
 
+    def test_brief_status_does_not_grow(self):
+        sizes = [
+            slopes.measure_heartbeat(pairs, 1, pools=2) for pairs in (2, 20)
+        ]
+        brief = [size['brief status reply (bytes)'] for size in sizes]
+        assert brief[0] == brief[1]
+        full = [size['status reply (bytes)'] for size in sizes]
+        assert full[0] < full[1]
+
 
 class TestResident:
     """Guards against figures of another process or of nothing."""
--- a/figtray/entry/handlers.py
+++ b/figtray/entry/handlers.py
@@ -39,8 +39,8 @@
         match message:
             case messages.Heartbeat():
                 return self._heartbeat(envelope, message)
-            case messages.StatusRequest():
-                return entry.status()
+            case messages.StatusRequest(brief):
+                return entry.status(brief)
             case messages.ChangePush(change):
                 return self._change_push(change)
             case messages.FetchChanges(after):
--- a/figtray/entry/node.py
+++ b/figtray/entry/node.py
@@ -4,6 +4,8 @@
 import threading
 import uuid
 
+import msgspec
+
 from figtray.configuration import archive as archive_lib
 from figtray.configuration import replica as replica_lib
 from figtray.configuration import resources
@@ -536,18 +538,27 @@
             forwarding.FORWARD_TIMEOUT_MS,
         )
 
-    def status(self):
-        """Return the messages.StatusReply of this entry."""
-        return messages.StatusReply(
+    def status(self, brief=False):
+        """Return the messages.StatusReply of this entry.
+
+        Args:
+            brief: leave out what only the controller's duties need.
+        """
+        reply = messages.StatusReply(
             slot=self.cfg.slot,
             incarnation=self.allotments.incarnation,
             epoch=self.allotments.epoch,
             mark=self.replica.snapshot.mark,
             synchronised=self.right.synchronised,
             serving=self.right.holds(),
+        )
+        if brief:
+            return reply
+        return msgspec.structs.replace(
+            reply,
             demand=self.view.peek(),
-            run_ms=self.view.run_times(),
             allotments=self.allotments.report(),
+            run_ms=self.view.run_times(),
         )
 
     def debug(self):
--- a/figtray/peers/group.py
+++ b/figtray/peers/group.py
@@ -47,7 +47,8 @@
 
     def marks(self):
         replies = self._call_majority(
-            messages.StatusRequest(), lambda reply: reply.synchronised
+            messages.StatusRequest(brief=True),
+            lambda reply: reply.synchronised,
         )
         return {
             slot: reply.mark for slot, reply in replies if reply.synchronised
--- a/figtray/peers/messages.py
+++ b/figtray/peers/messages.py
@@ -79,8 +79,14 @@
 
 
 @codec.register
-class StatusRequest(msgspec.Struct, frozen=True):
-    """Ask an entry for its state; sent by the API and the controller."""
+class StatusRequest(msgspec.Struct, frozen=True, omit_defaults=True):
+    """Ask an entry for its state; sent by the API and the controller.
+
+    The answer to a `brief` one leaves out demand, run times and allotments,
+    which are nearly all of its bytes.
+    """
+
+    brief: bool = False
 
 
 @codec.register
--- a/figtray/peers/tests/test_group.py
+++ b/figtray/peers/tests/test_group.py
@@ -24,13 +24,15 @@
             self.released.set()
         self._synchronised = synchronised
         self._fails = fails
+        self.brief = []
 
     def call(self, message, timeout_ms):
         assert self.released.wait(timeout_ms / 1000)
         if self._fails:
             raise errors.PeerUnavailable(peer='x', detail='refused')
         match message:
-            case messages.StatusRequest():
+            case messages.StatusRequest(brief):
+                self.brief.append(brief)
                 return messages.StatusReply(
                     slot='x',
                     incarnation='i',
@@ -88,6 +90,13 @@
         assert group.push(change) == {'entry-2', 'entry-3'}
         assert group.changes('entry-1', 3) is None
 
+    def test_marks_ask_for_no_demand(self, make_group):
+        link = FakeLink()
+        group = make_group(link)
+        group.marks()
+        group.status()
+        assert link.brief == [True, False]
+
 
 class TestInParallel:
     """Guards against a wait that ends before a majority has answered."""
--- a/figtray/peers/tests/test_serving_machine.py
+++ b/figtray/peers/tests/test_serving_machine.py
@@ -86,7 +86,7 @@
     def wake_heartbeats(self):
         pass
 
-    def status(self):
+    def status(self, brief=False):
         return messages.StatusReply(
             self.slot,
             self.run_id,
