--- a/figtray/capacity/planner.py
+++ b/figtray/capacity/planner.py
@@ -81,9 +81,11 @@
 
     def run(self):
         """Return the Plan."""
-        self._drain_lost()
         self._advance()
         self._cover_guarantees()
+        # The entries stop using these hosts by themselves, so replacing
+        # them comes first: one iteration takes a bounded number of actions.
+        self._drain_lost()
         self._follow_operators()
         self._follow_peaks()
         started, blocked = self._maintain()
