--- a/figtray/queues/queueset.py
+++ b/figtray/queues/queueset.py
@@ -74,11 +74,19 @@
         # time to find its first key after many removals at the front.
         self.requests = collections.OrderedDict()
         self.in_flight = 0
+        # Task id -> attempts of it that may still run.
+        self.doubtful = collections.Counter()
 
     def startable(self, ordered):
         if not ordered:
             return len(self.requests)
-        return 1 if self.requests and not self.in_flight else 0
+        if not self.requests or self.in_flight:
+            return 0
+        # The request itself may be tried again beside its doubtful attempt.
+        return int(self.doubtful.keys() <= {next(iter(self.requests))})
+
+    def is_used(self):
+        return bool(self.in_flight or self.doubtful)
 
 
 class QueueSet:
@@ -127,20 +135,36 @@
             max_queued: largest number of queued requests.
             ordered: whether a request starts only after the one before it
                 of the same team and class has ended.
+
+        Returns:
+            List of the queued QueuedRequests that had another pool.
         """
         with self._lock:
             state = self._queues.get(queue)
             if state is None:
                 self._queues[queue] = _Queue(pool, max_queued, ordered)
-                return
+                return []
             lanes = [ln for ln in self._lanes.values() if ln.queue == queue]
             for lane in lanes:
                 self._unlist(lane)
             state.pool = pool
             state.max_queued = max_queued
             state.ordered = ordered
+            moved = []
             for lane in lanes:
                 self._list(lane)
+                moved += [r for r in lane.requests.values() if r.pool != pool]
+            for request in moved:
+                self._replace(dataclasses.replace(request, pool=pool))
+            return moved
+
+    def in_current_pool(self, request):
+        """Return a request with the pool that its queue has now."""
+        with self._lock:
+            queue = self._queues.get(request.queue)
+            if queue is None or queue.pool == request.pool:
+                return request
+            return dataclasses.replace(request, pool=queue.pool)
 
     def add(self, request, slots=None):
         """Queue a request at the end of its lane.
@@ -223,6 +247,23 @@
                     collections.deque(maxlen=SERVICE_SAMPLES),
                 ).append(run_ms)
 
+    def hold(self, request):
+        """Note that an attempt of a taken request may run beyond its end.
+
+        Until release_hold(), no later request of an ordered queue starts
+        after it.
+        """
+        with self._lock:
+            self._lane_of(request).doubtful[request.task_id] += 1
+
+    def release_hold(self, request):
+        """Note that the attempt of hold() certainly runs no more."""
+        with self._lock:
+            doubtful = self._lane_of(request).doubtful
+            doubtful[request.task_id] -= 1
+            if not doubtful[request.task_id]:
+                del doubtful[request.task_id]
+
     def take(self, pool, team, urgent):
         """Hand out the next request of a team and class.
 
@@ -316,7 +357,7 @@
                 for task_id in list(lane.requests)
             ]
             for lane in lanes:
-                if not lane.in_flight:
+                if not lane.is_used():
                     del self._lanes[lane.queue, lane.team, lane.urgent]
             self._queues.pop(queue, None)
             return dropped
@@ -413,6 +454,16 @@
             (request.deadline_ms, next(self._sequence), request),
         )
 
+    def _replace(self, request):
+        """Change fields of a queued request that its order is not by."""
+        task_id = request.task_id
+        lane = self._lane_of(request)
+        lane.requests[task_id] = self._queued[task_id] = request
+        heapq.heappush(
+            self._deadlines,
+            (request.deadline_ms, next(self._sequence), request),
+        )
+
     def _remove(self, task_id):
         request = self._queued.pop(task_id)
         key = (request.queue, request.team, request.urgent)
@@ -439,10 +490,12 @@
         request = self._taken.pop(task_id, None)
         if request is None:
             raise ValueError(f'task {task_id} is not taken')
-        key = (request.queue, request.team, request.urgent)
-        self._lanes[key].in_flight -= 1
+        self._lane_of(request).in_flight -= 1
         return request
 
+    def _lane_of(self, request):
+        return self._lanes[request.queue, request.team, request.urgent]
+
     def _list(self, lane):
         if lane.requests:
             pool = self._queues[lane.queue].pool
