Measure a heartbeat without demand and a pushed change

Cause: the size of a mesh without demand and the bytes of one change decide how many entries the control budget of a node allows, and neither was measured.

--- a/figtray/bench/slopes.py
+++ b/figtray/bench/slopes.py
@@ -189,6 +189,7 @@
         replica.adopt(snapshot)
         replica.apply(change)
 
+    push = codec.encode('api-1', 'run', 1, messages.ChangePush(change))
     changed = change.items
     # Nothing refers to this zone, so all items are looked at.
     deleted = [
@@ -201,6 +202,7 @@
         'snapshot in memory (bytes)': kept,
         'peak while decoding (bytes)': peak,
         'encoded snapshot (bytes)': len(encoded),
+        'pushed change of a host (bytes)': len(push),
         'encode a snapshot (us)': cpu_us(
             lambda: codec.encode('entry-1', 'run', 1, reply), repeats
         ),
@@ -360,28 +362,31 @@
 def measure_mesh(entries, repeats):
     """Derive what one entry of a full mesh sends and receives.
 
-    Each pool has demand of five teams, as on an ordinary day; each entry
-    calls every other once in HEARTBEAT_MS.
+    Each entry calls every other once in HEARTBEAT_MS. Its demand is of five
+    teams in each pool; a bare heartbeat has neither demand nor allotments.
     """
     del repeats
-    pools = sizes_lib.POOLS
-    demand = sizes_lib.make_demand(pools, 5)
-    message = messages.Heartbeat(
-        snapshot_lib.Mark(1, '0' * 16), True, 1, demand
+    mark = snapshot_lib.Mark(1, '0' * 16)
+    demand = sizes_lib.make_demand(sizes_lib.POOLS, 5)
+    reply = codec.encode(
+        'entry-2', 'f' * 32, 1, messages.HeartbeatReply(mark, True)
     )
-    reply = messages.HeartbeatReply(message.mark, True)
-    exchange = exchange_bytes(
-        len(codec.encode('entry-1', 'run/control', 1, message)),
-        len(codec.encode('entry-2', 'run', 1, reply)),
+    full, bare = (
+        exchange_bytes(
+            len(codec.encode('entry-1', 'f' * 32 + '/control', 1, message)),
+            len(reply),
+        )
+        for message in (
+            messages.Heartbeat(mark, True, 1, demand),
+            messages.Heartbeat(mark, True, 1),
+        )
     )
-    per_s = 1000 / HEARTBEAT_MS
+    calls_per_s = 2 * (entries - 1) * 1000 / HEARTBEAT_MS
     return {
-        'bytes/s of an entry': 2 * (entries - 1) * per_s * exchange,
-        'messages/s of an entry': 4 * (entries - 1) * per_s,
-        'bytes/s of the deployment': entries
-        * (entries - 1)
-        * per_s
-        * exchange,
+        'bytes/s of an entry': calls_per_s * full,
+        'bytes/s of an entry, bare': calls_per_s * bare,
+        'messages/s of an entry': 2 * calls_per_s,
+        'bytes/s of the deployment': entries * calls_per_s / 2 * full,
     }
 
 
