Scale measured times by a fixed piece of work beside them

Cause: on a machine that also ran other work (load 50 on 10 cores) the least times of two runs of the same code differed by up to 2, and by size within one run, so straight lines were reported as not linear (20 of 57 in one run) and a difference of two times became negative (cancel, 8,000 requests: -6,036 us).

Change: each time is scaled by a fixed piece of work before and after it relative to the least time of that work in the process, and the median is taken instead of the least. Filling a queue set is done outside of the time instead of being subtracted.

Ruled out: more repetitions, since slow stretches last longer than the three minutes that a run may take; another priority of the process.

--- a/figtray/bench/slopes.py
+++ b/figtray/bench/slopes.py
@@ -2,6 +2,7 @@
 
 import collections
 import dataclasses
+import functools
 import gc
 import io
 import json
@@ -45,11 +46,12 @@
 QUICK_S = 28
 # A repetition that takes longer than this is not repeated further.
 REPEAT_S = 0.6
-REPEATS = 5
-PASSES = 2
+REPEATS = 9
 QUICK_REPEATS = 3
 MIN_BATCH_US = 5_000
 MAX_BATCH = 200
+REFERENCE_STEPS = 3_000
+REFERENCE_ROUNDS = 300
 
 HEARTBEAT_MS = 1000
 # Two TCP/IPv4 headers with timestamps (the message and its acknowledgement)
@@ -124,35 +126,60 @@
     )
 
 
-def cpu_us(function, repeats, calls=1):
-    """Return the least processor time of a call in microseconds.
+def cpu_us(function, repeats, calls=1, prepare=None):
+    """Return the median processor time of a call in microseconds.
+
+    Other work on the machine slows a processor down by up to two. Each
+    measurement is therefore scaled by the time of a fixed piece of work
+    before and after it, relative to the least time that the same work took.
 
     Args:
-        function: called without arguments.
+        function: called without arguments, or with the result of `prepare`.
         repeats: how often it is measured.
         calls: how many calls `function` makes; the time is for one.
+        prepare: called before each call of `function`, outside of the time.
     """
     gc.collect()
     gc.disable()
     try:
-        best = _thread_us(function, 1)
+        first = _scaled_us(function, 1, prepare)
         # Short calls are timed together: the clock is read in steps.
-        count = min(MAX_BATCH, max(1, int(MIN_BATCH_US / max(best, 1))))
+        count = 1
+        if prepare is None:
+            count = min(MAX_BATCH, max(1, int(MIN_BATCH_US / max(first, 1))))
+        times = [first] if repeats == 1 else []
         end_s = time.monotonic() + REPEAT_S
-        for _ in range(repeats - 1):
+        while len(times) < repeats:
+            times.append(_scaled_us(function, count, prepare))
             if time.monotonic() > end_s:
                 break
-            best = min(best, _thread_us(function, count))
     finally:
         gc.enable()
-    return best / calls
+    return statistics.median(times) / calls
 
 
-def _thread_us(function, count):
+def _scaled_us(function, count, prepare):
+    args = () if prepare is None else (prepare(),)
+    before_us = _reference_us()
     start_ns = time.thread_time_ns()
     for _ in range(count):
-        function()
-    return (time.thread_time_ns() - start_ns) / 1000 / count
+        function(*args)
+    passed_us = (time.thread_time_ns() - start_ns) / 1000 / count
+    pace_us = (before_us + _reference_us()) / 2
+    return passed_us * _least_reference_us() / pace_us
+
+
+def _reference_us():
+    start_ns = time.thread_time_ns()
+    table = {}
+    for number in range(REFERENCE_STEPS):
+        table[number % 512] = (number, str(number))
+    return (time.thread_time_ns() - start_ns) / 1000
+
+
+@functools.cache
+def _least_reference_us():
+    return min(_reference_us() for _ in range(REFERENCE_ROUNDS))
 
 
 def allocated_bytes(function):
@@ -590,24 +617,21 @@
             queues.add(request)
         return queues
 
-    def take():
-        queues = fill()
+    def take(queues):
         for request in requests:
             queues.take(request.pool, request.team, False)
 
-    def cancel():
-        queues = fill()
+    def cancel(queues):
         for request in requests:
             queues.cancel(request.task_id)
 
     kept, _ = allocated_bytes(fill)
     bodies, _ = allocated_bytes(lambda: _make_requests(count))
-    add_us = cpu_us(fill, repeats)
     return {
         'queued requests in memory, no bodies (bytes)': kept + bodies,
-        'add all (us)': add_us,
-        'take all (us)': cpu_us(take, repeats) - add_us,
-        'cancel all (us)': cpu_us(cancel, repeats) - add_us,
+        'add all (us)': cpu_us(fill, repeats),
+        'take all (us)': cpu_us(take, repeats, prepare=fill),
+        'cancel all (us)': cpu_us(cancel, repeats, prepare=fill),
     }
 
 
@@ -834,14 +858,11 @@
 
 
 def measure(groups, is_quick, end_s):
-    """Measure groups in PASSES passes and keep the least times.
-
-    The passes are apart in time, because other work on the machine slows a
-    whole stretch of repetitions down.
+    """Measure groups, each from its smallest to its largest size.
 
     Args:
         groups: the Groups.
-        is_quick: use the smaller sizes and one pass.
+        is_quick: use the smaller sizes and fewer repetitions.
         end_s: time.monotonic() after which no further size is begun.
 
     Returns:
@@ -850,14 +871,12 @@
     """
     repeats = QUICK_REPEATS if is_quick else REPEATS
     record = {group.name: {} for group in groups}
-    for _ in range(1 if is_quick else PASSES):
-        for group in groups:
-            for size in group.quick_sizes if is_quick else group.sizes:
-                if time.monotonic() > end_s:
-                    return record
-                for label, value in group.measure(size, repeats).items():
-                    values = record[group.name].setdefault(label, {})
-                    values[size] = min(value, values.get(size, math.inf))
+    for group in groups:
+        for size in group.quick_sizes if is_quick else group.sizes:
+            if time.monotonic() > end_s:
+                return record
+            for label, value in group.measure(size, repeats).items():
+                record[group.name].setdefault(label, {})[size] = value
     return record
 
 
@@ -886,6 +905,7 @@
 ):
     """Print the slopes that this machine shows."""
     started_s = time.monotonic()
+    print(f'reference work: {_least_reference_us():.0f} us')
     log.setup('error', os.devnull, 'figtray-bench')
     groups = [group for group in GROUPS if only in group.name]
     end_s = started_s + (QUICK_S if quick else FULL_S)
