--- a/figtray/api/main.py
+++ b/figtray/api/main.py
@@ -1,10 +1,12 @@
 """figtray-api: the operators' resource API of one host."""
 
+import concurrent.futures
 import uuid
 
 from figtray.api import app as app_lib
 from figtray.api import messages
-from figtray.capacity import preview
+from figtray.api import planning
+from figtray.capacity import demand as demand_lib
 from figtray import clock as clock_lib
 from figtray.configuration import archive as archive_lib
 from figtray.configuration import writer as writer_lib
@@ -47,6 +49,9 @@
     host_list = hostlist_http.HttpHostList(
         cfg.host_list.address, cfg.host_list.timeout_ms, clock
     )
+    executor = concurrent.futures.ThreadPoolExecutor(
+        1, thread_name_prefix='planner'
+    )
     app = app_lib.Application(
         writer_lib.Writer(store, cfg.deployment, group, clock),
         archive_lib.Archive(store, cfg.deployment),
@@ -54,7 +59,13 @@
         clock,
         cfg.deployment,
         credential_hash,
-        planner=preview.Previewer(host_list),
+        planner=planning.Planner(
+            host_list,
+            group,
+            lambda: demand_lib.from_status(group.status()),
+            clock,
+            executor,
+        ),
         metrics_page=metrics.page,
     )
     server = listener.Listener(
@@ -68,6 +79,7 @@
     stop.wait()
     app.close()
     server.close(timeout_ms=DRAIN_MS)
+    executor.shutdown(wait=False, cancel_futures=True)
     group.close()
     store.close()
     metrics.close()
--- a/figtray/entry/node.py
+++ b/figtray/entry/node.py
@@ -4,6 +4,8 @@
 import threading
 import uuid
 
+import msgspec
+
 from figtray.configuration import archive as archive_lib
 from figtray.configuration import replica as replica_lib
 from figtray.configuration import resources
@@ -234,6 +236,8 @@
         self._stop.set()
         self.dispatcher.notify()
         self.wake_heartbeats()
+        for task in self._outcomes.values():
+            task.close()
         self._server.close()
         self._attempt_executor.shutdown(wait=False, cancel_futures=True)
         for thread in self._threads:
@@ -420,19 +424,7 @@
             change_id='',
             items=len(new.specs(resources.Kind.HOST)),
         )
-        queues = new.specs(resources.Kind.QUEUE)
-        for name, spec in queues.items():
-            if old.spec(resources.Kind.QUEUE, name) != spec:
-                self.queues.configure(
-                    name, spec.pool, spec.max_queued, spec.ordered
-                )
-        for name in set(old.specs(resources.Kind.QUEUE)) - set(queues):
-            self.dispatcher.drop_queue(name)
-        keys = new.specs(resources.Kind.KEY)
-        for name, spec in old.specs(resources.Kind.KEY).items():
-            current = keys.get(name)
-            if not spec.withdrawn and (current is None or current.withdrawn):
-                self.dispatcher.drop_key(name)
+        self.dispatcher.on_configuration(old, new)
 
     def _on_epoch(self, epoch):
         self.right.set_epoch(epoch)
@@ -536,15 +528,24 @@
             forwarding.FORWARD_TIMEOUT_MS,
         )
 
-    def status(self):
-        """Return the messages.StatusReply of this entry."""
-        return messages.StatusReply(
+    def status(self, brief=False):
+        """Return the messages.StatusReply of this entry.
+
+        Args:
+            brief: leave out what only the controller's duties need.
+        """
+        reply = messages.StatusReply(
             slot=self.cfg.slot,
             incarnation=self.allotments.incarnation,
             epoch=self.allotments.epoch,
             mark=self.replica.snapshot.mark,
             synchronised=self.right.synchronised,
             serving=self.right.holds(),
+        )
+        if brief:
+            return reply
+        return msgspec.structs.replace(
+            reply,
             demand=self.view.peek(),
             run_ms=self.view.run_times(),
             arrived=self.view.arrivals(),
--- a/figtray/standins/service.py
+++ b/figtray/standins/service.py
@@ -3,6 +3,7 @@
 import contextlib
 import http.server
 import json
+import queue
 import signal
 import socket
 import socketserver
@@ -200,12 +201,19 @@
         self.close_connections()
 
 
-def wait_for_signal():
-    """Wait for SIGTERM or SIGINT."""
-    stop = threading.Event()
+_signals = queue.SimpleQueue()
+
+
+def _install_stop_handlers():
+    # A handler interrupts the main thread anywhere; SimpleQueue.put() is
+    # safe there, while Event.set() can deadlock with Event.wait().
     for number in (signal.SIGTERM, signal.SIGINT):
-        signal.signal(number, lambda *_: stop.set())
-    stop.wait()
+        signal.signal(number, lambda signum, _: _signals.put(signum))
+
+
+def wait_for_signal():
+    """Wait for SIGTERM or SIGINT, which run_program() catches."""
+    _signals.get()
 
 
 def show_version(value):
@@ -237,6 +245,8 @@
 
 def run_program(function):
     """Run a typer program with one command."""
+    # Before the port is announced: whoever reads it may stop the program.
+    _install_stop_handlers()
     # The port announcement must reach a pipe at once.
     sys.stdout.reconfigure(line_buffering=True)
     app = typer.Typer(add_completion=False)
