--- a/figtray/capacity/planner.py
+++ b/figtray/capacity/planner.py
@@ -1,6 +1,7 @@
 """The capacity planner: a function from a Situation to a Plan."""
 
 import collections
+import functools
 import math
 
 from figtray.capacity import budget
@@ -28,6 +29,34 @@
     return _Planning(situation).run()
 
 
+def returning_zones(situation):
+    """Return the zones that are ramping up, with the hosts of one step.
+
+    A controller that saw a zone come back names it in `returned_ms`. One
+    that took over in the meantime knows it by its released hosts: moves
+    never leave most of a zone released.
+
+    Args:
+        situation: the model.Situation.
+
+    Returns:
+        Mapping of zone to the number of hosts of a step.
+    """
+    totals = collections.Counter(host.zone for host in situation.hosts)
+    released = collections.Counter(
+        host.zone
+        for host in situation.hosts
+        if host.state is resources.HostState.RELEASED
+    )
+    known = dict(situation.returned_ms)
+    return {
+        zone: math.ceil(totals[zone] / situation.thresholds.return_steps)
+        for zone, count in released.items()
+        if zone not in situation.zones_out
+        and (zone in known or 2 * count > totals[zone])
+    }
+
+
 class _Planning:
     """One run of the planner."""
 
@@ -42,6 +71,13 @@
         for host in situation.hosts:
             if budget.is_available(host, situation):
                 self.available[host.pool][host.name] = host
+        # Pool -> number of available hosts of each size. The donor is
+        # searched for once for each move, and looking at every host for
+        # the smallest would cost most of the plan's time.
+        self.sizes = {
+            pool: collections.Counter(host.slots for host in hosts.values())
+            for pool, hosts in self.available.items()
+        }
         # Hosts on their way to another pool, which cover a need later on.
         self.coming = 0
         self.promised = collections.Counter()
@@ -53,9 +89,11 @@
 
     def run(self):
         """Return the Plan."""
-        self._drain_lost()
         self._advance()
         self._cover_guarantees()
+        # The entries stop using these hosts by themselves, so replacing
+        # them comes first: one iteration takes a bounded number of actions.
+        self._drain_lost()
         self._follow_operators()
         self._follow_peaks()
         started, blocked = self._maintain()
@@ -89,11 +127,15 @@
         """Start a drain of an available host that is charged already."""
         self._append_drain(host, reason)
         del self.available[host.pool][host.name]
+        sizes = self.sizes[host.pool]
+        sizes[host.slots] -= 1
+        if not sizes[host.slots]:
+            del sizes[host.slots]
 
     def _advance(self):
         """Take the next step of each host that is out of use."""
         situation = self.situation
-        due_zone = self._due_zone()
+        due_zone = self._due_zone
         released = []
         for host in situation.hosts:
             state = host.state
@@ -127,14 +169,30 @@
                 )
             )
 
+    @functools.cached_property
     def _due_zone(self):
-        """Return the zone of the wave, or None if none may start."""
+        """The zone of the wave, or None if none may start."""
         situation = self.situation
         if maintenance.blocked_reason(situation):
             return None
         due = [h for h in situation.hosts if maintenance.is_due(h, situation)]
         return maintenance.current_zone(situation, due)
 
+    @functools.cached_property
+    def _due_slots(self):
+        """Slots of the smallest host of each pool that the wave waits for."""
+        slots = {}
+        for pool, hosts in self.available.items():
+            waiting = [
+                host.slots
+                for host in hosts.values()
+                if host.zone == self._due_zone
+                and maintenance.is_due(host, self.situation)
+            ]
+            if waiting:
+                slots[pool] = min(waiting)
+        return slots
+
     def _may_maintain(self, host, due_zone):
         """Tell whether a drained host goes on to its maintenance.
 
@@ -152,7 +210,7 @@
         return self.need[pool] - self.ledger.slots[pool] - self.promised[pool]
 
     def _assign(self, released):
-        allowed = self._return_allowance(released)
+        allowed = self._return_allowance()
         for host in sorted(released, key=lambda h: (h.zone, h.name)):
             if allowed.get(host.zone, 1) <= 0:
                 self.coming += 1
@@ -163,22 +221,13 @@
             self.actions.append(model.Assign(host.name, pool, reason))
             self.promised[pool] += host.slots
 
-    def _return_allowance(self, released):
+    def _return_allowance(self):
         """Return how many hosts of each returning zone may serve now."""
-        situation = self.situation
-        totals = collections.Counter(host.zone for host in situation.hosts)
-        waiting = collections.Counter(host.zone for host in released)
-        returned_ms = dict(situation.returned_ms)
+        returned_ms = dict(self.situation.returned_ms)
         allowed = {}
-        for zone, count in waiting.items():
-            step = math.ceil(totals[zone] / self.thresholds.return_steps)
-            last_ms = returned_ms.get(zone)
-            if count <= step and last_ms is None:
-                continue
-            pause_ms = self.thresholds.return_step_ms
-            rests = (
-                last_ms is not None and situation.now_ms - last_ms < pause_ms
-            )
+        for zone, step in returning_zones(self.situation).items():
+            next_ms = returned_ms.get(zone, 0) + self.thresholds.return_step_ms
+            rests = next_ms > self.situation.now_ms
             allowed[zone] = 0 if rests else step
         return allowed
 
@@ -200,15 +249,10 @@
 
     def _tight_pools(self):
         """Return the pools that can't give a host to the present wave."""
-        due_zone = self._due_zone()
         return {
-            host.pool
-            for host in self.situation.hosts
-            if host.zone == due_zone
-            and host.name in self.available[host.pool]
-            and maintenance.is_due(host, self.situation)
-            and self.ledger.surplus(host.pool) + self.promised[host.pool]
-            < host.slots
+            pool
+            for pool, slots in self._due_slots.items()
+            if self.ledger.surplus(pool) + self.promised[pool] < slots
         }
 
     def _lacks(self, pool):
@@ -272,7 +316,7 @@
             rank = (self.pools[pool].spare, over, pool)
             if best is not None and rank <= best[0]:
                 continue
-            if over >= min(host.slots for host in hosts.values()):
+            if over >= min(self.sizes[pool]):
                 best = rank, pool, over
         if best is None:
             return None
--- a/figtray/entry/forwarding.py
+++ b/figtray/entry/forwarding.py
@@ -162,12 +162,20 @@
         self._queue.append((outcome, deadline_ms))
         self._wake.set()
 
+    def close(self):
+        """Let run() return; the event that stops it was set before."""
+        self._wake.set()
+
     def run(self, stop):
-        """Report until the process stops."""
+        """Report until the process stops and close() is called."""
         while not stop.is_set():
-            if not self.report_next():
-                self._clock.wait(self._wake, OUTCOME_RETRY_MS)
-                self._wake.clear()
+            if self.report_next():
+                continue
+            if self._queue:
+                self._clock.wait(stop, OUTCOME_RETRY_MS)
+            else:
+                self._wake.wait()
+            self._wake.clear()
 
     def report_next(self):
         """Report the oldest outcome.
--- a/figtray/peers/messages.py
+++ b/figtray/peers/messages.py
@@ -79,13 +79,23 @@
 
 
 @codec.register
-class StatusRequest(msgspec.Struct, frozen=True):
-    """Ask an entry for its state; sent by the API and the controller."""
+class StatusRequest(msgspec.Struct, frozen=True, omit_defaults=True):
+    """Ask an entry for its state; sent by the API and the controller.
+
+    The answer to a `brief` one leaves out demand, run times and allotments,
+    which are nearly all of its bytes.
+    """
+
+    brief: bool = False
 
 
 @codec.register
 class StatusReply(msgspec.Struct, frozen=True, omit_defaults=True):
-    """State of an entry; `run_ms` is the mean run time by pool."""
+    """State of an entry; `run_ms` is the mean run time by pool.
+
+    `arrived` counts the requests of a pool in this incarnation, those that
+    were refused for want of capacity included.
+    """
 
     slot: str
     incarnation: str
@@ -95,6 +105,7 @@
     serving: bool
     demand: view.DemandReport | None = None
     run_ms: dict[str, float] = {}
+    arrived: dict[str, int] = {}
     allotments: tuple[TeamAllotment, ...] = ()
 
 
--- a/figtray/workers/memory.py
+++ b/figtray/workers/memory.py
@@ -389,7 +389,9 @@
             ]
 
     def abandon(self, address, attempt_id):
-        self.finish(attempt_id, 0)
+        with self._cond:
+            if attempt_id in self._waiting:
+                self.finish(attempt_id, 0)
 
     def _before_check(self, start):
         """Run between the connection and the check; for subclasses."""
