Test repeated forwards and hand-over ages in single situations

Four mutations that the keys machine had caught survived after its rules changed the sequence of its choices. Direct tests cover them now, and an owner that restarts during a call first starts what it took.

--- a/figtray/entry/tests/test_forwarding.py
+++ b/figtray/entry/tests/test_forwarding.py
@@ -3,6 +3,7 @@
 from figtray import clock as clock_lib
 from figtray.dispatch import tasks as tasks_lib
 from figtray.entry import forwarding
+from figtray import errors
 from figtray.peers import heartbeat
 from figtray.peers import messages
 from figtray import verdict as verdict_lib
@@ -51,3 +52,27 @@
         forwarder.check()
         reason = verdict_lib.UncertainReason.OWNER_UNREACHABLE
         assert task.fut.result(0) == verdict_lib.MayHaveRun(reason, 'b')
+
+
+class TestOutcomeTask:
+    """Guards against an outcome that its receiver never learns."""
+
+    def test_outcome_is_reported_until_it_is_confirmed(self):
+        clock = clock_lib.ManualClock()
+        replies = [errors.PeerUnavailable(peer='b', detail=''), None]
+        calls = []
+
+        class Link:
+            def call(self, message, timeout_ms):
+                calls.append(message)
+                reply = replies.pop(0)
+                if reply:
+                    raise reply
+
+        task = forwarding.OutcomeTask(Link(), clock)
+        outcome = messages.Outcome('r', 'not_run')
+        task.put(outcome, clock.now_ms() + 1_000)
+        assert not task.report_next()
+        assert task.pending == 1
+        assert task.report_next()
+        assert (calls, task.pending) == ([outcome, outcome], 0)
--- a/figtray/entry/tests/test_keys_machine.py
+++ b/figtray/entry/tests/test_keys_machine.py
@@ -151,6 +151,7 @@
         self.runs = 0
         self.faults = []
         self.late = []
+        self.before_restart = None
         for slot in SLOTS:
             self.start(slot)
 
@@ -168,6 +169,7 @@
             raise pynng.exceptions.Timeout('timed out', 5)
         if fault == 'restarted':
             entry.server.handle(data)
+            self.before_restart(entry)
             self.start(peer)
             raise pynng.exceptions.ConnectionReset('reset', 5)
         reply = entry.server.handle(data)
@@ -207,6 +209,7 @@
         ]
         change = snapshot_lib.make_change('test', snapshot.mark, 'c', items)
         self.fleet = Fleet(self.clock, snapshot.apply(change))
+        self.fleet.before_restart = self._start
         self.calls = []
         # Key, or number of a call without one -> (time, answer, body, call).
         self.runs = {}
@@ -520,3 +523,25 @@
 
 class TestKeysUnderFaults(KeysMachine.TestCase):
     """Guards against a key that runs twice and a false "not run"."""
+
+
+class TestRepeatedForward:
+    """Guards against a request that two runs of its owner take."""
+
+    def submit_during_restart(self, machine):
+        owner = owners.owner_slot(SLOTS, owners.queue_key('ord'))
+        slot = next(s for s in SLOTS if s != owner)
+        if machine is None:
+            machine = KeysMachine()
+            # A new run has not heard of the owner yet.
+            machine.crash(slot)
+        machine.submit_with_faults(slot, ['restarted'], '')
+        machine._start(machine.fleet.entries[owner])
+        assert len(machine.runs[0]) == 1
+        assert not machine.faults
+
+    def test_owner_whose_run_is_known(self):
+        self.submit_during_restart(KeysMachine())
+
+    def test_owner_whose_run_is_not_known(self):
+        self.submit_during_restart(None)
--- a/figtray/idempotency/tests/test_records.py
+++ b/figtray/idempotency/tests/test_records.py
@@ -68,7 +68,10 @@
         assert (claim, task) == (records_lib.Claim.REPEATED, 'old task')
         claim, _ = records.claim('new', 'd', lambda: 'task')
         assert claim is records_lib.Claim.FIRST
-        clock.advance(RETENTION_MS - 4_000)
+        clock.advance(RETENTION_MS - 6_000)
+        claim, _ = records.claim('old', 'd', pytest.fail)
+        assert claim is records_lib.Claim.REPEATED
+        clock.advance(2_000)
         claim, _ = records.claim('old', 'd', lambda: 'task')
         assert claim is records_lib.Claim.FIRST
 
