Make up for shares that a team missed

Cause: whole slots and tasks that end at their own time leave each team some slot time above or below its share, and nothing corrected it. Change: reports carry the slot time used since the entry's start; the view adds up what each team missed, forgets it with 10 s and raises the share of the team so that it catches up in 4 s. A team without demand earns nothing. The dispatcher offers teams in the order of ShareView.order().

--- a/figtray/dispatch/dispatcher.py
+++ b/figtray/dispatch/dispatcher.py
@@ -160,7 +160,7 @@
         self._requeue_delayed()
         if not self._right.holds():
             return
-        waiting = self._queues.waiting()
+        waiting = self._view.order(self._queues.waiting())
         for urgent in (True, False):
             for item in waiting:
                 count = item.urgent if urgent else item.normal
--- a/figtray/shares/allocation.py
+++ b/figtray/shares/allocation.py
@@ -53,7 +53,7 @@
     )
 
 
-def allocate(capacity, demands, turn=0):
+def allocate(capacity, demands, turn=0, owed=None):
     """Divide the slots of a pool over teams, in whole slots.
 
     The shares are weighted max-min fair, capped by demand and limit. Urgent
@@ -66,6 +66,9 @@
         capacity: number of slots of the pool.
         demands: Demand of each team, each team once.
         turn: number of the rounding turn, alike on all entries.
+        owed: mapping of team to the slots by which its share is raised or
+            lowered, to make up for what it used before. Only differences
+            between the teams count.
 
     Returns:
         Mapping of team to its number of slots.
@@ -88,6 +91,8 @@
             ],
         )
         shares = {team: rest[team] + extra.get(team, 0) for team in rest}
+    if owed:
+        shares = _correct(shares, demands, owed)
     return _round(shares, turn)
 
 
@@ -151,6 +156,38 @@
     return shares
 
 
+def _correct(shares, demands, owed):
+    """Move slots between the teams that are limited by their share.
+
+    A team that has all it wants keeps it; of the others none falls below
+    half of its share, and the sum stays the same.
+    """
+    limited = {
+        d.team: shares[d.team]
+        for d in demands
+        if d.wanted > shares[d.team] + _EPSILON
+    }
+    total = sum(limited.values())
+    if total <= 0:
+        return shares
+    surplus = sum(owed.get(team, 0) for team in limited)
+    wanted = {
+        team: max(
+            share / 2, share + owed.get(team, 0) - surplus * share / total
+        )
+        for team, share in limited.items()
+    }
+    filled = _water_fill(
+        total,
+        [
+            (d.team, wanted[d.team], d.wanted)
+            for d in demands
+            if d.team in limited
+        ],
+    )
+    return shares | filled
+
+
 def _round(shares, turn):
     """Round shares to whole numbers that keep the sum of the shares."""
     parts = []
--- a/figtray/shares/tests/test_view.py
+++ b/figtray/shares/tests/test_view.py
@@ -3,6 +3,7 @@
 import pytest
 
 from figtray import clock
+from figtray.queues import queueset
 from figtray.shares import view
 
 TEAMS = {'a': view.TeamShare(1, 100), 'b': view.TeamShare(1, 100)}
@@ -151,3 +152,37 @@
         old.hear('entry-2', new.report())
         assert new.report().shared_ms == 12_345
         assert old.report().shared_ms == 12_345
+
+
+class TestOrder:
+    """Guards against freed slots that always go to the first names."""
+
+    def test_team_below_its_share_leads(self, manual):
+        views = make_views(manual, 2, 20)
+        first = views['entry-1']
+        first.queued('p', 'a', count=100)
+        first.queued('p', 'b', count=100)
+        for _ in range(8):
+            first.started('p', 'a')
+        exchange(views)
+        items = [queueset.Waiting('p', team, 0, 1) for team in 'ab']
+        assert [w.team for w in first.order(items)] == ['b', 'a']
+
+
+class TestCorrection:
+    """Guards against a shortfall that is never made up."""
+
+    def test_team_that_got_less_is_owed_more(self, manual):
+        views = make_views(manual, 2, 20)
+        for share_view in views.values():
+            share_view.queued('p', 'a', count=100)
+            share_view.queued('p', 'b', count=100)
+        exchange(views)
+        for _ in range(20):
+            views['entry-2'].started('p', 'a')
+        for _ in range(20):
+            exchange(views)
+            manual.advance(view.RECOMPUTE_MS)
+            views['entry-1'].may_start('p', 'b')
+        assert views['entry-1'].total('p', 'b') > 11
+        assert views['entry-1'].total('p', 'a') < 9
--- a/figtray/shares/view.py
+++ b/figtray/shares/view.py
@@ -21,6 +21,10 @@
 # Demands (one for each team and entry) that lengthen this time by 1 ms, as the
 # computation takes about 6 us for each.
 DEMANDS_PER_MS = 10
+# Time in which a team that got less than its share catches up, and time
+# after which it is forgotten.
+SETTLE_MS = 4000
+FORGET_MS = 10_000
 # Weight of the latest task in the mean run time of a pool.
 _RUN_TIME_GAIN = 0.05
 # Part by which a team's demand must change to be worth an early heartbeat.
@@ -32,12 +36,15 @@
     """Running and queued requests of one team at one entry.
 
     `urgent` counts the urgent ones among the running and queued ones.
+    `used_ms` is the time that slots were taken since the entry's start,
+    added up over the slots.
     """
 
     team: str
     running: int
     queued: int
     urgent: int = 0
+    used_ms: int = 0
 
 
 @dataclasses.dataclass(frozen=True)
@@ -71,20 +78,37 @@
 class _Counts:
     """Own requests of a team for a pool, by state and class."""
 
-    __slots__ = ('running', 'queued', 'urgent_running', 'urgent_queued')
-
-    def __init__(self):
+    __slots__ = (
+        'running',
+        'queued',
+        'urgent_running',
+        'urgent_queued',
+        'used_ms',
+        'changed_ms',
+    )
+
+    def __init__(self, now_ms):
+        self.used_ms = 0
+        self.changed_ms = now_ms
         self.running = 0
         self.queued = 0
         self.urgent_running = 0
         self.urgent_queued = 0
 
-    def demand(self, team):
+    def change_running(self, now_ms, change):
+        """Count a start or an end and the slot time before it."""
+        self.used_ms += self.running * (now_ms - self.changed_ms)
+        self.changed_ms = now_ms
+        self.running = max(0, self.running + change)
+
+    def demand(self, team, now_ms):
+        self.change_running(now_ms, 0)
         return TeamDemand(
             team,
             self.running,
             self.queued,
             self.urgent_running + self.urgent_queued,
+            self.used_ms,
         )
 
 
@@ -103,15 +127,20 @@
         self.mine = {}
         self.totals = {}
         self.elsewhere = {}
+        self.fair = {}
+        # Slot-ms by which each team got less than its fair share lately.
+        self.missed = {}
+        self.used = {}
         # Slots that no other entry runs, or has a portion of.
         self.unclaimed = 0
         self.known_teams = frozenset()
         self.sent = {}
+        self.sent_ms = 0
 
-    def counts(self, team):
+    def counts(self, team, now_ms):
         counts = self.own.get(team)
         if counts is None:
-            counts = self.own[team] = _Counts()
+            counts = self.own[team] = _Counts(now_ms)
         return counts
 
 
@@ -182,7 +211,7 @@
         with self._lock:
             counts = self._own(pool, team)
             counts.queued = max(0, counts.queued - 1)
-            counts.running += 1
+            counts.change_running(self._clock.now_ms(), 1)
             if urgent:
                 counts.urgent_queued = max(0, counts.urgent_queued - 1)
                 counts.urgent_running += 1
@@ -198,7 +227,7 @@
         """
         with self._lock:
             counts = self._own(pool, team)
-            counts.running = max(0, counts.running - 1)
+            counts.change_running(self._clock.now_ms(), -1)
             if urgent:
                 counts.urgent_running = max(0, counts.urgent_running - 1)
             if run_ms is not None:
@@ -234,6 +263,7 @@
             sent = {pool.pool: pool.teams for pool in report.pools}
             for name, state in self._pools.items():
                 state.sent = {d.team: d for d in sent.get(name, ())}
+                state.sent_ms = self._clock.now_ms()
             return report
 
     def peek(self):
@@ -267,7 +297,7 @@
             state = self._pools.get(pool)
             if state is None or team not in state.teams:
                 return False
-            counts = state.counts(team)
+            counts = state.counts(team, self._clock.now_ms())
             kept = 0 if urgent else counts.urgent_queued
             self._refresh(state, pool, team)
             if counts.running + kept < state.mine.get(team, 0):
@@ -284,7 +314,9 @@
                 return 0
             self._refresh(state, pool, team)
             mine = state.mine.get(team, 0)
-            return max(0, mine - state.counts(team).running)
+            return max(
+                0, mine - state.counts(team, self._clock.now_ms()).running
+            )
 
     def order(self, items):
         """Sort waiting work so that the team furthest below its share leads.
@@ -306,7 +338,7 @@
         if state is None or item.team not in state.teams:
             return 1.0, item.pool, item.team
         self._refresh(state, item.pool, item.team)
-        running = state.counts(item.team).running
+        running = state.counts(item.team, self._clock.now_ms()).running
         running += state.elsewhere.get(item.team, 0)
         total = state.totals.get(item.team, 0)
         return (running + 1) / (total + 1), item.pool, item.team
@@ -330,23 +362,22 @@
             return state.mine.get(team, 0)
 
     def _report(self):
+        now_ms = self._clock.now_ms()
         pools = []
         for name, state in sorted(self._pools.items()):
             teams = tuple(
-                counts.demand(team)
+                counts.demand(team, now_ms)
                 for team, counts in sorted(state.own.items())
                 if counts.running or counts.queued
             )
             if teams:
                 pools.append(PoolDemand(name, teams))
-        return DemandReport(
-            self._clock.now_ms() - self._shared_origin_ms, tuple(pools)
-        )
+        return DemandReport(now_ms - self._shared_origin_ms, tuple(pools))
 
     def _own(self, pool, team):
         state = self._pools.setdefault(pool, _Pool())
         state.is_dirty = True
-        return state.counts(team)
+        return state.counts(team, self._clock.now_ms())
 
     def _refresh(self, state, pool, team):
         """Compute the portions again if they may have changed."""
@@ -366,22 +397,40 @@
 
     def _compute(self, state, pool, now_ms):
         turn = (now_ms - self._shared_origin_ms) // TURN_MS
-        live = {self._slot: self._own_demand(state)}
+        live = {}
         stale = {}
+        ages_ms = {self._slot: now_ms - state.sent_ms}
         for slot, (heard_ms, pools) in self._peers.items():
             age_ms = now_ms - heard_ms
             if age_ms <= STALE_MS:
                 live[slot] = pools.get(pool, {})
+                ages_ms[slot] = age_ms
             else:
                 stale[slot] = _still_running(
                     pools.get(pool, {}), age_ms, state.mean_run_ms
                 )
+        # Peers compute with the last report, so this entry does the same;
+        # else each request that arrives would move portions back and forth.
+        if live:
+            live[self._slot] = state.sent
+        else:
+            live[self._slot] = self._own_demand(state, now_ms)
+            ages_ms[self._slot] = 0
         teams = _sum_by_team([*live.values(), *stale.values()], state.teams)
-        totals = allocation.allocate(state.capacity, teams.values(), turn)
+        used = {
+            (slot, t): demand.used_ms + demand.running * ages_ms[slot]
+            for slot, demands in live.items()
+            for t, demand in demands.items()
+        }
         held = {
-            team: sum(d[team].running for d in stale.values() if team in d)
-            for team in totals
+            t: sum(d[t].running for d in stale.values() if t in d)
+            for t in teams
         }
+        self._account(state, teams, used, held, now_ms)
+        owed = {t: ms / SETTLE_MS for t, ms in state.missed.items()}
+        totals = allocation.allocate(
+            state.capacity, teams.values(), turn, owed
+        )
         # Urgent demand gets its part first, so that an entry with an urgent
         # request is not left out because others have more normal demand.
         free = {t: max(0, totals[t] - held[t]) for t in totals}
@@ -406,7 +455,8 @@
         }
         state.totals = totals
         state.elsewhere = {
-            t: teams[t].running - state.counts(t).running for t in totals
+            t: teams[t].running - state.counts(t, now_ms).running
+            for t in totals
         }
         kept = sum(held.values())
         for slot, demands in live.items():
@@ -428,9 +478,39 @@
         state.computed_ms = now_ms
 
     @staticmethod
-    def _own_demand(state):
+    def _account(state, teams, used, held, now_ms):
+        """Add up what each team got less than its share since last time.
+
+        A team without demand has no share, so its idle time earns nothing.
+        After a pause in the computations nothing is added, as what was fair
+        meanwhile is not known.
+
+        Args:
+            state: the pool.
+            teams: mapping of team to its Demand.
+            used: mapping of (live entry, team) to its slot time so far.
+            held: mapping of team to the slots that stale entries still use.
+            now_ms: the time.
+        """
+        if state.computed_ms is not None:
+            past_ms = now_ms - state.computed_ms
+            kept = math.exp(-past_ms / FORGET_MS)
+            missed = {t: kept * state.missed.get(t, 0.0) for t in teams}
+            if past_ms <= 2 * RECOMPUTE_MS:
+                for team in teams:
+                    share = state.fair.get(team, 0.0) - held[team]
+                    missed[team] += share * past_ms
+                for place, used_ms in used.items():
+                    if place in state.used and place[1] in missed:
+                        missed[place[1]] -= used_ms - state.used[place]
+            state.missed = missed
+        state.used = used
+        state.fair = allocation.fair_shares(state.capacity, teams.values())
+
+    @staticmethod
+    def _own_demand(state, now_ms):
         return {
-            team: counts.demand(team)
+            team: counts.demand(team, now_ms)
             for team, counts in state.own.items()
             if counts.running or counts.queued
         }
