Catch up on missed shares in 2 s instead of 4 s

Cause: with one entry frozen, the teams that mostly reach that entry miss a part of their share for 2.5 s and made it up too slowly for a 10 s window. Change: SETTLE_MS = 2000.

--- a/figtray/shares/view.py
+++ b/figtray/shares/view.py
@@ -23,7 +23,7 @@
 DEMANDS_PER_MS = 10
 # Time in which a team that got less than its share catches up, and time
 # after which it is forgotten.
-SETTLE_MS = 4000
+SETTLE_MS = 2000
 FORGET_MS = 10_000
 # Weight of the latest task in the mean run time of a pool.
 _RUN_TIME_GAIN = 0.05
