--- a/figtray/entry/node.py
+++ b/figtray/entry/node.py
@@ -4,6 +4,8 @@
 import threading
 import uuid
 
+import msgspec
+
 from figtray.configuration import archive as archive_lib
 from figtray.configuration import replica as replica_lib
 from figtray.configuration import resources
@@ -72,7 +74,7 @@
         self.right = serving.ServingRight(self.slots, cfg.slot, clock)
         self.register = heartbeat.PeerRegister(clock)
         self.allotments = allotments_lib.Allotments(
-            cfg.slot, self.run_id, clock
+            cfg.slot, self.run_id, clock, self._on_epoch
         )
         self.view = view_lib.ShareView(clock, cfg.slot)
         self.queues = queueset.QueueSet(clock, cfg.max_queued_bytes)
@@ -138,7 +140,7 @@
             self.forwarder,
         )
         self._synchroniser = heartbeat.Synchroniser(
-            self.slots, cfg.slot, self.replica, self.right, clock
+            self.slots, self.replica, self.right, clock
         )
         self._heartbeats = [
             heartbeat.HeartbeatTask(
@@ -146,6 +148,7 @@
                 self.replica,
                 self.right,
                 self._synchroniser,
+                self.register,
                 self._describe,
                 clock,
                 self,
@@ -433,6 +436,10 @@
             if not spec.withdrawn and (current is None or current.withdrawn):
                 self.dispatcher.drop_key(name)
 
+    def _on_epoch(self, epoch):
+        self.right.set_epoch(epoch)
+        self.wake_heartbeats()
+
     # -- listener of the heartbeats -----------------------------------------
 
     def fenced(self, epoch):
@@ -531,16 +538,27 @@
             forwarding.FORWARD_TIMEOUT_MS,
         )
 
-    def status(self):
-        """Return the messages.StatusReply of this entry."""
-        return messages.StatusReply(
+    def status(self, brief=False):
+        """Return the messages.StatusReply of this entry.
+
+        Args:
+            brief: leave out what only the controller's duties need.
+        """
+        reply = messages.StatusReply(
             slot=self.cfg.slot,
             incarnation=self.allotments.incarnation,
             epoch=self.allotments.epoch,
             mark=self.replica.snapshot.mark,
             synchronised=self.right.synchronised,
             serving=self.right.holds(),
+        )
+        if brief:
+            return reply
+        return msgspec.structs.replace(
+            reply,
             demand=self.view.peek(),
+            run_ms=self.view.run_times(),
+            arrived=self.view.arrivals(),
             allotments=self.allotments.report(),
         )
 
--- a/figtray/errors.py
+++ b/figtray/errors.py
@@ -30,8 +30,8 @@
     msg_fmt = 'The reply to a store write was lost: {detail}'
 
 
-class LeaseLost(FigtrayError):
-    """A store lease has ended."""
+class LeaseLost(StoreUnavailable):
+    """A store lease has ended; a write that needs it did not take effect."""
 
     msg_fmt = 'The store lease {lease_id} has ended.'
 
@@ -84,6 +84,15 @@
     )
 
 
+class AlreadyChanged(FigtrayError):
+    """A change was made earlier, and its content is no longer kept."""
+
+    msg_fmt = (
+        'Change {change_id} was made as generation {generation}; its '
+        'content is no longer kept.'
+    )
+
+
 class FencedOut(FigtrayError):
     """This process lost its role or its incarnation was fenced."""
 
--- a/figtray/peers/messages.py
+++ b/figtray/peers/messages.py
@@ -32,14 +32,14 @@
 class HeartbeatReply(msgspec.Struct, frozen=True, omit_defaults=True):
     """State of the replier.
 
-    A `fenced_epoch` above 0 tells the sender that its allotments of older
-    epochs were fenced, `superseded` that a newer process runs in its slot;
-    such a reply confirms nothing.
+    Allotments of epochs below `floor` are void. A sender that holds such
+    allotments, or in whose slot a newer process runs (`superseded`), is not
+    confirmed.
     """
 
     mark: snapshot_lib.Mark
     synchronised: bool
-    fenced_epoch: int = 0
+    floor: int = 0
     superseded: bool = False
 
 
@@ -79,13 +79,23 @@
 
 
 @codec.register
-class StatusRequest(msgspec.Struct, frozen=True):
-    """Ask an entry for its state; sent by the API and the controller."""
+class StatusRequest(msgspec.Struct, frozen=True, omit_defaults=True):
+    """Ask an entry for its state; sent by the API and the controller.
+
+    The answer to a `brief` one leaves out demand, run times and allotments,
+    which are nearly all of its bytes.
+    """
+
+    brief: bool = False
 
 
 @codec.register
 class StatusReply(msgspec.Struct, frozen=True, omit_defaults=True):
-    """State of an entry."""
+    """State of an entry; `run_ms` is the mean run time by pool.
+
+    `arrived` counts the requests of a pool in this incarnation, those that
+    were refused for want of capacity included.
+    """
 
     slot: str
     incarnation: str
@@ -94,6 +104,8 @@
     synchronised: bool
     serving: bool
     demand: view.DemandReport | None = None
+    run_ms: dict[str, float] = {}
+    arrived: dict[str, int] = {}
     allotments: tuple[TeamAllotment, ...] = ()
 
 
@@ -126,9 +138,13 @@
 
 @codec.register
 class EpochJoin(msgspec.Struct, frozen=True):
-    """Ask an entry to join an epoch of allotments and to report."""
+    """Ask an entry to join an epoch of allotments and to report.
+
+    An entry that is still in an epoch below `floor` drops what it holds.
+    """
 
     epoch: int
+    floor: int = 0
 
 
 @codec.register
@@ -140,6 +156,7 @@
     joined: bool
     epoch: int
     allotments: tuple[TeamAllotment, ...] = ()
+    floor: int = 0
 
 
 @codec.register
@@ -152,10 +169,9 @@
 
 @codec.register
 class Fence(msgspec.Struct, frozen=True):
-    """Confirm no heartbeat of a slot with allotments of an older epoch."""
+    """Void all allotments of epochs below a floor."""
 
-    slot: str
-    epoch: int
+    floor: int
 
 
 @codec.register
--- a/figtray/shares/view.py
+++ b/figtray/shares/view.py
@@ -120,6 +120,7 @@
         self.teams = {}
         self.own = {}
         self.mean_run_ms = 0.0
+        self.arrived = 0
         self.is_dirty = True
         self.computed_ms = None
         self.is_saturated = False
@@ -190,6 +191,18 @@
         with self._lock:
             self._pools.pop(pool, None)
 
+    def arrived(self, pool):
+        """Count a request before it is queued or refused."""
+        with self._lock:
+            state = self._pools.get(pool)
+            if state is not None:
+                state.arrived += 1
+
+    def arrivals(self):
+        """Return the requests that arrived so far for each pool."""
+        with self._lock:
+            return {name: state.arrived for name, state in self._pools.items()}
+
     def queued(self, pool, team, urgent=False, count=1):
         """Count requests that were added to the queues."""
         with self._lock:
@@ -352,6 +365,15 @@
             self._refresh(state, pool, team)
             return state.totals.get(team, 0)
 
+    def run_times(self):
+        """Return the mean run time in milliseconds of each pool."""
+        with self._lock:
+            return {
+                name: state.mean_run_ms
+                for name, state in self._pools.items()
+                if state.mean_run_ms
+            }
+
     def portion(self, pool, team):
         """Return the slots of the team that this entry is allocated."""
         with self._lock:
