--- a/figtray/shares/view.py
+++ b/figtray/shares/view.py
@@ -181,10 +181,11 @@
         """
         with self._lock:
             state = self._pools.setdefault(pool, _Pool())
-            state.capacity = capacity
-            state.teams = dict(teams)
-            state.is_dirty = True
-            state.computed_ms = None
+            if (state.capacity, state.teams) != (capacity, teams):
+                state.capacity = capacity
+                state.teams = dict(teams)
+                state.is_dirty = True
+                state.is_saturated = False
 
     def forget_pool(self, pool):
         """Remove a pool that is no longer configured."""
@@ -277,6 +278,7 @@
             for name, state in self._pools.items():
                 state.sent = {d.team: d for d in sent.get(name, ())}
                 state.sent_ms = self._clock.now_ms()
+                state.is_dirty = True
             return report
 
     def peek(self):
@@ -495,7 +497,7 @@
         state.pause_ms = SATURATED_RECOMPUTE_MS + (
             sum(map(len, live.values())) // DEMANDS_PER_MS
         )
-        state.known_teams = frozenset(live[self._slot])
+        state.known_teams = frozenset(state.own)
         state.is_dirty = False
         state.computed_ms = now_ms
 
