Test that a steady capacity keeps the account of missed shares

Cause: configure() discarded it before, and no test showed it. Ruled out: a test of configure() alone; the fault shows only over rounds. Change: the test of the correction configures the pool in each round. Conclusion: the fault would fail the test.

--- a/figtray/shares/tests/test_view.py
+++ b/figtray/shares/tests/test_view.py
@@ -183,6 +183,8 @@
         for _ in range(20):
             exchange(views)
             manual.advance(view.RECOMPUTE_MS)
+            # The entry process sets the capacity at each of its rounds.
+            views['entry-1'].configure('p', 20, TEAMS)
             views['entry-1'].may_start('p', 'b')
         assert views['entry-1'].total('p', 'b') > 11
         assert views['entry-1'].total('p', 'a') < 9
