Correct measured times for a slow start of the run

Cause: the pace that times are scaled to was taken at the start of a run.

Change: the least time of the reference work in the whole run counts, by one correction at the end.

Ruled out: a fixed constant for the reference work, which would be that of one machine.

--- a/figtray/bench/slopes.py
+++ b/figtray/bench/slopes.py
@@ -2,7 +2,6 @@
 
 import collections
 import dataclasses
-import functools
 import gc
 import io
 import json
@@ -51,7 +50,6 @@
 MIN_BATCH_US = 5_000
 MAX_BATCH = 200
 REFERENCE_STEPS = 3_000
-REFERENCE_ROUNDS = 300
 
 HEARTBEAT_MS = 1000
 # Two TCP/IPv4 headers with timestamps (the message and its acknowledgement)
@@ -131,7 +129,7 @@
 
     Other work on the machine slows a processor down by up to two. Each
     measurement is therefore scaled by the time of a fixed piece of work
-    before and after it, relative to the least time that the same work took.
+    before and after it; measure() corrects for the pace of the first one.
 
     Args:
         function: called without arguments, or with the result of `prepare`.
@@ -160,26 +158,43 @@
 
 def _scaled_us(function, count, prepare):
     args = () if prepare is None else (prepare(),)
-    before_us = _reference_us()
+    before_us = _REFERENCE.run_us()
     start_ns = time.thread_time_ns()
     for _ in range(count):
         function(*args)
     passed_us = (time.thread_time_ns() - start_ns) / 1000 / count
-    pace_us = (before_us + _reference_us()) / 2
-    return passed_us * _least_reference_us() / pace_us
+    return _REFERENCE.scale(passed_us, before_us, _REFERENCE.run_us())
 
 
-def _reference_us():
-    start_ns = time.thread_time_ns()
-    table = {}
-    for number in range(REFERENCE_STEPS):
-        table[number % 512] = (number, str(number))
-    return (time.thread_time_ns() - start_ns) / 1000
+class Reference:
+    """A fixed piece of work by which the pace of the processor is known."""
+
+    def __init__(self):
+        self.first_us = None
+        self.least_us = math.inf
 
+    def run_us(self):
+        """Do the work and return its processor time in microseconds."""
+        start_ns = time.thread_time_ns()
+        table = {}
+        for number in range(REFERENCE_STEPS):
+            table[number % 512] = (number, str(number))
+        passed_us = (time.thread_time_ns() - start_ns) / 1000
+        self.first_us = self.first_us or passed_us
+        self.least_us = min(self.least_us, passed_us)
+        return passed_us
 
-@functools.cache
-def _least_reference_us():
-    return min(_reference_us() for _ in range(REFERENCE_ROUNDS))
+    def scale(self, passed_us, before_us, after_us):
+        """Scale a time to the pace at which the work was done first."""
+        return passed_us * self.first_us * 2 / (before_us + after_us)
+
+    @property
+    def correction(self):
+        """Factor from the first pace to the best one since."""
+        return self.least_us / self.first_us if self.first_us else 1.0
+
+
+_REFERENCE = Reference()
 
 
 def allocated_bytes(function):
@@ -874,9 +889,14 @@
     for group in groups:
         for size in group.quick_sizes if is_quick else group.sizes:
             if time.monotonic() > end_s:
-                return record
+                break
             for label, value in group.measure(size, repeats).items():
                 record[group.name].setdefault(label, {})[size] = value
+    for values in record.values():
+        for label in values:
+            if label.endswith('(us)'):
+                for size in values[label]:
+                    values[label][size] *= _REFERENCE.correction
     return record
 
 
@@ -905,11 +925,11 @@
 ):
     """Print the slopes that this machine shows."""
     started_s = time.monotonic()
-    print(f'reference work: {_least_reference_us():.0f} us')
     log.setup('error', os.devnull, 'figtray-bench')
     groups = [group for group in GROUPS if only in group.name]
     end_s = started_s + (QUICK_S if quick else FULL_S)
     record = measure(groups, quick, end_s)
+    print(f'reference work: {_REFERENCE.least_us:.0f} us at best')
     for group in groups:
         print(f'\n{group.name}, by {group.size_name}')
         for label, values in record[group.name].items():
--- a/figtray/bench/tests/test_slopes.py
+++ b/figtray/bench/tests/test_slopes.py
@@ -48,6 +48,21 @@
         assert 'out of time' in slopes.describe([(1, 7)])
 
 
+class TestReference:
+    """Guards against times that are those of a slower processor."""
+
+    def test_scales_to_the_best_pace(self):
+        reference = slopes.Reference()
+        reference.first_us = 200
+        reference.least_us = 100
+        scaled_us = reference.scale(60, 390, 410)
+        assert scaled_us == pytest.approx(30)
+        assert scaled_us * reference.correction == pytest.approx(15)
+
+    def test_nothing_measured(self):
+        assert slopes.Reference().correction == 1
+
+
 class TestMeasurements:
     """Guards against measurements that break with the code they measure."""
 
