--- a/figtray/bench/fleet.py
+++ b/figtray/bench/fleet.py
@@ -92,13 +92,16 @@
     )
 
 
-def layout_items(deployment, spare_hosts=None, fixed_hosts=None):
+def layout_items(
+    deployment, spare_hosts=None, fixed_hosts=None, run_limit_ms=5_000
+):
     """Yield the items of a deployment.
 
     Args:
         deployment: the Deployment.
         spare_hosts: hosts of the spare pool, if not as many as the others.
         fixed_hosts: hosts of each other pool, if not hosts_per_pool.
+        run_limit_ms: longest run time of a task in milliseconds.
     """
     kind = resources.Kind
     yield item(
@@ -113,7 +116,9 @@
     for pool in normal:
         spec = resources.Pool(min_slots=deployment.min_hosts * SLOTS)
         yield item(kind.POOL, pool, spec)
-        yield item(kind.QUEUE, pool, resources.Queue(pool, run_limit_ms=5000))
+        yield item(
+            kind.QUEUE, pool, resources.Queue(pool, run_limit_ms=run_limit_ms)
+        )
     yield item(kind.POOL, spare, resources.Pool(spare=True))
     per_pool = fixed_hosts or deployment.hosts_per_pool
     pools = [pool for pool in normal for _ in range(per_pool)]
@@ -137,10 +142,18 @@
     """A deployment whose tasks all run equally long, in steps of a second.
 
     Numbers of tasks need not be whole. A draining host finishes what it
-    began; the tasks of a host that goes down are lost.
+    began; the tasks of a host that goes down are lost. `duty` are further
+    arguments of the CapacityDuty.
     """
 
-    def __init__(self, deployment, items=None, task_ms=2_000):
+    def __init__(
+        self,
+        deployment,
+        items=None,
+        task_ms=2_000,
+        counts_arrivals=True,
+        **duty,
+    ):
         self.deployment = deployment
         self.clock = clock_lib.ManualClock()
         self.store = store_memory.MemoryStore(self.clock)
@@ -166,6 +179,7 @@
         self.task_ms = task_ms
         self.queued = collections.Counter()
         self.tasks = collections.defaultdict(list)
+        self.arrived = collections.Counter()
         self.served = collections.Counter()
         self.boots = collections.Counter()
         self.down = set()
@@ -182,9 +196,11 @@
             self.demand,
             self.clock,
             self.wall_s,
+            **duty,
         )
         self.start_ms = self.clock.now_ms()
         self.skew_s = 0
+        self.counts_arrivals = counts_arrivals
 
     @property
     def snapshot(self):
@@ -208,7 +224,10 @@
             running[spec.pool] += self.running(name)
         return {
             pool: demand_lib.PoolLoad(
-                running[pool], self.queued[pool], self.task_ms
+                running[pool],
+                self.queued[pool],
+                self.task_ms,
+                self.arrived[pool] if self.counts_arrivals else None,
             )
             for pool in self.snapshot.specs(resources.Kind.POOL)
         }
@@ -252,6 +271,7 @@
             self.tasks[name] = [t for t in tasks if t[0] > now_ms]
         for pool, slots in arrivals.items():
             self.queued[pool] += slots * STEP_MS / self.task_ms
+            self.arrived[pool] += slots * STEP_MS / self.task_ms
             free = {
                 name: SLOTS - self.running(name) for name in self.serving(pool)
             }
--- a/figtray/dispatch/dispatcher.py
+++ b/figtray/dispatch/dispatcher.py
@@ -17,9 +17,11 @@
 from figtray import verdict as verdict_lib
 from figtray.workers import base as workers_base
 
-# The loop looks at the queues at least this often: deadlines, portions and
-# pauses of hosts change without a notification.
-IDLE_WAIT_MS = 20
+# The loop looks at waiting requests at least this often: deadlines, portions
+# and pauses of hosts change without a notification.
+BUSY_WAIT_MS = 20
+# Without a waiting request every change comes with a notification.
+IDLE_WAIT_MS = 1_000
 # Added to a request's remaining time when waiting for a worker, so that an
 # answer that is sent at the deadline still arrives.
 ANSWER_MARGIN_MS = 50
@@ -71,6 +73,7 @@
         self._metrics = metrics
         self._rng = rng or random.Random()
         self._budgets = {}
+        self._placing = threading.Lock()
         self._cond = threading.Condition()
         self._notified = False
         self._free_threads = cfg.attempt_threads
@@ -78,7 +81,7 @@
         self._sequence = itertools.count()
         self.running = {}
         self.doubtful = doubtful_lib.DoubtfulAttempts(
-            client, allotments.release, clock
+            client, self._doubt_ended, clock
         )
 
     def submit(self, task):
@@ -103,37 +106,68 @@
             size_bytes=len(req.body),
             item=task,
         )
-        refusal = self._queues.add(queued)
+        self._view.arrived(req.pool)
+        refusal = self._place(queued, self._queues.add)
         if refusal is not None:
-            task.finish(refusal)
             return refusal
-        self._view.queued(req.pool, req.team, req.urgent)
         self.notify()
         return None
 
     def cancel(self, task):
         """Cancel a task; one that waits never starts."""
         queued = self._queues.cancel(task.task_id)
-        if queued is not None:
-            self._drop(
-                queued,
-                verdict_lib.NotRun(verdict_lib.RefusalReason.CANCELLED),
+        if queued is None:
+            self._hasten(lambda delayed: delayed.item is task)
+            return
+        self._drop(
+            queued, verdict_lib.NotRun(verdict_lib.RefusalReason.CANCELLED)
+        )
+
+    def on_configuration(self, old, new):
+        """Follow the queues and keys of a configuration change."""
+        queues = new.specs(resources.Kind.QUEUE)
+        for name, spec in queues.items():
+            if old.spec(resources.Kind.QUEUE, name) != spec:
+                self._configure_queue(name, spec)
+        for name in set(old.specs(resources.Kind.QUEUE)) - set(queues):
+            self.drop_queue(name)
+        keys = new.specs(resources.Kind.KEY)
+        old_keys = old.specs(resources.Kind.KEY)
+        for name, spec in old_keys.items():
+            current = keys.get(name)
+            if not spec.withdrawn and (current is None or current.withdrawn):
+                self.drop_key(name)
+        for name, spec in keys.items():
+            before = old_keys.get(name)
+            if not spec.withdrawn and (before is None or before.withdrawn):
+                self._queues.restore_key(name)
+
+    def _configure_queue(self, name, spec):
+        with self._placing:
+            moved = self._queues.configure(
+                name, spec.pool, spec.max_queued, spec.ordered
             )
+            for queued in moved:
+                self._view.removed(queued.pool, queued.team, queued.urgent)
+                self._view.queued(spec.pool, queued.team, queued.urgent)
 
     def drop_key(self, key_id):
         """Refuse all waiting requests of a withdrawn key."""
         refusal = verdict_lib.NotRun(verdict_lib.RefusalReason.KEY_REFUSED)
         for queued in self._queues.drop_key(key_id):
             self._drop(queued, refusal)
+        self._hasten(lambda delayed: delayed.key_id == key_id)
 
     def drop_queue(self, queue):
         """Refuse all waiting requests of a deleted queue."""
         refusal = verdict_lib.NotRun(verdict_lib.RefusalReason.UNKNOWN_QUEUE)
         for queued in self._queues.drop_queue(queue):
             self._drop(queued, refusal)
+        self._hasten(lambda delayed: delayed.queue == queue)
 
     def refuse_all(self, reason):
         """Refuse all waiting requests, at the end of a graceful stop."""
+        self._hasten(lambda delayed: True)
         for queued in self._queues.drop_all():
             self._drop(queued, verdict_lib.NotRun(reason))
 
@@ -149,9 +183,14 @@
             self.step()
             with self._cond:
                 if not self._notified:
-                    self._cond.wait(IDLE_WAIT_MS / 1000)
+                    self._cond.wait(self._wait_ms() / 1000)
                 self._notified = False
 
+    def _wait_ms(self):
+        if self._queues.count() or self._delayed:
+            return BUSY_WAIT_MS
+        return IDLE_WAIT_MS
+
     def step(self):
         """Expire what is late and start what may start now."""
         late = verdict_lib.NotRun(verdict_lib.RefusalReason.DEADLINE)
@@ -194,6 +233,7 @@
             other = self._selector.pick(item.pool, failed)
             candidate = other or self._selector.pick(item.pool)
             if candidate is None:
+                self._view.removed(queued.pool, queued.team, urgent)
                 self._retry(queued, verdict_lib.RefusalReason.BUSY)
                 return False
         self._view.started(queued.pool, queued.team, urgent)
@@ -233,11 +273,12 @@
                 self._allotments.release(attempt.permit)
                 self._selector.ended(attempt.host)
             case verdict_lib.MayHaveRun():
+                self._queues.hold(queued)
                 self.doubtful.add(attempt.doubtful())
                 self._selector.ended(
                     attempt.host, selection.UNREACHABLE_PAUSE_MS
                 )
-                task.may_have_run = verdict
+                task.has_run = verdict
             case verdict_lib.NotRun(reason=reason):
                 self._allotments.release(attempt.permit)
                 self._selector.ended(attempt.host, _pause_ms(reason))
@@ -245,6 +286,7 @@
         is_bad_job = self._record_health(attempt, verdict)
         if not is_bad_job and self._may_retry(queued, verdict):
             if not isinstance(verdict, verdict_lib.NotRun):
+                task.has_run = verdict
                 task.failed_hosts += (attempt.host,)
             self._metrics.count_retry(task.req.team)
             self._retry(queued, getattr(verdict, 'reason', None))
@@ -252,6 +294,11 @@
         self._queues.ended(task.task_id, run_ms)
         task.finish(verdict)
 
+    def _doubt_ended(self, item):
+        self._allotments.release(item.permit)
+        self._queues.release_hold(item.queued)
+        self.notify()
+
     def _record_health(self, attempt, verdict):
         """Account for success or failure.
 
@@ -306,7 +353,8 @@
             or not isinstance(reason, verdict_lib.RefusalReason)
         ):
             delay_ms = budget_lib.backoff_ms(queued.item.attempts, self._rng)
-            ready_ms = self._clock.now_ms() + delay_ms
+            # A request that is too late is refused at its deadline.
+            ready_ms = min(self._clock.now_ms() + delay_ms, queued.deadline_ms)
             with self._cond:
                 heapq.heappush(
                     self._delayed, (ready_ms, next(self._sequence), queued)
@@ -323,12 +371,31 @@
         for queued in ready:
             self._requeue(queued)
 
+    def _hasten(self, matches):
+        """Queue the delayed requests that match without further delay."""
+        with self._cond:
+            ready = [e[2] for e in self._delayed if matches(e[2])]
+            self._delayed = [e for e in self._delayed if not matches(e[2])]
+            heapq.heapify(self._delayed)
+        for queued in ready:
+            self._requeue(queued)
+
     def _requeue(self, queued):
-        refusal = self._queues.retry(queued)
+        self._place(queued, self._queues.retry)
+
+    def _place(self, queued, insert):
+        """Put a request into its queue and count it.
+
+        It is counted first, as it may be started while this call returns,
+        and for the pool that the queue has now.
+        """
+        with self._placing:
+            queued = self._queues.in_current_pool(queued)
+            self._view.queued(queued.pool, queued.team, queued.urgent)
+            refusal = insert(queued)
         if refusal is not None:
-            queued.item.finish(refusal)
-            return
-        self._view.queued(queued.pool, queued.team, queued.urgent)
+            self._drop(queued, refusal)
+        return refusal
 
     def _drop(self, queued, refusal):
         self._view.removed(queued.pool, queued.team, queued.urgent)
@@ -365,6 +432,8 @@
             return verdict_lib.NotRun(reason.LEAVING)
         if spec.pool != attempt.queued.pool:
             return verdict_lib.NotRun(reason.LEAVING)
+        if self._selector.is_leaving(attempt.host):
+            return verdict_lib.NotRun(reason.LEAVING)
         if not self._allotments.is_valid(attempt.permit):
             return verdict_lib.NotRun(reason.TEAM_LIMIT)
         if now_ms >= req.deadline_ms:
@@ -423,6 +492,7 @@
             attempt_id=self.attempt_id,
             address=self.address,
             permit=self.permit,
+            queued=self.queued,
             start_by_ms=self.start_by_ms,
             end_by_ms=self.start_by_ms + self.lease_ms,
         )
