--- a/figtray/peers/messages.py
+++ b/figtray/peers/messages.py
@@ -183,7 +183,10 @@
 
 @codec.register
 class Forward(msgspec.Struct, frozen=True, omit_defaults=True):
-    """A request for its owner; `left_ms` is its remaining time."""
+    """A request for its owner; `left_ms` is its remaining time.
+
+    An owner of another run than `owner_run` refuses it, if that is set.
+    """
 
     request_id: str
     queue: str
@@ -195,6 +198,7 @@
     urgent: bool = False
     idempotency_key: str = ''
     job: str = ''
+    owner_run: str = ''
 
 
 @codec.register
@@ -260,11 +264,15 @@
 
 @codec.register
 class KeyHandover(msgspec.Struct, frozen=True):
-    """Key records of a run that stops, for the slot's next run to fetch."""
+    """Key records of a run that stops, for the slot's next run to fetch.
+
+    For `uncertain_ms` a key that is not among them may have been used.
+    """
 
     slot: str
     run_id: str
     records: tuple[KeyRecordItem, ...]
+    uncertain_ms: int = 0
 
 
 @codec.register
@@ -280,3 +288,4 @@
 
     run_id: str = ''
     records: tuple[KeyRecordItem, ...] = ()
+    uncertain_ms: int = 0
