Run the programs with -m; log task bodies in the worker stand-in

Cause: `python -m figtray.entry.main` (and .api, .controller) exited with status 0 and did nothing, so proofs could not run a checkout other than the installed one. A worker's log named task and attempt ids, which a caller whose connection broke never learned, so starts could not be matched to requests without asking figtray.

Ruled out: matching by `Task-Id` of the response; it is missing exactly where the outcome is in doubt.

Change: a `__main__` guard in the three programs, as the stand-ins have; the first 128 bytes of the body in each entry of the worker stand-in's log.

Conclusion: a worktree can be tried as processes without an installation.

--- a/figtray/api/main.py
+++ b/figtray/api/main.py
@@ -71,3 +71,7 @@
     group.close()
     store.close()
     metrics.close()
+
+
+if __name__ == '__main__':
+    main()
--- a/figtray/controller/main.py
+++ b/figtray/controller/main.py
@@ -114,3 +114,7 @@
         log.emit(catalogue.CONTROLLER_LOST, controller=name, detail='')
     else:
         log.emit(catalogue.CONTROLLER_ELECTED, controller=name, epoch=0)
+
+
+if __name__ == '__main__':
+    main()
--- a/figtray/entry/main.py
+++ b/figtray/entry/main.py
@@ -89,3 +89,7 @@
     def debug(self):
         """Return what this process believes."""
         return self._node.debug()
+
+
+if __name__ == '__main__':
+    main()
--- a/figtray/workers/memory.py
+++ b/figtray/workers/memory.py
@@ -13,6 +13,7 @@
 ENDED_RETENTION_MS = 600_000
 MAX_ENDED = 100_000
 LOG_LENGTH = 200_000
+LOG_BODY_BYTES = 128
 OFFSET_RANGE_MS = 1_000_000_000
 
 REFUSALS = {
@@ -271,6 +272,8 @@
                 'queue': start.queue,
                 'incarnation': start.incarnation,
                 'lease_ms': start.lease_ms,
+                # Tells which request an attempt belongs to, for oracles.
+                'body': start.body[:LOG_BODY_BYTES].decode('latin-1'),
             }
         )
         self._logged += 1
