Add proofs over processes under failure

Cause: the tests of the guarantees use the manual clock and fakes in one process; nothing showed the bounds with real processes, sockets, signals and a store that fails.

--- /dev/null
+++ b/figtray/proofs/__init__.py
@@ -0,0 +1,1 @@
+"""Proofs over real processes and sockets under failure (`make prove`)."""
