--- a/figtray/dispatch/doubtful.py
+++ b/figtray/dispatch/doubtful.py
@@ -8,6 +8,9 @@
 REPORT_TIMEOUT_MS = 500
 # Covers the round trip by which a worker's view of a deadline may be late.
 MARGIN_MS = 500
+# Reports may show the tasks that ran up to this long ago. With a lag of
+# 1,500 ms and no allowance for it, a permit was released while its task ran.
+REPORT_LAG_MS = 2_000
 
 
 @dataclasses.dataclass(frozen=True)
@@ -21,6 +24,7 @@
     attempt_id: str
     address: str
     permit: object
+    queued: object
     start_by_ms: int
     end_by_ms: int
 
@@ -28,16 +32,16 @@
 class DoubtfulAttempts:
     """Keeps the permits of doubtful attempts until they run no more."""
 
-    def __init__(self, client, release, clock):
+    def __init__(self, client, on_end, clock):
         """Set up.
 
         Args:
             client: a WorkerClient.
-            release: called with each permit that is free again.
+            on_end: called with each Doubtful that certainly runs no more.
             clock: a Clock.
         """
         self._client = client
-        self._release = release
+        self._on_end = on_end
         self._clock = clock
         self._lock = threading.Lock()
         self._items = {}
@@ -65,7 +69,8 @@
 
     def _check_worker(self, address, items):
         asked_ms = self._clock.now_ms()
-        late = [i for i in items if asked_ms > i.start_by_ms + MARGIN_MS]
+        oldest_ms = asked_ms - MARGIN_MS - REPORT_LAG_MS
+        late = [i for i in items if i.start_by_ms < oldest_ms]
         if not late:
             return
         try:
@@ -81,4 +86,4 @@
         with self._lock:
             if self._items.pop(item.attempt_id, None) is None:
                 return
-        self._release(item.permit)
+        self._on_end(item)
