Let the proofs of G2 and G4 detect a missing protection

Cause: with FRESHNESS_MS raised to 30 s in a scratch copy (trial), the proof of G4 with a frozen entry still passed: the entry resumed with requests whose deadline of 4 s had passed, so it had nothing to start. With the withdrawal of keys ignored (trial), the queued requests had all started within 2.5 s, so only the check of the load failed, not the bound.

Ruled out: chance; three runs of the first mutant passed.

--- a/figtray/proofs/callers.py
+++ b/figtray/proofs/callers.py
@@ -202,7 +202,7 @@
         Kind('alpha', keys['alpha'], 'back', **changes),
         Kind('beta', keys['beta'], 'back', **changes),
         Kind('gamma', keys['gamma'], 'front', **changes),
-        Kind('walk-in', '', 'open', callers=4, **changes),
+        Kind('walk-in', '', 'open', **changes),
     ]
 
 
--- a/figtray/proofs/test_withdrawals.py
+++ b/figtray/proofs/test_withdrawals.py
@@ -7,6 +7,7 @@
 """
 
 import contextlib
+import functools
 import random
 import signal
 import threading
@@ -24,6 +25,9 @@
 # The log is read this long after the bound, so that late starts show.
 AFTER_S = 1.5
 SLOW_STORE_MS = 500
+FROZEN = 3
+# Requests that wait in a frozen entry must outlive the freeze.
+DEADLINE_MS = 20_000
 
 
 @contextlib.contextmanager
@@ -32,17 +36,25 @@
 
 
 @contextlib.contextmanager
-def entry_frozen(fleet, rng):
-    process = fleet.entry(rng.randint(1, deployment.ENTRIES))
-    resume = threading.Timer(
-        rng.uniform(2, 6), lambda: process.send(signal.SIGCONT)
-    )
-    process.send(signal.SIGSTOP)
-    resume.start()
+def entries_frozen(fleet, rng):
+    """Freeze three entries; the six others are still a majority.
+
+    They resume after the bound of G4, with requests that wait in them.
+    """
+    numbers = rng.sample(range(1, deployment.ENTRIES + 1), FROZEN)
+    timers = []
+    for number in numbers:
+        process = fleet.entry(number)
+        resume = functools.partial(process.send, signal.SIGCONT)
+        timers.append(threading.Timer(rng.uniform(3.5, 6), resume))
+        process.send(signal.SIGSTOP)
+    for timer in timers:
+        timer.start()
     try:
         yield lambda: None
     finally:
-        resume.join()
+        for timer in timers:
+            timer.join()
 
 
 @contextlib.contextmanager
@@ -71,8 +83,8 @@
 
 FAULTS = (
     (no_fault, 1),
-    (entry_frozen, 1),
-    (entry_frozen, 2),
+    (entries_frozen, 1),
+    (entries_frozen, 2),
     (store_slow, 1),
     (store_down_after, 1),
     (reply_lost, 1),
@@ -96,10 +108,23 @@
         zone = rng.choice(deployment.ZONES)
         key = fleet.operator.create_key('gamma')
         victim = callers.Kind(
-            'gamma', key['secret'], 'back', (300, 600), callers=27, pause_s=0
+            'gamma',
+            key['secret'],
+            'back',
+            # The queue of the key would last longer than the bound.
+            (900, 1300),
+            callers=4 * deployment.ENTRIES,
+            pause_s=0,
+            deadline_ms=DEADLINE_MS,
         )
         begin_ms = deployment.CLOCK.now_ms()
-        kinds = [victim, *callers.mixed(fleet)]
+        others = callers.mixed(
+            fleet,
+            run_ms=(100, 400),
+            callers=2 * deployment.ENTRIES,
+            deadline_ms=DEADLINE_MS,
+        )
+        kinds = [victim, *others]
         with callers.Load(fleet, kinds) as load:
             time.sleep(2.5)
             with fault(fleet, rng) as right_after:
