--- a/figtray/api/main.py
+++ b/figtray/api/main.py
@@ -83,3 +83,7 @@
     group.close()
     store.close()
     metrics.close()
+
+
+if __name__ == '__main__':
+    main()
--- a/figtray/entry/forwarding.py
+++ b/figtray/entry/forwarding.py
@@ -12,6 +12,7 @@
 FORWARD_ATTEMPTS = 2
 OUTCOME_TIMEOUT_MS = 1_000
 OUTCOME_RETRY_MS = 200
+IDLE_WAIT_MS = 1_000
 # An owner that is not heard of for this long is taken to be lost.
 OWNER_LOST_MS = 5_000
 
@@ -163,19 +164,16 @@
         self._wake.set()
 
     def close(self):
-        """Let run() return; the event that stops it was set before."""
+        """Let run() see at once that the process stops."""
         self._wake.set()
 
     def run(self, stop):
-        """Report until the process stops and close() is called."""
+        """Report until the process stops."""
         while not stop.is_set():
-            if self.report_next():
-                continue
-            if self._queue:
-                self._clock.wait(stop, OUTCOME_RETRY_MS)
-            else:
-                self._wake.wait()
-            self._wake.clear()
+            if not self.report_next():
+                wait_ms = OUTCOME_RETRY_MS if self._queue else IDLE_WAIT_MS
+                self._clock.wait(self._wake, wait_ms)
+                self._wake.clear()
 
     def report_next(self):
         """Report the oldest outcome.
