--- a/figtray/capacity/tests/test_maintenance.py
+++ b/figtray/capacity/tests/test_maintenance.py
@@ -119,6 +119,14 @@
             plan = planner.plan(test_planner.change(situation, drained))
             assert action in plan.actions
 
+    def test_a_report_that_lags_delays_the_reboot(self):
+        drained = {'h24': {'state': State.DRAINING}}
+        start = model.StartMaintenance('h24')
+        for lagging, is_started in ((frozenset({'h24'}), False), ((), True)):
+            situation = make_due(drained=frozenset({'h24'}), lagging=lagging)
+            plan = planner.plan(test_planner.change(situation, drained))
+            assert (start in plan.actions) == is_started
+
     def test_forecasts_the_end(self):
         forecast = planner.plan(make_due()).forecast
         assert forecast.due == 32
--- a/figtray/capacity/tests/test_observer.py
+++ b/figtray/capacity/tests/test_observer.py
@@ -66,6 +66,13 @@
         assert not case.observe(2_900).drained
         assert case.observe(100).drained == {NAME: 2}
 
+    def test_lags_for_as_long_as_reports_do(self, case):
+        case.set_state(State.DRAINING)
+        case.observe()
+        assert case.observe(3_000).lagging == {NAME}
+        assert case.observe(1_900).lagging == {NAME}
+        assert not case.observe(100).lagging
+
     def test_counts_from_the_confirmation_of_a_majority(self, case):
         entries = case.fleet.entries
         entries.reachable = {'entry-1'}
