Keep one way to preview a plan

Ruled out: Previewer; it does not know the demand of the pools and shows a plan without the host list, while Planner refuses with a clear problem. Change: Previewer is gone. Its test checks the same counts through preview() itself; the case of a host list that is down is test_host_list_down of the API. Conclusion: the API is unchanged.

--- a/figtray/capacity/preview.py
+++ b/figtray/capacity/preview.py
@@ -1,9 +1,6 @@
 """Previews what a change of the configuration would move."""
 
 import dataclasses
-import time
-
-import msgspec
 
 from figtray.capacity import budget
 from figtray.capacity import model
@@ -11,8 +8,6 @@
 from figtray.capacity import situation as situation_lib
 from figtray.configuration import resources
 from figtray.configuration import snapshot as snapshot_lib
-from figtray import errors
-from figtray.hostlist import base as hostlist_base
 
 
 @dataclasses.dataclass(frozen=True)
@@ -113,63 +108,3 @@
         if host.wanted_pool not in ('', host.pool)
         and host.state is resources.HostState.SERVING
     ]
-
-
-class Previewer:
-    """Previews changes for the operators' API.
-
-    The API sees the host list, but not the demand of the pools, so moves for
-    present peaks are not part of a preview. A host that is absent from the
-    list counts as failed.
-    """
-
-    def __init__(self, host_list, wall_s=time.time):
-        """Set up.
-
-        Args:
-            host_list: the HostList.
-            wall_s: function that returns seconds since the epoch.
-        """
-        self._host_list = host_list
-        self._wall_s = wall_s
-
-    def __call__(self, snapshot, items):
-        """Preview a change.
-
-        Args:
-            snapshot: the current configuration Snapshot.
-            items: the changed snapshot.Items.
-
-        Returns:
-            The Preview as plain data, and whether the host list answered;
-            without it, no host counts as failed.
-        """
-        try:
-            listed = self._host_list.list_hosts()
-        except errors.HostListUnavailable:
-            listed = None
-        observation = self._observe(snapshot, listed)
-        document = preview(snapshot, items, observation)
-        return {
-            **msgspec.to_builtins(document),
-            'host_list_answered': listed is not None,
-        }
-
-    def _observe(self, snapshot, listed):
-        wall_s = int(self._wall_s())
-        if listed is None:
-            return situation_lib.Observation(wall_s=wall_s)
-        presence = {status.host: status.presence for status in listed}
-        leaving = hostlist_base.HostPresence.LEAVING
-        return situation_lib.Observation(
-            failed=frozenset(
-                name
-                for name, spec in snapshot.specs(resources.Kind.HOST).items()
-                if name not in presence
-                and spec.state is not resources.HostState.MAINTENANCE
-            ),
-            leaving=frozenset(
-                name for name, seen in presence.items() if seen is leaving
-            ),
-            wall_s=wall_s,
-        )
--- a/figtray/capacity/tests/test_preview.py
+++ b/figtray/capacity/tests/test_preview.py
@@ -54,23 +54,19 @@
         assert (result.moves, result.duration_ms) == ((), 0)
         assert result.buffer_hosts == -3
 
-    def test_the_api_previews_with_what_the_host_list_says(self):
-        host_list = self.fleet.host_list
-        self.fleet._report()
-        del host_list.hosts['host-000']
-        previewer = preview.Previewer(host_list, self.fleet.wall_s)
+    def test_a_failed_host_counts_against_its_pool(self):
         zone = resources.Zone(in_service=False)
-        items = [fleet_lib.item(resources.Kind.ZONE, 'dc-2', zone)]
-        document = previewer(self.fleet.snapshot, items)
+        result = preview.preview(
+            self.fleet.snapshot,
+            [fleet_lib.item(resources.Kind.ZONE, 'dc-2', zone)],
+            situation_lib.Observation(
+                failed=frozenset({'host-000'}), wall_s=fleet_lib.START_S
+            ),
+        )
         # The pool of the failed host loses two more and gets one back.
-        reasons = [move['reason'] for move in document['moves']]
+        reasons = [move.reason for move in result.moves]
         assert (reasons.count('zone_out'), reasons.count('guarantee')) == (
             10,
             1,
         )
-        assert document['left'] == 3
-        assert document['host_list_answered']
-        host_list.down = True
-        document = previewer(self.fleet.snapshot, ())
-        assert (document['left'], len(document['moves'])) == (4, 0)
-        assert not document['host_list_answered']
+        assert result.left == 3
