Run a failed background task again

Cause: an unexpected exception in the dispatcher, a heartbeat or another task of an entry ended its thread for the rest of the process's life, while the entry went on to accept requests. Ruled out: a try block in each loop; it would stand eight times.

--- a/figtray/entry/node.py
+++ b/figtray/entry/node.py
@@ -14,6 +14,7 @@
 from figtray.dispatch import selection
 from figtray.dispatch import silence
 from figtray.dispatch import tasks as tasks_lib
+from figtray.entry import background
 from figtray.entry import forwarding
 from figtray.entry import handlers as handlers_lib
 from figtray.entry import intake as intake_lib
@@ -36,6 +37,7 @@
 from figtray import verdict as verdict_lib
 
 HOUSEKEEPING_MS = 250
+JOIN_MS = 2_000
 STORE_RETRY_MS = 500
 HANDOVER_TIMEOUT_MS = 1_000
 # Time after which the entry asks the store although peers may answer yet.
@@ -64,6 +66,7 @@
         self._host_list = host_list
         self._client = client
         self._stop = threading.Event()
+        self._tasks = background.BackgroundTasks(clock, self._stop)
         self._serving = False
         self._superseded = threading.Event()
         addresses = cfg.addresses
@@ -177,7 +180,6 @@
             handlers_lib.Handlers(self).handle,
             lambda exc: log.emit_exception('peer call', exc),
         )
-        self._threads = []
         for listener in (
             self.allotments.on_configuration,
             self.selector.on_configuration,
@@ -194,19 +196,19 @@
             OSError: the address can't be bound.
         """
         self._server.start()
-        self._spawn('dispatch', self.dispatcher.run, self._stop)
-        self._spawn('transfer', self.transfers.run, self._stop)
-        self._spawn('housekeeping', self._keep_house)
-        self._spawn('host-list', self._poll_host_list)
-        self._spawn('store', self._synchronise_with_store)
-        self._spawn('registration', self._register_run)
-        self._spawn('silence', self.silence.run, self._stop)
+        self._tasks.spawn('dispatch', self.dispatcher.run, self._stop)
+        self._tasks.spawn('transfer', self.transfers.run, self._stop)
+        self._tasks.spawn('housekeeping', self._keep_house)
+        self._tasks.spawn('host-list', self._poll_host_list)
+        self._tasks.spawn('store', self._synchronise_with_store)
+        self._tasks.spawn('registration', self._register_run)
+        self._tasks.spawn('silence', self.silence.run, self._stop)
         for task in self._heartbeats:
-            self._spawn(
+            self._tasks.spawn(
                 'heartbeat', task.run, self._stop, self.cfg.heartbeat_ms
             )
         for task in self._outcomes.values():
-            self._spawn('outcome', task.run, self._stop)
+            self._tasks.spawn('outcome', task.run, self._stop)
 
     def stop_when(self, stop):
         """Set the event `stop` if a newer process runs in this slot."""
@@ -215,7 +217,7 @@
             self._superseded.wait()
             stop.set()
 
-        self._spawn('superseded', wait)
+        self._tasks.spawn('superseded', wait)
 
     def drain(self):
         """Stop gracefully: end or refuse all work, hand over the rest.
@@ -251,24 +253,12 @@
             task.close()
         self._server.close()
         self._attempt_executor.shutdown(wait=False, cancel_futures=True)
-        for thread in self._threads:
-            thread.join(2)
+        self._tasks.join(JOIN_MS)
         for links in self._links.values():
             for link in links.values():
                 link.close()
         self._client.close()
 
-    def _spawn(self, name, function, *args):
-        def run():
-            try:
-                function(*args)
-            except Exception as exc:
-                log.emit_exception(name, exc)
-
-        thread = threading.Thread(target=run, name=name, daemon=True)
-        thread.start()
-        self._threads.append(thread)
-
     def _has_work(self):
         return bool(
             self.table.open_count()
@@ -414,8 +404,9 @@
     def diverged(self, slot, mark):
         """Note a peer with another history."""
         log.emit(
-            catalogue.STORE_DIVERGED,
-            store_generation=mark.generation,
+            catalogue.PEER_DIVERGED,
+            peer=slot,
+            peer_generation=mark.generation,
             generation=self.replica.snapshot.generation,
         )
 
--- a/figtray/events/catalogue.py
+++ b/figtray/events/catalogue.py
@@ -134,6 +134,13 @@
     ('slot', 'epoch', 'incarnation'),
 )
 
+PEER_DIVERGED = Event(
+    405,
+    logbook.ERROR,
+    'A peer holds another configuration history.',
+    ('peer', 'peer_generation', 'generation'),
+)
+
 RECOUNT_STARTED = Event(
     500, logbook.INFO, 'A recount of allotments has started.', ('epoch',)
 )
