Add `figtray report`; let peer server tasks end by themselves

Cause: the operators' command line had no report. In one full run of the tests a process crashed natively in TestLink while a peer server was closed. Ruled out: the link; closing a context from another thread while it receives is the one step of that test that crosses threads (not proved: the crash was seen once and not reproduced). Change: serving tasks poll the stop and close their own contexts; `figtray report` prints the measures of result files and writes an HTML page.

--- a/figtray/cli/main.py
+++ b/figtray/cli/main.py
@@ -426,6 +426,23 @@
     ctx.obj.show(document, ('entry', 'generation', 'behind'), rows)
 
 
+@app.command()
+def report(
+    results: typing.Annotated[
+        list[str],
+        typer.Argument(help='JSON results of figtray-load or figtray-bench.'),
+    ],
+    html: typing.Annotated[
+        str, typer.Option(metavar='FILE', help='Write an HTML page too.')
+    ] = '',
+):
+    """Report the four measures and histograms for each team."""
+    # Loads matplotlib only for the HTML page, and nothing for other commands.
+    from figtray.bench import report as report_lib
+
+    raise typer.Exit(report_lib.main([*results, f'--html={html}']))
+
+
 @_key.command('grant')
 def key_grant(
     ctx: typer.Context,
--- a/figtray/cli/tests/test_main.py
+++ b/figtray/cli/tests/test_main.py
@@ -100,6 +100,22 @@
         assert shell.generation() == document['generation'] == 5
 
 
+class TestReport:
+    """Guards against a report command that needs a server or hides errors."""
+
+    def test_report(self, shell, write, tmp_path):
+        rows = [{'scenario': 's', 'policy': 'p', 'worst_deviation': 0.04}]
+        data = {'kind': 'bench', 'bench': 'shares', 'rows': rows}
+        path = write(json.dumps(data), 'rows.json')
+        page = tmp_path / 'report.html'
+        assert '0.04' in shell.run('report', path, '--html', str(page)).stdout
+        assert 'data:image' in page.read_text()
+
+    def test_unusable_file(self, shell, write):
+        for path in (write('{}', 'empty.json'), 'missing.json'):
+            shell.run('report', path, status=main.ExitStatus.USAGE)
+
+
 class TestApply:
     """Guards against changes in part, in vain or over a conflict."""
 
--- a/figtray/peers/server.py
+++ b/figtray/peers/server.py
@@ -11,6 +11,9 @@
 from figtray.peers import link as link_lib
 
 CONTEXTS = 6
+# A serving task looks for the stop this often. Closing a context from
+# another thread while it receives has crashed a process once.
+STOP_POLL_MS = 500
 MAX_SENDERS = 512
 
 
@@ -77,7 +80,7 @@
         self._address = f'tcp://{address}'
         self._on_error = on_error
         self._socket = None
-        self._contexts = []
+        self._stop = threading.Event()
         self._executor = concurrent.futures.ThreadPoolExecutor(
             CONTEXTS, thread_name_prefix='peer-server'
         )
@@ -88,41 +91,49 @@
         Raises:
             OSError: the address can't be bound.
         """
-        self._socket = pynng.Rep0(recv_max_size=link_lib.MAX_MESSAGE_BYTES)
+        self._socket = pynng.Rep0(
+            recv_max_size=link_lib.MAX_MESSAGE_BYTES,
+            recv_timeout=STOP_POLL_MS,
+        )
         try:
             self._socket.listen(self._address)
         except pynng.NNGException as exc:
             raise OSError(f'{self._address}: {exc}') from exc
         for _ in range(CONTEXTS):
-            context = self._socket.new_context()
-            self._contexts.append(context)
-            self._executor.submit(self._serve, context)
+            self._executor.submit(self._serve, self._socket.new_context())
 
     def close(self):
         """Close the listener and wait for its tasks."""
-        # A context has to be closed before its socket.
-        for context in self._contexts:
-            context.close()
+        self._stop.set()
+        self._executor.shutdown(wait=True)
         if self._socket is not None:
             self._socket.close()
-        self._executor.shutdown(wait=True)
 
     def _serve(self, context):
-        while True:
-            try:
-                data = context.recv()
-            except pynng.NNGException:
-                return
-            try:
-                reply = self._deduplicator.handle(data)
-            except Exception as exc:
-                # One faulty call must not end the task that serves all
-                # later ones.
-                self._on_error(exc)
-                continue
-            if reply is None:
-                continue
-            try:
-                context.send(reply)
-            except pynng.NNGException:
-                continue
+        """Answer calls on one context; a task of the executor."""
+        with context:
+            while not self._stop.is_set():
+                self._answer_next(context)
+
+    def _answer_next(self, context):
+        try:
+            data = context.recv()
+        except pynng.Timeout:
+            return
+        except pynng.NNGException as exc:
+            self._on_error(exc)
+            self._stop.wait(STOP_POLL_MS / 1000)
+            return
+        try:
+            reply = self._deduplicator.handle(data)
+        except Exception as exc:
+            # One faulty call must not end the task that serves all later
+            # ones.
+            self._on_error(exc)
+            return
+        if reply is None:
+            return
+        try:
+            context.send(reply)
+        except pynng.NNGException:
+            return
