--- a/figtray/limits/tests/test_limits_machine.py
+++ b/figtray/limits/tests/test_limits_machine.py
@@ -446,6 +446,7 @@
 
     def test_restarted_entry_takes_over_fenced_allotment(self):
         machine = LimitMachine()
+        machine.fill_late = False
         machine.cut_from_controller('a')
         machine.fleet.cuts = {frozenset({'a', other}) for other in 'bcde'}
         machine.run_recount()
@@ -454,3 +455,12 @@
         machine.fleet.heartbeat(machine.fleet.entries['e'])
         machine.transfer('a', 'e', False)
         machine.fill_all()
+
+    def test_unreachable_worker_after_a_late_loss(self):
+        machine = LimitMachine()
+        machine.pass_time(RUN_LIMIT_MS + 1_000)
+        machine.fill('a')
+        machine.cut_worker()
+        machine.replace('a', False)
+        machine.run_recount()
+        machine.fill_all()
