Send idle allotment only for teams that wait somewhere

Cause: an idle entry of nine sent 6.5 KB/s of heartbeats, above the budget of 5 KB/s; half of each heartbeat named teams for which nobody waits. Change: heartbeats name idle allotment only of teams that wait at a peer; the peer server polls its stop every 2 s in 4 contexts.

--- a/figtray/entry/node.py
+++ b/figtray/entry/node.py
@@ -542,9 +542,8 @@
             synchronised=self.right.synchronised,
             epoch=self.allotments.epoch,
             demand=self.view.report(),
-            idle=tuple(
-                messages.TeamAllotment(i.team, i.version, i.held - i.in_use)
-                for i in self.allotments.report()
-                if i.held > i.in_use
+            idle=transfers.idle_for_peers(
+                self.allotments.report(),
+                [heard for heard, _ in self.register.peers().values()],
             ),
         )
--- a/figtray/limits/transfers.py
+++ b/figtray/limits/transfers.py
@@ -17,6 +17,33 @@
 IDLE_WAIT_MS = 1_000
 
 
+def idle_for_peers(report, heartbeats):
+    """Return the idle allotment that peers have a use for.
+
+    Idle entries would otherwise name every team in every heartbeat, half of
+    its bytes.
+
+    Args:
+        report: TeamAllotment items of this entry.
+        heartbeats: the last Heartbeat of each peer.
+
+    Returns:
+        Tuple of TeamAllotment; `held` is the idle part.
+    """
+    waiting = {
+        team.team
+        for heartbeat in heartbeats
+        for pool in (heartbeat.demand.pools if heartbeat.demand else ())
+        for team in pool.teams
+        if team.queued
+    }
+    return tuple(
+        messages.TeamAllotment(i.team, i.version, i.held - i.in_use)
+        for i in report
+        if i.team in waiting and i.held > i.in_use
+    )
+
+
 class TransferTask:
     """Moves allotment here while requests of a team wait for it."""
 
--- a/figtray/peers/server.py
+++ b/figtray/peers/server.py
@@ -10,10 +10,10 @@
 from figtray import errors
 from figtray.peers import link as link_lib
 
-CONTEXTS = 6
+CONTEXTS = 4
 # A serving task looks for the stop this often. Closing a context from
 # another thread while it receives has crashed a process once.
-STOP_POLL_MS = 500
+STOP_POLL_MS = 2_000
 MAX_SENDERS = 512
 
 
