--- a/figtray/dispatch/dispatcher.py
+++ b/figtray/dispatch/dispatcher.py
@@ -11,7 +11,6 @@
 from figtray.dispatch import doubtful as doubtful_lib
 from figtray.dispatch import health as health_lib
 from figtray.dispatch import selection
-from figtray.events import catalogue
 from figtray.events import log
 from figtray.queues import queueset
 from figtray import verdict as verdict_lib
@@ -544,14 +543,3 @@
             return selection.UNREACHABLE_PAUSE_MS
         case _:
             return None
-
-
-def announce_quarantine(host, pool, failures, jobs):
-    """Log that a worker was quarantined."""
-    log.emit(
-        catalogue.WORKER_QUARANTINED,
-        host=host,
-        pool=pool,
-        failures=failures,
-        jobs=jobs,
-    )
--- a/figtray/shares/view.py
+++ b/figtray/shares/view.py
@@ -187,11 +187,6 @@
                 state.is_dirty = True
                 state.is_saturated = False
 
-    def forget_pool(self, pool):
-        """Remove a pool that is no longer configured."""
-        with self._lock:
-            self._pools.pop(pool, None)
-
     def arrived(self, pool):
         """Count a request before it is queued or refused."""
         with self._lock:
