Add the fault soak: real nodes, proxies, signals and an oracle

Ruled out: faults inside the nodes (they would need code for tests only); pauses by a debugger (signals do). Change: figtray/soak plays seeded, overlapping faults (23 kinds) on node processes over the stand-in site: loopback proxies delay, reset, cut one way or silence connections to store, workers and callers; processes get SIGKILL, SIGTERM, SIGSTOP and SIGHUP; store and workers misbehave; worker clocks are 2 % slow.

--- a/figtray/fleet/memory.py
+++ b/figtray/fleet/memory.py
@@ -27,6 +27,19 @@
     pace: int = 100
 
 
+class Observer:
+    """Is told of what happens to runs, as the workers see it."""
+
+    def started(self, sim, task, run):
+        """Note that a run has started on a SimWorker."""
+
+    def ended(self, sim, task, run, how):
+        """Note that a run has ended; `how` is None for a crash."""
+
+    def acknowledged(self, sim, item):
+        """Note that an EndedTask was acknowledged."""
+
+
 class SimWorker:
     """One life of a simulated worker; its clock may run slow.
 
@@ -35,10 +48,19 @@
         clock: the Clock of the test.
         rate: rate of its own clock.
         hold_max_ms: longest lease.
+        observer: told of what happens to runs.
     """
 
-    def __init__(self, worker, clock, rate=1.0, hold_max_ms=HOLD_MAX_MS):
+    def __init__(
+        self,
+        worker,
+        clock,
+        rate=1.0,
+        hold_max_ms=HOLD_MAX_MS,
+        observer=None,
+    ):
         self.worker = worker
+        self._observer = observer or Observer()
         self.fence = 0
         self.runs = {}
         self.ended = []
@@ -78,6 +100,14 @@
             )
         )
         self.next_end += 1
+        self._observer.ended(self, task, run.run, how)
+
+    def crash(self):
+        """End the life with all its runs."""
+        self.up = False
+        runs, self.runs = self.runs, {}
+        for run in runs.values():
+            self._observer.ended(self, run.task, run.run, None)
 
     def check_fence(self, fence):
         """Refuse what an earlier leader orders.
@@ -114,6 +144,7 @@
             order.task, order.run, self.clock_ms(), order.checkpoint
         )
         self.starts.append((order.task, order.run))
+        self._observer.started(self, order.task, order.run)
         return messages.Started(self.clock_ms())
 
     def stop(self, task, run, fence):
@@ -130,6 +161,9 @@
         self.expire()
         self.check_fence(fence)
         self.extend(lease_until_ms)
+        for item in self.ended:
+            if item.number <= acknowledged:
+                self._observer.acknowledged(self, item)
         self.ended = [e for e in self.ended if e.number > acknowledged]
         return messages.Report(
             self.worker.born_ms,
@@ -151,11 +185,17 @@
         fault: called with (kind of order, worker) for each order; returns
             `ok`, `not sent`, `lost` (executed without a reply) or `late`
             (executed by carry_out_late(), without a reply).
+
+    Args:
+        clock: the Clock.
+        observer: the Observer of all workers, or None.
     """
 
-    def __init__(self, clock):
+    def __init__(self, clock, observer=None):
         self._clock = clock
+        self._observer = observer
         self._lock = threading.RLock()
+        self._changed = threading.Condition(self._lock)
         self.sims = {}
         self.late = []
         self.fault = lambda kind, worker: 'ok'
@@ -167,16 +207,41 @@
             Its SimWorker.
         """
         with self._lock:
-            sim = SimWorker(worker, self._clock, rate, hold_max_ms)
+            sim = SimWorker(
+                worker, self._clock, rate, hold_max_ms, self._observer
+            )
             self.sims[worker.address] = sim
             return sim
 
     def crash(self, address):
         """End the life of the worker at an address."""
         with self._lock:
-            sim = self.sims[address]
-            sim.up = False
-            sim.runs.clear()
+            self.sims[address].crash()
+
+    def finish(self, worker, task, run, how):
+        """End a run, unless it has ended."""
+        with self._lock:
+            sim = self.sims[worker.address]
+            present = sim.runs.get(task)
+            if present is not None and present.run == run:
+                sim.end(task, how)
+                self._changed.notify_all()
+
+    def wait_for(self, condition, timeout_ms):
+        """Wait until a condition on the workers holds.
+
+        Args:
+            condition: called without arguments.
+            timeout_ms: longest wait in milliseconds.
+        """
+        with self._changed:
+            self._changed.wait_for(condition, timeout_ms / 1000)
+
+    def expire(self):
+        """End the runs whose leases are over."""
+        with self._lock:
+            for sim in list(self.sims.values()):
+                sim.expire()
 
     def start(self, worker, order, timeout_ms):
         return self._call('start', worker, lambda sim: sim.start(order))
@@ -239,6 +304,7 @@
                     worker_id=worker.worker_id, address=worker.address
                 )
             result = action(sim)
+            self._changed.notify_all()
             if fault == 'lost':
                 raise errors.ReplyLost(
                     address=worker.address, detail='injected'
--- a/figtray/platform/standin.py
+++ b/figtray/platform/standin.py
@@ -2,8 +2,6 @@
 
 import base64
 import json
-import random
-import threading
 import urllib.parse
 
 from figtray import errors
@@ -135,15 +133,11 @@
     Args:
         workers: the MemoryWorkers.
         worker: the fleet Worker at this address.
-        run_ms: (shortest, longest) run time of a task; None = tasks end
-            only when the test says so.
     """
 
-    def __init__(self, workers, worker, run_ms=None):
+    def __init__(self, workers, worker):
         self.workers = workers
         self.worker = worker
-        self._run_ms = run_ms
-        self._cond = threading.Condition()
 
     def handle(self, handler, body):
         """Answer one request."""
@@ -185,39 +179,21 @@
         outcome = self.workers.start(self.worker, order, 0)
         if isinstance(outcome, verdict.NotRun):
             return 409, {'reason': _REASONS[outcome.reason]}
-        if self._run_ms is not None:
-            delay_ms = random.uniform(*self._run_ms)
-            timer = threading.Timer(
-                delay_ms / 1000, self._finish, (order.task, order.run)
-            )
-            timer.daemon = True
-            timer.start()
         return 200, {'clock_ms': outcome.clock_ms}
 
-    def _finish(self, task, run):
-        sim = self.workers.sims[self.worker.address]
-        present = sim.runs.get(task)
-        if present is not None and present.run == run:
-            sim.end(task, messages.End.DONE)
-        with self._cond:
-            self._cond.notify_all()
-
     def _stop(self, data):
         self.workers.stop(
             self.worker, data['task'], data['run'], data['fence'], 0
         )
-        with self._cond:
-            self._cond.notify_all()
         return 200, {}
 
     def _hold(self, data):
         sim = self.workers.sims[self.worker.address]
         acknowledged = data['ack_cursor']
-        with self._cond:
-            self._cond.wait_for(
-                lambda: any(e.number > acknowledged for e in sim.ended),
-                data.get('wait_ms', 0) / 1000,
-            )
+        self.workers.wait_for(
+            lambda: any(e.number > acknowledged for e in sim.ended),
+            data.get('wait_ms', 0),
+        )
         report = self.workers.report(
             self.worker,
             data['fence'],
--- a/figtray/platform/standin_site.py
+++ b/figtray/platform/standin_site.py
@@ -1,15 +1,19 @@
 """Stand-in of a whole site: store, workers and hosts on 127.0.0.1."""
 
+import contextlib
 import dataclasses
 import json
 import pathlib
+import random
 import socket
 import threading
 
 import typer
 
 from figtray import clock as clock_lib
+from figtray import errors
 from figtray.fleet import memory as fleet_memory
+from figtray.fleet import messages
 from figtray.fleet import model as fleet
 from figtray.jobs import model
 from figtray.platform import standin
@@ -27,6 +31,37 @@
 LOOPBACK = '127.0.0.1'
 
 
+class _RunTimes(fleet_memory.Observer):
+    """Ends runs after a random time, however their starts were ordered.
+
+    Args:
+        run_ms: (shortest, longest) run time.
+        observer: the Observer to tell as well.
+    """
+
+    def __init__(self, run_ms, observer):
+        self._run_ms = run_ms
+        self._observer = observer
+        self.workers = None
+
+    def started(self, sim, task, run):
+        delay_ms = random.uniform(*self._run_ms)
+        timer = threading.Timer(
+            delay_ms / 1000,
+            self.workers.finish,
+            (sim.worker, task, run, messages.End.DONE),
+        )
+        timer.daemon = True
+        timer.start()
+        self._observer.started(sim, task, run)
+
+    def ended(self, sim, task, run, how):
+        self._observer.ended(sim, task, run, how)
+
+    def acknowledged(self, sim, item):
+        self._observer.acknowledged(sim, item)
+
+
 class Site:
     """A site with one pool, one spare pool and one team.
 
@@ -34,17 +69,38 @@
         workers: number of hosts in the pool.
         spares: number of hosts in the spare pool.
         run_ms: (shortest, longest) run time of a task in milliseconds.
+        limit_milli: limit of the team in thousandths of a core; 0 = none.
+        observer: the fleet Observer of the workers, or None.
+        expose: called with (kind of server, its address); returns the
+            address that nodes are told, such as that of a proxy.
+        rate: rate of the workers' clocks.
     """
 
-    def __init__(self, workers=4, spares=2, run_ms=RUN_MS):
+    def __init__(
+        self,
+        workers=4,
+        spares=2,
+        run_ms=RUN_MS,
+        limit_milli=0,
+        observer=None,
+        expose=lambda kind, address: address,
+        rate=1.0,
+    ):
         self.clock = clock_lib.SystemClock()
         self.store = store_memory.MemoryStore(self.clock)
-        self.workers = fleet_memory.MemoryWorkers(self.clock)
+        runs = _RunTimes(run_ms, observer or fleet_memory.Observer())
+        self.workers = runs.workers = fleet_memory.MemoryWorkers(
+            self.clock, runs
+        )
+        self._limit_milli = limit_milli
+        self._expose = expose
+        self._rate = rate
         self.hosts = fleet_memory.MemoryHosts()
-        self._run_ms = run_ms
         self._stop = threading.Event()
         self._servers = []
         self._listed = {}
+        # Workers whose entries go with the next heartbeats.
+        self._gone = set()
         self._store_server = standin.start_store(f'{LOOPBACK}:0', self.store)
         self._hosts_server = self._serve(standin.HostsService(self.hosts))
         for number in range(workers):
@@ -72,7 +128,14 @@
                 }
             ],
             'services': [{'name': 'main'}, {'name': 'spare', 'spare': True}],
-            'tenants': [{'name': 'demo', 'api_keys': list(keys), 'weight': 1}],
+            'tenants': [
+                {
+                    'name': 'demo',
+                    'api_keys': list(keys),
+                    'weight': 1,
+                    'maximum': {'cpu': self._limit_milli},
+                }
+            ],
         }
         self.store.txn(
             [], [base.Put('op/config', json.dumps(config).encode())]
@@ -91,8 +154,12 @@
             },
             # The metrics port is the third of this range.
             'internal_ports': [ports[2], ports[2] + 3],
-            'platform': {'address': self._store_server.address},
-            'cloud': {'address': self._hosts_server.address},
+            'platform': {
+                'address': self._expose(name, self._store_server.address)
+            },
+            'cloud': {
+                'address': self._expose(name, self._hosts_server.address)
+            },
             'limits': {'cpu_share': 1.0, 'cores': 2, 'memory_mb': 300},
         }
 
@@ -104,6 +171,25 @@
             for start in list(sim.starts)
         ]
 
+    def crash_worker(self, host_id):
+        """End the worker of a host; a new one starts at another address."""
+        former = self._listed[host_id]
+        self.workers.crash(former.address)
+        self._gone.add(former.worker_id)
+        self._start_worker(self.hosts.hosts[host_id])
+
+    def worker_hosts(self):
+        """Return the ids of the hosts with a worker."""
+        return sorted(self._listed)
+
+    def set_zone(self, zone, in_service):
+        """Take a zone out of service or back."""
+        key = f'op/evacuate/{zone}'
+        if in_service:
+            self.store.txn([], [], [key])
+        else:
+            self.store.txn([], [base.Put(key, b'{}')])
+
     def close(self):
         """Stop all servers."""
         self._stop.set()
@@ -136,17 +222,15 @@
         worker = fleet.Worker(
             worker_id=f'{host.host_id}-{born_ms}',
             born_ms=born_ms,
-            address=server.address,
+            address=self._expose('worker', server.address),
             pool=host.pool,
             zone=host.zone,
             labels=host.labels,
             capacity=host.capacity,
             host_id=host.host_id,
         )
-        server.service = standin.WorkersService(
-            self.workers, worker, self._run_ms
-        )
-        self.workers.add(worker)
+        server.service = standin.WorkersService(self.workers, worker)
+        self.workers.add(worker, self._rate)
         self._listed[host.host_id] = worker
         self.hosts.hosts[host.host_id] = dataclasses.replace(
             host, worker_id=worker.worker_id
@@ -157,18 +241,28 @@
         while not self._stop.is_set():
             sequence += 1
             self._finish_moves()
-            self.store.txn(
-                [],
-                [
-                    base.Put(
-                        f'servers/{worker.worker_id}',
-                        standin.worker_entry(worker, sequence),
-                    )
-                    for worker in self._listed.values()
-                ],
-            )
+            # An outage of the store is one of the faults of a test.
+            with contextlib.suppress(
+                errors.StoreUnavailable, errors.WriteUncertain
+            ):
+                self._beat(sequence)
+            self.workers.expire()
             self._stop.wait(HEARTBEAT_S)
 
+    def _beat(self, sequence):
+        self.store.txn(
+            [],
+            [
+                base.Put(
+                    f'servers/{worker.worker_id}',
+                    standin.worker_entry(worker, sequence),
+                )
+                for worker in list(self._listed.values())
+            ],
+            [f'servers/{worker_id}' for worker_id in self._gone],
+        )
+        self._gone.clear()
+
     def _finish_moves(self):
         """Bring hosts back that were moved, with new workers."""
         duties, self.hosts.duties = self.hosts.duties, []
@@ -176,7 +270,7 @@
             former = self._listed.pop(host_id, None)
             if former is not None:
                 self.workers.crash(former.address)
-                self.store.txn([], [], [f'servers/{former.worker_id}'])
+                self._gone.add(former.worker_id)
             pool = argument if kind == 'move' else None
             self.hosts.finish(host_id, pool)
             if self.hosts.hosts[host_id].pool != 'spare':
--- a/figtray/platform/tests/test_node.py
+++ b/figtray/platform/tests/test_node.py
@@ -2,22 +2,16 @@
 
 import collections
 import concurrent.futures
-import http.client
-import json
-import os
-import pathlib
 import signal
-import subprocess
-import sys
 import time
 
 import pytest
 
-from figtray import connections
 from figtray.platform import load as jobs
 from figtray.platform import main
 from figtray.platform import settings as settings_lib
 from figtray.platform import standin_site as sites
+from figtray.soak import processes
 
 LIMIT_S = 60
 
@@ -30,61 +24,6 @@
         time.sleep(0.05)
 
 
-class Node:
-    """One node process."""
-
-    def __init__(self, directory, settings):
-        self.settings = settings
-        self._directory = pathlib.Path(directory)
-        self.path = self._directory / f'{settings["node_name"]}.json'
-        self.path.write_text(json.dumps(settings))
-        self.front = settings.get('listen', {}).get('front')
-        self.process = None
-        self._runs = 0
-
-    def start(self):
-        self._runs += 1
-        self.log = self._directory / f'{self.path.stem}-{self._runs}.log'
-        env = dict(os.environ)
-        env[settings_lib.FILE_VARIABLE] = str(self.path)
-        with open(self.log, 'wb') as out:
-            self.process = subprocess.Popen(
-                [sys.executable, '-m', 'figtray.platform.main'],
-                stdout=out,
-                stderr=out,
-                env=env,
-            )
-
-    def events(self, name=None):
-        """Return the logged events."""
-        lines = self.log.read_text().splitlines()
-        # The last line may be written only in part.
-        whole = [line for line in lines if line.endswith('}}')]
-        found = [json.loads(line) for line in whole]
-        return [e for e in found if name is None or e['name'] == name]
-
-    def get(self, address, path):
-        conn = http.client.HTTPConnection(
-            *connections.parse_address(address), timeout=5
-        )
-        try:
-            conn.request('GET', path)
-            resp = conn.getresponse()
-            return resp.status, resp.read().decode()
-        except OSError:
-            return 0, ''
-        finally:
-            conn.close()
-
-    def ready(self):
-        return self.get(self.settings['listen']['ready'], '/api/ready')[0]
-
-    def stop(self, signum=signal.SIGTERM):
-        if self.process.poll() is None:
-            self.process.send_signal(signum)
-        return self.process.wait(LIMIT_S)
-
-
 @pytest.fixture
 def site():
     site = sites.Site(workers=3, spares=1, run_ms=(100, 300))
@@ -94,7 +33,10 @@
 
 @pytest.fixture
 def nodes(site, tmp_path):
-    nodes = [Node(tmp_path, site.node_settings(f'node-{n}')) for n in (0, 1)]
+    nodes = [
+        processes.NodeProcess(tmp_path, site.node_settings(f'node-{n}'))
+        for n in (0, 1)
+    ]
     for node in nodes:
         node.start()
     wait_for(lambda: all(node.ready() == 200 for node in nodes))
@@ -163,7 +105,7 @@
     def test_missing_field(self, site, tmp_path, field):
         settings = site.node_settings('node-0')
         del settings[field]
-        node = Node(tmp_path, settings)
+        node = processes.NodeProcess(tmp_path, settings)
         node.start()
         assert node.stop(0) == 2
         assert f'`{field}`' in node.log.read_text()
--- a/figtray/store/memory.py
+++ b/figtray/store/memory.py
@@ -196,6 +196,17 @@
             self.down = down
             self._cond.notify_all()
 
+    def peek(self, key):
+        """Return a KeyValue or None, also while the store is down."""
+        with self._cond:
+            return self._items.get(key)
+
+    def forget_history(self):
+        """Keep no change of the past for watches."""
+        with self._cond:
+            self._history = []
+            self._compacted = self.revision
+
     def call_counts(self):
         """Return the number of calls by kind."""
         with self._cond:
