Tell the ends of a task's runs apart in the soak's oracle

Ruled out: a fault of figtray (logs: the ends were acknowledged by the leader that started the runs). Change: an acknowledged end counts against earlier starts only by its own run; figtray-soak ends its nodes on SIGTERM. Figures: test_start_after_a_lost_end fails before, passes after.

--- a/figtray/soak/main.py
+++ b/figtray/soak/main.py
@@ -2,6 +2,7 @@
 
 import pathlib
 import random
+import signal
 import sys
 import typing
 
@@ -22,6 +23,8 @@
     ] = False,
 ):
     """Play seeds; exit with 1 if a promise was broken."""
+    # An exception ends the nodes on the way out.
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(1))
     broken = 0
     for number in range(seeds):
         chosen = seed + number if seed else random.getrandbits(31)
--- a/figtray/soak/oracle.py
+++ b/figtray/soak/oracle.py
@@ -70,9 +70,11 @@
         self._task_milli = task_milli
         self._lock = threading.RLock()
         self._running = collections.defaultdict(dict)
-        self._done = {}
+        # Runs of each task that ended as done, as (life, task, run).
+        self._done = collections.defaultdict(set)
         self._noted = set()
-        self._restarted = {}
+        # Those of them after which the task was started again.
+        self._repeated = set()
         self._last_fault_ms = -CONTACT_MS
         self._faults = 0
         self._zone_out = None
@@ -99,8 +101,7 @@
                 self._broken('one run at a time', f'{task} {run}')
             if task in self._noted:
                 self._broken('no start after the end', f'{task} {run}')
-            elif task in self._done:
-                self._restarted.setdefault(task, now_ms)
+            self._repeated |= self._done[task]
             self._check_known(task)
             self._check_limit(task)
             self._check_zone(sim, task, now_ms)
@@ -109,14 +110,14 @@
         with self._lock:
             self._running[task].pop(sim.worker.life, None)
             if how is messages.End.DONE:
-                self._done[task] = (sim.worker.life, run)
+                self._done[task].add((sim.worker.life, task, run))
 
     def acknowledged(self, sim, item):
         with self._lock:
             if item.end is not messages.End.DONE:
                 return
             self._noted.add(item.task)
-            if item.task in self._restarted:
+            if (sim.worker.life, item.task, item.run) in self._repeated:
                 self._broken(
                     'no start after the end', f'{item.task} started again'
                 )
@@ -130,7 +131,7 @@
         for number in job.steps[task_id.step].get('after', ()):
             for index in range(job.steps[number]['count']):
                 before = model.TaskId(task_id.job_id, 0, number, index)
-                if str(before) not in self._done:
+                if not self._done[str(before)]:
                     self._broken('order of steps', f'{task} before {before}')
         cancelled_ms = job.cancelled_ms
         if cancelled_ms is not None and self._calm():
@@ -258,7 +259,7 @@
 
     def _all_done(self, job_id, job):
         return all(
-            str(model.TaskId(job_id, 0, number, index)) in self._done
+            self._done[str(model.TaskId(job_id, 0, number, index))]
             for number, step in enumerate(job.steps)
             for index in range(step['count'])
         )
--- a/figtray/soak/tests/test_oracle.py
+++ b/figtray/soak/tests/test_oracle.py
@@ -78,6 +78,17 @@
         watched.sims[0].report(1, 1, None)
         assert watched.broken() == ['no start after the end']
 
+    # An end that is lost with its worker was never noted.
+    def test_start_after_a_lost_end(self, watched):
+        task = f'{JOB}.0.0.0'
+        watched.start(0, task)
+        watched.sims[0].end(task, messages.End.DONE)
+        watched.workers.crash(watched.sims[0].worker.address)
+        watched.start(1, task, 2)
+        watched.sims[1].end(task, messages.End.DONE)
+        watched.sims[1].report(1, 1, None)
+        assert not watched.broken()
+
     def test_order_of_steps(self, watched):
         watched.start(0, f'{JOB}.0.1.0')
         assert set(watched.broken()) == {'order of steps'}
