Record hosts before their orders, so that a successor moves the others at once

Cause: after each change of the leader no host moved for lease_ms (3 s), as two holders have to be that far apart on each host. Ruled out: a shorter wait (the platform does not check tokens). Change: upkeep/orders.py records the hosts of moves and upkeeps before the orders; a successor waits for the recorded ones only.

--- a/figtray/scheduling/tests/harness.py
+++ b/figtray/scheduling/tests/harness.py
@@ -126,6 +126,23 @@
         return fut
 
 
+class FlushingWriter:
+    """Writer of a Leader whose waits write what they wait for."""
+
+    def __init__(self, leader):
+        self._leader = leader
+
+    def know(self, key, revision):
+        self._leader.writer.know(key, revision)
+
+    def mark(self, key, encode):
+        return self._leader.writer.mark(key, encode)
+
+    def wait(self, mark, timeout_ms):
+        self._leader.flush()
+        return self._leader.writer.wait(mark, 0)
+
+
 class View:
     """Operators' wishes as a test sets them."""
 
--- a/figtray/upkeep/duty.py
+++ b/figtray/upkeep/duty.py
@@ -9,6 +9,7 @@
 from figtray.events import catalogue
 from figtray.events import log
 from figtray.upkeep import lending
+from figtray.upkeep import orders as orders_lib
 from figtray.upkeep import waves
 
 RETRY_MS = 300
@@ -18,6 +19,15 @@
 LOG_LOADS_MS = 1000
 
 
+@dataclasses.dataclass(frozen=True)
+class _Crew:
+    """What looks after hosts during one term."""
+
+    orders: orders_lib.HostOrders
+    keeper: waves.WaveKeeper
+    lender: lending.Lender
+
+
 class HostDuty:
     """Looks after hosts during a term.
 
@@ -47,26 +57,17 @@
         with concurrent.futures.ThreadPoolExecutor(
             MOVE_TASKS, thread_name_prefix='moves'
         ) as executor:
-            lender = lending.Lender(
-                scheduler,
-                term,
-                self._clock,
-                self._hosts,
-                self._holder,
-                self._bounds,
-                executor,
-            )
-            self._look_after_hosts(scheduler, writer, term, lender)
+            self._look_after_hosts(scheduler, writer, term, executor)
 
-    def _look_after_hosts(self, scheduler, writer, term, lender):
-        keeper = None
+    def _look_after_hosts(self, scheduler, writer, term, executor):
+        crew = None
         while not term.ended.is_set():
             self._log_loads(scheduler)
             try:
                 if term.valid():
-                    if keeper is None:
-                        keeper = self._keeper(scheduler, writer, term)
-                    self._step(scheduler, keeper, lender, term)
+                    if crew is None:
+                        crew = self._crew(scheduler, writer, term, executor)
+                    self._step(scheduler, crew)
             except errors.HostListUnavailable as exc:
                 log.emit(catalogue.HOST_LIST_FAILED, detail=str(exc))
                 self._clock.wait(term.ended, RETRY_MS)
@@ -75,7 +76,7 @@
                 self._clock.wait(term.ended, RETRY_MS)
             self._clock.wait(term.ended, TICK_MS)
 
-    def _step(self, scheduler, keeper, lender, term):
+    def _step(self, scheduler, crew):
         cfg = self._view.config()
         if cfg is None:
             return
@@ -83,11 +84,11 @@
         scheduler.note_hosts(listed)
         if not scheduler.loaded.is_set():
             return
-        # Orders of the previous leader may still be on their way.
-        if self._clock.now_ms() < term.began_ms + self._bounds.lease_ms:
-            return
-        keeper.step(list(self._view.waves().values()), listed)
-        lender.step(cfg, listed, self._view.evacuated())
+        # Upkeeps that the previous leader has begun may not be stored yet,
+        # and count for the most hosts that may be down.
+        if crew.orders.all_free():
+            crew.keeper.step(list(self._view.waves().values()), listed)
+        crew.lender.step(cfg, listed, self._view.evacuated())
 
     def _log_loads(self, scheduler):
         now_ms = self._clock.now_ms()
@@ -99,7 +100,35 @@
                 catalogue.POOL_LOAD, pool=pool, **dataclasses.asdict(load)
             )
 
-    def _keeper(self, scheduler, writer, term):
+    def _crew(self, scheduler, writer, term, executor):
+        """Read what earlier leaders have stored; returns a _Crew."""
+        orders = self._read_orders(writer, term)
+        return _Crew(
+            orders,
+            self._keeper(scheduler, writer, term, orders),
+            lending.Lender(
+                scheduler,
+                term,
+                self._clock,
+                self._hosts,
+                self._holder,
+                self._bounds,
+                executor,
+                orders,
+            ),
+        )
+
+    def _read_orders(self, writer, term):
+        item = self._store.get(orders_lib.KEY)
+        former = ()
+        if item is not None:
+            writer.know(item.key, item.mod_revision)
+            former = orders_lib.decode(item.value).host_ids
+        return orders_lib.HostOrders(
+            writer, term, self._clock, self._bounds.lease_ms, former
+        )
+
+    def _keeper(self, scheduler, writer, term, orders):
         stored = {}
         for item in self._store.range(waves.RECORDS).items:
             writer.know(item.key, item.mod_revision)
@@ -125,4 +154,5 @@
             self._bounds,
             publish,
             stored,
+            orders,
         )
--- a/figtray/upkeep/lending.py
+++ b/figtray/upkeep/lending.py
@@ -51,10 +51,11 @@
         holder: name of this node.
         bounds: times that the platform promises.
         executor: concurrent.futures executor that makes the calls of moves.
+        orders: the HostOrders.
     """
 
     def __init__(
-        self, scheduler, term, clock, hosts, holder, bounds, executor
+        self, scheduler, term, clock, hosts, holder, bounds, executor, orders
     ):
         self._scheduler = scheduler
         self._term = term
@@ -62,6 +63,7 @@
         self._hosts = hosts
         self._holder = holder
         self._executor = executor
+        self._orders = orders
         self._arrival_ms = int(bounds.move_s * 1000) + JOIN_MS
         self._moving = {}
         self._surplus_since_ms = {}
@@ -165,6 +167,7 @@
             and host.state == fleet.HostState.UP
             and host.host_id not in self._moving
             and host.zone not in evacuated
+            and self._orders.may_order(host.host_id)
         ]
         while got < count and candidates:
             chosen = []
@@ -206,6 +209,7 @@
             and host.worker_id
             and host.host_id not in self._closing
             and host.host_id not in self._moving
+            and self._orders.may_order(host.host_id)
             and self._scheduler.is_open(host.worker_id)
         ]
         candidates.sort(
@@ -252,6 +256,10 @@
         Returns:
             For each move, whether it is under way.
         """
+        if not moves:
+            return []
+        if not self._orders.announce([host.host_id for host, _ in moves]):
+            return [False] * len(moves)
         return list(self._executor.map(lambda move: self._move(*move), moves))
 
     def _move(self, host, pool):
--- a/figtray/upkeep/tests/test_lending.py
+++ b/figtray/upkeep/tests/test_lending.py
@@ -9,6 +9,7 @@
 from figtray.scheduling import state
 from figtray.scheduling.tests import harness
 from figtray.upkeep import lending
+from figtray.upkeep import orders
 
 ROOM = model.Resources(8000, 64_000)
 
@@ -48,6 +49,17 @@
             'node',
             harness.BOUNDS,
             harness.InlineExecutor(),
+            self.orders(),
+        )
+
+    def orders(self, former=()):
+        """Return HostOrders of the leader's term."""
+        return orders.HostOrders(
+            harness.FlushingWriter(self.leader),
+            self.leader.term,
+            self.fleet.clock,
+            harness.BOUNDS.lease_ms,
+            former,
         )
 
     def _end_worker(self, host):
--- a/figtray/upkeep/tests/test_waves.py
+++ b/figtray/upkeep/tests/test_waves.py
@@ -19,6 +19,7 @@
             base.leader,
             base.hosts,
         )
+        self.orders = base.orders()
         self.told = []
         self.stored = {}
         self.wave = fleet_model.Wave(
@@ -37,6 +38,7 @@
             harness.BOUNDS,
             lambda number, completed: self.told.append(completed),
             self.stored,
+            self.orders,
         )
 
     def step(self):
--- a/figtray/upkeep/waves.py
+++ b/figtray/upkeep/waves.py
@@ -55,6 +55,7 @@
         publish: called with (wave number, whether it is completed); tells
             operators through the writer.
         stored: mapping of wave number to its Record.
+        orders: the HostOrders.
     """
 
     def __init__(
@@ -68,6 +69,7 @@
         bounds,
         publish,
         stored,
+        orders,
     ):
         self._scheduler = scheduler
         self._writer = writer
@@ -78,6 +80,7 @@
         self._bounds = bounds
         self._publish = publish
         self._stored = stored
+        self._orders = orders
         self._states = {}
 
     def step(self, waves, listed):
@@ -128,10 +131,15 @@
             self._tell(current, completed=True)
             return
         self._close_next(current, pending, now_ms)
-        for host in pending:
-            if len(current.down) >= current.wave.max_down:
-                return
-            if host.host_id in current.closing:
+        ready = [
+            host
+            for host in pending
+            if host.host_id in current.closing
+            and self._is_ready(current, host, now_ms)
+        ]
+        ready = ready[: max(0, current.wave.max_down - len(current.down))]
+        if ready and self._orders.announce([h.host_id for h in ready]):
+            for host in ready:
                 self._hand_over(current, host, now_ms)
 
     def _note_returns(self, current, listed, now_ms):
@@ -176,16 +184,17 @@
                 down=len(current.down),
             )
 
-    def _hand_over(self, current, host, now_ms):
+    def _is_ready(self, current, host, now_ms):
+        """Tell whether the upkeep of a host may begin."""
         if host.state != fleet.HostState.UP:
-            return
+            return False
         waited_ms = now_ms - current.closing[host.host_id]
-        empty = self._scheduler.empty_worker(host.worker_id)
-        if not empty and (
-            waited_ms < LONGEST_DRAIN_MS
-            or self._scheduler.has_protected(host.worker_id)
-        ):
-            return
+        return self._scheduler.empty_worker(host.worker_id) or (
+            waited_ms >= LONGEST_DRAIN_MS
+            and not self._scheduler.has_protected(host.worker_id)
+        )
+
+    def _hand_over(self, current, host, now_ms):
         if not self._term.valid():
             return
         try:
@@ -214,7 +223,6 @@
             return
         current.begun[host.host_id] = now_ms
         current.down[host.host_id] = now_ms
-        del current.closing[host.host_id]
         self._scheduler.end_worker(
             host.worker_id, 'the upkeep of its host has begun'
         )
@@ -223,11 +231,12 @@
             host=host.host_id,
             pool=host.pool,
             wave=current.wave.number,
-            waited_ms=waited_ms,
+            waited_ms=now_ms - current.closing[host.host_id],
             begun=len(current.begun),
             of=len(current.wave.host_ids),
             down=len(current.down),
         )
+        del current.closing[host.host_id]
         self._store(current)
 
     def _store(self, current, completed=False):
