Start first what can still be on time

Ruled out: shortest jobs first (the largest tenth of a queue must not starve). Change: steps have the estimated length of the chain that is left; jobs that will be late by it, with the learned length of their queue's runs, come after those that can be on time, and those of no use (three times the objective) last.

--- a/figtray/scheduling/arrivals.py
+++ b/figtray/scheduling/arrivals.py
@@ -66,16 +66,20 @@
             for step in steps
             if not step.lasting and not step.fills
         )
-        work *= self._factors.get(queue.name, 1.0)
+        work *= self.factor(queue.name)
         self._arrived.setdefault(queue.pool, collections.deque()).append(
             (now_ms, work)
         )
 
+    def factor(self, queue_name):
+        """Return the learned length of a queue's runs over its estimates."""
+        return self._factors.get(queue_name, 1.0)
+
     def learn(self, queue_name, estimate_ms, duration_ms):
         """Note how long a run was, against the estimate of its step."""
         if not estimate_ms:
             return
-        factor = self._factors.get(queue_name, 1.0)
+        factor = self.factor(queue_name)
         seen = min(max(duration_ms / estimate_ms, MIN_FACTOR), MAX_FACTOR)
         self._factors[queue_name] = factor + LEARNING_RATE * (seen - factor)
 
--- a/figtray/scheduling/planner.py
+++ b/figtray/scheduling/planner.py
@@ -1,5 +1,7 @@
 """Choice of what starts now, and where."""
 
+import enum
+
 from figtray.events import catalogue
 from figtray.events import log
 from figtray.scheduling import book
@@ -9,6 +11,19 @@
 from figtray.scheduling import state
 
 SUSPENDED_MS = 50
+# Estimates are rough: a job counts as late only if it is so by this part of
+# its estimated work.
+OPTIMISM = 0.8
+# A job is of little use after its objective, and of none after this multiple.
+LATE_FACTOR = 3
+
+
+class Lateness(enum.IntEnum):
+    """How late a job will be; less late ones start first."""
+
+    ON_TIME = 0
+    LATE = 1
+    HOPELESS = 2
 
 
 class Planner(progression.Progression):
@@ -82,16 +97,33 @@
 
     def _urgency(self, step, now_ms):
         job = step.job
-        late = now_ms > job.due_ms and not step.spec.lasting
         return (
             job.queue.priority,
             not step.spec.lasting,
             job.excess and not step.spec.lasting,
-            late,
+            self._lateness(step, now_ms),
             job.due_ms,
             job.created,
         )
 
+    def _lateness(self, step, now_ms):
+        """Tell how late a job will be if a step starts now.
+
+        What can still be on time goes first: after a backlog, the jobs that
+        are due next would make all others late as well.
+        """
+        job = step.job
+        if step.spec.lasting:
+            return Lateness.ON_TIME
+        left_ms = step.chain_ms * self._work.factor(job.spec.queue)
+        ends_ms = now_ms + OPTIMISM * left_ms
+        if ends_ms <= job.due_ms:
+            return Lateness.ON_TIME
+        objective_ms = job.due_ms - job.arrived_ms
+        if ends_ms <= job.arrived_ms + LATE_FACTOR * objective_ms:
+            return Lateness.LATE
+        return Lateness.HOPELESS
+
     def _fill_step(self, step, places, now_ms):
         """Start tasks of a step.
 
--- a/figtray/scheduling/progression.py
+++ b/figtray/scheduling/progression.py
@@ -11,7 +11,6 @@
 FAILURES_TO_AVOID = 4
 FAILED_JOBS_TO_AVOID = 2
 FAILING_PAUSE_MS = 4000
-DEFAULT_ESTIMATE_MS = 1000
 
 
 class Progression(book.Book):
@@ -41,7 +40,9 @@
                 job.ended_ms = stored.ended_ms
             if job.state.ended:
                 return
-            job.due_ms = job.arrived_ms + _objective_ms(job)
+            job.due_ms = job.arrived_ms + _objective_ms(
+                job, self._work.factor(spec.queue)
+            )
             team = self._cfg.teams.get(spec.team) if self._cfg else None
             if team is not None:
                 job.excess = self._arrivals.is_excess(
@@ -260,12 +261,14 @@
             task.checkpoint = stored.checkpoints.get(key, '')
 
 
-def _objective_ms(job):
-    """Return the time within which a job is on time, by its estimates."""
-    longest = []
-    for step in job.spec.steps:
-        before = max((longest[n] for n in step.after), default=0)
-        longest.append(before + (step.estimate_ms or DEFAULT_ESTIMATE_MS))
+def _objective_ms(job, factor):
+    """Return the time within which a job is on time, by its estimates.
+
+    Args:
+        job: the JobState.
+        factor: learned length of the runs over their estimates.
+    """
     stretch = job.queue.stretch if job.queue else 1
     slack_ms = job.queue.slack_ms if job.queue else 0
-    return int(stretch * max(longest) + slack_ms)
+    chain_ms = factor * max(state.chains_ms(job.spec.steps))
+    return int(stretch * chain_ms + slack_ms)
--- a/figtray/scheduling/state.py
+++ b/figtray/scheduling/state.py
@@ -9,6 +9,8 @@
 from figtray.jobs import model
 from figtray.jobs import records
 
+DEFAULT_ESTIMATE_MS = 1000
+
 
 @dataclasses.dataclass(frozen=True)
 class PoolLoad:
@@ -141,13 +143,15 @@
         waiting: tasks that are ready and have no run, in order.
         left: number of tasks that are not done.
         held: why its waiting tasks did not start when it was last tried.
+        chain_ms: estimated time from its start to the end of the job.
     """
 
-    def __init__(self, job, occurrence, number, spec):
+    def __init__(self, job, occurrence, number, spec, chain_ms):
         self.job = job
         self.occurrence = occurrence
         self.number = number
         self.spec = spec
+        self.chain_ms = chain_ms
         self.tasks = [TaskState(self, index) for index in range(spec.count)]
         self.waiting = collections.deque()
         self.left = spec.count
@@ -166,8 +170,9 @@
 
     def __init__(self, job, number):
         self.number = number
+        chains = chains_ms(job.spec.steps)
         self.steps = [
-            StepState(job, self, index, spec)
+            StepState(job, self, index, spec, chains[index])
             for index, spec in enumerate(job.spec.steps)
         ]
 
@@ -321,6 +326,20 @@
         return self.worker.capacity - self.used
 
 
+def chains_ms(steps):
+    """Return, for each step, the estimated time from its start to the end.
+
+    Args:
+        steps: the model.Steps; each follows earlier ones only.
+    """
+    after = [0] * len(steps)
+    for number in reversed(range(len(steps))):
+        after[number] += steps[number].estimate_ms or DEFAULT_ESTIMATE_MS
+        for before in steps[number].after:
+            after[before] = max(after[before], after[number])
+    return after
+
+
 def occupied(spec):
     """Return what a task of a step occupies on its host.
 
--- a/figtray/scheduling/tests/test_arrivals.py
+++ b/figtray/scheduling/tests/test_arrivals.py
@@ -2,6 +2,7 @@
 
 from figtray.fleet import messages
 from figtray.scheduling import arrivals
+from figtray.scheduling import state
 from figtray.scheduling.tests import harness
 
 
@@ -54,6 +55,47 @@
         assert f'{late}.0.0.0' in fleet.sim(0).runs
 
 
+class TestLateness:
+    def submit(self, fleet, leader, **fields):
+        step = harness.make_step(1, 8000, estimate_ms=1000, **fields)
+        job_id = fleet.submit(step)
+        leader.see_intake()
+        return job_id
+
+    # After a backlog, serving the jobs that are late already would make
+    # those late that could still be on time.
+    def test_jobs_that_can_be_on_time_go_first(self):
+        fleet = harness.Fleet(1, harness.make_config())
+        leader = fleet.lead()
+        leader.reach_all()
+        self.submit(fleet, leader)
+        leader.turn()
+        late = self.submit(fleet, leader)
+        # Objective: 1.6 times 1000 ms, and 600 ms.
+        leader.advance(1500)
+        timely = self.submit(fleet, leader)
+        [task] = fleet.sim(0).runs
+        fleet.sim(0).end(task, messages.End.DONE)
+        leader.turn()
+        leader.turn()
+        assert list(fleet.sim(0).runs) == [f'{timely}.0.0.0']
+        fleet.sim(0).end(f'{timely}.0.0.0', messages.End.DONE)
+        leader.turn()
+        leader.turn()
+        assert list(fleet.sim(0).runs) == [f'{late}.0.0.0']
+
+    # The steps that follow take their time as well.
+    def test_chain_counts(self):
+        steps = [
+            harness.make_step(estimate_ms=100),
+            harness.make_step(estimate_ms=30, after=(0,)),
+            harness.make_step(estimate_ms=500, after=(0,)),
+            harness.make_step(estimate_ms=7, after=(1, 2)),
+            harness.make_step(),
+        ]
+        assert state.chains_ms(steps) == [607, 37, 507, 7, 1000]
+
+
 class TestWorkMeter:
     def test_work_of_the_window_counts(self):
         meter = arrivals.WorkMeter()
