--- a/figtray/events/log.py
+++ b/figtray/events/log.py
@@ -21,6 +21,9 @@
 # Budget of the standard output; lines over it are dropped and counted.
 LINES_PER_S = 250
 BURST_LINES = 1500
+# Part of the burst that lines on single requests and tasks leave to lines on
+# leadership, dependencies and failures.
+RESERVED_LINES = 300
 # Lines that wait for a reader that is slow.
 MAX_WAITING_LINES = 4000
 WRITE_INTERVAL_S = 0.1
@@ -158,7 +161,8 @@
                 self._tokens + (now_s - self._filled_s) * LINES_PER_S,
             )
             self._filled_s = now_s
-            if self._tokens < 1 or len(self._lines) >= MAX_WAITING_LINES:
+            least = 1 if record.level >= logbook.NOTICE else RESERVED_LINES
+            if self._tokens < least or len(self._lines) >= MAX_WAITING_LINES:
                 self._dropped += 1
                 return
             self._tokens -= 1
--- a/figtray/events/tests/test_log.py
+++ b/figtray/events/tests/test_log.py
@@ -1,4 +1,5 @@
 import json
+import os
 
 import logbook
 import pytest
@@ -67,3 +68,20 @@
         assert fields['error'] == 'ValueError'
         assert len(fields['detail']) == log.MAX_FIELD_LENGTH + 3
         assert 'test_log.py' in fields['traceback']
+
+
+class TestBudget:
+    # Under load, the lines on requests must not push out those that tell
+    # who leads and which dependency is lost.
+    def test_notices_pass_when_request_lines_are_dropped(self):
+        lines = []
+        handler = log._BoundedHandler(os.open(os.devnull, os.O_WRONLY))
+        handler.formatter = lambda record, _: lines.append(record.message)
+        logger = logbook.Logger('test')
+        logger.handlers = [handler]
+        for _ in range(2 * log.BURST_LINES):
+            logger.info('request')
+        for _ in range(log.RESERVED_LINES // 2):
+            logger.notice('leader')
+        assert lines.count('leader') == log.RESERVED_LINES // 2
+        assert lines.count('request') <= log.BURST_LINES
