Take a deviation off the arriving work; keep one more host only before upkeep

Ruled out: a longer window (the first seconds of a peak are what it is for). Change: one standard deviation of the sum of arrivals is taken off, so a single job counts for nothing; the host more is kept while hosts of the pool are due for upkeep.

--- a/figtray/events/catalogue.py
+++ b/figtray/events/catalogue.py
@@ -389,6 +389,7 @@
         'memory_mb',
         'waiting',
         'spread',
+        'due',
     ),
 )
 
--- a/figtray/scheduling/arrivals.py
+++ b/figtray/scheduling/arrivals.py
@@ -1,6 +1,7 @@
 """Arrivals of jobs: each team's rate, and the work that comes to a pool."""
 
 import collections
+import math
 
 # A team may send this many seconds' worth of its rate at once.
 BURST_S = 2
@@ -84,7 +85,10 @@
         self._factors[queue_name] = factor + LEARNING_RATE * (seen - factor)
 
     def needed_milli(self, pool, now_ms):
-        """Return the processor time that arrivals of late ask for.
+        """Return the processor time that arrivals of late surely ask for.
+
+        One standard deviation of the sum is taken off, so that single large
+        jobs are not taken for a peak.
 
         Args:
             pool: name of the pool.
@@ -96,4 +100,6 @@
         arrived = self._arrived.get(pool, ())
         while arrived and now_ms - arrived[0][0] > WORK_WINDOW_MS:
             arrived.popleft()
-        return sum(work for _, work in arrived) / WORK_WINDOW_MS
+        deviation = math.sqrt(sum(work * work for _, work in arrived))
+        total = sum(work for _, work in arrived)
+        return (total - deviation) / WORK_WINDOW_MS
--- a/figtray/scheduling/emptying.py
+++ b/figtray/scheduling/emptying.py
@@ -15,6 +15,8 @@
             sums = {}
             for place in self._places.values():
                 worker = place.worker
+                entry = sums.setdefault(worker.pool, collections.Counter())
+                entry['due'] += place.due
                 if (
                     not place.listed
                     or place.closing
@@ -22,7 +24,6 @@
                     or worker.zone in self._evacuated
                 ):
                     continue
-                entry = sums.setdefault(worker.pool, collections.Counter())
                 entry['workers'] += 1
                 entry['capacity_milli'] += worker.capacity.cpu_milli
             for job in self._jobs.values():
--- a/figtray/scheduling/state.py
+++ b/figtray/scheduling/state.py
@@ -27,6 +27,7 @@
         memory_mb: memory of all tasks that run or wait.
         waiting: number of tasks that wait.
         spread: workers that the widest lasting step needs.
+        due: number of workers whose hosts will have their upkeep soon.
     """
 
     workers: int = 0
@@ -39,6 +40,7 @@
     memory_mb: int = 0
     waiting: int = 0
     spread: int = 0
+    due: int = 0
 
 
 class Held(enum.Enum):
--- a/figtray/upkeep/lending.py
+++ b/figtray/upkeep/lending.py
@@ -327,8 +327,10 @@
     """
     milli = load.lasting_milli + short_demand_milli(load) + rise_milli
     hosts = max(milli / room.cpu_milli, load.memory_mb / room.memory_mb)
-    # One more lets a task of the widest step move.
-    spread = load.spread + 1 if load.spread else 0
+    spread = load.spread
+    if spread and load.due:
+        # Lets a task of the widest step move before the upkeep of its host.
+        spread += 1
     return max(MIN_WORKERS, math.ceil(hosts), spread)
 
 
