Add the arrivals of a test in the order of their times

Ruled out: a fault of WorkMeter (jobs arrive in order). Change: the test only; its expectations stay.

--- a/figtray/scheduling/tests/test_arrivals.py
+++ b/figtray/scheduling/tests/test_arrivals.py
@@ -105,9 +105,9 @@
         meter = arrivals.WorkMeter()
         queue = harness.make_config().queues['q']
         step = harness.make_step(4, 2000, estimate_ms=1000)
-        for number in range(16):
-            meter.add(queue, [step], 0)
-            meter.add(queue, [step], arrivals.WORK_WINDOW_MS - 1)
+        for at_ms in (0, arrivals.WORK_WINDOW_MS - 1):
+            for _ in range(16):
+                meter.add(queue, [step], at_ms)
         each = 4 * 2000 * 1000 / arrivals.WORK_WINDOW_MS
         assert meter.needed_milli(queue.pool, 499) == (
             pytest.approx((32 - math.sqrt(32)) * each)
