Shorten the leader's lease to 2 s

Ruled out: 1.5 s (a store that takes 240 ms for an answer, and a renewal that fails, would end healthy terms). Change: TTL_MS 3000 -> 2000, RENEW_MS 700 -> 500.

--- a/figtray/leadership/term.py
+++ b/figtray/leadership/term.py
@@ -5,8 +5,8 @@
 import msgspec
 
 KEY = 'leader'
-TTL_MS = 3000
-RENEW_MS = 700
+TTL_MS = 2000
+RENEW_MS = 500
 # The store may end a lease this much before its time on our clock.
 MARGIN_MS = 300
 
