Remove what nothing uses; bound the fake store's transactions as the platform does

Ruled out: none. Change: both are gone; MemoryStore counts entries as the platform does, and the stand-in has no second check. No product behaviour changes.

--- a/figtray/clock.py
+++ b/figtray/clock.py
@@ -4,11 +4,6 @@
 import time
 
 
-def now_us():
-    """Return the time of this machine's clock in microseconds."""
-    return time.clock_gettime_ns(time.CLOCK_BOOTTIME) // 1000
-
-
 class Clock:
     """Source of a monotonic time that no pause of the process stops."""
 
@@ -41,7 +36,7 @@
     """
 
     def now_ms(self):
-        return now_us() // 1000
+        return time.clock_gettime_ns(time.CLOCK_BOOTTIME) // 1_000_000
 
     def wall_ms(self):
         return time.time_ns() // 1_000_000
--- a/figtray/connections.py
+++ b/figtray/connections.py
@@ -107,12 +107,6 @@
         if self._users == 0:
             self._sock.close()
 
-    def shutdown(self):
-        try:
-            self._sock.shutdown(socket.SHUT_RDWR)
-        except OSError:
-            pass  # not connected any more
-
     def pending(self):
         """Return None, b'' (closed by the peer) or a byte."""
         if self.surplus:
@@ -193,8 +187,3 @@
             one byte.
         """
         return self.sock.pending() if self.sock else b''
-
-    def abort(self):
-        """Wake a thread that waits for this connection; it gets an error."""
-        if self._channel:
-            self._channel.shutdown()
--- a/figtray/platform/standin.py
+++ b/figtray/platform/standin.py
@@ -14,7 +14,6 @@
 # Pages are smaller than the platform's, so that tests see several.
 PAGE_ITEMS = 100
 MAX_WATCH_MS = 30_000
-MAX_TXN_ENTRIES = 32
 
 _REASONS = {
     verdict.RefusalReason.STALE_RUN: 'old',
@@ -93,13 +92,9 @@
         }
 
     def _txn(self, data):
-        entries = [data.get(n, []) for n in ('precondition', 'writes')]
-        deletes = data.get('deletes', [])
-        if sum(map(len, entries)) + len(deletes) > MAX_TXN_ENTRIES:
-            return 400, {'error': 'too many entries'}
         compares = [
             base.Compare(row['key'], 'mod_revision', row['revision'])
-            for row in entries[0]
+            for row in data.get('precondition', [])
         ]
         puts = [
             base.Put(
@@ -107,8 +102,9 @@
                 base64.b64decode(row['value']),
                 row.get('lease', 0),
             )
-            for row in entries[1]
+            for row in data.get('writes', [])
         ]
+        deletes = data.get('deletes', [])
         result = self.store.txn(compares, puts, deletes)
         if result.succeeded:
             return 200, {'revision': result.revision}
--- a/figtray/store/memory.py
+++ b/figtray/store/memory.py
@@ -8,8 +8,8 @@
 
 HISTORY_LENGTH = 10_000
 WATCH_WAIT_MS = base.WATCH_WAIT_MS
-# Default bound of etcd.
-MAX_TXN_OPERATIONS = 128
+# Bound of the platform's store: conditions, writes and deletions together.
+MAX_TXN_ENTRIES = 32
 
 
 class Compacted(errors.StoreUnavailable):
@@ -80,8 +80,8 @@
             keys = [put.key for put in puts] + list(deletes)
             if len(set(keys)) < len(keys):
                 raise InvalidTxn(detail='duplicate key')
-            if max(len(keys), len(compares)) > MAX_TXN_OPERATIONS:
-                raise InvalidTxn(detail='too many operations')
+            if len(keys) + len(compares) > MAX_TXN_ENTRIES:
+                raise InvalidTxn(detail='too many entries')
             succeeded = all(self._holds(item) for item in compares)
             if succeeded:
                 for put in puts:
