--- a/figtray/soak/tests/test_soak.py
+++ b/figtray/soak/tests/test_soak.py
@@ -9,8 +9,12 @@
 from figtray.soak import soak
 
 LENGTH_S = 8
-# Seeds that once failed stay here, each with a line on its cause.
-SEEDS = (1,)
+SEEDS = (
+    1,
+    # Failed twice by faults of the harness: a late start that never ended,
+    # and ends of two runs that were mixed up; see docs/incidents.md.
+    100,
+)
 
 
 class TestSchedule:
