--- a/figtray/platform/standin_site.py
+++ b/figtray/platform/standin_site.py
@@ -27,7 +27,9 @@
 KEY = 'demo-key'
 PREFIX = '/jobs/'
 ZONES = ('zone-a', 'zone-b')
-# First free port is looked for anew for each listener of a node.
+FIRST_PORT, LAST_PORT = 10_000, 32_000
+# Ports of a node: its listeners, and a range whose third is for metrics.
+PORT_BLOCK = 8
 LOOPBACK = '127.0.0.1'
 
 
@@ -278,20 +280,20 @@
 
 
 def _free_ports(count):
-    """Return ports that are free now, the last ones next to each other."""
+    """Return ports next to each other that are free now.
+
+    They lie below the range of which the system takes ports for outgoing
+    connections, so that none is taken while a node restarts.
+    """
     while True:
-        sockets = [socket.socket() for _ in range(count)]
+        first = random.randrange(FIRST_PORT, LAST_PORT - PORT_BLOCK)
         try:
-            for item in sockets:
-                item.bind((LOOPBACK, 0))
-            ports = [item.getsockname()[1] for item in sockets]
-        finally:
-            for item in sockets:
-                item.close()
-        with socket.socket() as probe:
-            # Port of the metrics.
-            if probe.connect_ex((LOOPBACK, ports[2] + 2)) != 0:
-                return ports
+            for port in range(first, first + PORT_BLOCK):
+                with socket.socket() as probe:
+                    probe.bind((LOOPBACK, port))
+        except OSError:
+            continue
+        return list(range(first, first + count))
 
 
 def main(
