Let the soak's proxy reset a connection without ending its stream first

Ruled out: load alone (the order of the two threads decides). Change: a pair that was taken for a reset passes nothing on.

--- a/figtray/soak/links.py
+++ b/figtray/soak/links.py
@@ -145,8 +145,11 @@
                 if not self._may_pass(pair, direction):
                     return
                 target.sendall(block)
-            # A half-closed connection still returns its answer.
-            target.shutdown(socket.SHUT_WR)
+            with self._cond:
+                if pair not in self._pairs:
+                    return  # the end of a stream would forestall the reset
+                # A half-closed connection still returns its answer.
+                target.shutdown(socket.SHUT_WR)
             if direction is Direction.FORTH:
                 return
         with self._cond:
