--- a/figtray/scheduling/tests/harness.py
+++ b/figtray/scheduling/tests/harness.py
@@ -82,10 +82,6 @@
         """Return the SimWorker with a number."""
         return self.client.sims[f'10.0.0.{number}:80']
 
-    def worker_numbers(self):
-        """Return the numbers of the listed workers."""
-        return [int(name.removeprefix('worker-')) for name in self.workers]
-
     def submit(self, *steps, queue='q', team='t', **fields):
         """Store a job; returns its id."""
         self._jobs += 1
@@ -248,7 +244,11 @@
     def report(self, number):
         """Let one worker report, and store the ends in its report."""
         worker_state = self.worker_state(number)
-        if worker_state is None or self.term.ended.is_set():
+        if worker_state is not None:
+            self._report(worker_state)
+
+    def _report(self, worker_state):
+        if worker_state.gone or self.term.ended.is_set():
             return
         worker_session = self._sessions[worker_state.worker.incarnation]
         sequence = worker_session.report_once()
@@ -259,8 +259,10 @@
     def deliver_orders(self, number, limit=1000):
         """Send the orders that are queued for one worker."""
         worker_state = self.worker_state(number)
-        if worker_state is None:
-            return
+        if worker_state is not None:
+            self._deliver_orders(worker_state, limit)
+
+    def _deliver_orders(self, worker_state, limit=1000):
         worker_session = self._sessions[worker_state.worker.incarnation]
         for _ in range(limit):
             if worker_state.orders.empty():
@@ -278,9 +280,9 @@
         return None
 
     def report_all(self):
-        """Let all workers report."""
-        for number in self.fleet.worker_numbers():
-            self.report(number)
+        """Let all workers that the scheduler knows report, listed or not."""
+        for worker_state in self.scheduler.worker_states():
+            self._report(worker_state)
 
     def run_cycle(self):
         """Plan once, send all orders, let all workers report, and write."""
@@ -289,9 +291,9 @@
         except errors.StoreUnavailable:
             pass  # without a watch the leader goes on with what it knows
         self.scheduler.plan()
-        for number in self.fleet.worker_numbers():
-            self.deliver_orders(number)
-            self.report(number)
+        for worker_state in self.scheduler.worker_states():
+            self._deliver_orders(worker_state)
+            self._report(worker_state)
         self.flush()
 
     def advance(self, ms):
--- a/figtray/store/tests/test_prefix_watcher.py
+++ b/figtray/store/tests/test_prefix_watcher.py
@@ -5,6 +5,7 @@
 import pytest
 
 from figtray import clock as clock_lib
+from figtray import errors
 from figtray.store import base
 from figtray.store import memory
 from figtray.store import prefix_watcher
@@ -104,3 +105,87 @@
         assert view.watcher.staleness_ms() == 0
         clock.advance(700)
         assert view.watcher.staleness_ms() == 700
+
+
+class ScriptedStore(memory.MemoryStore):
+    """Store whose requests of a watch have given outcomes.
+
+    Args:
+        clock: the Clock.
+        outcomes: for each request the KeyValues that it yields before its
+            None, or None if it fails. The request after them ends the watch.
+
+    Attributes:
+        waits_ms: the wait_ms of each request, in order.
+    """
+
+    def __init__(self, clock, outcomes):
+        super().__init__(clock)
+        self.waits_ms = []
+        self._outcomes = iter(outcomes)
+
+    def watch(self, prefix, start_revision, stop, wait_ms=base.WATCH_WAIT_MS):
+        while not stop.is_set():
+            self.waits_ms.append(wait_ms)
+            try:
+                items = next(self._outcomes)
+            except StopIteration:
+                stop.set()
+                return
+            if items is None:
+                raise errors.StoreUnavailable(detail='injected')
+            yield from items
+            yield None
+
+
+class TestWaitAfterFailure:
+    WAIT_MS = 4000
+    SHORT_MS = 300
+
+    def run_watcher(self, store, clock, on_change=lambda item: None):
+        """Watch until the store ends the watch."""
+        watcher = prefix_watcher.PrefixWatcher(
+            store,
+            '/w/',
+            clock,
+            lambda items: None,
+            on_change,
+            wait_ms=self.WAIT_MS,
+        )
+        watcher.run(threading.Event())
+
+    # A watch that is sent into an outage may wait its whole time in a dead
+    # connection, although the store is back soon.
+    def test_watch_after_a_failure_waits_long(self, clock):
+        store = ScriptedStore(clock, [(), None, None])
+        self.run_watcher(store, clock)
+        assert store.waits_ms[:2] == [self.WAIT_MS] * 2
+        short = store.waits_ms[2:]
+        assert all(0 < ms <= self.SHORT_MS for ms in short), short
+
+    # Short waits cost calls.
+    @pytest.mark.parametrize(
+        'items', [(), (base.KeyValue('/w/a', b'', 2),)], ids=['none', 'one']
+    )
+    def test_waits_stay_short_after_an_answer(self, clock, items):
+        store = ScriptedStore(clock, [None, items, (), ()])
+        self.run_watcher(store, clock)
+        assert 0 < store.waits_ms[1] <= self.SHORT_MS, store.waits_ms
+        assert store.waits_ms[2:] == [self.WAIT_MS] * 3
+
+    # The changes of one transaction have one revision, so a watch that is
+    # resumed after the first of them misses the others.
+    def test_short_watch_ends_within_a_transaction(self, clock):
+        class Store(memory.MemoryStore):
+            def watch(self, prefix, start_revision, stop, wait_ms=None):
+                if self.revision < 2:
+                    self.txn([], [base.Put(f'/w/{n}', b'') for n in range(3)])
+                    raise errors.StoreUnavailable(detail='injected')
+                items, _ = self.wait_for_changes(prefix, start_revision, 1)
+                yield from items
+                yield None
+                stop.set()
+
+        seen = []
+        self.run_watcher(Store(clock), clock, seen.append)
+        assert [item.key for item in seen] == ['/w/0', '/w/1', '/w/2']
