Ask with a short wait in the first watch after a failure

Callers saw lasting tasks that did not run for seconds after an outage of the store.

Cause: a watch that a silent outage has broken is followed by one that waits its whole time, 4 s for the leader's key, and 0.8 s for its reply. If it is sent while the store is still away, nothing answers it, and the return of the store stays hidden until it times out.

Change: the first watch after a failure waits 300 ms at most and ends with the first answer; the next one waits its whole time again. A return of the store is noticed within 1.1 s and the delay of a retry (0.4 s at most).

--- a/figtray/store/prefix_watcher.py
+++ b/figtray/store/prefix_watcher.py
@@ -10,6 +10,9 @@
 
 RETRY_MS = 250
 RETRY_JITTER_MS = 150
+# Longest wait of the first watch after a failure. A long one that is sent
+# while the store is still away would hide its return until it times out.
+CONFIRM_WAIT_MS = 300
 
 
 class PrefixWatcher:
@@ -93,13 +96,21 @@
         return result.revision
 
     def _watch_changes(self, revision, stop):
+        """Yield the revision of each change, after it is reported.
+
+        After a failure, returns as soon as the store has answered once.
+        """
+        recovering = self._failing_since_ms is not None
+        wait_ms = self._wait_ms
+        if recovering:
+            wait_ms = min(wait_ms, CONFIRM_WAIT_MS)
         requested_ms = self._clock.now_ms()
-        watch = self._store.watch(
-            self._prefix, revision + 1, stop, self._wait_ms
-        )
+        watch = self._store.watch(self._prefix, revision + 1, stop, wait_ms)
         for item in watch:
             if item is None:
                 self._confirm(requested_ms)
+                if recovering:
+                    return
                 requested_ms = self._clock.now_ms()
                 continue
             self._on_change(item)
