Keep a silent worker whose entry lapses during a takeover unresolved

Callers could see a task run twice: a worker of an earlier term is cut off as the leader changes, stays silent, and its entry lapses while the new leader awaits its report.

Cause: a worker without an entry and without known runs was taken for one that has ended. Before its first report no run on it can be known, so the takeover counted its runs as over and started their tasks elsewhere, while they ran on until their lease expired. drain_worker() told in the same way that such a worker has no runs, so its host could be moved.

Evidence: found by reading the takeover for this incident.

Change: an incarnation that is unresolved stays so when its entry lapses, until it reports, is followed by a later one or must have lost its lease; a host with an unresolved incarnation counts as occupied.

--- a/figtray/scheduling/draining.py
+++ b/figtray/scheduling/draining.py
@@ -112,9 +112,9 @@
         (`may_be_away`).
 
         Returns:
-            True if the worker has no runs. An unknown worker has none once
-            all jobs and workers are loaded, unless one of its incarnations
-            is unresolved.
+            True if the worker has no runs. An unresolved incarnation may
+            have some. An unknown worker has none once all jobs and workers
+            are loaded, unless one of its incarnations is unresolved.
         """
         with self.lock:
             worker_state = self._find_worker(worker_id)
@@ -124,7 +124,7 @@
                     for incarnation in self._unresolved
                 )
             if not worker_state.runs:
-                return True
+                return worker_state.worker.incarnation not in self._unresolved
             for run in list(worker_state.runs.values()):
                 step = run.task.step
                 if (
--- a/figtray/scheduling/membership.py
+++ b/figtray/scheduling/membership.py
@@ -131,6 +131,9 @@
                     self._end_incarnation(
                         worker_state, 'a later incarnation is listed'
                     )
+                elif incarnation in self._unresolved:
+                    # It has not reported, so it may run tasks.
+                    worker_state.listed = False
                 elif not worker_state.listed and not worker_state.runs:
                     self._end_incarnation(
                         worker_state, 'it has no entry and no runs'
--- a/figtray/scheduling/tests/test_takeover.py
+++ b/figtray/scheduling/tests/test_takeover.py
@@ -12,6 +12,9 @@
 FIND_GONE_MS = 1000
 # A task that is certainly not running starts within this time.
 START_MS = 500
+# A run on a silent worker goes on until this long before the longest lease
+# ends.
+LEASE_LEFT_MS = 1000
 LONGEST_LEASE_MS = leases.longest_lease_ms(harness.BOUNDS)
 
 
@@ -260,6 +263,20 @@
         assert place(fleet, first) != number
 
 
+class TestEntryThatLapses:
+    # A silent worker without an entry was taken for one that has ended,
+    # although it had not reported yet.
+    def test_silent_worker_is_taken_for_ended(self, fleet, leader):
+        first, _ = submit_pair(fleet, leader)
+        number = place(fleet, first)
+        silence(fleet, number)
+        leader = fleet.elect_leader()
+        play(leader, 3 * CYCLE_MS)
+        fleet.workers.pop(f'worker-{number}')
+        play(leader, LONGEST_LEASE_MS - LEASE_LEFT_MS)
+        assert place(fleet, first) == number
+
+
 class TestRecordOfPlacements:
     @pytest.fixture
     def job_id(self, fleet, leader):
