Ask each incarnation of the roster for its runs, listed or not

Cause: a new leader talked only to workers with an entry in the store. A worker that left, or lost its entry, while there was no leader was never asked, so only the longest lease ended the wait for it, and its runs were never adopted if it lived.

Change: sync_workers() returns a worker state, without an entry and without capacity, for each unresolved incarnation that is not listed. Its session asks it: a worker that lives has its runs adopted, one that answers as another worker, or is gone, is resolved. A worker that is forgotten because it has no entry and no runs is known again as soon as its entry returns; it was ignored for 5 s.

--- a/figtray/scheduling/membership.py
+++ b/figtray/scheduling/membership.py
@@ -3,6 +3,7 @@
 from figtray.events import catalogue
 from figtray.events import log
 from figtray.fleet import model as fleet
+from figtray.jobs import model
 from figtray.scheduling import scheduler_base
 from figtray.scheduling import state
 
@@ -79,7 +80,9 @@
                 unlisted, so that nothing is started there.
 
         Returns:
-            The new WorkerStates.
+            The new WorkerStates: those of new entries, and of unresolved
+            incarnations without an entry. The latter may still run tasks,
+            and only they can tell.
         """
         added = []
         with self.lock:
@@ -138,6 +141,8 @@
                     self._end_incarnation(
                         worker_state, 'it has no entry and no runs'
                     )
+                    # Its entry returns if it was only cut off from the store.
+                    self._ended_incarnations.pop(incarnation)
                 elif trust_absence and worker_state.listed:
                     worker_state.listed = False
                     log.emit(
@@ -146,9 +151,21 @@
                         runs=len(worker_state.runs),
                     )
                     worker_state.wake.set()
+            added += self._add_unlisted()
         self.changed.set()
         return added
 
+    def _add_unlisted(self):
+        """Add and return a WorkerState for each unresolved incarnation."""
+        added = []
+        for incarnation in self._unresolved:
+            if incarnation not in self._worker_states:
+                worker_state = state.WorkerState(_unlisted_worker(incarnation))
+                worker_state.listed = False
+                self._worker_states[incarnation] = worker_state
+                added.append(worker_state)
+        return added
+
     def _prune_ended_incarnations(self):
         now_ms = self._clock.now_ms()
         for incarnation, until_ms in list(self._ended_incarnations.items()):
@@ -216,6 +233,20 @@
     )
 
 
+def _unlisted_worker(incarnation):
+    """Return the Worker of an incarnation that has no entry."""
+    return fleet.Worker(
+        worker_id=incarnation.worker_id,
+        born_ms=incarnation.born_ms,
+        address=incarnation.address,
+        pool=incarnation.pool,
+        zone='',
+        labels=(),
+        capacity=model.NO_RESOURCES,
+        host_id=incarnation.host_id,
+    )
+
+
 def _latest_born_ms(workers):
     """Return the latest start time for each worker id and each address."""
     latest = {}
