Hold a lasting task after a takeover only if it may still run itself

Cause: a new leader did not know on which worker an earlier leader had started a task. So one incarnation that did not answer held every task of every team and pool, for up to 7.4 s from the start of the term, also those whose runs had been reported as over. A bound of one worker became a barrier for all.

Change: the leader stores the placement of a lasting task, its worker's incarnation, in the progress record of the job before it sends the start (Writer.on_written releases the orders). The next leader holds a lasting task only while that incarnation is unresolved, and counts it towards the limit of its team meanwhile. The roster says whether placements are complete: after a leader of an earlier release all tasks are held as before, until the first takeover is over. Jobs whose tasks end are still held as a whole: a record before each of their starts would put the store into the path of every start.

The roster moves into a module of its own.

--- a/figtray/jobs/records.py
+++ b/figtray/jobs/records.py
@@ -48,6 +48,18 @@
     cancelled_ms: int = 0
 
 
+class Placement(msgspec.Struct, frozen=True, array_like=True):
+    """Incarnation of a worker on which a task may run.
+
+    Attributes:
+        worker_id: id of the worker.
+        born_ms: Unix time in milliseconds of the start of its incarnation.
+    """
+
+    worker_id: str
+    born_ms: int
+
+
 class Progress(msgspec.Struct, frozen=True, omit_defaults=True):
     """Stored progress of a job.
 
@@ -58,6 +70,9 @@
             a number that occurs twice counts once.
         checkpoints: by `OCCURRENCE.STEP.INDEX`, the checkpoint from which the
             next run resumes.
+        placements: by `OCCURRENCE.STEP.INDEX`, the Placement of the last run
+            of a lasting task, stored before the run starts. A lasting task
+            without one has never started.
         ended_ms: Unix time in milliseconds of the end; 0 = not ended.
     """
 
@@ -65,6 +80,7 @@
     done: dict[str, int] = {}
     failures: dict[str, tuple[int, ...]] = {}
     checkpoints: dict[str, str] = {}
+    placements: dict[str, Placement] = {}
     ended_ms: int = 0
 
 
--- a/figtray/platform/status.py
+++ b/figtray/platform/status.py
@@ -15,7 +15,7 @@
 from figtray.platform import settings as settings_lib
 from figtray.platform import store as stores
 from figtray.platform import view as views
-from figtray.scheduling import service
+from figtray.scheduling import roster as rosters
 from figtray.upkeep import waves
 
 EXIT_INVALID = 2
@@ -95,7 +95,7 @@
     """
     view.watcher.load()
     leader = store.get(terms.LEADER_KEY)
-    roster = store.get(service.ROSTER_KEY)
+    roster = store.get(rosters.ROSTER_KEY)
     item = store.get(records.WAITING_KEY)
     waiting = (
         records.decode_waiting_jobs(item.value)
@@ -126,7 +126,7 @@
             WorkerCount(*key, count) for key, count in sorted(workers.items())
         ),
         waves=tuple(_read_waves(store)),
-        roster=len(service.decode_roster(roster.value).lives) if roster else 0,
+        roster=len(rosters.decode(roster.value).lives) if roster else 0,
     )
 
 
--- a/figtray/scheduling/job_lifecycle.py
+++ b/figtray/scheduling/job_lifecycle.py
@@ -267,6 +267,7 @@
             key = f'{occurrence.number}.{step.number}.{task.index}'
             task.failed_runs = list(stored.failures.get(key, ()))
             task.checkpoint = stored.checkpoints.get(key, '')
+            task.placement = stored.placements.get(key)
 
 
 def _objective_ms(job, factor):
--- a/figtray/scheduling/membership.py
+++ b/figtray/scheduling/membership.py
@@ -4,6 +4,7 @@
 from figtray.events import log
 from figtray.fleet import model as fleet
 from figtray.jobs import model
+from figtray.scheduling import roster as rosters
 from figtray.scheduling import scheduler_base
 from figtray.scheduling import state
 
@@ -32,41 +33,47 @@
             for job in self._jobs.values():
                 job.queue = cfg.queues.get(job.spec.queue, job.queue)
 
-    def begin_adoption(self, incarnations, until_ms):
-        """Hold jobs of earlier terms until their runs are known.
+    def begin_adoption(self, roster, until_ms):
+        """Hold tasks of earlier terms until their runs are known.
 
         Args:
-            incarnations: those on which earlier leaders may have started
-                tasks; each is unresolved until it reports or has ended.
+            roster: the Roster of earlier leaders; each of its incarnations
+                is unresolved until it reports or has ended.
             until_ms: local time in milliseconds after which all leases of
                 earlier leaders have expired.
         """
         with self.lock:
-            self._unresolved = set(incarnations)
+            self._unresolved = set(roster.lives)
             self._adoption_until_ms = until_ms
+            self._are_placements_known = roster.placements_recorded
 
-    def incarnations_in_use(self):
-        """Return the incarnations on which tasks may run, sorted.
+    def roster(self):
+        """Return the Roster of the incarnations on which tasks may run.
 
         After adoption the unresolved incarnations are dropped, as all leases
-        of earlier leaders have expired.
+        of earlier leaders have expired. Adopted runs are recorded, so by then
+        all Placements are, whichever release the earlier leaders ran.
         """
         with self.lock:
             if not self._is_adopting(self._clock.now_ms()):
                 self._unresolved.clear()
-            return tuple(sorted({*self._worker_states, *self._unresolved}))
+                self._are_placements_known = True
+            return rosters.Roster(
+                tuple(sorted({*self._worker_states, *self._unresolved})),
+                self._are_placements_known,
+            )
 
     def set_workers_expected(self, expected):
         """Set whether new workers will be listed soon."""
         self.workers_expected = expected
 
-    def allow_starts(self, incarnations):
-        """Allow starts on the workers of a roster that is stored.
+    def allow_starts(self, roster):
+        """Allow starts on the workers of a Roster that is stored.
 
         A later leader finds there where tasks of this term may run.
         """
         with self.lock:
-            for incarnation in incarnations:
+            for incarnation in roster.lives:
                 if incarnation in self._worker_states:
                     self._worker_states[incarnation].on_roster = True
         self.changed.set()
--- a/figtray/scheduling/planner.py
+++ b/figtray/scheduling/planner.py
@@ -4,6 +4,7 @@
 
 from figtray.events import catalogue
 from figtray.events import log
+from figtray.jobs import records
 from figtray.scheduling import job_lifecycle
 from figtray.scheduling import placement
 from figtray.scheduling import scheduler_base
@@ -12,6 +13,8 @@
 
 # Planning is suspended while the term or the configuration may be outdated.
 SUSPENDED_RETRY_MS = 50
+# Longest time between two plans while workers of earlier terms are awaited.
+ADOPTION_RETRY_MS = 100
 # Estimates are rough: a job counts as late only if it would miss its due time
 # even if its critical path took only this part of the estimated time.
 ESTIMATE_OPTIMISM = 0.8
@@ -54,9 +57,11 @@
                     next_ms = min(next_ms, start_ms)
             pools = self._candidates_by_pool(now_ms)
             adopting = self._is_adopting(now_ms)
+            if adopting:
+                next_ms = min(next_ms, now_ms + ADOPTION_RETRY_MS)
+            held_tasks = self._hold_tasks() if adopting else ()
             for step in self._steps_by_urgency(now_ms):
-                if adopting and step.job.created < self._term.epoch:
-                    next_ms = min(next_ms, now_ms + 100)
+                if adopting and not self._are_runs_known(step):
                     step.held_reason = state.HeldReason.TAKEOVER
                     continue
                 worker_states = pools.get(step.job.queue.pool)
@@ -66,6 +71,7 @@
                     )
                 else:
                     step.held_reason = state.HeldReason.NO_WORKERS
+            self._release_tasks(held_tasks)
             return min(
                 [next_ms]
                 + [
@@ -75,6 +81,49 @@
                 ]
             )
 
+    def _are_runs_known(self, step):
+        """Return whether it is known where tasks of a step may still run.
+
+        This is so for jobs of this term, and for lasting tasks, whose
+        Placements are recorded.
+        """
+        return step.job.created >= self._term.epoch or (
+            step.spec.lasting and self._are_placements_known
+        )
+
+    def _hold_tasks(self):
+        """Take lasting tasks that may still run out of their steps' queues.
+
+        Their needs count towards the limits of their teams.
+
+        Returns:
+            The tasks, for _release_tasks().
+        """
+        unresolved = {
+            records.Placement(incarnation.worker_id, incarnation.born_ms)
+            for incarnation in self._unresolved
+        }
+        held = [
+            task
+            for step in self._open_steps.values()
+            if step.spec.lasting
+            for task in step.waiting
+            if task.placement in unresolved
+        ]
+        for task in held:
+            task.step.waiting.remove(task)
+            task.step.held_reason = state.HeldReason.TAKEOVER
+            self._quota.add(task.step.job.spec.team, task.step.spec.needs)
+        return held
+
+    def _release_tasks(self, held):
+        """Undo _hold_tasks()."""
+        for task in held:
+            step = task.step
+            step.waiting.append(task)
+            step.held_reason = step.held_reason or state.HeldReason.TAKEOVER
+            self._quota.remove(step.job.spec.team, step.spec.needs)
+
     def _candidates_by_pool(self, now_ms):
         """Return the candidate WorkerStates of each pool.
 
@@ -291,5 +340,8 @@
             ticket = step.advice.ticket(worker_state.worker.worker_id)
         run = state.Run(task, worker_state, number, now_ms, ticket)
         self._attach(run)
-        worker_state.orders.put(worker_orders.Start(run))
-        worker_state.wake.set()
+        if step.spec.lasting:
+            sequence = self._record_placement(run)
+            self._unrecorded_runs.append((sequence, run))
+        else:
+            self._order_start(run)
--- a/figtray/scheduling/reports.py
+++ b/figtray/scheduling/reports.py
@@ -194,6 +194,10 @@
         if not job.started:
             job.state = records.State.RUNNING
             self._store_progress(job)
+        if task.step.spec.lasting and (
+            task.placement != worker_state.placement()
+        ):
+            self._record_placement(run)
 
     def _stop_stray(self, worker_state, item, now_ms):
         stray = (item.task, item.run)
--- /dev/null
+++ b/figtray/scheduling/roster.py
@@ -0,0 +1,34 @@
+"""Stored roster: the incarnations of workers on which tasks may run."""
+
+import msgspec
+
+from figtray.fleet import model as fleet
+
+ROSTER_KEY = 'roster'
+
+
+class Roster(msgspec.Struct, frozen=True):
+    """Incarnations of workers on which tasks may have been started.
+
+    Attributes:
+        lives: the incarnations.
+        placements_recorded: whether the Placements of all lasting tasks are
+            recorded before they start. Earlier releases did not do so.
+    """
+
+    lives: tuple[fleet.Incarnation, ...] = ()
+    placements_recorded: bool = False
+
+
+def encode(roster):
+    """Return the stored bytes of a Roster."""
+    return msgspec.json.encode(roster)
+
+
+def decode(data):
+    """Return the Roster of stored bytes.
+
+    Raises:
+        msgspec.MsgspecError: the bytes are not a roster.
+    """
+    return msgspec.json.decode(data, type=Roster)
--- a/figtray/scheduling/scheduler_base.py
+++ b/figtray/scheduling/scheduler_base.py
@@ -1,5 +1,6 @@
 """Base class of the scheduler's parts, with the state of one term."""
 
+import collections
 import threading
 
 import msgspec
@@ -47,6 +48,7 @@
         self._term = term
         self._clock = clock
         self._writer = writer
+        writer.on_written = self.release_recorded_starts
         self._lease_ms = leases.lease_ms(bounds)
         self._is_config_fresh = is_config_fresh
         self._metrics = metrics
@@ -65,6 +67,11 @@
         # Incarnations of earlier terms whose runs are not known yet.
         self._unresolved = set()
         self._adoption_until_ms = 0
+        # Whether the leaders before this term recorded all Placements.
+        self._are_placements_known = False
+        # Runs of lasting tasks whose Placements are not stored yet, with the
+        # sequence numbers of the Writer to wait for, in ascending order.
+        self._unrecorded_runs = collections.deque()
         # Ids of jobs whose records were removed, with the Unix time of the
         # removal.
         self._removed_jobs = {}
@@ -200,13 +207,40 @@
     def _is_adopting(self, now_ms):
         return bool(self._unresolved) and now_ms < self._adoption_until_ms
 
+    def _record_placement(self, run):
+        """Queue a write of where a lasting task may run.
+
+        A later leader then holds the task only if it can't tell whether this
+        run goes on, not because of any other worker.
+
+        Returns:
+            The sequence number of the write.
+        """
+        run.task.placement = run.worker_state.placement()
+        return self._store_progress(run.task.step.job)
+
+    def release_recorded_starts(self):
+        """Order the starts of the lasting tasks whose placement is stored."""
+        with self.lock:
+            while self._unrecorded_runs:
+                sequence, run = self._unrecorded_runs[0]
+                if not self._writer.is_written(sequence):
+                    return
+                self._unrecorded_runs.popleft()
+                self._order_start(run)
+
+    def _order_start(self, run):
+        run.worker_state.orders.put(worker_orders.Start(run))
+        run.worker_state.wake.set()
+
     def _requeue(self, task):
         task.ready_ms = self._clock.now_ms()
         if task.step.open:
             task.step.waiting.append(task)
 
     def _store_progress(self, job):
-        self._writer.enqueue(
+        """Queue a write of a job's progress; returns its sequence number."""
+        return self._writer.enqueue(
             records.PROGRESS_PREFIX + job.job_id, lambda: self._encode(job)
         )
 
--- a/figtray/scheduling/service.py
+++ b/figtray/scheduling/service.py
@@ -7,10 +7,10 @@
 from figtray import errors
 from figtray.events import catalogue
 from figtray.events import log
-from figtray.fleet import model as fleet
 from figtray.jobs import records
 from figtray.scheduling import leases
 from figtray.scheduling import pacer as pacers
+from figtray.scheduling import roster as rosters
 from figtray.scheduling import scheduler as schedulers
 from figtray.scheduling import session
 from figtray.scheduling import writer as writers
@@ -24,7 +24,6 @@
 EXPECTED_WORKERS_POLL_MS = 150
 COUNTS_INTERVAL_MS = 1000
 RETRY_MS = 200
-ROSTER_KEY = 'roster'
 ROSTER_WRITE_TIMEOUT_MS = 500
 # After an outage of the store, expired entries of workers are back within
 # this time.
@@ -39,26 +38,6 @@
 MAX_ADVICE_WORKERS = 30
 
 
-class Roster(msgspec.Struct, frozen=True):
-    """Incarnations of workers on which tasks may have been started."""
-
-    lives: tuple[fleet.Incarnation, ...] = ()
-
-
-def encode_roster(incarnations):
-    """Return the stored bytes of a Roster of incarnations."""
-    return msgspec.json.encode(Roster(tuple(incarnations)))
-
-
-def decode_roster(data):
-    """Return the Roster of stored bytes.
-
-    Raises:
-        msgspec.MsgspecError: the bytes are not a roster.
-    """
-    return msgspec.json.decode(data, type=Roster)
-
-
 def remove_jobs(scheduler, writer, job_ids, wait_ms=REMOVAL_TIMEOUT_MS):
     """Remove the records of expired jobs, then the jobs from the scheduler.
 
@@ -153,7 +132,7 @@
         )
         self._pacer = pacers.Pacer(self._scheduler, self._clock)
         self._sessions = {}
-        self._roster = ()
+        self._roster = rosters.Roster()
         self._roster_sequence = 0
         self._threads = []
         self._list_failed_ms = None
@@ -249,7 +228,7 @@
             epoch=self._term.epoch,
             jobs=len(intake.items),
             workers=len(self._sessions),
-            roster=len(self._roster),
+            roster=len(self._roster.lives),
             duration_ms=self._clock.now_ms() - began_ms,
         )
 
@@ -263,18 +242,18 @@
         return self._service.view
 
     def _load_roster(self):
-        item = self._store.get(ROSTER_KEY)
+        item = self._store.get(rosters.ROSTER_KEY)
         if item is None:
             return
         self._writer.set_revision(item.key, item.mod_revision)
-        roster = self._read(item, decode_roster)
+        roster = self._read(item, rosters.decode)
         if roster is None:
             return
-        self._roster = roster.lives
+        self._roster = roster
         until_ms = self._term.began_ms + leases.longest_lease_ms(
             self._service.bounds
         )
-        self._scheduler.begin_adoption(self._roster, until_ms)
+        self._scheduler.begin_adoption(roster, until_ms)
 
     def _read(self, item, decode):
         try:
@@ -367,14 +346,14 @@
 
     def _update_roster(self):
         """Store the incarnations in use before any task starts on them."""
-        incarnations = self._scheduler.incarnations_in_use()
-        if incarnations != self._roster:
-            self._roster = incarnations
+        roster = self._scheduler.roster()
+        if roster != self._roster:
+            self._roster = roster
             self._roster_sequence = self._writer.enqueue(
-                ROSTER_KEY, lambda: encode_roster(self._roster)
+                rosters.ROSTER_KEY, lambda: rosters.encode(self._roster)
             )
         if self._writer.wait(self._roster_sequence, ROSTER_WRITE_TIMEOUT_MS):
-            self._scheduler.allow_starts(incarnations)
+            self._scheduler.allow_starts(roster)
 
     # Periodic work.
 
--- a/figtray/scheduling/state.py
+++ b/figtray/scheduling/state.py
@@ -115,7 +115,12 @@
 
 
 class TaskState:
-    """One task of one occurrence of a job."""
+    """One task of one occurrence of a job.
+
+    Attributes:
+        placement: of a lasting task, the records.Placement of its last run;
+            None if it has had none.
+    """
 
     __slots__ = (
         'step',
@@ -125,6 +130,7 @@
         'failed_runs',
         'checkpoint',
         'last_run',
+        'placement',
         'run',
         'ready_ms',
     )
@@ -141,6 +147,7 @@
         self.failed_runs = []
         self.checkpoint = ''
         self.last_run = 0
+        self.placement = None
         self.run = None
         self.ready_ms = 0
 
@@ -240,7 +247,7 @@
 
     def progress(self):
         """Return the records.Progress to store."""
-        done, failures, checkpoints = {}, {}, {}
+        done, failures, checkpoints, placements = {}, {}, {}, {}
         for number, occurrence in self.occurrences.items():
             for step in occurrence.steps:
                 mask = 0
@@ -253,15 +260,18 @@
                         failures[key] = tuple(task.failed_runs)
                     if task.checkpoint:
                         checkpoints[key] = task.checkpoint
+                    if task.placement:
+                        placements[key] = task.placement
                 if mask:
                     done[f'{number}.{step.number}'] = mask
         if self.state.ended:
-            failures, checkpoints = {}, {}
+            failures, checkpoints, placements = {}, {}, {}
         return records.Progress(
             state=self.state,
             done=done,
             failures=failures,
             checkpoints=checkpoints,
+            placements=placements,
             ended_ms=self.ended_ms,
         )
 
@@ -326,6 +336,10 @@
         self.failed_jobs = set()
         self.failures = 0
 
+    def placement(self):
+        """Return the records.Placement of the runs on this incarnation."""
+        return records.Placement(self.worker.worker_id, self.worker.born_ms)
+
     def worker_clock(self, now_ms):
         """Return an estimate of the worker's clock; None if unknown."""
         if self.clock_ms is None:
--- a/figtray/scheduling/tests/harness.py
+++ b/figtray/scheduling/tests/harness.py
@@ -13,8 +13,8 @@
 from figtray.platform import settings
 from figtray.scheduling import leases
 from figtray.scheduling import pacer as pacers
+from figtray.scheduling import roster as rosters
 from figtray.scheduling import scheduler as schedulers
-from figtray.scheduling import service
 from figtray.scheduling import session
 from figtray.scheduling import writer as writers
 from figtray.store import base
@@ -180,12 +180,11 @@
             self.writer.set_revision(item.key, item.mod_revision)
             job_id = item.key.removeprefix(records.PROGRESS_PREFIX)
             progress[job_id] = records.decode_progress(item.value)
-        roster = fleet.store.get(service.ROSTER_KEY)
+        roster = fleet.store.get(rosters.ROSTER_KEY)
         if roster is not None:
             self.writer.set_revision(roster.key, roster.mod_revision)
-            incarnations = service.decode_roster(roster.value).lives
             self.scheduler.begin_adoption(
-                incarnations,
+                rosters.decode(roster.value),
                 self.term.began_ms + leases.longest_lease_ms(BOUNDS),
             )
         self.sync_intake(progress)
@@ -221,12 +220,10 @@
                 self.term,
                 self.fleet.clock,
             )
-        incarnations = self.scheduler.incarnations_in_use()
-        self.writer.enqueue(
-            service.ROSTER_KEY, lambda: service.encode_roster(incarnations)
-        )
+        roster = self.scheduler.roster()
+        self.writer.enqueue(rosters.ROSTER_KEY, lambda: rosters.encode(roster))
         self.flush()
-        self.scheduler.allow_starts(incarnations)
+        self.scheduler.allow_starts(roster)
 
     def flush(self):
         """Write all that is queued, unless the store fails."""
@@ -291,6 +288,8 @@
         except errors.StoreUnavailable:
             pass  # without a watch the leader goes on with what it knows
         self.scheduler.plan()
+        # Starts of lasting tasks are ordered once their placement is stored.
+        self.flush()
         for worker_state in self.scheduler.worker_states():
             self._deliver_orders(worker_state)
             self._report(worker_state)
--- a/figtray/scheduling/tests/test_scheduler.py
+++ b/figtray/scheduling/tests/test_scheduler.py
@@ -8,6 +8,7 @@
 from figtray.fleet import messages
 from figtray.fleet import model as fleet_model
 from figtray.jobs import records
+from figtray.scheduling import roster as rosters
 from figtray.scheduling import scheduler_base
 from figtray.scheduling import service
 from figtray.scheduling import state
@@ -570,8 +571,8 @@
         assert not running(fleet)
 
     def test_roster_names_all_workers(self, fleet, leader):
-        item = fleet.store.get(service.ROSTER_KEY)
-        incarnations = service.decode_roster(item.value).lives
+        item = fleet.store.get(rosters.ROSTER_KEY)
+        incarnations = rosters.decode(item.value).lives
         assert [incarnation[0] for incarnation in incarnations] == [
             'worker-0',
             'worker-1',
--- a/figtray/scheduling/tests/test_takeover.py
+++ b/figtray/scheduling/tests/test_takeover.py
@@ -3,8 +3,11 @@
 import pytest
 
 from figtray.fleet import messages
+from figtray.jobs import records
 from figtray.scheduling import leases
+from figtray.scheduling import roster as rosters
 from figtray.scheduling.tests import harness
+from figtray.store import base
 
 # Interval at which the leader plans and asks the workers in these tests.
 CYCLE_MS = 100
@@ -263,6 +266,45 @@
         assert place(fleet, first) != number
 
 
+class TestRosterOfAnEarlierRelease:
+    # Leaders of earlier releases started lasting tasks without a record.
+    def test_unrecorded_task_starts_too_early(self, fleet, leader):
+        first, _ = submit_pair(fleet, leader)
+        number = place(fleet, first)
+        job_id = first.split('.')[0]
+        data = rosters.encode(leader.scheduler.roster())
+        written = [
+            base.Put(records.PROGRESS_PREFIX + job_id, b'{"state":"running"}'),
+            base.Put(
+                rosters.ROSTER_KEY,
+                data.replace(b',"placements_recorded":true', b''),
+            ),
+        ]
+        fleet.store.txn([], written)
+        silence(fleet, number)
+        leader = fleet.elect_leader()
+        play(leader, LONGEST_LEASE_MS - LEASE_LEFT_MS)
+        assert place(fleet, first) == number
+        # The record is incomplete until the wait is over.
+        assert not leader.scheduler.roster().placements_recorded
+        play(leader, LEASE_LEFT_MS + START_MS)
+        assert place(fleet, first) != number
+        assert leader.scheduler.roster().placements_recorded
+
+
+class TestLimitOfTheTeam:
+    # A held task may run out of sight, so it counts towards the limit.
+    def test_held_task_is_not_counted(self):
+        fleet = harness.Fleet(4, harness.make_config(limit_milli=4000))
+        leader = fleet.elect_leader()
+        leader.report_all()
+        first, second = submit_pair(fleet, leader)
+        silence(fleet, place(fleet, first))
+        fleet.submit(harness.make_step(6, lasting=True))
+        play(fleet.elect_leader(), START_MS)
+        assert len(running(fleet)) == 4
+
+
 class TestEntryThatLapses:
     # A silent worker without an entry was taken for one that has ended,
     # although it had not reported yet.
--- a/figtray/scheduling/writer.py
+++ b/figtray/scheduling/writer.py
@@ -27,9 +27,14 @@
         store: the Store.
         term: the Term.
         clock: the Clock.
+
+    Attributes:
+        on_written: called without arguments after each stored batch, in the
+            thread that writes.
     """
 
     def __init__(self, store, term, clock):
+        self.on_written = lambda: None
         self._store = store
         self._term = term
         self._clock = clock
@@ -71,6 +76,11 @@
         with self._cond:
             return self._last_sequence
 
+    def is_written(self, sequence):
+        """Return whether all writes up to a sequence number are stored."""
+        with self._cond:
+            return self._written_sequence() >= sequence
+
     def wait(self, sequence, timeout_ms):
         """Wait until all writes up to a sequence number are stored.
 
@@ -128,6 +138,7 @@
         with self._cond:
             self._batch = None
             self._cond.notify_all()
+        self.on_written()
         return True
 
     def _written_sequence(self):
