Take refused connections for the end of a worker only if its host agrees

Cause: two refused connections in a row counted as the proof that an incarnation has ended, so its runs were given up and started elsewhere. A link that is cut with resets looks the same.

Change: an incarnation that refuses connections has ended if the host list also shows that its host does not run it. All others keep their runs until the lease is over. Without a host list nothing is ended.

Tests: the harness has a host list. Workers that left in TestWorkerThatLeft lose their hosts too, as refusing alone is no proof any more; the tests check the same bound.

Result: test_refused_connections_end_runs and test_silent_worker_without_a_host_is_awaited failed before and pass.

--- a/figtray/scheduling/membership.py
+++ b/figtray/scheduling/membership.py
@@ -8,6 +8,12 @@
 from figtray.scheduling import scheduler_base
 from figtray.scheduling import state
 
+# A single refused connection may be a fault of the network.
+REFUSALS_TO_END = 2
+# The pages of the host list are not one snapshot, so a single list may lack
+# a host.
+MISSING_HOST_READS_TO_END = 2
+
 
 class Membership(scheduler_base.SchedulerBase):
     """Keeps the configuration, the zones out of service and the workers."""
@@ -185,7 +191,10 @@
         The list may lag and names no incarnations, so a host that is up in
         the same pool with the same worker id, or none, ends nothing. Nor
         does a host that is listed as down: it may merely be cut off from the
-        network while its runs go on.
+        network while its runs go on. A worker that refuses connections may
+        be cut off as well, so the list must also show that its host does not
+        run it; and a worker that is silent has ended if its host has left the
+        list.
 
         Args:
             listed: mapping of host id to its fleet Host.
@@ -199,13 +208,10 @@
                         f'its host is {host.state.value} in {host.pool} '
                         f'with worker {host.worker_id!r}',
                     )
-            for incarnation, worker_state in list(self._worker_states.items()):
-                if not worker_state.listed and _has_left_host(
-                    incarnation, listed.get(incarnation.host_id)
-                ):
-                    self._end_incarnation(
-                        worker_state, 'its host has another worker'
-                    )
+            for worker_state in list(self._worker_states.values()):
+                reason = _end_reason(worker_state, listed)
+                if reason:
+                    self._end_incarnation(worker_state, reason)
         self.changed.set()
 
     def retire_idle_worker(self, worker_id, reason):
@@ -227,6 +233,41 @@
         self.changed.set()
 
 
+def _end_reason(worker_state, listed):
+    """Return why an incarnation has certainly ended; empty if it may go on.
+
+    Args:
+        worker_state: its WorkerState.
+        listed: mapping of host id to its fleet Host.
+    """
+    incarnation = worker_state.worker.incarnation
+    host = listed.get(incarnation.host_id)
+    if not worker_state.listed and _has_left_host(incarnation, host):
+        return 'its host has another worker'
+    if not incarnation.host_id or not listed:
+        return ''
+    if (
+        worker_state.refused_connections >= REFUSALS_TO_END
+        and not _may_run_on_host(incarnation, host)
+    ):
+        return 'it refuses connections and its host does not run it'
+    if host is not None or not worker_state.unresponsive:
+        worker_state.missing_host_reads = 0
+        return ''
+    worker_state.missing_host_reads += 1
+    if worker_state.missing_host_reads >= MISSING_HOST_READS_TO_END:
+        return 'it is silent and its host has left the list'
+    return ''
+
+
+def _may_run_on_host(incarnation, host):
+    return (
+        host is not None
+        and host.state == fleet.HostState.UP
+        and host.worker_id in ('', incarnation.worker_id)
+    )
+
+
 def _has_left_host(incarnation, host):
     """Return whether a host certainly runs an incarnation no more."""
     if host is None:
--- a/figtray/scheduling/session.py
+++ b/figtray/scheduling/session.py
@@ -25,8 +25,6 @@
 # Longest wait of a report thread that needs no report.
 IDLE_WAIT_MS = 20_000
 STORE_WAIT_MS = 500
-# A single refused connection may be a fault of the network.
-REFUSALS_TO_END = 2
 # Reports are suspended while the term is not certainly valid.
 SUSPENDED_POLL_MS = 50
 
@@ -180,11 +178,6 @@
         worker_state = self._worker_state
         if getattr(exc, 'refused', False):
             worker_state.refused_connections += 1
-            if worker_state.refused_connections >= REFUSALS_TO_END:
-                self._scheduler.end_incarnation(
-                    worker_state, 'it refuses connections'
-                )
-                return
         log.emit(
             catalogue.REPORT_FAILED,
             worker=worker_state.worker.worker_id,
--- a/figtray/scheduling/state.py
+++ b/figtray/scheduling/state.py
@@ -301,6 +301,7 @@
         clock_read_ms: local time at which that report arrived.
         lease_until_ms: end of the lease on the worker's clock.
         refused_connections: number of refused connections in a row.
+        missing_host_reads: number of host lists in a row without its host.
         unanswered_starts: number of starts in a row that got no reply.
         strays: for each stray run, the local time of the last order to stop
             it.
@@ -329,6 +330,7 @@
         self.clock_read_ms = None
         self.lease_until_ms = 0
         self.refused_connections = 0
+        self.missing_host_reads = 0
         self.unanswered_starts = 0
         self.strays = {}
         self.orders = queue.SimpleQueue()
--- a/figtray/scheduling/tests/harness.py
+++ b/figtray/scheduling/tests/harness.py
@@ -5,6 +5,7 @@
 from figtray import clock as clock_lib
 from figtray import errors
 from figtray.fleet import memory as fleet_memory
+from figtray.fleet import model as fleet_model
 from figtray.jobs import intake as intakes
 from figtray.jobs import model
 from figtray.jobs import queues
@@ -68,6 +69,7 @@
         self.intake = intakes.Intake(self.store, self.clock)
         self.cfg = cfg or make_config()
         self.workers = {}
+        self.hosts = {}
         for number in range(workers):
             self.add_worker(number, rate=rate)
         self._jobs = 0
@@ -76,6 +78,13 @@
         """List a worker and start an incarnation; returns its SimWorker."""
         worker = fleet_memory.make_worker(number, **fields)
         self.workers[worker.worker_id] = worker
+        self.hosts[worker.host_id] = fleet_model.Host(
+            worker.host_id,
+            worker.pool,
+            fleet_model.HostState.UP,
+            worker.zone,
+            worker_id=worker.worker_id,
+        )
         return self.client.add(worker, rate)
 
     def sim(self, number):
@@ -293,6 +302,7 @@
         for worker_state in self.scheduler.worker_states():
             self._deliver_orders(worker_state)
             self._report(worker_state)
+        self.scheduler.reconcile_hosts(self.fleet.hosts)
         self.flush()
 
     def advance(self, ms):
--- a/figtray/scheduling/tests/test_takeover.py
+++ b/figtray/scheduling/tests/test_takeover.py
@@ -1,8 +1,12 @@
 """Tests of a takeover while some workers of earlier terms are unresolved."""
 
+import dataclasses
+
 import pytest
 
+from figtray import errors
 from figtray.fleet import messages
+from figtray.fleet import model as fleet_model
 from figtray.jobs import records
 from figtray.scheduling import leases
 from figtray.scheduling import roster as rosters
@@ -63,8 +67,9 @@
 
 
 def leave(fleet, number):
-    """End a worker for good, with its entry in the store."""
+    """End a worker for good, with its entry in the store and its host."""
     fleet.workers.pop(f'worker-{number}', None)
+    fleet.hosts.pop(f'host-{number}', None)
     fleet.client.crash(f'10.0.0.{number}:80')
 
 
@@ -79,6 +84,19 @@
             fleet.workers.pop(worker_id, None)
 
 
+def refuse(fleet, number):
+    """Let a worker refuse connections, whose process goes on."""
+
+    def choose_fault(_, worker):
+        if worker.worker_id == f'worker-{number}':
+            raise errors.CallNotSent(
+                address=worker.address, detail='refused', refused=True
+            )
+        return 'ok'
+
+    fleet.client.choose_fault = choose_fault
+
+
 def submit_pair(fleet, leader):
     """Start a lasting job of two tasks on two workers.
 
@@ -117,7 +135,9 @@
     # The entry of a worker stays in the store for a while after its end.
     def test_listed_worker_that_left_is_awaited(self, fleet, leader):
         first, second = submit_pair(fleet, leader)
-        fleet.client.crash(f'10.0.0.{place(fleet, first)}:80')
+        number = place(fleet, first)
+        fleet.client.crash(f'10.0.0.{number}:80')
+        del fleet.hosts[f'host-{number}']
         play(fleet.elect_leader(), FIND_GONE_MS)
         assert set(running(fleet)) == {first, second}
 
@@ -266,6 +286,66 @@
         assert place(fleet, first) != number
 
 
+class TestHostList:
+    # A link that is cut may refuse connections while the runs go on.
+    @pytest.mark.parametrize('new_leader', [True, False])
+    def test_refused_connections_end_runs(self, fleet, leader, new_leader):
+        first, _ = submit_pair(fleet, leader)
+        number = place(fleet, first)
+        refuse(fleet, number)
+        if new_leader:
+            leader = fleet.elect_leader()
+        play(leader, LONGEST_LEASE_MS - LEASE_LEFT_MS)
+        assert place(fleet, first) == number
+        play(leader, LEASE_LEFT_MS + START_MS)
+        assert place(fleet, first) != number
+
+    # A host that has crashed refuses connections until it is back.
+    @pytest.mark.parametrize('new_leader', [True, False])
+    def test_crashed_worker_is_awaited(self, fleet, leader, new_leader):
+        first, _ = submit_pair(fleet, leader)
+        number = place(fleet, first)
+        fleet.client.crash(f'10.0.0.{number}:80')
+        fleet.hosts[f'host-{number}'] = dataclasses.replace(
+            fleet.hosts[f'host-{number}'],
+            state=fleet_model.HostState.DOWN,
+            worker_id='',
+        )
+        if new_leader:
+            leader = fleet.elect_leader()
+        play(leader, FIND_GONE_MS)
+        assert place(fleet, first) != number
+
+    # A host that was taken away answers no more.
+    @pytest.mark.parametrize('new_leader', [True, False])
+    def test_silent_worker_without_a_host_is_awaited(
+        self, fleet, leader, new_leader
+    ):
+        first, _ = submit_pair(fleet, leader)
+        number = place(fleet, first)
+        leave(fleet, number)
+        silence(fleet, number, listed=False)
+        if new_leader:
+            leader = fleet.elect_leader()
+        play(leader, FIND_GONE_MS)
+        assert place(fleet, first) != number
+
+    # A host may be missing from a single list, or from an empty one.
+    @pytest.mark.parametrize('listed', [True, False])
+    def test_single_list_ends_runs(self, fleet, leader, listed):
+        first, _ = submit_pair(fleet, leader)
+        number = place(fleet, first)
+        silence(fleet, number)
+        hosts, fleet.hosts = fleet.hosts, {}
+        if listed:
+            fleet.hosts = hosts | {}
+            del fleet.hosts[f'host-{number}']
+        play(leader, CYCLE_MS)
+        fleet.hosts = hosts
+        play(leader, LONGEST_LEASE_MS - LEASE_LEFT_MS)
+        assert place(fleet, first) == number
+
+
 class TestRosterOfAnEarlierRelease:
     # Leaders of earlier releases started lasting tasks without a record.
     def test_unrecorded_task_starts_too_early(self, fleet, leader):
