Ask a worker without runs again after a report that failed

Callers can see tasks that wait although workers of their pool are idle: a worker whose report failed once, and that then lost its last run, gets no task for the rest of the term.

Cause: no task starts on a worker whose last report failed, and only a report clears that. A worker without runs was not asked for one, so it stayed unresponsive until its incarnation ended or the leader changed, while the rebalancer counted its capacity.

Evidence: found by an audit of the ways to LOST; both sequences, the lease of a silent worker that comes back and a start that is not sent after a failed report, fail in the test on the code before.

Change: a report is needed while the last one has failed.

Result: test_unresponsive_worker_is_not_asked_again failed before (2 cases) and passes.

--- a/figtray/scheduling/session.py
+++ b/figtray/scheduling/session.py
@@ -113,6 +113,7 @@
         worker_state = self._worker_state
         return (
             not worker_state.has_reported
+            or worker_state.unresponsive
             or bool(worker_state.runs)
             or worker_state.sent_acknowledged < worker_state.acknowledged
         )
--- a/figtray/scheduling/tests/test_session.py
+++ b/figtray/scheduling/tests/test_session.py
@@ -45,6 +45,47 @@
         assert worker_state.acknowledged == (1 if stored else 0)
         assert bool(fleet.sim(0).ended) is not stored
 
+    # No task starts on a worker whose last report failed. Without runs it
+    # was not asked again, so it got none for the rest of the term.
+    @pytest.mark.parametrize('how', ['lease over', 'start not sent'])
+    def test_unresponsive_worker_is_not_asked_again(self, how):
+        fleet = harness.Fleet(1)
+        leader = fleet.elect_leader()
+        leader.report_all()
+        fleet.submit(harness.make_step(lasting=True))
+        worker_state = leader.worker_state(0)
+        if how == 'lease over':
+            leader.run_cycle()
+            assert worker_state.runs
+            fleet.client.choose_fault = lambda *_: 'not sent'
+            for _ in range(20):
+                leader.advance(500)
+                leader.report(0)
+        else:
+            leader.sync_intake()
+            leader.scheduler.plan()
+            leader.flush()
+            fleet.client.choose_fault = lambda *_: 'not sent'
+            leader.report(0)
+            leader.deliver_orders(0)
+        assert not worker_state.runs
+        assert worker_state.unresponsive
+        fleet.client.choose_fault = lambda *_: 'ok'
+        [session] = leader._sessions.values()
+        session.start()
+
+        def starts_again():
+            leader.advance(100)
+            leader.scheduler.plan()
+            leader.flush()
+            return worker_state.runs
+
+        try:
+            assert wait_for(starts_again)
+        finally:
+            leader.term.end('test')
+            session.close()
+
     def test_threads_end_with_the_term(self):
         fleet = harness.Fleet(1)
         leader = fleet.elect_leader()
