Log and measure what a takeover awaits and which tasks are held

On-call saw 1605 with the size of the roster and then nothing until 1607, which was missing altogether if the wait ended by time.

Cause: incarnations_in_use() cleared the unresolved incarnations without a line, the reason of a held step was only in figtray-status, and no metric told of either. Scheduling decisions are unchanged.

Change: - 1609 names each awaited incarnation 1 s after the takeover and every 2 s, at most 10 at a time, those without an entry first, with the error of its last report, its host in the last host list and the time left. - 1607 is also logged when the wait ends by time, right after 1609 with left_ms 0; new fields reason and left; level notice, since the burst of lines of a takeover displaces those of level info. - 1723 tells when the reason changes for which a step's tasks, waiting for 2 s or more, are held; at most every 2 s a step and 20 lines a second, lasting steps first. - 1610 tells that the leader's key is vacant, with the time since the view of it was last confirmed, which bounds the time of the vacancy. - Gauges figtray_awaited_incarnations, figtray_held_tasks{reason} and figtray_longest_lasting_wait_ms; absent on nodes that do not lead. They are observable gauges that read one value. - A thread of the term reports once a second under the scheduler's lock.

--- a/figtray/events/catalogue.py
+++ b/figtray/events/catalogue.py
@@ -253,9 +253,11 @@
 )
 WORKERS_ACCOUNTED = Event(
     1607,
-    logbook.INFO,
+    logbook.NOTICE,
     'All runs that earlier leaders started are known or over; the jobs of '
-    'earlier terms, held until now, are scheduled.',
+    'earlier terms, held until now, are scheduled. left counts incarnations '
+    'that were awaited until the longest lease ended.',
+    ('reason', 'left'),
 )
 
 LIFE_ACCOUNTED = Event(
@@ -265,6 +267,33 @@
     'known or over; left counts the incarnations still awaited.',
     ('worker', 'born_ms', 'reason', 'left'),
 )
+INCARNATION_AWAITED = Event(
+    1609,
+    logbook.NOTICE,
+    'The leader awaits an incarnation of a worker on which earlier leaders '
+    'may have started tasks, for left_ms at most; unnamed counts further '
+    'ones.',
+    (
+        'worker',
+        'born_ms',
+        'pool',
+        'host',
+        'address',
+        'listed',
+        'host_state',
+        'host_worker',
+        'report_error',
+        'left_ms',
+        'unnamed',
+    ),
+)
+LEADER_VACANT = Event(
+    1610,
+    logbook.NOTICE,
+    'The store names no leader, for unconfirmed_ms at most: so long ago, the '
+    'view of its key was last confirmed.',
+    ('leader', 'unconfirmed_ms'),
+)
 
 WORKER_SEEN = Event(
     1700,
@@ -402,6 +431,13 @@
     'without an approved worker wait.',
     ('step', 'detail'),
 )
+TASKS_HELD = Event(
+    1723,
+    logbook.INFO,
+    'The reason for which ready tasks of a step wait has changed; it is '
+    'empty once they are no longer held. waited_ms is the longest wait.',
+    ('step', 'queue', 'pool', 'lasting', 'reason', 'tasks', 'waited_ms'),
+)
 
 WAVE_SEEN = Event(
     1800,
--- a/figtray/leadership/elector.py
+++ b/figtray/leadership/elector.py
@@ -87,6 +87,12 @@
 
     def _update_leader(self, item):
         if item is None:
+            if not self._vacant.is_set():
+                log.emit(
+                    catalogue.LEADER_VACANT,
+                    leader=self._last_leader,
+                    unconfirmed_ms=self._watcher.staleness_ms(),
+                )
             self._vacant.set()
             return
         self._vacant.clear()
--- a/figtray/leadership/tests/test_elector.py
+++ b/figtray/leadership/tests/test_elector.py
@@ -2,10 +2,12 @@
 
 import threading
 
+import logbook
 import pytest
 
 from figtray import clock as clock_lib
 from figtray import errors
+from figtray.events import catalogue
 from figtray.leadership import elector
 from figtray.leadership import term as terms
 from figtray.store import memory
@@ -172,3 +174,26 @@
         leader_elector._run_term(term, threading.Event())
         assert term.ended.is_set()
         assert store.get(terms.LEADER_KEY) is None
+
+
+class TestVacancy:
+    # Guards against an election after an outage of which nobody can tell for
+    # how long the key may have been vacant unseen.
+    def test_vacancy_is_logged_with_the_age_of_the_last_confirmation(
+        self, store, clock
+    ):
+        leader = make_elector(store, clock)
+        term = leader._try_acquire()
+        other = make_elector(store, clock, 'node-2')
+        other._watcher.load()
+        store.revoke(term.lease_id)
+        clock.advance(4900)
+        with logbook.TestHandler() as handler:
+            other._watcher.load()
+            clock.advance(100)
+            other._watcher.load()
+        assert [
+            record.extra['fields']
+            for record in handler.records
+            if record.extra['event'] is catalogue.LEADER_VACANT
+        ] == [{'leader': 'node-1', 'unconfirmed_ms': 4900}]
--- a/figtray/metrics.py
+++ b/figtray/metrics.py
@@ -1,7 +1,9 @@
 """Metrics: OpenTelemetry instruments, text page and optional push."""
 
+import dataclasses
 import threading
 
+from opentelemetry import metrics as api
 from opentelemetry.sdk import metrics as sdk
 from opentelemetry.sdk.metrics import export
 from opentelemetry.sdk import resources
@@ -38,6 +40,15 @@
 _ESCAPES = str.maketrans({'\\': r'\\', '"': r'\"', '\n': r'\n'})
 
 
+@dataclasses.dataclass(frozen=True)
+class _Waits:
+    """What the tasks of the leader wait for; see Metrics.record_waits()."""
+
+    awaited: int
+    held: dict
+    longest_lasting_ms: int
+
+
 class Metrics:
     """The metrics of one process.
 
@@ -85,6 +96,28 @@
         self._refused_starts = self._counter(
             'refused_starts', 'Starts that a worker refused, by reason.'
         )
+        self._waits = None
+        self._waits_gauge(
+            'awaited_incarnations',
+            '1',
+            'Incarnations of workers that the takeover awaits.',
+            lambda waits: [(waits.awaited, {})],
+        )
+        self._waits_gauge(
+            'held_tasks',
+            '1',
+            'Ready tasks without a run, by reason.',
+            lambda waits: [
+                (count, {'reason': reason})
+                for reason, count in waits.held.items()
+            ],
+        )
+        self._waits_gauge(
+            'longest_lasting_wait',
+            'ms',
+            'Longest wait of the lasting tasks that are ready without a run.',
+            lambda waits: [(waits.longest_lasting_ms, {})],
+        )
 
     def record_call(self, queue, method, status, duration_ms):
         """Record a request of a caller.
@@ -126,6 +159,23 @@
         """Count a start that a worker refused."""
         self._refused_starts.add(1, {'reason': reason})
 
+    def record_waits(self, awaited, held, longest_lasting_ms):
+        """Record what the tasks of the leader wait for.
+
+        Args:
+            awaited: number of incarnations of workers that the takeover
+                awaits.
+            held: mapping of each reason to the number of ready tasks that it
+                holds.
+            longest_lasting_ms: longest time that a ready lasting task has
+                waited.
+        """
+        self._waits = _Waits(awaited, held, longest_lasting_ms)
+
+    def clear_waits(self):
+        """Remove the series on waits, as this process no longer leads."""
+        self._waits = None
+
     def count_store_call(self, kind, outcome):
         """Count one call to the store.
 
@@ -161,6 +211,16 @@
             explicit_bucket_boundaries_advisory=BUCKETS_MS,
         )
 
+    def _waits_gauge(self, name, unit, description, read):
+        def observe(_):
+            waits = self._waits
+            pairs = [] if waits is None else read(waits)
+            return [api.Observation(*pair) for pair in pairs]
+
+        self._meter.create_observable_gauge(
+            f'figtray_{name}', [observe], unit, description
+        )
+
     def _counter(self, name, description):
         return self._meter.create_counter(f'figtray_{name}', '1', description)
 
--- a/figtray/platform/tests/test_node.py
+++ b/figtray/platform/tests/test_node.py
@@ -82,6 +82,23 @@
             assert names[0] == 'process_started'
             assert names[-1] == 'process_stopped'
 
+    # Guards against a leader that does not measure what it awaits, and
+    # against other nodes whose page fails or shows values of their own.
+    def test_only_the_leader_shows_waits(self, site, nodes):
+        def count_pages_with_waits():
+            pages = [
+                node.http_get(
+                    f'{sites.LOOPBACK}:'
+                    f'{node.settings["internal_ports"][0] + 2}',
+                    '/metrics',
+                )
+                for node in nodes
+            ]
+            assert [status for status, _ in pages] == [200, 200]
+            return sum('figtray_held_tasks{' in page for _, page in pages)
+
+        wait_for(lambda: count_pages_with_waits() == 1)
+
     # A withdrawn key must stop working on every node.
     def test_withdrawn_key(self, site, nodes):
         site.write_config(2, keys=())
--- a/figtray/scheduling/membership.py
+++ b/figtray/scheduling/membership.py
@@ -51,7 +51,12 @@
         of earlier leaders have expired.
         """
         with self.lock:
-            if not self._is_adopting(self._clock.now_ms()):
+            if self._unresolved and not self._is_adopting(
+                self._clock.now_ms()
+            ):
+                self._awaited_log.log_expiry(
+                    self._unresolved, self._worker_states
+                )
                 self._unresolved.clear()
             return tuple(sorted({*self._worker_states, *self._unresolved}))
 
@@ -172,6 +177,7 @@
                         f'its host is {host.state.value} in {host.pool} '
                         f'with worker {host.worker_id!r}',
                     )
+            self._awaited_log.note_hosts(self._unresolved, listed)
             for incarnation, worker_state in list(self._worker_states.items()):
                 if not worker_state.listed and _has_left_host(
                     incarnation, listed.get(incarnation.host_id)
--- a/figtray/scheduling/scheduler.py
+++ b/figtray/scheduling/scheduler.py
@@ -5,6 +5,7 @@
 from figtray.scheduling import outcomes
 from figtray.scheduling import planner
 from figtray.scheduling import reports
+from figtray.scheduling import waits
 
 
 class Scheduler(
@@ -13,6 +14,7 @@
     outcomes.Outcomes,
     reports.Reports,
     draining.Draining,
+    waits.Waits,
 ):
     """Decides for the leader on jobs, tasks, runs and workers.
 
--- a/figtray/scheduling/scheduler_base.py
+++ b/figtray/scheduling/scheduler_base.py
@@ -9,6 +9,8 @@
 from figtray.jobs import model
 from figtray.jobs import records
 from figtray.scheduling import arrivals
+from figtray.scheduling import awaited
+from figtray.scheduling import held
 from figtray.scheduling import leases
 from figtray.scheduling import quota
 from figtray.scheduling import state
@@ -65,6 +67,8 @@
         # Incarnations of earlier terms whose runs are not known yet.
         self._unresolved = set()
         self._adoption_until_ms = 0
+        self._awaited_log = awaited.AwaitedLog()
+        self._held_log = held.HeldLog()
         # Ids of jobs whose records were removed, with the Unix time of the
         # removal.
         self._removed_jobs = {}
@@ -195,7 +199,7 @@
                 left=len(self._unresolved),
             )
             if not self._unresolved:
-                log.emit(catalogue.WORKERS_ACCOUNTED)
+                self._awaited_log.log_all_accounted()
 
     def _is_adopting(self, now_ms):
         return bool(self._unresolved) and now_ms < self._adoption_until_ms
--- a/figtray/scheduling/service.py
+++ b/figtray/scheduling/service.py
@@ -185,6 +185,7 @@
             (self._poll_workers, 'worker list'),
             (self._publish_counts, 'counts'),
             (self._remove_expired, 'retention'),
+            (self._scheduler.run_wait_reports, 'waits'),
         ]
         if self._service.adviser is not None:
             threads.append((self._ask_advice, 'advice'))
--- a/figtray/scheduling/session.py
+++ b/figtray/scheduling/session.py
@@ -148,6 +148,7 @@
             self._handle_report_error(exc)
             return None
         worker_state.refused_connections = 0
+        worker_state.report_error = ''
         worker_state.sent_acknowledged = acknowledged
         sequence = self._scheduler.handle_report(
             worker_state, report, asked_ms
@@ -178,6 +179,7 @@
 
     def _handle_report_error(self, exc):
         worker_state = self._worker_state
+        worker_state.report_error = str(exc)
         if getattr(exc, 'refused', False):
             worker_state.refused_connections += 1
             if worker_state.refused_connections >= REFUSALS_TO_END:
--- a/figtray/scheduling/state.py
+++ b/figtray/scheduling/state.py
@@ -3,6 +3,7 @@
 import collections
 import dataclasses
 import enum
+import functools
 import queue
 import threading
 
@@ -54,6 +55,11 @@
     TEAM_LIMIT = 'the team is at its limit'
     GANG_INCOMPLETE = 'not all members of the gang are ready'
 
+    @functools.cached_property
+    def label(self):
+        """Short name for log fields and metrics; it must not change."""
+        return self.name.lower().replace('_', '-')
+
 
 class Phase(enum.Enum):
     """Phase of a run, as the leader knows it."""
@@ -279,6 +285,8 @@
         listed: whether its entry is in the store.
         unresponsive: whether the last request for a report failed; its lease
             is not extended then, so that the end of the lease is known.
+        report_error: why the last request for a report failed; empty if it
+            was answered.
         gone: whether this incarnation has ended.
         cordon_reason: why no task may start on it; empty if tasks may.
         upkeep_due: whether its host has an upkeep ahead.
@@ -308,6 +316,7 @@
         self.on_roster = False
         self.listed = True
         self.unresponsive = False
+        self.report_error = ''
         self.gone = False
         self.cordon_reason = ''
         self.upkeep_due = False
--- a/figtray/scheduling/tests/harness.py
+++ b/figtray/scheduling/tests/harness.py
@@ -58,6 +58,20 @@
     )
 
 
+def logged(handler, event):
+    """Return the fields of each line of an event.
+
+    Args:
+        handler: the logbook.TestHandler that got the lines.
+        event: the Event.
+    """
+    return [
+        record.extra['fields']
+        for record in handler.records
+        if record.extra['event'] is event
+    ]
+
+
 class Fleet:
     """Store, workers and clock, which outlive a leader."""
 
@@ -67,6 +81,7 @@
         self.client = fleet_memory.MemoryWorkers(self.clock)
         self.intake = intakes.Intake(self.store, self.clock)
         self.cfg = cfg or make_config()
+        self.metrics = None
         self.workers = {}
         for number in range(workers):
             self.add_worker(number, rate=rate)
@@ -169,7 +184,12 @@
         self.view = View(fleet)
         self.writer = writers.Writer(fleet.store, term, fleet.clock)
         self.scheduler = schedulers.Scheduler(
-            term, fleet.clock, self.writer, BOUNDS, self.view.is_fresh
+            term,
+            fleet.clock,
+            self.writer,
+            BOUNDS,
+            self.view.is_fresh,
+            fleet.metrics,
         )
         self.pacer = pacers.Pacer(self.scheduler, fleet.clock)
         self._sessions = {}
--- a/figtray/tests/test_metrics.py
+++ b/figtray/tests/test_metrics.py
@@ -48,6 +48,22 @@
         meter.record_start('a"\n\\', 1)
         assert r'{team="a\"\n\\"} 1' in meter.page()
 
+    # Guards against values of a former term that nodes which don't lead show,
+    # and against gauges that only the first reader of the page sees.
+    def test_waits_are_shown_while_the_node_leads(self):
+        meter = metrics.Metrics('test')
+        assert meter.page() == ''
+        meter.record_waits(2, {'takeover': 3, 'no-room': 0}, 4500)
+        for _ in range(2):
+            lines = meter.page().splitlines()
+            assert '# TYPE figtray_held_tasks gauge' in lines
+            assert 'figtray_awaited_incarnations 2' in lines
+            assert 'figtray_held_tasks{reason="takeover"} 3' in lines
+            assert 'figtray_held_tasks{reason="no-room"} 0' in lines
+            assert 'figtray_longest_lasting_wait_ms 4500' in lines
+        meter.clear_waits()
+        assert meter.page() == ''
+
     # Guards against a stop that loses the measurements since the last push.
     def test_push_at_close(self):
         bodies = []
