--- a/figtray/scheduling/membership.py
+++ b/figtray/scheduling/membership.py
@@ -62,6 +62,10 @@
         """
         with self.lock:
             if not self._is_adopting(self._clock.now_ms()):
+                if self._unresolved:
+                    self._awaited_log.log_expiry(
+                        self._unresolved, self._worker_states
+                    )
                 self._unresolved.clear()
                 self._are_placements_known = True
             return rosters.Roster(
@@ -208,6 +212,7 @@
                         f'its host is {host.state.value} in {host.pool} '
                         f'with worker {host.worker_id!r}',
                     )
+            self._awaited_log.note_hosts(self._unresolved, listed)
             for worker_state in list(self._worker_states.values()):
                 reason = _end_reason(worker_state, listed)
                 if reason:
--- a/figtray/scheduling/scheduler_base.py
+++ b/figtray/scheduling/scheduler_base.py
@@ -10,6 +10,8 @@
 from figtray.jobs import model
 from figtray.jobs import records
 from figtray.scheduling import arrivals
+from figtray.scheduling import awaited
+from figtray.scheduling import held
 from figtray.scheduling import leases
 from figtray.scheduling import quota
 from figtray.scheduling import state
@@ -72,6 +74,8 @@
         # Runs of lasting tasks whose Placements are not stored yet, with the
         # sequence numbers of the Writer to wait for, in ascending order.
         self._unrecorded_runs = collections.deque()
+        self._awaited_log = awaited.AwaitedLog()
+        self._held_log = held.HeldLog()
         # Ids of jobs whose records were removed, with the Unix time of the
         # removal.
         self._removed_jobs = {}
@@ -202,7 +206,7 @@
                 left=len(self._unresolved),
             )
             if not self._unresolved:
-                log.emit(catalogue.WORKERS_ACCOUNTED)
+                self._awaited_log.log_all_accounted()
 
     def _is_adopting(self, now_ms):
         return bool(self._unresolved) and now_ms < self._adoption_until_ms
