Don't count a lease as extended by a request that was never sent

Cause: before each request for a report the lease of the worker counted as extended to the end that the request asks for, also if no connection could be opened. A leader whose right to give orders was suspended in an outage asks all workers when it ends. A worker that left meanwhile was thus awaited for a whole new lease, although its last one was over.

Evidence: 1706 'Nothing was sent' at 22.97 s and each 1.8 s after, 1716 'the lease of its worker has expired' at 30.19 s; the last request that was sent left before 16.9 s.

Change: the end of the lease in a request under way is kept apart and counts only if the request may have been sent.

--- a/figtray/scheduling/outcomes.py
+++ b/figtray/scheduling/outcomes.py
@@ -47,9 +47,7 @@
                 self._revert_start(run, 'not sent')
                 return None
             lease_until_ms = worker_clock + self._lease_ms
-            worker_state.lease_until_ms = max(
-                worker_state.lease_until_ms, lease_until_ms
-            )
+            worker_state.extend_lease(lease_until_ms)
             return messages.StartOrder(
                 task=task.name,
                 run=run.number,
--- a/figtray/scheduling/reports.py
+++ b/figtray/scheduling/reports.py
@@ -31,11 +31,8 @@
             worker_clock = worker_state.worker_clock(now_ms)
             if worker_clock is None or worker_state.unresponsive:
                 return worker_state.acknowledged, None
-            lease_until_ms = worker_clock + self._lease_ms
-            worker_state.lease_until_ms = max(
-                worker_state.lease_until_ms, lease_until_ms
-            )
-            return worker_state.acknowledged, lease_until_ms
+            worker_state.requested_lease_ms = worker_clock + self._lease_ms
+            return worker_state.acknowledged, worker_state.requested_lease_ms
 
     def handle_report(self, worker_state, report, asked_ms):
         """Record what a worker reports.
@@ -60,16 +57,14 @@
                     worker_state, 'another incarnation reports'
                 )
                 return 0
+            worker_state.settle_requested_lease(was_sent=True)
             worker_state.clock_ms = report.clock_ms
             worker_state.clock_read_ms = now_ms
             worker_state.unresponsive = False
             if not worker_state.has_reported:
                 worker_state.has_reported = True
                 # An earlier leader may have extended the lease this far.
-                worker_state.lease_until_ms = max(
-                    worker_state.lease_until_ms,
-                    report.clock_ms + self._lease_ms,
-                )
+                worker_state.extend_lease(report.clock_ms + self._lease_ms)
                 log.emit(
                     catalogue.WORKER_REACHED,
                     worker=worker_state.worker.worker_id,
@@ -122,12 +117,17 @@
         with self.lock:
             worker_state.acknowledged = max(worker_state.acknowledged, number)
 
-    def handle_report_failure(self, worker_state):
+    def handle_report_failure(self, worker_state, was_sent):
         """Record that a request for a report failed.
 
         The worker's runs are lost once its lease has certainly expired.
+
+        Args:
+            worker_state: its WorkerState.
+            was_sent: whether the worker may have received the request.
         """
         with self.lock:
+            worker_state.settle_requested_lease(was_sent)
             worker_state.unresponsive = True
             if worker_state.gone or not worker_state.runs:
                 return
--- a/figtray/scheduling/session.py
+++ b/figtray/scheduling/session.py
@@ -187,7 +187,9 @@
             runs=len(worker_state.runs),
             detail=str(exc),
         )
-        self._scheduler.handle_report_failure(worker_state)
+        self._scheduler.handle_report_failure(
+            worker_state, was_sent=isinstance(exc, errors.ReplyLost)
+        )
 
     # Orders.
 
--- a/figtray/scheduling/state.py
+++ b/figtray/scheduling/state.py
@@ -307,7 +307,10 @@
             forget.
         clock_ms: the worker's clock in its last report; None before that.
         clock_read_ms: local time at which that report arrived.
-        lease_until_ms: end of the lease on the worker's clock.
+        lease_until_ms: latest end of the lease, on the worker's clock, that
+            the worker may have been asked for.
+        requested_lease_ms: end of the lease in the request for a report that
+            is under way; 0 if there is none.
         refused_connections: number of refused connections in a row.
         missing_host_reads: number of host lists in a row without its host.
         unanswered_starts: number of starts in a row that got no reply.
@@ -338,6 +341,7 @@
         self.clock_ms = None
         self.clock_read_ms = None
         self.lease_until_ms = 0
+        self.requested_lease_ms = 0
         self.refused_connections = 0
         self.missing_host_reads = 0
         self.unanswered_starts = 0
@@ -357,6 +361,19 @@
             return None
         return self.clock_ms + now_ms - self.clock_read_ms
 
+    def extend_lease(self, lease_until_ms):
+        """Record that the worker may have been asked for a longer lease."""
+        self.lease_until_ms = max(self.lease_until_ms, lease_until_ms)
+
+    def settle_requested_lease(self, was_sent):
+        """Record whether the request for a report under way was sent.
+
+        One that was certainly not sent has not extended the lease.
+        """
+        if was_sent:
+            self.extend_lease(self.requested_lease_ms)
+        self.requested_lease_ms = 0
+
     def is_lease_over(self, now_ms, slowest_rate, margin_ms):
         """Return whether the lease on the worker has certainly expired.
 
