Free the tasks of a silent worker soon after its lease is over

Callers can see a lasting task that doesn't run for longer than 9 s after its worker has fallen silent, although its pool has room.

Cause: two delays come on top of the lease. A start that is sent to the worker before its report has timed out extends the lease that the leader must wait for, by up to 1.6 s. And the end of the lease is looked at only after each failed report, while a silent worker is asked with a wait of 1.2 s, so each try takes 1.8 s.

Change: a start asks for the lease that reports have asked for, and extends it only if less than half of it is left. A silent worker is asked without a wait.

Result: test_unanswered_start_extends_the_lease and test_silent_worker_is_asked_with_a_long_wait failed before and pass.

--- a/figtray/scheduling/outcomes.py
+++ b/figtray/scheduling/outcomes.py
@@ -46,14 +46,16 @@
             ):
                 self._revert_start(run, 'not sent')
                 return None
-            lease_until_ms = worker_clock + self._lease_ms
-            worker_state.extend_lease(lease_until_ms)
+            # A start extends the lease only if reports don't: a worker that
+            # has fallen silent would be awaited for longer.
+            if worker_state.lease_until_ms < worker_clock + self._lease_ms / 2:
+                worker_state.extend_lease(worker_clock + self._lease_ms)
             return messages.StartOrder(
                 task=task.name,
                 run=run.number,
                 payload=task.step.job.spec.payload,
                 epoch=self._term.epoch,
-                lease_until_ms=lease_until_ms,
+                lease_until_ms=worker_state.lease_until_ms,
                 checkpoint=task.checkpoint,
                 ticket=run.ticket,
             )
--- a/figtray/scheduling/session.py
+++ b/figtray/scheduling/session.py
@@ -158,7 +158,12 @@
     def _wait_ms(self, acknowledged):
         """Return how long the worker may wait for an end before it reports."""
         worker_state = self._worker_state
-        if not worker_state.has_reported or not worker_state.runs:
+        if (
+            not worker_state.has_reported
+            or not worker_state.runs
+            # The end of its lease is looked at after each failed report.
+            or worker_state.unresponsive
+        ):
             return 0
         if worker_state.seen_end > acknowledged:
             return 0
--- a/figtray/scheduling/tests/test_silent_worker.py
+++ b/figtray/scheduling/tests/test_silent_worker.py
@@ -2,7 +2,6 @@
 
 import pytest
 
-from figtray.fleet import messages
 from figtray.scheduling import leases
 from figtray.scheduling.tests import harness
 
@@ -66,6 +65,45 @@
         restart_ms = wait_for_restart(fleet, leader, task, number)
         assert suspended_ms + restart_ms <= LONGEST_LEASE_MS + START_MS
 
+    # Starts are sent to a worker until its report has timed out.
+    def test_unanswered_start_extends_the_lease(self, fleet, leader):
+        task = start_lasting_task(fleet, leader)
+        number = place(fleet, task)
+        leader.scheduler.cordon_worker(f'worker-{1 - number}', 'a test')
+        worker_state = leader.worker_state(number)
+        leader.scheduler.report_request(worker_state)
+        silence(fleet, number, 'late')
+        silent_ms = 1500
+        leader.advance(silent_ms)
+        fleet.submit(harness.make_step(2))
+        leader.sync_intake()
+        leader.scheduler.plan()
+        leader.deliver_orders(number)
+        leader.scheduler.handle_report_failure(worker_state, was_sent=True)
+        leader.scheduler.uncordon_worker(f'worker-{1 - number}', 'a test')
+        restart_ms = wait_for_restart(fleet, leader, task, number)
+        assert silent_ms + restart_ms <= LONGEST_LEASE_MS + START_MS
+
+    # The lease is looked at after a failed report, so a long wait for the
+    # next one would free the tasks late.
+    def test_silent_worker_is_asked_with_a_long_wait(self, fleet, leader):
+        task = start_lasting_task(fleet, leader)
+        number = place(fleet, task)
+        waits_ms = []
+        report = fleet.client.report
+
+        def record_wait(*args):
+            waits_ms.append(args[-2])
+            return report(*args)
+
+        fleet.client.report = record_wait
+        leader.report(number)
+        silence(fleet, number, 'lost')
+        leader.report(number)
+        leader.report(number)
+        assert waits_ms[0] > 0
+        assert waits_ms[2:] == [0]
+
     # A request without a reply may have extended it.
     def test_unanswered_request_is_ignored(self, fleet, leader):
         task = start_lasting_task(fleet, leader)
