Keep a failed task whose queue has left the configuration

Callers can see a task that never runs again: its queue leaves the configuration, the leader changes, the task's run fails, and the queue comes back.

Cause: the number of attempts was read from the queue, which the new leader has never seen. The error left handle_report() after the run was removed and before the task was put back to wait, and the repeated report of the end found no run.

Change: without a known queue no limit of attempts is reached.

--- a/figtray/scheduling/job_lifecycle.py
+++ b/figtray/scheduling/job_lifecycle.py
@@ -246,7 +246,8 @@
         if task.done or job.ended or number in task.failed_runs:
             return
         task.failed_runs.append(number)
-        if len(task.failed_runs) >= job.queue.attempts:
+        # The limit of a queue that left the configuration is not known.
+        if job.queue and len(task.failed_runs) >= job.queue.attempts:
             log.emit(
                 catalogue.JOB_FAILED,
                 job_id=job.job_id,
