Never let a done task wait again

Callers could see a task run a second time after it was done: the lease of a silent worker expires, the task is started elsewhere, the worker answers again and lists its run as done, and the second start is refused.

Cause: a refused start put its task back to wait without looking whether it is done or its job has ended; if other tasks of the step wait as well, it was started again.

Change: _requeue() itself leaves out done tasks and those of ended jobs.

--- a/figtray/scheduling/reports.py
+++ b/figtray/scheduling/reports.py
@@ -249,7 +249,7 @@
             self._complete_task(worker_state, task)
         elif item.end == messages.EndReason.FAILED and not spec.lasting:
             self._record_failure(worker_state, task, item.run)
-        if tracked and task.run is None and not task.done and not job.ended:
+        if tracked and task.run is None:
             self._requeue(task)
         if not spec.lasting and not job.state.ended:
             self._store_progress(job)
--- a/figtray/scheduling/scheduler_base.py
+++ b/figtray/scheduling/scheduler_base.py
@@ -171,8 +171,7 @@
             reason=reason,
         )
         self._detach(run)
-        if not task.done and not task.step.job.ended:
-            self._requeue(task)
+        self._requeue(task)
 
     def _end_incarnation(self, worker_state, reason):
         if worker_state.gone:
@@ -238,6 +237,8 @@
         run.worker_state.wake.set()
 
     def _requeue(self, task):
+        if task.done or task.step.job.ended:
+            return
         task.ready_ms = self._clock.now_ms()
         if task.step.open:
             task.step.waiting.append(task)
--- a/figtray/scheduling/tests/test_waiting_tasks.py
+++ b/figtray/scheduling/tests/test_waiting_tasks.py
@@ -3,6 +3,7 @@
 from figtray.fleet import messages
 from figtray.jobs import queues
 from figtray.scheduling.tests import harness
+from figtray import verdict
 
 
 def without_queue(cfg, name):
@@ -34,3 +35,42 @@
         leader.scheduler.configure(cfg, frozenset())
         leader.run_cycle()
         assert task in fleet.sim(0).runs
+
+
+class TestDoneTask:
+    # The first run of a task may turn out to be done while a second start of
+    # it is under way; if that is refused, the task must not wait again.
+    def test_done_task_starts_again_after_a_refusal(self):
+        fleet = harness.Fleet(2)
+        leader = fleet.elect_leader()
+        leader.report_all()
+        job_id = fleet.submit(harness.make_step(2, 5000, max_per_worker=1))
+        leader.run_cycle()
+        first = leader.scheduler.find_task(f'{job_id}.0.0.0')
+        second = leader.scheduler.find_task(f'{job_id}.0.0.1')
+        former = first.run
+        silent, other = former.worker_state, second.run.worker_state
+        fleet.client.choose_fault = lambda _, worker: (
+            'not sent' if worker == silent.worker else 'ok'
+        )
+        while first.run is not None:
+            leader.advance(100)
+            leader.report_all()
+        fleet.client.sims[other.worker.address].end(
+            second.name, messages.EndReason.FAILED
+        )
+        leader.report_all()
+        leader.scheduler.plan()
+        run = first.run
+        assert run.worker_state is other
+        ended = messages.EndedRun(
+            1, first.name, former.number, messages.EndReason.DONE
+        )
+        clock_ms = fleet.client.sims[silent.worker.address].clock_ms()
+        report = messages.Report(silent.worker.born_ms, clock_ms, (), (ended,))
+        leader.scheduler.handle_report(silent, report, fleet.clock.now_ms())
+        assert first.done
+        leader.scheduler.handle_refused(
+            run, verdict.NotRun(verdict.RefusalReason.NO_CAPACITY, 'room')
+        )
+        assert first not in first.step.waiting
