--- a/figtray/scheduling/membership.py
+++ b/figtray/scheduling/membership.py
@@ -101,77 +101,74 @@
             incarnations without an entry. The latter may still run tasks,
             and only they can tell.
         """
-        added = []
         with self.lock:
-            listed = {worker.incarnation: worker for worker in workers}
             self._prune_ended_incarnations()
-            for incarnation, worker in listed.items():
-                if incarnation in self._ended_incarnations:
-                    continue
-                worker_state = self._worker_states.get(incarnation)
-                if worker_state is None:
-                    worker_state = state.WorkerState(worker)
-                    self._worker_states[incarnation] = worker_state
-                    added.append(worker_state)
-                    log.emit(
-                        catalogue.WORKER_SEEN,
-                        worker=worker.worker_id,
-                        born_ms=worker.born_ms,
-                        pool=worker.pool,
-                        zone=worker.zone,
-                        host=worker.host_id,
-                        address=worker.address,
-                    )
-                elif worker.draining and not worker_state.worker.draining:
-                    log.emit(
-                        catalogue.WORKER_DRAINING,
-                        worker=worker.worker_id,
-                        runs=len(worker_state.runs),
-                    )
-                worker_state.worker = worker
-                worker_state.listed = True
-            latest = _latest_born_ms(listed.values())
-            for incarnation in list(self._unresolved):
-                if latest.get(
-                    incarnation.worker_id, 0
-                ) > incarnation.born_ms or (
-                    latest.get(incarnation.address, 0) > incarnation.born_ms
-                ):
-                    self._resolve_incarnation(
-                        incarnation, 'a later incarnation is listed'
-                    )
-            for incarnation, worker_state in list(self._worker_states.items()):
-                if incarnation in listed:
-                    continue
-                if latest.get(
-                    incarnation.worker_id, 0
-                ) > incarnation.born_ms or (
-                    latest.get(incarnation.address, 0) > incarnation.born_ms
-                ):
-                    self._end_incarnation(
-                        worker_state, 'a later incarnation is listed'
-                    )
-                elif incarnation in self._unresolved:
-                    # It has not reported, so it may run tasks.
-                    worker_state.listed = False
-                elif not worker_state.listed and not worker_state.runs:
-                    self._end_incarnation(
-                        worker_state, 'it has no entry and no runs'
-                    )
-                    # Its entry returns if it was only cut off from the store.
-                    self._ended_incarnations.pop(incarnation)
-                elif trust_absence and worker_state.listed:
-                    worker_state.listed = False
-                    log.emit(
-                        catalogue.WORKER_UNLISTED,
-                        worker=worker_state.worker.worker_id,
-                        runs=len(worker_state.runs),
-                    )
-                    worker_state.wake.set()
+            listed = {worker.incarnation: worker for worker in workers}
+            added = self._add_listed(listed)
+            self._end_superseded(listed)
+            self._handle_missing_entries(listed, trust_absence)
             added += self._add_unlisted()
         self.changed.set()
         return added
 
+    def _add_listed(self, listed):
+        """Apply the listed workers; return the WorkerStates of new ones."""
+        added = []
+        for incarnation, worker in listed.items():
+            if incarnation in self._ended_incarnations:
+                continue
+            worker_state = self._worker_states.get(incarnation)
+            if worker_state is None:
+                worker_state = state.WorkerState(worker)
+                self._worker_states[incarnation] = worker_state
+                added.append(worker_state)
+                _log_seen(worker)
+            elif worker.draining and not worker_state.worker.draining:
+                log.emit(
+                    catalogue.WORKER_DRAINING,
+                    worker=worker.worker_id,
+                    runs=len(worker_state.runs),
+                )
+            worker_state.worker = worker
+            worker_state.listed = True
+        return added
+
+    def _end_superseded(self, listed):
+        """End the incarnations that a later listed one has followed."""
+        latest = _latest_born_ms(listed.values())
+        reason = 'a later incarnation is listed'
+        for incarnation in list(self._unresolved):
+            if _is_superseded(incarnation, latest):
+                self._resolve_incarnation(incarnation, reason)
+        for incarnation, worker_state in list(self._worker_states.items()):
+            if incarnation not in listed and _is_superseded(
+                incarnation, latest
+            ):
+                self._end_incarnation(worker_state, reason)
+
+    def _handle_missing_entries(self, listed, trust_absence):
+        """Apply that workers have no entry; see sync_workers()."""
+        for incarnation, worker_state in list(self._worker_states.items()):
+            if incarnation in listed:
+                continue
+            if incarnation in self._unresolved:
+                # It has not reported, so it may run tasks.
+                worker_state.listed = False
+            elif not worker_state.listed and not worker_state.runs:
+                self._end_incarnation(
+                    worker_state, 'it has no entry and no runs'
+                )
+                # Its entry returns if it was only cut off from the store.
+                self._ended_incarnations.pop(incarnation)
+            elif trust_absence and worker_state.listed:
+                worker_state.listed = False
+                log.emit(
+                    catalogue.WORKER_UNLISTED,
+                    worker=worker_state.worker.worker_id,
+                    runs=len(worker_state.runs),
+                )
+                worker_state.wake.set()
+
     def _add_unlisted(self):
         """Add and return a WorkerState for each unresolved incarnation."""
         added = []
@@ -286,6 +283,18 @@
     )
 
 
+def _log_seen(worker):
+    log.emit(
+        catalogue.WORKER_SEEN,
+        worker=worker.worker_id,
+        born_ms=worker.born_ms,
+        pool=worker.pool,
+        zone=worker.zone,
+        host=worker.host_id,
+        address=worker.address,
+    )
+
+
 def _unlisted_worker(incarnation):
     """Return the Worker of an incarnation that has no entry."""
     return fleet.Worker(
@@ -307,3 +316,11 @@
         for key in (worker.worker_id, worker.address):
             latest[key] = max(latest.get(key, 0), worker.born_ms)
     return latest
+
+
+def _is_superseded(incarnation, latest_born_ms):
+    """Return whether a later incarnation has its id or its address."""
+    return any(
+        latest_born_ms.get(key, 0) > incarnation.born_ms
+        for key in (incarnation.worker_id, incarnation.address)
+    )
