Let a worker that leaves take its host along in the lasting machine

A worker whose host is still listed as up may run on, so only a lease ends the wait for it. The test of an entry that lapses covers tasks that end, too, and that they start once the lease is over.

--- a/figtray/scheduling/tests/test_lasting_machine.py
+++ b/figtray/scheduling/tests/test_lasting_machine.py
@@ -113,6 +113,7 @@
             return
         self.lose_unread_ends(number)
         self.fleet.client.crash(f'10.0.0.{number}:80')
+        del self.fleet.hosts[f'host-{number}']
         self.left.add(number)
         self.silent.discard(number)
         self.inject('ok')
--- a/figtray/scheduling/tests/test_takeover.py
+++ b/figtray/scheduling/tests/test_takeover.py
@@ -388,15 +388,20 @@
 class TestEntryThatLapses:
     # A silent worker without an entry was taken for one that has ended,
     # although it had not reported yet.
-    def test_silent_worker_is_taken_for_ended(self, fleet, leader):
-        first, _ = submit_pair(fleet, leader)
-        number = place(fleet, first)
+    @pytest.mark.parametrize('lasting', [True, False])
+    def test_silent_worker_is_taken_for_ended(self, fleet, leader, lasting):
+        job_id = fleet.submit(harness.make_step(lasting=lasting))
+        play(leader, 2 * CYCLE_MS)
+        task = f'{job_id}.0.0.0'
+        number = place(fleet, task)
         silence(fleet, number)
         leader = fleet.elect_leader()
         play(leader, 3 * CYCLE_MS)
         fleet.workers.pop(f'worker-{number}')
         play(leader, LONGEST_LEASE_MS - LEASE_LEFT_MS)
-        assert place(fleet, first) == number
+        assert place(fleet, task) == number
+        play(leader, LEASE_LEFT_MS + START_MS)
+        assert place(fleet, task) != number
 
 
 class TestRecordOfPlacements:
