Split the tests of the scheduler by subject

Change: a pure move to test_job_lifecycle.py, test_placement.py, test_worker_faults.py and test_adoption.py. The fixtures are in conftest.py, and running(), finish() and sims() in the harness, so calls of these have its prefix. No test is changed.

--- a/figtray/scheduling/tests/harness.py
+++ b/figtray/scheduling/tests/harness.py
@@ -5,6 +5,7 @@
 from figtray import clock as clock_lib
 from figtray import errors
 from figtray.fleet import memory as fleet_memory
+from figtray.fleet import messages
 from figtray.fleet import model as fleet_model
 from figtray.jobs import intake as intakes
 from figtray.jobs import model
@@ -136,6 +137,29 @@
         return Leader(self, term)
 
 
+def sims(fleet):
+    """Return the SimWorkers that are up."""
+    return [sim for sim in fleet.client.sims.values() if sim.up]
+
+
+def running(fleet):
+    """Return {task: [(worker number, run)]} of all runs in the fleet."""
+    found = {}
+    for number in range(len(fleet.workers)):
+        for run in fleet.sim(number).runs.values():
+            found.setdefault(run.task, []).append((number, run.run))
+    return found
+
+
+def finish(fleet, task, how=messages.EndReason.DONE):
+    """End a running task."""
+    for number in range(len(fleet.workers)):
+        if task in fleet.sim(number).runs:
+            fleet.sim(number).end(task, how)
+            return
+    raise AssertionError(f'{task} is not running')
+
+
 class InlineExecutor(concurrent.futures.Executor):
     """Executor that makes each call at once, in the calling thread."""
 
--- /dev/null
+++ b/figtray/scheduling/tests/test_job_lifecycle.py
@@ -0,0 +1,237 @@
+"""Tests of the steps of jobs, and of their end and removal."""
+
+from figtray.fleet import messages
+from figtray.jobs import records
+from figtray.scheduling import service
+from figtray.scheduling import state
+from figtray.scheduling.tests import harness
+
+
+class TestSteps:
+    # A step must not start before all tasks of the steps before it are done.
+    def test_step_waits_for_all_tasks(self, fleet, leader):
+        job_id = fleet.submit(
+            harness.make_step(2), harness.make_step(1, after=(0,))
+        )
+        leader.run_cycle()
+        assert set(harness.running(fleet)) == {
+            f'{job_id}.0.0.0',
+            f'{job_id}.0.0.1',
+        }
+        harness.finish(fleet, f'{job_id}.0.0.0')
+        leader.run_cycle()
+        leader.run_cycle()
+        assert set(harness.running(fleet)) == {f'{job_id}.0.0.1'}
+        harness.finish(fleet, f'{job_id}.0.0.1')
+        leader.run_cycle()
+        leader.run_cycle()
+        assert set(harness.running(fleet)) == {f'{job_id}.0.1.0'}
+        harness.finish(fleet, f'{job_id}.0.1.0')
+        leader.run_cycle()
+        assert leader.state(job_id) == records.State.COMPLETED
+
+    def test_job_fails_after_its_last_attempt(self, fleet, leader):
+        job_id = fleet.submit(harness.make_step())
+        for _ in range(3):
+            leader.run_cycle()
+            harness.finish(fleet, f'{job_id}.0.0.0', messages.EndReason.FAILED)
+            leader.run_cycle()
+        leader.run_cycle()
+        assert leader.state(job_id) == records.State.FAILED
+        assert not harness.running(fleet)
+
+    # Workers list ends again after a takeover; the same failure must not count
+    # twice against the attempts.
+    def test_repeated_failure_counts_once(self, fleet, leader):
+        job_id = fleet.submit(harness.make_step())
+        leader.run_cycle()
+        harness.finish(fleet, f'{job_id}.0.0.0', messages.EndReason.FAILED)
+        leader.run_cycle()
+        for _ in range(3):
+            leader = fleet.elect_leader()
+            leader.report_all()
+        assert leader.state(job_id) == records.State.RUNNING
+
+    def test_lasting_task_restarts(self, fleet, leader):
+        job_id = fleet.submit(harness.make_step(lasting=True))
+        leader.run_cycle()
+        for how in (messages.EndReason.FAILED, messages.EndReason.DONE):
+            harness.finish(fleet, f'{job_id}.0.0.0', how)
+            leader.run_cycle()
+            leader.run_cycle()
+            assert list(harness.running(fleet)) == [f'{job_id}.0.0.0']
+
+    def test_timed_job_starts_when_due(self, fleet, leader):
+        start_ms = fleet.clock.wall_ms() + 5000
+        job_id = fleet.submit(
+            harness.make_step(),
+            repeats=2,
+            start_ms=start_ms,
+            interval_ms=1000,
+        )
+        leader.run_cycle()
+        assert not harness.running(fleet)
+        leader.advance(4999)
+        leader.run_cycle()
+        assert not harness.running(fleet)
+        leader.advance(1)
+        leader.run_cycle()
+        assert set(harness.running(fleet)) == {f'{job_id}.0.0.0'}
+        leader.advance(1000)
+        leader.run_cycle()
+        assert f'{job_id}.1.0.0' in harness.running(fleet)
+
+    def test_max_per_worker_is_kept(self, fleet, leader):
+        fleet.submit(harness.make_step(5, max_per_worker=1))
+        leader.run_cycle()
+        assert sorted(n for [(n, _)] in harness.running(fleet).values()) == [
+            0,
+            1,
+            2,
+        ]
+
+    def test_label_is_required(self, fleet, leader):
+        fleet.submit(harness.make_step(label='b'))
+        leader.run_cycle()
+        assert not harness.running(fleet)
+
+
+class TestGang:
+    def test_gang_starts_and_ends_as_a_whole(self, fleet, leader):
+        job_id = fleet.submit(harness.make_step(3, gang=True))
+        leader.run_cycle()
+        runs = harness.running(fleet)
+        assert len(runs) == 3
+        assert len({run for [(_, run)] in runs.values()}) == 1
+        harness.finish(fleet, f'{job_id}.0.0.1')
+        leader.run_cycle()
+        assert leader.state(job_id) == records.State.COMPLETED
+
+    # Some members of a gang alone would only wait and occupy their workers.
+    def test_gang_without_room_does_not_start(self, fleet, leader):
+        fleet.submit(harness.make_step(30, gang=True))
+        leader.run_cycle()
+        assert not harness.running(fleet)
+
+
+class TestCancel:
+    def test_runs_are_stopped(self, fleet, leader):
+        job_id = fleet.submit(harness.make_step(2))
+        leader.run_cycle()
+        fleet.intake.cancel(job_id, 't')
+        leader.run_cycle()
+        leader.run_cycle()
+        assert not harness.running(fleet)
+        assert leader.state(job_id) == records.State.CANCELLED
+
+    # A cancellation that arrives before its submission must stay in force.
+    def test_cancel_before_submission(self, fleet, leader):
+        fleet.intake.cancel(f'{1:016x}', 't')
+        job_id = fleet.submit(harness.make_step())
+        leader.run_cycle()
+        assert job_id == f'{1:016x}'
+        assert not harness.running(fleet)
+        assert leader.state(job_id) == records.State.CANCELLED
+
+    def test_queued_start_is_not_sent(self, fleet, leader):
+        job_id = fleet.submit(harness.make_step())
+        leader.sync_intake()
+        leader.scheduler.plan()
+        fleet.intake.cancel(job_id, 't')
+        leader.run_cycle()
+        assert not any(fleet.sim(n).starts for n in range(3))
+
+
+class TestAcknowledgement:
+    # A worker forgets an end once it is acknowledged. If the end were not
+    # stored by then, a crash of the leader would lose it.
+    def test_ends_are_stored_first(self, fleet, leader):
+        job_id = fleet.submit(harness.make_step(2))
+        leader.run_cycle()
+        harness.finish(fleet, f'{job_id}.0.0.0')
+        fleet.store.down = True
+        for _ in range(3):
+            leader.run_cycle()
+        ended = [e for n in range(3) for e in fleet.sim(n).ended]
+        assert [e.task for e in ended] == [f'{job_id}.0.0.0']
+        fleet.store.down = False
+        leader.run_cycle()
+        leader.run_cycle()
+        assert not any(fleet.sim(n).ended for n in range(3))
+
+
+class TestRetention:
+    RETENTION_MS = 1000
+
+    def remove(self, leader):
+        """Remove the expired jobs, with a writer that writes in wait()."""
+        wait_for_writer = leader.writer.wait
+
+        def wait(sequence, _):
+            leader.flush()
+            return wait_for_writer(sequence, 0)
+
+        leader.writer.wait = wait
+        expired_jobs = leader.scheduler.expired_jobs(self.RETENTION_MS)
+        done = service.remove_jobs(
+            leader.scheduler, leader.writer, expired_jobs
+        )
+        leader.flush()
+        return expired_jobs, done
+
+    def test_ended_jobs_are_removed(self, fleet, leader):
+        job_id = fleet.submit(harness.make_step())
+        running_id = fleet.submit(harness.make_step())
+        leader.run_cycle()
+        harness.finish(fleet, f'{job_id}.0.0.0')
+        leader.run_cycle()
+        assert leader.scheduler.expired_jobs(self.RETENTION_MS) == []
+        leader.advance(self.RETENTION_MS + 1)
+        assert self.remove(leader) == ([job_id], True)
+        assert leader.state(job_id) is None
+        assert leader.state(running_id) == records.State.RUNNING
+
+    # If the scheduler forgot a job whose record stays in the store, the job
+    # would run again.
+    def test_no_job_is_forgotten_during_an_outage(self, fleet, leader):
+        job_id = fleet.submit(harness.make_step())
+        leader.run_cycle()
+        harness.finish(fleet, f'{job_id}.0.0.0')
+        leader.run_cycle()
+        leader.advance(self.RETENTION_MS + 1)
+        fleet.store.down = True
+        assert self.remove(leader) == ([job_id], False)
+        assert leader.scheduler.expired_jobs(self.RETENTION_MS) == [job_id]
+
+    # A lagging view of the store may show a removed job once more; the job
+    # must not run again.
+    def test_removed_job_does_not_return(self, fleet, leader):
+        job_id = fleet.submit(harness.make_step())
+        item = fleet.store.get(records.JOB_PREFIX + job_id)
+        leader.run_cycle()
+        harness.finish(fleet, f'{job_id}.0.0.0')
+        leader.run_cycle()
+        leader.advance(self.RETENTION_MS + 1)
+        self.remove(leader)
+        leader.scheduler.add_job(
+            job_id, records.decode_job(item.value), item.create_revision
+        )
+        leader.run_cycle()
+        assert not harness.running(fleet)
+
+    def test_cancellation_of_an_unknown_job_is_removed(self, fleet, leader):
+        fleet.intake.cancel('f' * 16, 't')
+        leader.run_cycle()
+        leader.advance(self.RETENTION_MS + 1)
+        self.remove(leader)
+        assert not fleet.store.range(records.CANCEL_PREFIX).items
+
+
+class TestWaitingCounts:
+    def test_started_jobs_do_not_count(self, fleet, leader):
+        fleet.submit(harness.make_step())
+        fleet.submit(harness.make_step(label='none'))
+        leader.run_cycle()
+        waiting = leader.scheduler.waiting_jobs()
+        assert waiting.counts == {'q': 1}
+        assert waiting.held == {'q': {state.HeldReason.NO_ROOM.value: 1}}
