--- a/figtray/scheduling/tests/test_silent_worker.py
+++ b/figtray/scheduling/tests/test_silent_worker.py
@@ -69,7 +69,7 @@
     def test_unanswered_start_extends_the_lease(self, fleet, leader):
         task = start_lasting_task(fleet, leader)
         number = place(fleet, task)
-        leader.scheduler.cordon_worker(f'worker-{1 - number}', 'a test')
+        leader.scheduler.set_cordoned('a test', {f'worker-{1 - number}'})
         worker_state = leader.worker_state(number)
         leader.scheduler.report_request(worker_state)
         silence(fleet, number, 'late')
@@ -80,7 +80,7 @@
         leader.scheduler.plan()
         leader.deliver_orders(number)
         leader.scheduler.handle_report_failure(worker_state, was_sent=True)
-        leader.scheduler.uncordon_worker(f'worker-{1 - number}', 'a test')
+        leader.scheduler.set_cordoned('a test', set())
         restart_ms = wait_for_restart(fleet, leader, task, number)
         assert silent_ms + restart_ms <= LONGEST_LEASE_MS + START_MS
 
