Ask for a host that stays missing, and was listed, as the end of its worker

Callers could see a task run twice: a worker on a new host, whose entry is in the store before the host list has the host, misses one report; or a worker refuses connections while a single list lacks its host.

Cause: two lists in a row, 0.12 s apart, counted as the proof that a host has left, also for a host that no list had had; with refused connections one list did.

Change: a host has left if the lists lack it for 500 ms and an earlier list of the term had it, or the worker has no entry, or it refuses connections.

--- a/figtray/scheduling/membership.py
+++ b/figtray/scheduling/membership.py
@@ -12,7 +12,7 @@
 REFUSALS_TO_END = 2
 # The pages of the host list are not one snapshot, so a single list may lack
 # a host.
-MISSING_HOST_READS_TO_END = 2
+HOST_MISSING_TO_END_MS = 500
 
 
 class Membership(scheduler_base.SchedulerBase):
@@ -194,8 +194,7 @@
         does a host that is listed as down: it may merely be cut off from the
         network while its runs go on. A worker that refuses connections may
         be cut off as well, so the list must also show that its host does not
-        run it; and a worker that is silent has ended if its host has left the
-        list.
+        run it. A silent worker has ended if its host has left the list.
 
         Args:
             listed: mapping of host id to its fleet Host.
@@ -211,7 +210,10 @@
                     )
             self._awaited_log.note_hosts(self._unresolved, listed)
             for worker_state in list(self._worker_states.values()):
-                reason = _end_reason(worker_state, listed)
+                _note_host(worker_state, listed, self._clock.now_ms())
+                reason = _end_reason(
+                    worker_state, listed, self._clock.now_ms()
+                )
                 if reason:
                     self._end_incarnation(worker_state, reason)
         self.changed.set()
@@ -235,38 +237,52 @@
         self.changed.set()
 
 
-def _end_reason(worker_state, listed):
+def _note_host(worker_state, listed, now_ms):
+    """Record whether a host list has the host of a worker."""
+    host_id = worker_state.worker.host_id
+    # An empty list is taken for a fault of the host service.
+    if not listed or not host_id:
+        return
+    if host_id in listed:
+        worker_state.host_seen = True
+        worker_state.host_missing_since_ms = None
+    elif worker_state.host_missing_since_ms is None:
+        worker_state.host_missing_since_ms = now_ms
+
+
+def _is_host_missing(worker_state, now_ms):
+    since_ms = worker_state.host_missing_since_ms
+    return since_ms is not None and now_ms - since_ms >= HOST_MISSING_TO_END_MS
+
+
+def _end_reason(worker_state, listed, now_ms):
     """Return why an incarnation has certainly ended; empty if it may go on.
 
     Args:
         worker_state: its WorkerState.
         listed: mapping of host id to its fleet Host.
+        now_ms: local time.
     """
     incarnation = worker_state.worker.incarnation
     host = listed.get(incarnation.host_id)
     if not worker_state.listed and _has_left_host(incarnation, host):
         return 'its host has another worker'
-    if not incarnation.host_id or not listed:
-        return ''
-    if (
-        worker_state.refused_connections >= REFUSALS_TO_END
-        and not _may_run_on_host(incarnation, host)
-    ):
+    refuses = worker_state.refused_connections >= REFUSALS_TO_END
+    if refuses and host and not _may_run_on_host(incarnation, host):
         return 'it refuses connections and its host does not run it'
-    if host is not None or not worker_state.unresponsive:
-        worker_state.missing_host_reads = 0
+    if not _is_host_missing(worker_state, now_ms):
         return ''
-    worker_state.missing_host_reads += 1
-    if worker_state.missing_host_reads >= MISSING_HOST_READS_TO_END:
-        return 'it is silent and its host has left the list'
+    # The list may lag: a new host may be missing from it for a while.
+    has_left = worker_state.host_seen or not worker_state.listed
+    if refuses or (worker_state.unresponsive and has_left):
+        return 'it does not answer and its host has left the list'
     return ''
 
 
 def _may_run_on_host(incarnation, host):
-    return (
-        host is not None
-        and host.state == fleet.HostState.UP
-        and host.worker_id in ('', incarnation.worker_id)
+    return host.state == fleet.HostState.UP and host.worker_id in (
+        '',
+        incarnation.worker_id,
     )
 
 
--- a/figtray/scheduling/state.py
+++ b/figtray/scheduling/state.py
@@ -313,7 +313,9 @@
         requested_lease_ms: end of the lease in the request for a report that
             is under way; 0 if there is none.
         refused_connections: number of refused connections in a row.
-        missing_host_reads: number of host lists in a row without its host.
+        host_seen: whether a host list of this term has had its host.
+        host_missing_since_ms: local time since which the host lists lack its
+            host; None if the last one had it.
         unanswered_starts: number of starts in a row that got no reply.
         strays: for each stray run, the local time of the last order to stop
             it.
@@ -345,7 +347,8 @@
         self.lease_until_ms = 0
         self.requested_lease_ms = 0
         self.refused_connections = 0
-        self.missing_host_reads = 0
+        self.host_seen = False
+        self.host_missing_since_ms = None
         self.unanswered_starts = 0
         self.strays = {}
         self.orders = queue.SimpleQueue()
--- a/figtray/scheduling/tests/test_takeover.py
+++ b/figtray/scheduling/tests/test_takeover.py
@@ -332,10 +332,12 @@
 
     # A host may be missing from a single list, or from an empty one.
     @pytest.mark.parametrize('listed', [True, False])
-    def test_single_list_ends_runs(self, fleet, leader, listed):
+    @pytest.mark.parametrize('lose', [silence, refuse])
+    def test_single_list_ends_runs(self, fleet, leader, listed, lose):
         first, _ = submit_pair(fleet, leader)
         number = place(fleet, first)
-        silence(fleet, number)
+        lose(fleet, number)
+        play(leader, 3 * CYCLE_MS)
         hosts, fleet.hosts = fleet.hosts, {}
         if listed:
             fleet.hosts = hosts | {}
@@ -345,6 +347,21 @@
         play(leader, LONGEST_LEASE_MS - LEASE_LEFT_MS)
         assert place(fleet, first) == number
 
+    # The list may lag behind the entry of a worker on a new host.
+    def test_lagging_list_ends_runs_on_a_new_host(self, fleet, leader):
+        fleet.add_worker(7)
+        del fleet.hosts['host-7']
+        leader.scheduler.set_cordoned('a test', set(fleet.workers))
+        leader.sync_workers()
+        leader.report_all()
+        task = f'{fleet.submit(harness.make_step(lasting=True))}.0.0.0'
+        play(leader, 3 * CYCLE_MS)
+        assert place(fleet, task) == 7
+        leader.scheduler.set_cordoned('a test', set())
+        silence(fleet, 7)
+        play(leader, LONGEST_LEASE_MS - LEASE_LEFT_MS)
+        assert place(fleet, task) == 7
+
 
 class TestRosterOfAnEarlierRelease:
     # Leaders of earlier releases started lasting tasks without a record.
