Keep what is stored on occurrences that a leader has not opened

Callers could see a task of a timed job run twice: the time of day of a new leader is behind, so it has not opened an occurrence whose tasks an earlier leader has completed, or started on a worker that is silent.

Cause: the progress record was written from the open occurrences alone. The first write of such a leader dropped what earlier terms had stored on the others: tasks that are done, failures, checkpoints and placements.

Change: the record starts from the stored one for occurrences that are not open.

--- a/figtray/scheduling/state.py
+++ b/figtray/scheduling/state.py
@@ -251,9 +251,26 @@
                     if task.run is not None:
                         yield task.run
 
+    def _stored_elsewhere(self, field):
+        """Return a field of the stored Progress, less open occurrences."""
+        if self.stored is None:
+            return {}
+        return {
+            key: value
+            for key, value in getattr(self.stored, field).items()
+            if int(key.split('.')[0]) not in self.occurrences
+        }
+
     def progress(self):
-        """Return the records.Progress to store."""
-        done, failures, checkpoints, placements = {}, {}, {}, {}
+        """Return the records.Progress to store.
+
+        What earlier terms have stored on occurrences that are not open in
+        this term is kept.
+        """
+        done, failures, checkpoints, placements = (
+            self._stored_elsewhere(field)
+            for field in ('done', 'failures', 'checkpoints', 'placements')
+        )
         for number, occurrence in self.occurrences.items():
             for step in occurrence.steps:
                 mask = 0
--- a/figtray/scheduling/tests/test_takeover.py
+++ b/figtray/scheduling/tests/test_takeover.py
@@ -508,3 +508,37 @@
         assert number != 0
         self.lose_leader(fleet)
         assert place(fleet, f'{job_id}.0.0.0') != number
+
+
+class TestOccurrencesThatAreNotOpen:
+    # The time of day of the next leader may be behind. What is stored on an
+    # occurrence that it has not opened was dropped with its first write.
+    @pytest.mark.parametrize('lasting', [True, False])
+    def test_clock_that_is_behind(self, fleet, leader, lasting):
+        start_ms = fleet.clock.wall_ms() - 3000
+        job_id = fleet.submit(
+            harness.make_step(2, lasting=lasting, max_per_worker=1),
+            repeats=2,
+            start_ms=start_ms,
+            interval_ms=3000,
+        )
+        play(leader, 4 * CYCLE_MS)
+        first, second = f'{job_id}.0.0.0', f'{job_id}.1.0.0'
+        other = place(fleet, first)
+        if lasting:
+            silence(fleet, place(fleet, second), listed=False)
+        else:
+            fleet.sim(place(fleet, second)).end(
+                second, messages.EndReason.DONE
+            )
+            play(leader, 4 * CYCLE_MS)
+        wall_ms = fleet.clock.wall_ms
+        fleet.clock.wall_ms = lambda: wall_ms() - 3000
+        leader = fleet.elect_leader()
+        play(leader, 3 * CYCLE_MS)
+        fleet.sim(other).end(first, messages.EndReason.FAILED)
+        play(leader, 3 * CYCLE_MS)
+        fleet.clock.wall_ms = wall_ms
+        play(fleet.elect_leader(), LONGEST_LEASE_MS - LEASE_LEFT_MS)
+        if not lasting:
+            assert second not in running(fleet)
