Count runs that may go on out of sight towards the limits of teams

A team could have more running than its limit (QUOTA): after a change of the leader, lasting tasks of earlier terms start while short runs of their team go on on workers that do not answer the new leader.

Cause: only known runs counted.

Change: while incarnations are unresolved, the waiting tasks of steps whose runs are not known count towards the limits of their teams, but not for more than the unresolved incarnations can hold.

Result: test_unknown_runs_are_not_counted failed before and passes.

--- a/figtray/jobs/model.py
+++ b/figtray/jobs/model.py
@@ -32,6 +32,22 @@
             self.gpus - other.gpus,
         )
 
+    def at_most(self, other):
+        """Return the smaller amount of each resource."""
+        return Resources(
+            min(self.cpu_milli, other.cpu_milli),
+            min(self.memory_mb, other.memory_mb),
+            min(self.gpus, other.gpus),
+        )
+
+    def at_least(self, other):
+        """Return the larger amount of each resource."""
+        return Resources(
+            max(self.cpu_milli, other.cpu_milli),
+            max(self.memory_mb, other.memory_mb),
+            max(self.gpus, other.gpus),
+        )
+
     def times(self, count):
         """Return the needs of a number of equal tasks."""
         return Resources(
--- a/figtray/scheduling/planner.py
+++ b/figtray/scheduling/planner.py
@@ -4,6 +4,7 @@
 
 from figtray.events import catalogue
 from figtray.events import log
+from figtray.jobs import model
 from figtray.jobs import records
 from figtray.scheduling import job_lifecycle
 from figtray.scheduling import placement
@@ -60,6 +61,7 @@
             if adopting:
                 next_ms = min(next_ms, now_ms + ADOPTION_RETRY_MS)
             held_tasks = self._hold_tasks() if adopting else ()
+            unknown_needs = self._reserve_unknown() if adopting else {}
             for step in self._steps_by_urgency(now_ms):
                 if adopting and not self._are_runs_known(step):
                     step.held_reason = state.HeldReason.TAKEOVER
@@ -72,6 +74,8 @@
                 else:
                     step.held_reason = state.HeldReason.NO_WORKERS
             self._release_tasks(held_tasks)
+            for team, needs in unknown_needs.items():
+                self._quota.remove(team, needs)
             return min(
                 [next_ms]
                 + [
@@ -116,6 +120,32 @@
             self._quota.add(task.step.job.spec.team, task.step.spec.needs)
         return held
 
+    def _reserve_unknown(self):
+        """Count runs that may go on out of sight towards teams' limits.
+
+        Any waiting task of a step whose runs are not known may be one, but
+        they need no more than the unresolved incarnations can hold.
+
+        Returns:
+            Mapping of team name to the Resources that were counted.
+        """
+        capacity = model.NO_RESOURCES
+        for worker_state in self._worker_states.values():
+            capacity = capacity.at_least(worker_state.worker.capacity)
+        limit = capacity.times(len(self._unresolved))
+        needs = {}
+        for step in self._open_steps.values():
+            if not self._are_runs_known(step):
+                team = step.job.spec.team
+                waiting = step.spec.needs.times(len(step.waiting))
+                needs[team] = needs.get(team, model.NO_RESOURCES) + waiting
+        reserved = {
+            team: total.at_most(limit) for team, total in needs.items()
+        }
+        for team, total in reserved.items():
+            self._quota.add(team, total)
+        return reserved
+
     def _release_tasks(self, held):
         """Undo _hold_tasks()."""
         for task in held:
--- a/figtray/scheduling/tests/test_takeover.py
+++ b/figtray/scheduling/tests/test_takeover.py
@@ -401,6 +401,22 @@
         play(fleet.elect_leader(), START_MS)
         assert len(running(fleet)) == 4
 
+    # Tasks that end may also run out of sight, and lasting ones of earlier
+    # terms start beside them.
+    def test_unknown_runs_are_not_counted(self):
+        fleet = harness.Fleet(4, harness.make_config(limit_milli=6000))
+        leader = fleet.elect_leader()
+        leader.report_all()
+        fleet.submit(harness.make_step(6))
+        play(leader, 2 * CYCLE_MS)
+        fleet.submit(harness.make_step(4, lasting=True))
+        play(leader, 2 * CYCLE_MS)
+        assert len(running(fleet)) == 6
+        silence(fleet, *(n for n in range(4) if fleet.sim(n).runs))
+        fleet.add_worker(9)
+        play(fleet.elect_leader(), START_MS)
+        assert len(running(fleet)) == 6
+
 
 class TestEntryThatLapses:
     # A silent worker without an entry was taken for one that has ended,
