Drain no worker that has no entry or has not reported

Callers can see tasks that wait after a change of the leader in an outage: workers whose entries are not back yet stay cordoned, or their hosts' pool gets spare hosts that it does not need.

Cause: an incarnation of the roster that is asked without an entry counted as a worker that tasks can start on, without runs and thus the cheapest one to drain; and its pool showed up in the loads with no worker.

Change: a worker can be drained once it is listed and has reported; the loads leave out those without an entry and without runs.

Result: test_it_counts_as_a_worker failed before and passes.

--- a/figtray/scheduling/draining.py
+++ b/figtray/scheduling/draining.py
@@ -15,6 +15,8 @@
             sums = {}
             for worker_state in self._worker_states.values():
                 worker = worker_state.worker
+                if not worker_state.listed and not worker_state.runs:
+                    continue
                 entry = sums.setdefault(worker.pool, collections.Counter())
                 entry['due'] += worker_state.upkeep_due
                 if (
@@ -71,11 +73,19 @@
             self.changed.set()
 
     def is_schedulable(self, worker_id):
-        """Return whether a worker is known, not cordoned and not draining."""
+        """Return whether tasks can start on a worker that has room.
+
+        An incarnation of an earlier term without an entry, or one that has
+        not reported, gets no tasks and can't be drained.
+        """
         with self.lock:
             worker_state = self._find_worker(worker_id)
-            return worker_state is not None and not (
-                worker_state.cordon_reason or worker_state.worker.draining
+            return (
+                worker_state is not None
+                and worker_state.listed
+                and worker_state.has_reported
+                and not worker_state.cordon_reason
+                and not worker_state.worker.draining
             )
 
     def has_worker_reported(self, worker_id):
--- a/figtray/scheduling/tests/test_draining.py
+++ b/figtray/scheduling/tests/test_draining.py
@@ -61,3 +61,16 @@
         assert leader.scheduler.changed.is_set()
         leader.run_cycle()
         assert len(fleet.sim(0).runs) == 2
+
+
+class TestWorkerWithoutEntry:
+    # An incarnation of the roster without an entry was the cheapest worker to
+    # drain, and its pool seemed to lack hosts while entries were not back.
+    def test_it_counts_as_a_worker(self, fleet, leader):
+        del leader
+        fleet.client.choose_fault = lambda *_: 'not sent'
+        fleet.workers.clear()
+        leader = fleet.elect_leader()
+        assert leader.worker_state(0) is not None
+        assert not leader.scheduler.is_schedulable('worker-0')
+        assert not leader.scheduler.pool_loads()
