Move drained hosts to the spare pool if no pool has work or workers

Callers can see tasks that wait although workers are idle but cordoned: the host controller fails in a reconcile, and its parts are built anew.

Cause: the pool that lacks the most hosts is the maximum over the pools that have work or workers. That raises if there is none, for example if a configuration removes the pool of a host that is being drained.

Evidence: test_no_pool_with_work_raises fails on the code before with 'max() arg is an empty sequence'.

Change: the host moves to the spare pool then, as when no pool lacks hosts.

--- a/figtray/upkeep/rebalancer.py
+++ b/figtray/upkeep/rebalancer.py
@@ -294,8 +294,8 @@
                 continue
             if not self._scheduler.drain_worker(worker_id):
                 continue
-            target = max(missing, key=missing.get)
-            if missing[target] <= 0 or host.zone in evacuated_zones:
+            target = max(missing, key=missing.get, default=spare_pool)
+            if missing.get(target, 0) <= 0 or host.zone in evacuated_zones:
                 target = spare_pool
             else:
                 missing[target] -= 1
--- a/figtray/upkeep/tests/test_rebalancer.py
+++ b/figtray/upkeep/tests/test_rebalancer.py
@@ -264,6 +264,15 @@
         site.rebalancer.reconcile(cfg, dict(site.hosts.hosts), frozenset())
         assert not site.cordoned()
 
+    # The error made the controller forget which workers it had cordoned.
+    def test_no_pool_with_work_raises(self, site):
+        worker_ids = site.cordon_surplus(refuse)
+        cfg = queues.Config(2, [], [queues.Pool('spare', True)], [])
+        site.rebalancer.reconcile(cfg, dict(site.hosts.hosts), frozenset())
+        assert [pool for _, pool in site.moves()] == ['spare'] * len(
+            worker_ids
+        )
+
     # Moves of spare hosts would take longer than ending the drain.
     def test_pool_waits_for_its_own_draining_hosts(self, site):
         worker_ids = site.cordon_surplus(refuse)
