--- a/figtray/upkeep/tests/test_waves.py
+++ b/figtray/upkeep/tests/test_waves.py
@@ -181,11 +181,12 @@
         assert len(site.cordoned()) == 1 + waves.DRAIN_AHEAD_HOSTS
 
     def test_wave_ends_the_cordons_of_another(self, site):
-        other = dataclasses.replace(site.wave, number=2, host_ids=('host-0',))
+        other = dataclasses.replace(site.wave, number=2, host_ids=('host-3',))
         before = site.cordoned()
+        assert 'worker-3' not in before
         listed = dict(site.hosts.hosts)
         site.wave_runner.reconcile([site.wave, other], listed)
-        assert site.cordoned() == before | {'worker-0'}
+        assert site.cordoned() == before | {'worker-3'}
         site.wave_runner.reconcile([site.wave], listed)
         assert site.cordoned() == before
 
