Mend the test of a proxy whose upstream refuses connections

Cause of the first: the reset may arrive before connect() of the client has returned; the kernel accepts for the proxy, which can't refuse earlier. The client sees the same reset, outside pytest.raises. Cause of the second: the test closed a listening socket and took its port as the one that refuses. The kernel may give that port to the proxy itself, which then forwards to itself in a growing chain and never answers. Change, in the test only: connect() and recv() are both inside pytest.raises, which still accepts a reset only; the upstream's port stays bound without listen(), so it refuses and can't be given to the proxy. The proxy is closed also if the test fails.

--- a/figtray/soak/tests/test_proxies.py
+++ b/figtray/soak/tests/test_proxies.py
@@ -1,5 +1,6 @@
 """Tests of the TCP proxies."""
 
+import contextlib
 import socket
 import threading
 
@@ -109,13 +110,16 @@
             sock.recv(1)
         assert request_byte(connect()) == b'x'
 
+    # The reset may arrive before connect() has returned.
     def test_upstream_refuses_connections(self):
-        with socket.create_server(('127.0.0.1', 0)) as server:
-            address = '%s:%d' % server.getsockname()
-        proxy = proxies.TcpProxy(address)
-        with socket.create_connection(
-            connections.parse_address(proxy.address), TIMEOUT_S
-        ) as sock:
-            with pytest.raises(ConnectionResetError):
-                sock.recv(1)
-        proxy.close()
+        # Bound without listen(): the port refuses connections, and the proxy
+        # can't be given the same port.
+        with socket.socket() as upstream:
+            upstream.bind(('127.0.0.1', 0))
+            address = '%s:%d' % upstream.getsockname()
+            with contextlib.closing(proxies.TcpProxy(address)) as proxy:
+                with pytest.raises(ConnectionResetError):
+                    with socket.create_connection(
+                        connections.parse_address(proxy.address), TIMEOUT_S
+                    ) as sock:
+                        sock.recv(1)
