Check in the soak that lasting tasks run, with faults that come in series

Seen: the soak had no lasting jobs, and no fault that takes a worker away for good or keeps the store silent, so it could not show the incident of docs/incidents/2026-12-04-lasting-tasks-not-running.md. Change: one more caller, with a team of its own, submits lasting jobs. The promise 'lasting tasks run' is checked each 0.1 s and at the end of the soak; its bounds are constants of soak/lasting.py. The team's limit is checked for each of the two teams by itself. New faults, which come in series of 2 to 4 within a second: the store gives no answer for 3 to 6 s and loses what was sent meanwhile, a worker drains and leaves (its address refuses connections), a worker crashes silently (its address never answers), and a kill of the leader. A worker of a new host joins for each that has ended. Entries of ended workers may expire during the outage. The seeds keep their schedules of single faults and the random numbers of their callers (test_seeds_keep_their_schedules): series, lasting jobs and ends of runs have random numbers of their own. Ends of runs come from the seed now. Each seed has the series in addition. An entry whose worker ended while a heartbeat was being written could stay in the store for good; the stand-in site now forgets only what it has deleted. all_jobs_ended() is has_recovered(), which also waits for lasting tasks.

--- a/figtray/platform/standin_site.py
+++ b/figtray/platform/standin_site.py
@@ -2,6 +2,7 @@
 
 import contextlib
 import dataclasses
+import itertools
 import json
 import pathlib
 import random
@@ -34,24 +35,25 @@
 
 
 class _RunFinisher(fleet_memory.RunObserver):
-    """Ends each run a random time after its start.
+    """Ends each run some time after its start.
 
     Args:
-        run_ms: (shortest, longest) run time in milliseconds.
+        choose_end: called with the name of a task; returns how long its run
+            takes in milliseconds, and its messages.EndReason.
         observer: the RunObserver to which all calls are passed on.
     """
 
-    def __init__(self, run_ms, observer):
-        self._run_ms = run_ms
+    def __init__(self, choose_end, observer):
+        self._choose_end = choose_end
         self._observer = observer
         self.workers = None
 
     def run_started(self, sim, task, run):
-        delay_ms = random.uniform(*self._run_ms)
+        delay_ms, reason = self._choose_end(task)
         timer = threading.Timer(
             delay_ms / 1000,
             self.workers.finish,
-            (sim.worker, task, run, messages.EndReason.DONE),
+            (sim.worker, task, run, reason),
         )
         timer.daemon = True
         timer.start()
@@ -64,8 +66,23 @@
         self._observer.end_acknowledged(sim, ended_run)
 
 
+@dataclasses.dataclass(frozen=True)
+class Team:
+    """Team of the configuration.
+
+    Attributes:
+        name: its name.
+        key: its API key.
+        limit_milli: its limit in thousandths of a core; 0 = none.
+    """
+
+    name: str
+    key: str
+    limit_milli: int
+
+
 class Site:
-    """Simulated site with one pool, one spare pool and one team.
+    """Simulated site with one pool, one spare pool and a team, or several.
 
     Args:
         host_count: number of hosts in the pool; each has a worker.
@@ -78,6 +95,10 @@
             `worker` for a worker; for the store and the host service it is
             the name of the node that gets the address.
         clock_rate: rate of the workers' clocks; 1.0 = correct.
+        choose_end: called with the name of a task; returns how long its run
+            takes in milliseconds, and its messages.EndReason. Without it, a
+            run is done after a random time in `run_ms`.
+        other_teams: further Teams.
     """
 
     def __init__(
@@ -89,34 +110,47 @@
         observer=None,
         advertise=lambda kind, address: address,
         clock_rate=1.0,
+        choose_end=None,
+        other_teams=(),
     ):
         self.clock = clock_lib.SystemClock()
         self.store = store_memory.MemoryStore(self.clock)
         run_finisher = _RunFinisher(
-            run_ms, observer or fleet_memory.RunObserver()
+            choose_end
+            or (
+                lambda task: (
+                    random.uniform(*run_ms),
+                    messages.EndReason.DONE,
+                )
+            ),
+            observer or fleet_memory.RunObserver(),
         )
         self.workers = run_finisher.workers = fleet_memory.MemoryWorkers(
             self.clock, run_finisher
         )
         self._limit_milli = limit_milli
+        self._other_teams = other_teams
         self._advertise = advertise
         self._clock_rate = clock_rate
         self.hosts = fleet_memory.MemoryHosts()
         self._stop = threading.Event()
         self._servers = []
+        self._host_numbers = itertools.count()
         self._workers_by_host = {}
-        # The entries of these workers are deleted with the next heartbeat.
-        self._ended_worker_ids = set()
+        self._servers_by_worker_id = {}
+        # Ids of ended workers and the time in milliseconds from which the
+        # next heartbeat deletes their entries.
+        self._entry_ends_ms = {}
         self._store_server = standin_services.start_store_server(
             f'{LOOPBACK}:0', self.store
         )
         self._hosts_server = self._serve(
             standin_services.HostService(self.hosts)
         )
-        for number in range(host_count):
-            self._add_host(number, 'main')
-        for number in range(host_count, host_count + spare_count):
-            self._add_host(number, 'spare')
+        for _ in range(host_count):
+            self._add_host('main')
+        for _ in range(spare_count):
+            self._add_host('spare')
         self.write_config()
         threading.Thread(
             target=self._run_heartbeats, name='heartbeats', daemon=True
@@ -149,7 +183,16 @@
                     'api_keys': list(keys),
                     'weight': 1,
                     'maximum': {'cpu': self._limit_milli},
-                }
+                },
+                *(
+                    {
+                        'name': team.name,
+                        'api_keys': [team.key],
+                        'weight': 1,
+                        'maximum': {'cpu': team.limit_milli},
+                    }
+                    for team in self._other_teams
+                ),
             ],
         }
         self.store.txn(
@@ -190,9 +233,55 @@
         """End the worker of a host and start another at another address."""
         former = self._workers_by_host[host_id]
         self.workers.crash(former.address)
-        self._ended_worker_ids.add(former.worker_id)
+        self._end_entry(former)
         self._start_worker(self.hosts.hosts[host_id])
 
+    def drain_worker(self, host_id):
+        """Let the worker of a host report that it will stop soon."""
+        worker = self._workers_by_host.get(host_id)
+        # The worker may just have ended by a move of its host.
+        if worker is not None:
+            self._workers_by_host[host_id] = dataclasses.replace(
+                worker, draining=True
+            )
+
+    def remove_host(self, host_id, entry_ms=0):
+        """End the worker of a host for good; a worker of a new host joins.
+
+        Args:
+            host_id: id of the host, which is down from then on.
+            entry_ms: time in milliseconds after which the entry is deleted.
+
+        Returns:
+            The fleet Worker that has ended, or None if there was none.
+        """
+        worker = self._workers_by_host.pop(host_id, None)
+        if worker is None:
+            return None
+        self.workers.crash(worker.address)
+        self._end_entry(worker, entry_ms)
+        self.hosts.hosts[host_id] = dataclasses.replace(
+            self.hosts.hosts[host_id],
+            state=fleet.HostState.DOWN,
+            worker_id='',
+        )
+        self._add_host(worker.pool)
+        return worker
+
+    def stop_server(self, worker):
+        """Stop the server of a worker that has ended."""
+        self._servers_by_worker_id[worker.worker_id].stop()
+
+    def usable_workers(self):
+        """Return the workers that are up, listed and not draining."""
+        return [
+            worker
+            for worker in list(self._workers_by_host.values())
+            if not worker.draining
+            and self.workers.sims[worker.address].up
+            and self.store.peek(f'servers/{worker.worker_id}')
+        ]
+
     def worker_host_ids(self):
         """Return the ids of the hosts with a worker."""
         return sorted(self._workers_by_host)
@@ -217,7 +306,8 @@
         self._servers.append(server)
         return server
 
-    def _add_host(self, number, pool):
+    def _add_host(self, pool):
+        number = next(self._host_numbers)
         host = fleet.Host(
             f'host-{number}',
             pool,
@@ -247,6 +337,7 @@
         server.service = standin_services.WorkerService(self.workers, worker)
         self.workers.add(worker, self._clock_rate)
         self._workers_by_host[host.host_id] = worker
+        self._servers_by_worker_id[worker.worker_id] = server
         self.hosts.hosts[host.host_id] = dataclasses.replace(
             host, worker_id=worker.worker_id
         )
@@ -264,7 +355,28 @@
             self.workers.expire()
             self._stop.wait(HEARTBEAT_INTERVAL_S)
 
+    def _end_entry(self, worker, after_ms=0):
+        self._entry_ends_ms[worker.worker_id] = self.clock.now_ms() + after_ms
+
+    def expire_entries(self):
+        """Delete the entries of ended workers, also while the store is down.
+
+        The platform's store does so at times, as the entries have leases.
+        """
+        self.store.remove(
+            [f'servers/{worker_id}' for worker_id in self._ended_worker_ids()]
+        )
+
+    def _ended_worker_ids(self):
+        now_ms = self.clock.now_ms()
+        return [
+            worker_id
+            for worker_id, end_ms in list(self._entry_ends_ms.items())
+            if end_ms <= now_ms
+        ]
+
     def _write_entries(self, sequence):
+        ended_worker_ids = self._ended_worker_ids()
         self.store.txn(
             [],
             [
@@ -274,9 +386,10 @@
                 )
                 for worker in list(self._workers_by_host.values())
             ],
-            [f'servers/{worker_id}' for worker_id in self._ended_worker_ids],
+            [f'servers/{worker_id}' for worker_id in ended_worker_ids],
         )
-        self._ended_worker_ids.clear()
+        for worker_id in ended_worker_ids:
+            del self._entry_ends_ms[worker_id]
 
     def _finish_orders(self):
         """Finish accepted moves and upkeeps, with new workers on the hosts."""
@@ -285,7 +398,7 @@
             former = self._workers_by_host.pop(host_id, None)
             if former is not None:
                 self.workers.crash(former.address)
-                self._ended_worker_ids.add(former.worker_id)
+                self._end_entry(former)
             pool = argument if kind == 'move' else None
             self.hosts.finish(host_id, pool)
             if self.hosts.hosts[host_id].pool != 'spare':
--- a/figtray/soak/callers.py
+++ b/figtray/soak/callers.py
@@ -61,6 +61,9 @@
 class Caller:
     """Submits jobs, cancels some and polls all; one request at a time.
 
+    Attributes:
+        key: API key of its team.
+
     Args:
         rng: random.Random that no other caller uses.
         addresses: addresses of the nodes for callers.
@@ -69,6 +72,8 @@
         stop_polling: threading.Event that also ends the polling of jobs.
     """
 
+    key = sites.API_KEY
+
     def __init__(self, rng, addresses, checker, stop_submitting, stop_polling):
         self._rng = rng
         self._addresses = addresses
@@ -89,11 +94,24 @@
 
     def _call(self, method, job_id, body=None):
         address = self._rng.choice(self._addresses)
-        return self._pool.call(address, method, job_id, sites.API_KEY, body)
+        return self._pool.call(address, method, job_id, self.key, body)
 
     def _submit(self):
+        job_id = self._submit_job(_make_steps)
+        if job_id and self._rng.random() < CANCEL_PROBABILITY:
+            self._cancel(job_id)
+
+    def _submit_job(self, make_steps):
+        """Submit a random job.
+
+        Args:
+            make_steps: called with the random.Random; returns the steps.
+
+        Returns:
+            The job's id, or None if it is not known to be accepted.
+        """
         job_id = f'{self._rng.getrandbits(64):016x}'
-        steps = _make_steps(self._rng)
+        steps = make_steps(self._rng)
         self._checker.record_submit_attempt(job_id, steps)
         statuses = []
         for _ in range(SUBMIT_ATTEMPTS):
@@ -105,13 +123,15 @@
                 break
         self._checker.record_submit_result(job_id, statuses)
         if statuses[-1] != 200:
-            return
+            return None
         self._unfinished_jobs.append(job_id)
-        if self._rng.random() < CANCEL_PROBABILITY:
-            self._checker.record_cancel_attempt(job_id)
-            status, _ = self._call('DELETE', job_id)
-            if status == 200:
-                self._checker.record_cancel_acknowledged(job_id)
+        return job_id
+
+    def _cancel(self, job_id):
+        self._checker.record_cancel_attempt(job_id)
+        status, _ = self._call('DELETE', job_id)
+        if status == 200:
+            self._checker.record_cancel_acknowledged(job_id)
 
     def _poll(self):
         for job_id in list(self._unfinished_jobs):
--- a/figtray/soak/faults.py
+++ b/figtray/soak/faults.py
@@ -19,6 +19,8 @@
 LEADER_PROBABILITY = 0.5
 LOST_REPLY_COUNT = 4
 OPERATOR_RETRY_DELAY_S = 0.05
+# Three heartbeats, after which the entry of a silent worker is removed.
+SILENCE_BOUND_MS = int(3 * sites.HEARTBEAT_INTERVAL_S * 1000)
 
 
 class FaultKind(enum.Enum):
@@ -47,6 +49,19 @@
     CALLERS_SILENT = "callers' connections to a node fall silent"
     KEY_WITHDRAWN = 'a key is withdrawn'
     ZONE_OUT = 'a zone is taken out of service and back'
+    # These come only in series.
+    STORE_SILENT_OUTAGE = 'the store gives no answer and then runs on'
+    WORKER_LEAVES = 'a worker drains and leaves for good'
+    WORKER_SILENT_CRASH = 'a worker crashes and its address falls silent'
+
+
+SERIES_KINDS = (
+    FaultKind.STORE_SILENT_OUTAGE,
+    FaultKind.WORKER_LEAVES,
+    FaultKind.WORKER_SILENT_CRASH,
+)
+# A kind that is added here changes the schedule of each seed.
+SINGLE_KINDS = tuple(kind for kind in FaultKind if kind not in SERIES_KINDS)
 
 
 @dataclasses.dataclass(frozen=True)
@@ -69,7 +84,7 @@
 
 
 def make_schedule(rng, length_s):
-    """Return a random list of Faults, sorted by start; they may overlap.
+    """Return random Faults of SINGLE_KINDS, sorted by start; they may overlap.
 
     Args:
         rng: random.Random to use.
@@ -87,7 +102,7 @@
                     ),
                     3,
                 ),
-                rng.choice(list(FaultKind)),
+                rng.choice(SINGLE_KINDS),
                 rng.getrandbits(16),
                 rng.random() < LEADER_PROBABILITY,
             )
@@ -102,7 +117,8 @@
         site: standin_site.Site of the soak.
         nodes: its NodeProcesses.
         proxies: mapping of what is proxied to a list of TcpProxy: the name
-            of a node for its connections to the store and the host service,
+            of a node for its connections to the store (the first) and the
+            host service,
             `front NAME` for those from its callers, `worker` for those to
             all workers.
         checker: InvariantChecker to notify.
@@ -256,6 +272,19 @@
                 return self._withdraw_key, _no_action, {'keys'}
             case FaultKind.ZONE_OUT:
                 return *self._zone_out_actions(), {'zone'}
+            case FaultKind.STORE_SILENT_OUTAGE:
+                return *self._silent_outage_actions(), {
+                    'store',
+                    *(f'store of {item.name}' for item in self._nodes),
+                }
+            case FaultKind.WORKER_LEAVES:
+                return *self._leave_actions(fault), {'leaving worker'}
+            case FaultKind.WORKER_SILENT_CRASH:
+                return (
+                    lambda: self._crash_silently(fault),
+                    _no_action,
+                    {'silent crash'},
+                )
         raise ValueError(fault.kind)
 
     def _select_worker_proxies(self, fault):
@@ -306,9 +335,61 @@
 
         return begin, end
 
-    def _crash_worker(self, fault):
+    def _select_host(self, fault):
         hosts = self._site.worker_host_ids()
-        self._site.crash_worker(hosts[fault.choice % len(hosts)])
+        return hosts[fault.choice % len(hosts)]
+
+    def _crash_worker(self, fault):
+        self._site.crash_worker(self._select_host(fault))
+
+    def _crash_silently(self, fault):
+        worker = self._site.remove_host(
+            self._select_host(fault), SILENCE_BOUND_MS
+        )
+        if worker is not None:
+            self._take_worker_proxy(worker).fall_silent()
+
+    def _leave_actions(self, fault):
+        host_id = self._select_host(fault)
+
+        def end():
+            worker = self._site.remove_host(host_id)
+            if worker is not None:
+                self._take_worker_proxy(worker).close()
+                self._site.stop_server(worker)
+
+        return lambda: self._site.drain_worker(host_id), end
+
+    def _take_worker_proxy(self, worker):
+        """Remove and return the proxy of a worker that has ended.
+
+        No later fault selects it, and heal() does not reach it.
+        """
+        proxies = self._proxies['worker']
+        proxy = next(p for p in proxies if p.address == worker.address)
+        proxies.remove(proxy)
+        self._proxies['ended worker'].append(proxy)
+        return proxy
+
+    def _silent_outage_actions(self):
+        """Return actions of an outage in which calls are lost unanswered."""
+        store = self._site.store
+        proxies = [self._proxies[node.name][0] for node in self._nodes]
+
+        def begin():
+            for proxy in proxies:
+                proxy.stall(*proxies_lib.Direction)
+            store.set_down(True)
+
+        def end():
+            for proxy in proxies:
+                proxy.blackhole()
+            self._site.expire_entries()
+            store.set_down(False)
+            for proxy in proxies:
+                proxy.heal()
+
+        return begin, end
 
     def _zone_out_actions(self):
         zone = sites.ZONES[0]
--- a/figtray/soak/invariants.py
+++ b/figtray/soak/invariants.py
@@ -7,6 +7,7 @@
 from figtray.fleet import memory
 from figtray.fleet import messages
 from figtray.jobs import model
+from figtray.soak import lasting
 
 # Time allowed after a fault for all nodes to reach all services again.
 SETTLE_MS = 3000
@@ -56,6 +57,16 @@
     cancelled_ms: int | None = None
     state: str = ''
 
+    @property
+    def lasting(self):
+        """Whether its tasks run until it is cancelled."""
+        return any(step.get('long_running') for step in self.steps)
+
+    @property
+    def is_owed(self):
+        """Whether it was accepted and nobody tried to cancel it."""
+        return self.accepted_ms is not None and self.cancel_ms is None
+
 
 class InvariantChecker(memory.RunObserver):
     """Checks invariants on events of workers, callers and operators.
@@ -71,8 +82,9 @@
 
     Args:
         clock: Clock to use.
-        limit_milli: limit of the team in thousandths of a core.
-        task_milli: need of each task in thousandths of a core.
+        limit_milli: limit of the team of all jobs but the lasting ones, in
+            thousandths of a core.
+        task_milli: need of each of its tasks in thousandths of a core.
     """
 
     def __init__(self, clock, limit_milli, task_milli):
@@ -95,6 +107,9 @@
         self.jobs = {}
         self.violations = []
         self.start_times_ms = []
+        self._waiting_tasks = lasting.WaitingTasks(
+            self.jobs, self._running_by_task
+        )
 
     def now_ms(self):
         """Return the time since the start of the soak in milliseconds."""
@@ -124,6 +139,7 @@
     def run_ended(self, sim, task, run, reason):
         with self._lock:
             self._running_by_task[task].pop(sim.worker.incarnation, None)
+            self._waiting_tasks.record_end(task, self.now_ms())
             if reason is messages.EndReason.DONE:
                 self._done_runs[task].add((sim.worker.incarnation, task, run))
 
@@ -160,15 +176,24 @@
                 self._record_violation('cancelled jobs do not start', task)
 
     def _check_team_limit(self, task):
-        milli = self._task_milli * sum(
-            len(runs) for runs in self._running_by_task.values()
-        )
-        allowed = (
-            self._limit_milli * (1 + LIMIT_OVERRUN_FRACTION) + self._task_milli
+        is_lasting = self._is_lasting(task)
+        limit_milli, task_milli = self._limit_milli, self._task_milli
+        if is_lasting:
+            limit_milli = lasting.TEAM.limit_milli
+            task_milli = lasting.TASK_MILLI
+        milli = task_milli * sum(
+            len(runs)
+            for other, runs in self._running_by_task.items()
+            if runs and self._is_lasting(other) == is_lasting
         )
+        allowed = limit_milli * (1 + LIMIT_OVERRUN_FRACTION) + task_milli
         if milli > allowed:
             self._record_violation('limit of the team', f'{milli} with {task}')
 
+    def _is_lasting(self, task):
+        job = self.jobs.get(model.parse_task_id(task).job_id)
+        return job is not None and job.lasting
+
     def _check_zone(self, sim, task, now_ms):
         if self._zone_out_of_service is None or not self._is_stable():
             return
@@ -277,18 +302,40 @@
             self.now_ms() > self._last_fault_ms + SETTLE_MS
         )
 
+    def check_lasting_tasks(self, workers):
+        """Check that the lasting tasks run for which there is room.
+
+        Args:
+            workers: fleet Workers that are up, listed and not draining.
+        """
+        # Of runs whose leases have expired; see run_started().
+        self.workers.expire()
+        with self._lock:
+            now_ms = self.now_ms()
+            zone_out = self._zone_out_of_service
+            usable = [
+                worker
+                for worker in workers
+                if zone_out is None or worker.zone != zone_out[0]
+            ]
+            calm = not self._active_faults and (
+                now_ms >= self._last_fault_ms + lasting.CALM_MS
+            )
+            for task in self._waiting_tasks.check(now_ms, usable, calm):
+                self._record_violation('lasting tasks run', task)
+
     # End of the soak.
 
-    def all_jobs_ended(self):
-        """Return whether all accepted jobs were seen completed or cancelled.
+    def has_recovered(self):
+        """Return whether all accepted jobs have ended or last and run.
 
         Jobs that a caller tried to cancel are left out.
         """
         with self._lock:
-            return all(
-                job.state in ('completed', 'cancelled')
+            return self._waiting_tasks.all_run() and all(
+                job.lasting or job.state in ('completed', 'cancelled')
                 for job in self.jobs.values()
-                if job.accepted_ms is not None and job.cancel_ms is None
+                if job.is_owed
             )
 
     def check_final_state(self):
@@ -301,12 +348,16 @@
             for job_id, job in self.jobs.items():
                 if job.refused and job_id in started:
                     self._record_violation('refused jobs never run', job_id)
-                if job.accepted_ms is None or job.cancel_ms is not None:
+                if not job.is_owed or job.lasting:
                     continue
                 if job.state != 'completed':
                     self._record_violation(
                         'accepted jobs complete', f'{job_id} is {job.state!r}'
                     )
+            for task in self._waiting_tasks.not_restarted(self.now_ms()):
+                self._record_violation(
+                    'lasting tasks run', f'{task} at the end'
+                )
 
     def _all_tasks_done(self, job_id, job):
         return all(
--- a/figtray/soak/proxies.py
+++ b/figtray/soak/proxies.py
@@ -59,6 +59,7 @@
         self._conns = set()
         self._stalled_directions = set()
         self._delay_s = 0.0
+        self._silent = False
         self._closed = False
         self._socket = socket.create_server(('127.0.0.1', 0), backlog=128)
         self.address = '%s:%d' % self._socket.getsockname()
@@ -91,6 +92,11 @@
                 for direction in Direction:
                     conn.blackholed[direction] = True
 
+    def fall_silent(self):
+        """Forward no more bytes of any connection, even after heal()."""
+        with self._cond:
+            self._silent = True
+
     def reset(self):
         """Reset the open connections."""
         for conn in self._remove_connections():
@@ -188,7 +194,8 @@
             self._cond.wait_for(
                 lambda: conn not in self._conns
                 or not (
-                    conn.blackholed[direction]
+                    self._silent
+                    or conn.blackholed[direction]
                     or direction in self._stalled_directions
                 )
             )
--- /dev/null
+++ b/figtray/soak/series.py
@@ -0,0 +1,48 @@
+"""Series of faults with short gaps, in which the leader changes often."""
+
+from figtray.soak import faults
+
+MEAN_INTERVAL_S = 5.0
+MIN_LENGTH, MAX_LENGTH = 2, 4
+# Four faults with the longest gap begin within a second.
+MAX_GAP_S = 0.33
+# An outage outlasts the lease of the leader, and with the change of the
+# leader also those of the runs.
+MIN_OUTAGE_S = 3.0
+MAX_OUTAGE_S = 6.0
+MAX_OTHER_S = 2.0
+KINDS = (*faults.SERIES_KINDS, faults.FaultKind.KILL)
+
+
+def make_series(rng, length_s):
+    """Return a list of Faults that come in series, sorted by start.
+
+    A series has 2 to 4 kinds in random order; a kill hits the leader.
+
+    Args:
+        rng: random.Random to use.
+        length_s: time in seconds in which all faults begin and end.
+    """
+    series, at_s = [], 1.0
+    while True:
+        at_s += rng.expovariate(1 / MEAN_INTERVAL_S)
+        if at_s + MAX_LENGTH * MAX_GAP_S + MIN_OUTAGE_S >= length_s:
+            return sorted(series, key=lambda fault: fault.at_s)
+        fault_at_s = at_s
+        for kind in rng.sample(KINDS, rng.randint(MIN_LENGTH, MAX_LENGTH)):
+            series.append(_make_fault(rng, kind, fault_at_s, length_s))
+            fault_at_s += rng.uniform(0, MAX_GAP_S)
+
+
+def _make_fault(rng, kind, at_s, length_s):
+    if kind is faults.FaultKind.STORE_SILENT_OUTAGE:
+        for_s = rng.uniform(MIN_OUTAGE_S, MAX_OUTAGE_S)
+    else:
+        for_s = rng.uniform(faults.MIN_DURATION_S, MAX_OTHER_S)
+    return faults.Fault(
+        round(at_s, 3),
+        round(min(for_s, length_s - at_s), 3),
+        kind,
+        rng.getrandbits(16),
+        True,
+    )
--- a/figtray/soak/soak.py
+++ b/figtray/soak/soak.py
@@ -10,8 +10,10 @@
 from figtray.soak import callers as callers_lib
 from figtray.soak import faults as faults_lib
 from figtray.soak import invariants
+from figtray.soak import lasting
 from figtray.soak import processes
 from figtray.soak import proxies as proxies_lib
+from figtray.soak import series
 
 CALLER_COUNT = 8
 WORKER_COUNT = 4
@@ -22,6 +24,7 @@
 SLOWEST_CLOCK_RATE = 0.98
 WITHDRAWN_KEY = 'extra-key'
 PROBE_INTERVAL_S = 0.1
+CHECK_INTERVAL_S = 0.1
 # Limit of the time after the last fault in which leases expire, a leader is
 # elected and the backlog of jobs is worked off.
 RECOVERY_TIMEOUT_S = 30
@@ -81,27 +84,39 @@
         length_s: time with faults in seconds.
         nodes: number of nodes.
         directory: directory for the settings and logs of the nodes.
+        schedule: list of Faults, sorted by start, instead of random ones.
     """
 
-    def __init__(self, seed, length_s, nodes, directory):
+    def __init__(self, seed, length_s, nodes, directory, schedule=None):
         self._seed = seed
-        self._length_s = length_s
         rng = random.Random(seed)
-        self._schedule = faults_lib.make_schedule(rng, length_s)
+        # Each source of random numbers that is added gets a seed of its own
+        # so that a seed keeps its schedule and its callers.
+        random_schedule = faults_lib.make_schedule(rng, length_s)
+        random_schedule += series.make_series(
+            random.Random(f'series {seed}'), length_s
+        )
+        self._schedule = schedule or sorted(
+            random_schedule, key=lambda fault: fault.at_s
+        )
         self._caller_seeds = [rng.getrandbits(32) for _ in range(CALLER_COUNT)]
         clock = clock_lib.SystemClock()
         self._checker = invariants.InvariantChecker(
             clock, TEAM_LIMIT_MILLI, callers_lib.TASK_MILLI
         )
+        run_ends = lasting.RunEnds(
+            random.Random(f'ends {seed}'), RUN_DURATION_MS, self._checker.jobs
+        )
         self._proxies = collections.defaultdict(list)
         self._site = sites.Site(
             WORKER_COUNT,
             SPARE_COUNT,
-            RUN_DURATION_MS,
             limit_milli=TEAM_LIMIT_MILLI,
             observer=self._checker,
             advertise=self._start_proxy,
             clock_rate=SLOWEST_CLOCK_RATE,
+            choose_end=run_ends.choose,
+            other_teams=(lasting.TEAM,),
         )
         self._checker.workers = self._site.workers
         self._site.write_config(1, (sites.API_KEY, WITHDRAWN_KEY))
@@ -159,19 +174,17 @@
 
     def _run_with_faults(self):
         callers = [
-            callers_lib.Caller(
-                random.Random(seed),
-                self._front_addresses,
-                self._checker,
-                self._stop_load,
-                self._stop_all,
-            )
+            self._make_caller(callers_lib.Caller, seed)
             for seed in self._caller_seeds
         ]
-        threads = [caller.thread for caller in callers]
-        threads.append(
-            threading.Thread(target=self._probe_withdrawn_key, name='probe')
+        callers.append(
+            self._make_caller(lasting.LastingCaller, f'lasting {self._seed}')
         )
+        threads = [caller.thread for caller in callers]
+        threads += [
+            threading.Thread(target=self._probe_withdrawn_key, name='probe'),
+            threading.Thread(target=self._check_lasting_tasks, name='check'),
+        ]
         for thread in threads:
             thread.start()
         self._run_schedule()
@@ -179,7 +192,7 @@
         for proxy in self._all_proxies():
             proxy.heal()
         for _ in range(int(RECOVERY_TIMEOUT_S / POLL_INTERVAL_S)):
-            if self._checker.all_jobs_ended():
+            if self._checker.has_recovered():
                 break
             self._stop_all.wait(POLL_INTERVAL_S)
         self._stop_all.set()
@@ -188,6 +201,15 @@
         self._checker.check_final_state()
         return self._result()
 
+    def _make_caller(self, caller_class, seed):
+        return caller_class(
+            random.Random(seed),
+            self._front_addresses,
+            self._checker,
+            self._stop_load,
+            self._stop_all,
+        )
+
     def _run_schedule(self):
         injector = faults_lib.Injector(
             self._site,
@@ -217,6 +239,10 @@
                 InjectedFault(fault, target, began_ms, self._checker.now_ms())
             )
 
+    def _check_lasting_tasks(self):
+        while not self._stop_all.wait(CHECK_INTERVAL_S):
+            self._checker.check_lasting_tasks(self._site.usable_workers())
+
     def _probe_withdrawn_key(self):
         """Call nodes with the key that a fault may withdraw."""
         pool = callers_lib.ConnectionPool()
--- /dev/null
+++ b/figtray/soak/tests/test_faults.py
@@ -0,0 +1,151 @@
+"""Tests of the faults that end a worker for good or hide the store."""
+
+import collections
+import socket
+import types
+
+import pytest
+
+from figtray import clock as clock_lib
+from figtray import connections
+from figtray import errors
+from figtray.platform import standin_site as sites
+from figtray.soak import faults
+from figtray.soak import invariants
+from figtray.soak import proxies as proxies_lib
+from figtray.store import base
+
+TIMEOUT_S = 10
+SILENCE_TIMEOUT_S = 0.2
+REQUEST = b'GET /api/kv-key?key=a HTTP/1.1\r\n\r\n'
+
+
+class Pause:
+    """Stands in for the event that ends faults early; does not wait.
+
+    Attributes:
+        action: called without arguments while a fault is active.
+    """
+
+    def __init__(self):
+        self.action = lambda: None
+
+    def wait(self, for_s):
+        self.action()
+
+
+class Harness:
+    """Site with two workers, proxies, and an Injector that does not wait."""
+
+    def __init__(self):
+        self.checker = invariants.InvariantChecker(
+            clock_lib.ManualClock(), 0, 0
+        )
+        self.proxies = collections.defaultdict(list)
+        self.site = sites.Site(2, 0, advertise=self._start_proxy)
+        self.workers = [sim.worker for sim in self.site.workers.sims.values()]
+        settings = self.site.node_settings('node-0')
+        self.store_address = settings['platform']['address']
+        self.pause = Pause()
+        self.injector = faults.Injector(
+            self.site,
+            [types.SimpleNamespace(name='node-0')],
+            self.proxies,
+            self.checker,
+            self.pause,
+        )
+
+    def _start_proxy(self, kind, address):
+        proxy = proxies_lib.TcpProxy(address)
+        self.proxies[kind].append(proxy)
+        return proxy.address
+
+    def inject(self, kind):
+        return self.injector.inject(faults.Fault(0, 0, kind, 0, False))
+
+    def connect(self, address):
+        return socket.create_connection(
+            connections.parse_address(address), TIMEOUT_S
+        )
+
+    def close(self):
+        for proxies in self.proxies.values():
+            for proxy in proxies:
+                proxy.close()
+        self.site.close()
+
+
+@pytest.fixture
+def harness():
+    harness = Harness()
+    yield harness
+    harness.close()
+
+
+class TestEndOfWorkers:
+    """Guards against workers that come back, or that leave no successor."""
+
+    def check_replaced(self, harness):
+        former, kept = harness.workers
+        hosts = harness.site.worker_host_ids()
+        assert former.host_id not in hosts
+        assert kept.host_id in hosts and len(hosts) == 2
+        assert not harness.site.workers.sims[former.address].up
+        assert not any(
+            proxy.address == former.address
+            for proxy in harness.proxies['worker']
+        )
+
+    def test_worker_that_leaves_refuses_connections(self, harness):
+        assert harness.inject(faults.FaultKind.WORKER_LEAVES)
+        with pytest.raises(ConnectionRefusedError):
+            harness.connect(harness.workers[0].address)
+        self.check_replaced(harness)
+
+    def test_worker_that_crashes_silently_does_not_answer(self, harness):
+        assert harness.inject(faults.FaultKind.WORKER_SILENT_CRASH)
+        for proxies in harness.proxies.values():
+            for proxy in proxies:
+                proxy.heal()
+        with harness.connect(harness.workers[0].address) as sock:
+            sock.settimeout(SILENCE_TIMEOUT_S)
+            sock.sendall(REQUEST)
+            with pytest.raises(TimeoutError):
+                sock.recv(1)
+        self.check_replaced(harness)
+
+
+class TestStoreOutage:
+    """Guards against an outage that answers, or in which nothing expires."""
+
+    def request(self, sock, timeout_s):
+        """Send a request and return the first byte of the response."""
+        sock.sendall(REQUEST)
+        sock.settimeout(timeout_s)
+        return sock.recv(1)
+
+    def test_store_gives_no_answer(self, harness):
+        sockets = []
+
+        def check_silent():
+            with pytest.raises(errors.StoreUnavailable):
+                harness.site.store.get('leader')
+            sockets.append(harness.connect(harness.store_address))
+            with pytest.raises(TimeoutError):
+                self.request(sockets[0], SILENCE_TIMEOUT_S)
+
+        harness.pause.action = check_silent
+        assert harness.inject(faults.FaultKind.STORE_SILENT_OUTAGE)
+        # What was sent in the outage is lost.
+        with sockets[0] as sock, pytest.raises(TimeoutError):
+            sock.recv(1)
+        with harness.connect(harness.store_address) as sock:
+            assert self.request(sock, TIMEOUT_S)
+
+    def test_entries_expire_during_the_outage(self, harness):
+        worker = harness.workers[0]
+        key = f'servers/{worker.worker_id}'
+        harness.site.store.txn([], [base.Put(key, b'{}')])
+        harness.pause.action = lambda: harness.site.remove_host(worker.host_id)
+        assert harness.inject(faults.FaultKind.STORE_SILENT_OUTAGE)
+        assert harness.site.store.peek(key) is None
--- a/figtray/soak/tests/test_invariants.py
+++ b/figtray/soak/tests/test_invariants.py
@@ -154,7 +154,7 @@
 
     def test_accepted_job_never_ends(self, harness):
         harness.checker.record_submit_result(JOB, [0, 200])
-        assert not harness.checker.all_jobs_ended()
+        assert not harness.checker.has_recovered()
         harness.checker.check_final_state()
         assert harness.violated_invariants() == ['accepted jobs complete']
 
--- a/figtray/soak/tests/test_proxies.py
+++ b/figtray/soak/tests/test_proxies.py
@@ -102,6 +102,15 @@
         proxy.heal()
         assert request_byte(sock, STALL_TIMEOUT_S) is None
 
+    def test_silence_does_not_heal(self, proxy, connect):
+        sock = connect()
+        assert request_byte(sock) == b'x'
+        proxy.fall_silent()
+        assert request_byte(sock, STALL_TIMEOUT_S) is None
+        proxy.heal()
+        assert request_byte(sock, STALL_TIMEOUT_S) is None
+        assert request_byte(connect(), STALL_TIMEOUT_S) is None
+
     def test_reset_connections(self, proxy, connect):
         sock = connect()
         assert request_byte(sock) == b'x'
--- a/figtray/soak/tests/test_soak.py
+++ b/figtray/soak/tests/test_soak.py
@@ -6,6 +6,7 @@
 
 from figtray.soak import faults
 from figtray.soak import report
+from figtray.soak import series
 from figtray.soak import soak
 
 DURATION_S = 8
@@ -17,6 +18,20 @@
 )
 
 
+SCHEDULE_OF_SEED_100 = [
+    (1.126, 2.438, 'STORE_DOWN'),
+    (1.47, 2.682, 'RELOAD'),
+    (2.538, 1.538, 'KEY_WITHDRAWN'),
+    (2.721, 1.38, 'STORE_LOSES_REPLIES'),
+    (2.888, 1.931, 'CALLERS_SILENT'),
+    (3.077, 4.794, 'ORDERS_LATE'),
+    (4.441, 1.054, 'CALLERS_SILENT'),
+    (4.445, 2.159, 'WORKER_CRASH'),
+    (5.917, 2.083, 'STORE_FORGETS'),
+    (6.729, 1.271, 'KILL_ALL'),
+]
+
+
 class TestSchedule:
     """Guards against schedules that a seed does not reproduce."""
 
@@ -30,8 +45,49 @@
             for fault in first
         )
 
+    def test_seed_determines_series(self):
+        first, again = (
+            series.make_series(random.Random(5), 30) for _ in range(2)
+        )
+        assert first == again
+        assert all(
+            0 < fault.at_s and fault.at_s + fault.for_s <= 30.001
+            for fault in first
+        )
+        assert all(
+            fault.for_s >= series.MIN_OUTAGE_S
+            for fault in first
+            if fault.kind is faults.FaultKind.STORE_SILENT_OUTAGE
+        )
+
+    def test_outage_worker_that_leaves_and_kill_come_within_a_second(self):
+        schedule = series.make_series(random.Random(5), 300)
+        kinds = {
+            faults.FaultKind.STORE_SILENT_OUTAGE,
+            faults.FaultKind.WORKER_LEAVES,
+            faults.FaultKind.KILL,
+        }
+        assert any(
+            kinds
+            <= {
+                fault.kind
+                for fault in schedule
+                if 0 <= fault.at_s - first.at_s <= 1
+            }
+            for first in schedule
+        )
+
+    # A kind that is added to the single faults would change the schedule of
+    # each seed, also of those that guard against a former fault.
+    def test_seeds_keep_their_schedules(self):
+        schedule = faults.make_schedule(random.Random(100), DURATION_S)
+        assert [
+            (fault.at_s, fault.for_s, fault.kind.name) for fault in schedule
+        ] == SCHEDULE_OF_SEED_100
+
     def test_all_kinds_occur(self):
         schedule = faults.make_schedule(random.Random(5), 300)
+        schedule += series.make_series(random.Random(5), 300)
         assert {fault.kind for fault in schedule} == set(faults.FaultKind)
 
 
--- a/figtray/store/memory.py
+++ b/figtray/store/memory.py
@@ -212,6 +212,11 @@
         with self._cond:
             return self._items.get(key)
 
+    def remove(self, keys):
+        """Delete keys, also while the store is down, as if they expired."""
+        with self._cond:
+            self._write((), keys)
+
     def compact_history(self):
         """Drop all past changes; a watch that asks for them fails."""
         with self._cond:
