Keep a soak in which lasting tasks wait for a worker that has left

Seen: 'lasting tasks run' was broken by random seeds of the soak: 410 and 413 of 410 to 414 (before outages had to last 3 s), 503 and 508 of 500 to 509. Cause, from their logs: after the takeover (1605) some incarnations of the roster are named by no 1608: workers that left or crashed for good while the store was silent. No task of an earlier term starts (1710) until 6.4 to 6.5 s after 1601, when the leases of all incarnations have expired. Ruled out: an outage and a worker that leaves alone. With 5.8 s, the second watch of the leader's key is lost in the outage too and the election comes 4 s late. Change: test_worker_leaves_during_silent_outage plays that schedule, two nodes, seed 1.

--- a/figtray/soak/tests/test_soak.py
+++ b/figtray/soak/tests/test_soak.py
@@ -30,6 +30,13 @@
     (5.917, 2.083, 'STORE_FORGETS'),
     (6.729, 1.271, 'KILL_ALL'),
 ]
+# The outage is longer than the watch of the leader's key that was sent just
+# before it (4.8 s), so that the next one is lost in it too. The worker leaves
+# after the leader has lost its right to give orders (1.7 s).
+WORKER_LEAVES_DURING_OUTAGE = (
+    faults.Fault(6.0, 5.8, faults.FaultKind.STORE_SILENT_OUTAGE, 0, False),
+    faults.Fault(6.5, 1.5, faults.FaultKind.WORKER_LEAVES, 0, False),
+)
 
 
 class TestSchedule:
@@ -100,3 +107,12 @@
         assert not result.violations, report.summarize(result)
         assert result.jobs.get('completed')
         assert result.hits
+
+    # Guards against a new leader that holds all lasting tasks until the leases
+    # of one worker that is gone have expired.
+    def test_worker_leaves_during_silent_outage(self, tmp_path):
+        result = soak.Soak(
+            1, DURATION_S, 2, tmp_path, WORKER_LEAVES_DURING_OUTAGE
+        ).run()
+        assert not result.violations, report.summarize(result)
+        assert len(result.hits) == len(WORKER_LEAVES_DURING_OUTAGE)
