--- a/figtray/platform/load.py
+++ b/figtray/platform/load.py
@@ -18,6 +18,7 @@
 
 CALL_TIMEOUT_S = 3
 POLL_INTERVAL_S = 0.2
+DEADLINE_HEADERS = {'X-Figtray-Deadline-Ms': str(CALL_TIMEOUT_S * 1000)}
 STEPS = [
     {'count': 3, 'cpu': 1000, 'mem_mb': 256, 'estimate_ms': 400},
     {
@@ -47,28 +48,45 @@
     attempts: int
 
 
-def request(address, method, job_id, body=None):
-    """Send one request as a caller.
-
-    Returns:
-        (status, decoded body); status 0 stands for no response.
-    """
-    conn = http.client.HTTPConnection(
-        *connections.parse_address(address), timeout=CALL_TIMEOUT_S
-    )
-    headers = {
-        'Host': site.CALLER_HOST,
-        'Authorization': f'Token {site.API_KEY}',
-    }
-    try:
+class ConnectionPool:
+    """Persistent connections of one caller, one to each node."""
+
+    def __init__(self):
+        self._conns = {}
+
+    def call(self, address, method, job_id, key, body=None):
+        """Make one request; closes the connection if it fails.
+
+        Returns:
+            (HTTP status, decoded body), or (0, {}) if there was no valid
+            response.
+        """
+        conn = self._conns.get(address)
+        if conn is None:
+            host, port = connections.parse_address(address)
+            conn = http.client.HTTPConnection(
+                host, port, timeout=CALL_TIMEOUT_S
+            )
+            self._conns[address] = conn
+        headers = {
+            'Host': site.CALLER_HOST,
+            'Authorization': f'Token {key}',
+            **DEADLINE_HEADERS,
+        }
         data = json.dumps(body) if body is not None else None
-        conn.request(method, site.PATH_PREFIX + job_id, data, headers)
-        resp = conn.getresponse()
-        return resp.status, msgspec.json.decode(resp.read())
-    except (OSError, http.client.HTTPException):
-        return 0, {}
-    finally:
-        conn.close()
+        try:
+            conn.request(method, site.PATH_PREFIX + job_id, data, headers)
+            resp = conn.getresponse()
+            return resp.status, msgspec.json.decode(resp.read())
+        except (OSError, http.client.HTTPException, msgspec.DecodeError):
+            conn.close()
+            del self._conns[address]
+            return 0, {}
+
+    def close(self):
+        """Close all connections."""
+        for conn in self._conns.values():
+            conn.close()
 
 
 def run_job(addresses, timeout_s=60):
@@ -83,6 +101,14 @@
     Returns:
         A JobResult.
     """
+    pool = ConnectionPool()
+    try:
+        return _run_job(pool, addresses, timeout_s)
+    finally:
+        pool.close()
+
+
+def _run_job(pool, addresses, timeout_s):
     job_id = uuid.uuid4().hex[:16]
     began = time.monotonic()
     attempts, accepted_s, state = 0, None, ''
@@ -91,11 +117,11 @@
         attempts += 1
         if accepted_s is None:
             body = {'spec': 'demo', 'steps': STEPS}
-            status, _ = request(address, 'POST', job_id, body)
+            status, _ = pool.call(address, 'POST', job_id, site.API_KEY, body)
             if status == 200:
                 accepted_s = time.monotonic() - began
         else:
-            status, reply = request(address, 'GET', job_id)
+            status, reply = pool.call(address, 'GET', job_id, site.API_KEY)
             state = reply.get('state', state)
             if state in ('completed', 'failed', 'cancelled'):
                 ended_s = time.monotonic() - began
--- a/figtray/soak/callers.py
+++ b/figtray/soak/callers.py
@@ -1,63 +1,16 @@
 """Load generators: callers that submit, poll and cancel jobs."""
 
-import http.client
-import json
 import threading
 
-import msgspec
-
-from figtray import connections
+from figtray.platform import load
 from figtray.platform import standin_site as sites
 
-CALL_TIMEOUT_S = 3
 POLL_INTERVAL_S = 0.15
 TASK_MILLI = 1000
-DEADLINE_HEADERS = {'X-Figtray-Deadline-Ms': str(CALL_TIMEOUT_S * 1000)}
 SUBMIT_ATTEMPTS = 4
 CANCEL_PROBABILITY = 0.12
 
 
-class ConnectionPool:
-    """Persistent connections of one caller, one to each node."""
-
-    def __init__(self):
-        self._conns = {}
-
-    def call(self, address, method, job_id, key, body=None):
-        """Make one request; closes the connection if it fails.
-
-        Returns:
-            (HTTP status, decoded body), or (0, {}) if there was no valid
-            response.
-        """
-        conn = self._conns.get(address)
-        if conn is None:
-            host, port = connections.parse_address(address)
-            conn = http.client.HTTPConnection(
-                host, port, timeout=CALL_TIMEOUT_S
-            )
-            self._conns[address] = conn
-        headers = {
-            'Host': sites.CALLER_HOST,
-            'Authorization': f'Token {key}',
-            **DEADLINE_HEADERS,
-        }
-        data = json.dumps(body) if body is not None else None
-        try:
-            conn.request(method, sites.PATH_PREFIX + job_id, data, headers)
-            resp = conn.getresponse()
-            return resp.status, msgspec.json.decode(resp.read())
-        except (OSError, http.client.HTTPException, msgspec.DecodeError):
-            conn.close()
-            del self._conns[address]
-            return 0, {}
-
-    def close(self):
-        """Close all connections."""
-        for conn in self._conns.values():
-            conn.close()
-
-
 class Caller:
     """Submits jobs, cancels some and polls all; one request at a time.
 
@@ -80,7 +33,7 @@
         self._checker = checker
         self._stop_submitting = stop_submitting
         self._stop_polling = stop_polling
-        self._pool = ConnectionPool()
+        self._pool = load.ConnectionPool()
         self._unfinished_jobs = []
         self.thread = threading.Thread(target=self._run, name='caller')
 
--- a/figtray/soak/faults.py
+++ b/figtray/soak/faults.py
@@ -63,6 +63,26 @@
 # A kind that is added here changes the schedule of each seed.
 SINGLE_KINDS = tuple(kind for kind in FaultKind if kind not in SERIES_KINDS)
 
+_DIRECTIONS = tuple(proxies_lib.Direction)
+# The peer of the proxied connections, and the call of their proxies.
+NETWORK_FAULTS = {
+    FaultKind.STORE_CUT: ('store', 'stall', *_DIRECTIONS),
+    FaultKind.STORE_CUT_BACK: (
+        'store',
+        'stall',
+        proxies_lib.Direction.DOWNSTREAM,
+    ),
+    FaultKind.STORE_DELAY: ('store', 'delay', PROXY_DELAY_MS),
+    FaultKind.STORE_RESET: ('store', 'reset'),
+    FaultKind.STORE_SILENT: ('store', 'blackhole'),
+    FaultKind.WORKERS_CUT: ('workers', 'stall', *_DIRECTIONS),
+    FaultKind.WORKERS_SILENT: ('workers', 'blackhole'),
+    FaultKind.WORKERS_RESET: ('workers', 'reset'),
+    FaultKind.WORKERS_DELAY: ('workers', 'delay', PROXY_DELAY_MS),
+    FaultKind.CALLERS_RESET: ('callers', 'reset'),
+    FaultKind.CALLERS_SILENT: ('callers', 'blackhole'),
+}
+
 
 @dataclasses.dataclass(frozen=True)
 class Fault:
@@ -118,9 +138,8 @@
         nodes: its NodeProcesses.
         proxies: mapping of what is proxied to a list of TcpProxy: the name
             of a node for its connections to the store (the first) and the
-            host service,
-            `front NAME` for those from its callers, `worker` for those to
-            all workers.
+            host service, `front NAME` for those from its callers, `worker`
+            for those to all workers.
         checker: InvariantChecker to notify.
         stop: threading.Event that ends all faults early.
     """
@@ -177,115 +196,77 @@
         Returns:
             (begin, end, set of the names of the targets).
         """
-        store = self._site.store
-        process_target = {f'process {node.name}'}
-        all_processes = {f'process {item.name}' for item in self._nodes}
-        store_target = {f'store of {node.name}'}
-        workers = self._select_worker_proxies(fault)
+        if fault.kind in NETWORK_FAULTS:
+            return self._resolve_network_fault(fault, node)
+        store, process = self._site.store, {f'process {node.name}'}
+        begin, end, targets = _no_action, _no_action, process
         match fault.kind:
             case FaultKind.KILL:
-                return (
-                    lambda: node.stop(signal.SIGKILL),
-                    node.start,
-                    process_target,
-                )
+                begin, end = lambda: node.stop(signal.SIGKILL), node.start
             case FaultKind.TERMINATE:
-                return node.stop, node.start, process_target
+                begin, end = node.stop, node.start
             case FaultKind.RELOAD:
-                return (
+                begin, end = (
                     lambda: node.send_signal(signal.SIGHUP),
                     _no_action,
-                    process_target,
                 )
             case FaultKind.PAUSE:
-                return (
+                begin, end = (
                     lambda: node.send_signal(signal.SIGSTOP),
                     lambda: node.send_signal(signal.SIGCONT),
-                    process_target,
                 )
             case FaultKind.KILL_ALL:
-                return self._kill_all, self._start_all, all_processes
+                begin, end = self._kill_all, self._start_all
+                targets = {f'process {item.name}' for item in self._nodes}
             case FaultKind.STORE_DOWN:
-                return (
+                targets = {'store'}
+                begin, end = (
                     lambda: store.set_down(True),
                     lambda: store.set_down(False),
-                    {'store'},
                 )
             case FaultKind.STORE_LOSES_REPLIES:
-                return self._lose_replies, _no_action, {'replies of the store'}
+                begin, targets = self._lose_replies, {'replies of the store'}
             case FaultKind.STORE_FORGETS:
-                return store.compact_history, _no_action, {'history'}
-            case FaultKind.STORE_CUT:
-                return (
-                    *self._stall_actions(node.name, *proxies_lib.Direction),
-                    store_target,
-                )
-            case FaultKind.STORE_CUT_BACK:
-                return (
-                    *self._stall_actions(
-                        node.name, proxies_lib.Direction.DOWNSTREAM
-                    ),
-                    store_target,
-                )
-            case FaultKind.STORE_DELAY:
-                return (
-                    *self._delay_actions(self._proxies[node.name]),
-                    store_target,
-                )
-            case FaultKind.STORE_RESET:
-                return (
-                    *_one_time_actions(self._proxies[node.name], 'reset'),
-                    store_target,
-                )
-            case FaultKind.STORE_SILENT:
-                return (
-                    *_one_time_actions(self._proxies[node.name], 'blackhole'),
-                    store_target,
-                )
-            case FaultKind.WORKERS_CUT:
-                return (
-                    lambda: [w.stall(*proxies_lib.Direction) for w in workers],
-                    lambda: [w.heal() for w in workers],
-                    {'workers'},
-                )
-            case FaultKind.WORKERS_SILENT:
-                return *_one_time_actions(workers, 'blackhole'), {'workers'}
-            case FaultKind.WORKERS_RESET:
-                return *_one_time_actions(workers, 'reset'), {'workers'}
-            case FaultKind.WORKERS_DELAY:
-                return *self._delay_actions(workers), {'workers'}
+                begin, targets = store.compact_history, {'history'}
+            case FaultKind.STORE_SILENT_OUTAGE:
+                begin, end = self._silent_outage_actions()
+                stores = {f'store of {item.name}' for item in self._nodes}
+                targets = {'store', *stores}
             case FaultKind.ORDERS_LATE:
-                return *self._late_order_actions(fault), {'orders'}
+                begin, end = self._late_order_actions(fault)
+                targets = {'orders'}
             case FaultKind.WORKER_CRASH:
-                return lambda: self._crash_worker(fault), _no_action, {'crash'}
-            case FaultKind.CALLERS_RESET:
-                proxies = self._proxies[f'front {node.name}']
-                return *_one_time_actions(proxies, 'reset'), {
-                    f'callers of {node.name}'
-                }
-            case FaultKind.CALLERS_SILENT:
-                proxies = self._proxies[f'front {node.name}']
-                return *_one_time_actions(proxies, 'blackhole'), {
-                    f'callers of {node.name}'
-                }
-            case FaultKind.KEY_WITHDRAWN:
-                return self._withdraw_key, _no_action, {'keys'}
-            case FaultKind.ZONE_OUT:
-                return *self._zone_out_actions(), {'zone'}
-            case FaultKind.STORE_SILENT_OUTAGE:
-                return *self._silent_outage_actions(), {
-                    'store',
-                    *(f'store of {item.name}' for item in self._nodes),
-                }
+                begin, targets = lambda: self._crash_worker(fault), {'crash'}
             case FaultKind.WORKER_LEAVES:
-                return *self._leave_actions(fault), {'leaving worker'}
+                begin, end = self._leave_actions(fault)
+                targets = {'leaving worker'}
             case FaultKind.WORKER_SILENT_CRASH:
-                return (
-                    lambda: self._crash_silently(fault),
-                    _no_action,
-                    {'silent crash'},
-                )
-        raise ValueError(fault.kind)
+                targets = {'silent crash'}
+                begin, end = lambda: self._crash_silently(fault), _no_action
+            case FaultKind.KEY_WITHDRAWN:
+                begin, targets = self._withdraw_key, {'keys'}
+            case FaultKind.ZONE_OUT:
+                begin, end = self._zone_out_actions()
+                targets = {'zone'}
+            case _:
+                raise ValueError(fault.kind)
+        return begin, end, targets
+
+    def _resolve_network_fault(self, fault, node):
+        peer, method, *args = NETWORK_FAULTS[fault.kind]
+        if peer == 'workers':
+            proxies, target = self._select_worker_proxies(fault), 'workers'
+        elif peer == 'callers':
+            proxies = self._proxies[f'front {node.name}']
+            target = f'callers of {node.name}'
+        else:
+            proxies, target = self._proxies[node.name], f'store of {node.name}'
+
+        def end():
+            if method in ('stall', 'delay'):
+                _call_all(proxies, 'heal')
+
+        return lambda: _call_all(proxies, method, *args), end, {target}
 
     def _select_worker_proxies(self, fault):
         proxies = self._proxies['worker']
@@ -303,19 +284,6 @@
     def _lose_replies(self):
         self._site.store.replies_to_lose = LOST_REPLY_COUNT
 
-    def _stall_actions(self, name, *directions):
-        proxies = self._proxies[name]
-        return (
-            lambda: [proxy.stall(*directions) for proxy in proxies],
-            lambda: [proxy.heal() for proxy in proxies],
-        )
-
-    def _delay_actions(self, proxies):
-        return (
-            lambda: [proxy.delay(PROXY_DELAY_MS) for proxy in proxies],
-            lambda: [proxy.heal() for proxy in proxies],
-        )
-
     def _late_order_actions(self, fault):
         workers = self._site.workers
 
@@ -361,10 +329,7 @@
         return lambda: self._site.drain_worker(host_id), end
 
     def _take_worker_proxy(self, worker):
-        """Remove and return the proxy of a worker that has ended.
-
-        No later fault selects it, and heal() does not reach it.
-        """
+        """Take away and return the proxy of a worker that has ended."""
         proxies = self._proxies['worker']
         proxy = next(p for p in proxies if p.address == worker.address)
         proxies.remove(proxy)
@@ -377,17 +342,14 @@
         proxies = [self._proxies[node.name][0] for node in self._nodes]
 
         def begin():
-            for proxy in proxies:
-                proxy.stall(*proxies_lib.Direction)
+            _call_all(proxies, 'stall', *proxies_lib.Direction)
             store.set_down(True)
 
         def end():
-            for proxy in proxies:
-                proxy.blackhole()
+            _call_all(proxies, 'blackhole')
             self._site.expire_entries()
             store.set_down(False)
-            for proxy in proxies:
-                proxy.heal()
+            _call_all(proxies, 'heal')
 
         return begin, end
 
@@ -395,37 +357,32 @@
         zone = sites.ZONES[0]
 
         def begin():
-            self._retry_change(
-                lambda: self._site.set_zone_in_service(zone, False)
-            )
+            self._retry_change(self._site.set_zone_in_service, zone, False)
             self._checker.record_zone_out(zone)
 
         def end():
             self._checker.record_zone_out(None)
-            self._retry_change(
-                lambda: self._site.set_zone_in_service(zone, True)
-            )
+            self._retry_change(self._site.set_zone_in_service, zone, True)
 
         return begin, end
 
     def _withdraw_key(self):
         self._config_version += 1
         self._retry_change(
-            lambda: self._site.write_config(
-                self._config_version, (sites.API_KEY,)
-            )
+            self._site.write_config, self._config_version, (sites.API_KEY,)
         )
         self._checker.record_key_withdrawn()
 
-    def _retry_change(self, change):
+    def _retry_change(self, change, *args):
         """Retry a change of an operator until it succeeds or all faults end.
 
         Args:
-            change: function that makes the change; called without arguments.
+            change: function that makes the change.
+            *args: its arguments.
         """
         while not self._stop.is_set():
             try:
-                change()
+                change(*args)
                 return
             except (errors.StoreUnavailable, errors.WriteUncertain):
                 self._stop.wait(OPERATOR_RETRY_DELAY_S)
@@ -436,8 +393,9 @@
     return sum(text.encode())
 
 
-def _one_time_actions(proxies, method):
-    return lambda: [getattr(proxy, method)() for proxy in proxies], _no_action
+def _call_all(proxies, method, *args):
+    for proxy in proxies:
+        getattr(proxy, method)(*args)
 
 
 def _no_action():
--- a/figtray/soak/lasting.py
+++ b/figtray/soak/lasting.py
@@ -1,7 +1,6 @@
 """Lasting jobs of the soak: their callers, runs and the promise to run."""
 
 import collections
-import threading
 
 from figtray.fleet import messages
 from figtray.jobs import model
@@ -52,33 +51,20 @@
     return [step]
 
 
-class RunEnds:
-    """Chooses when and how runs end; those of lasting tasks may only fail.
+def choose_end(rng, run_ms, jobs, task):
+    """Return how long a run takes in milliseconds, and its EndReason.
 
     Args:
-        rng: random.Random that nothing else uses.
-        run_ms: (shortest, longest) time of the other runs in milliseconds.
+        rng: random.Random to use.
+        run_ms: (shortest, longest) time of runs of jobs that do not last.
         jobs: mapping of job id to invariants.Job.
+        task: name of the task; if it lasts, its runs may only fail.
     """
-
-    def __init__(self, rng, run_ms, jobs):
-        self._rng = rng
-        self._run_ms = run_ms
-        self._jobs = jobs
-        self._lock = threading.Lock()
-
-    def choose(self, task):
-        """Return how long a run takes in milliseconds, and its EndReason.
-
-        Args:
-            task: name of the task.
-        """
-        job = self._jobs.get(model.parse_task_id(task).job_id)
-        with self._lock:
-            if job is not None and job.lasting:
-                delay_ms = self._rng.expovariate(1 / MEAN_FAILURE_MS)
-                return delay_ms, messages.EndReason.FAILED
-            return self._rng.uniform(*self._run_ms), messages.EndReason.DONE
+    job = jobs.get(model.parse_task_id(task).job_id)
+    if job is not None and job.lasting:
+        delay_ms = rng.expovariate(1 / MEAN_FAILURE_MS)
+        return delay_ms, messages.EndReason.FAILED
+    return rng.uniform(*run_ms), messages.EndReason.DONE
 
 
 class WaitingTasks:
@@ -178,14 +164,13 @@
             task_id = model.parse_task_id(task)
             step = job.steps[task_id.step]
             max_count = step.get('max_per_server') or step['count']
-            return team_milli < TEAM.limit_milli * MAX_TEAM_SHARE and any(
-                worker.capacity.covers(used[worker.incarnation] + _needs(step))
-                and step_counts[
-                    worker.incarnation, task_id.job_id, task_id.step
-                ]
-                < max_count
-                for worker in workers
-            )
+            for worker in workers:
+                key = worker.incarnation, task_id.job_id, task_id.step
+                needs = used[worker.incarnation] + _needs(step)
+                if worker.capacity.covers(needs):
+                    if step_counts[key] < max_count:
+                        return team_milli < TEAM.limit_milli * MAX_TEAM_SHARE
+            return False
 
         return has_room
 
--- a/figtray/soak/series.py
+++ b/figtray/soak/series.py
@@ -30,19 +30,12 @@
             return sorted(series, key=lambda fault: fault.at_s)
         fault_at_s = at_s
         for kind in rng.sample(KINDS, rng.randint(MIN_LENGTH, MAX_LENGTH)):
-            series.append(_make_fault(rng, kind, fault_at_s, length_s))
+            for_s = rng.uniform(faults.MIN_DURATION_S, MAX_OTHER_S)
+            if kind is faults.FaultKind.STORE_SILENT_OUTAGE:
+                for_s = rng.uniform(MIN_OUTAGE_S, MAX_OUTAGE_S)
+            for_s = round(min(for_s, length_s - fault_at_s), 3)
+            choice = rng.getrandbits(16)
+            series.append(
+                faults.Fault(round(fault_at_s, 3), for_s, kind, choice, True)
+            )
             fault_at_s += rng.uniform(0, MAX_GAP_S)
-
-
-def _make_fault(rng, kind, at_s, length_s):
-    if kind is faults.FaultKind.STORE_SILENT_OUTAGE:
-        for_s = rng.uniform(MIN_OUTAGE_S, MAX_OUTAGE_S)
-    else:
-        for_s = rng.uniform(faults.MIN_DURATION_S, MAX_OTHER_S)
-    return faults.Fault(
-        round(at_s, 3),
-        round(min(for_s, length_s - at_s), 3),
-        kind,
-        rng.getrandbits(16),
-        True,
-    )
--- a/figtray/soak/soak.py
+++ b/figtray/soak/soak.py
@@ -2,16 +2,18 @@
 
 import collections
 import dataclasses
+import functools
 import random
 import threading
 
 from figtray import clock as clock_lib
+from figtray.platform import load
+from figtray.platform import standin_nodes
 from figtray.platform import standin_site as sites
 from figtray.soak import callers as callers_lib
 from figtray.soak import faults as faults_lib
 from figtray.soak import invariants
 from figtray.soak import lasting
-from figtray.soak import processes
 from figtray.soak import proxies as proxies_lib
 from figtray.soak import series
 
@@ -104,9 +106,6 @@
         self._checker = invariants.InvariantChecker(
             clock, TEAM_LIMIT_MILLI, callers_lib.TASK_MILLI
         )
-        run_ends = lasting.RunEnds(
-            random.Random(f'ends {seed}'), RUN_DURATION_MS, self._checker.jobs
-        )
         self._proxies = collections.defaultdict(list)
         self._site = sites.Site(
             WORKER_COUNT,
@@ -115,13 +114,18 @@
             observer=self._checker,
             advertise=self._start_proxy,
             clock_rate=SLOWEST_CLOCK_RATE,
-            choose_end=run_ends.choose,
+            choose_end=functools.partial(
+                lasting.choose_end,
+                random.Random(f'ends {seed}'),
+                RUN_DURATION_MS,
+                self._checker.jobs,
+            ),
             other_teams=(lasting.TEAM,),
         )
         self._checker.workers = self._site.workers
         self._site.write_config(1, (sites.API_KEY, WITHDRAWN_KEY))
         self._nodes = [
-            processes.NodeProcess(
+            standin_nodes.NodeProcess(
                 directory, self._site.node_settings(f'node-{number}')
             )
             for number in range(nodes)
@@ -149,7 +153,7 @@
             self._stop_load.set()
             self._stop_all.set()
             for node in self._nodes:
-                node.stop(processes.KILL)
+                node.stop(standin_nodes.KILL)
             for proxy in self._all_proxies():
                 proxy.close()
             self._site.close()
@@ -173,15 +177,18 @@
             self._stop_all.wait(POLL_INTERVAL_S)
 
     def _run_with_faults(self):
-        callers = [
-            self._make_caller(callers_lib.Caller, seed)
-            for seed in self._caller_seeds
-        ]
-        callers.append(
-            self._make_caller(lasting.LastingCaller, f'lasting {self._seed}')
-        )
-        threads = [caller.thread for caller in callers]
-        threads += [
+        callers = [(callers_lib.Caller, seed) for seed in self._caller_seeds]
+        callers.append((lasting.LastingCaller, f'lasting {self._seed}'))
+        threads = [
+            caller(
+                random.Random(seed),
+                self._front_addresses,
+                self._checker,
+                self._stop_load,
+                self._stop_all,
+            ).thread
+            for caller, seed in callers
+        ] + [
             threading.Thread(target=self._probe_withdrawn_key, name='probe'),
             threading.Thread(target=self._check_lasting_tasks, name='check'),
         ]
@@ -201,15 +208,6 @@
         self._checker.check_final_state()
         return self._result()
 
-    def _make_caller(self, caller_class, seed):
-        return caller_class(
-            random.Random(seed),
-            self._front_addresses,
-            self._checker,
-            self._stop_load,
-            self._stop_all,
-        )
-
     def _run_schedule(self):
         injector = faults_lib.Injector(
             self._site,
@@ -245,7 +243,7 @@
 
     def _probe_withdrawn_key(self):
         """Call nodes with the key that a fault may withdraw."""
-        pool = callers_lib.ConnectionPool()
+        pool = load.ConnectionPool()
         rng = random.Random(self._seed)
         while not self._stop_all.wait(PROBE_INTERVAL_S):
             asked_ms = self._checker.now_ms()
