--- a/figtray/soak/callers.py
+++ b/figtray/soak/callers.py
@@ -1,66 +1,22 @@
 """Load generators: callers that submit, poll and cancel jobs."""
 
-import http.client
-import json
 import threading
 
-import msgspec
-
-from figtray import connections
+from figtray.platform import load
 from figtray.platform import standin_site as sites
 
-CALL_TIMEOUT_S = 3
 POLL_INTERVAL_S = 0.15
 TASK_MILLI = 1000
-DEADLINE_HEADERS = {'X-Figtray-Deadline-Ms': str(CALL_TIMEOUT_S * 1000)}
 SUBMIT_ATTEMPTS = 4
 CANCEL_PROBABILITY = 0.12
 
 
-class ConnectionPool:
-    """Persistent connections of one caller, one to each node."""
-
-    def __init__(self):
-        self._conns = {}
-
-    def call(self, address, method, job_id, key, body=None):
-        """Make one request; closes the connection if it fails.
-
-        Returns:
-            (HTTP status, decoded body), or (0, {}) if there was no valid
-            response.
-        """
-        conn = self._conns.get(address)
-        if conn is None:
-            host, port = connections.parse_address(address)
-            conn = http.client.HTTPConnection(
-                host, port, timeout=CALL_TIMEOUT_S
-            )
-            self._conns[address] = conn
-        headers = {
-            'Host': sites.CALLER_HOST,
-            'Authorization': f'Token {key}',
-            **DEADLINE_HEADERS,
-        }
-        data = json.dumps(body) if body is not None else None
-        try:
-            conn.request(method, sites.PATH_PREFIX + job_id, data, headers)
-            resp = conn.getresponse()
-            return resp.status, msgspec.json.decode(resp.read())
-        except (OSError, http.client.HTTPException, msgspec.DecodeError):
-            conn.close()
-            del self._conns[address]
-            return 0, {}
-
-    def close(self):
-        """Close all connections."""
-        for conn in self._conns.values():
-            conn.close()
-
-
 class Caller:
     """Submits jobs, cancels some and polls all; one request at a time.
 
+    Attributes:
+        key: API key of its team.
+
     Args:
         rng: random.Random that no other caller uses.
         addresses: addresses of the nodes for callers.
@@ -69,13 +25,15 @@
         stop_polling: threading.Event that also ends the polling of jobs.
     """
 
+    key = sites.API_KEY
+
     def __init__(self, rng, addresses, checker, stop_submitting, stop_polling):
         self._rng = rng
         self._addresses = addresses
         self._checker = checker
         self._stop_submitting = stop_submitting
         self._stop_polling = stop_polling
-        self._pool = ConnectionPool()
+        self._pool = load.ConnectionPool()
         self._unfinished_jobs = []
         self.thread = threading.Thread(target=self._run, name='caller')
 
@@ -89,11 +47,24 @@
 
     def _call(self, method, job_id, body=None):
         address = self._rng.choice(self._addresses)
-        return self._pool.call(address, method, job_id, sites.API_KEY, body)
+        return self._pool.call(address, method, job_id, self.key, body)
 
     def _submit(self):
+        job_id = self._submit_job(_make_steps)
+        if job_id and self._rng.random() < CANCEL_PROBABILITY:
+            self._cancel(job_id)
+
+    def _submit_job(self, make_steps):
+        """Submit a random job.
+
+        Args:
+            make_steps: called with the random.Random; returns the steps.
+
+        Returns:
+            The job's id, or None if it is not known to be accepted.
+        """
         job_id = f'{self._rng.getrandbits(64):016x}'
-        steps = _make_steps(self._rng)
+        steps = make_steps(self._rng)
         self._checker.record_submit_attempt(job_id, steps)
         statuses = []
         for _ in range(SUBMIT_ATTEMPTS):
@@ -105,13 +76,15 @@
                 break
         self._checker.record_submit_result(job_id, statuses)
         if statuses[-1] != 200:
-            return
+            return None
         self._unfinished_jobs.append(job_id)
-        if self._rng.random() < CANCEL_PROBABILITY:
-            self._checker.record_cancel_attempt(job_id)
-            status, _ = self._call('DELETE', job_id)
-            if status == 200:
-                self._checker.record_cancel_acknowledged(job_id)
+        return job_id
+
+    def _cancel(self, job_id):
+        self._checker.record_cancel_attempt(job_id)
+        status, _ = self._call('DELETE', job_id)
+        if status == 200:
+            self._checker.record_cancel_acknowledged(job_id)
 
     def _poll(self):
         for job_id in list(self._unfinished_jobs):
--- a/figtray/soak/tests/test_soak.py
+++ b/figtray/soak/tests/test_soak.py
@@ -6,6 +6,7 @@
 
 from figtray.soak import faults
 from figtray.soak import report
+from figtray.soak import series
 from figtray.soak import soak
 
 DURATION_S = 8
@@ -17,6 +18,27 @@
 )
 
 
+SCHEDULE_OF_SEED_100 = [
+    (1.126, 2.438, 'STORE_DOWN'),
+    (1.47, 2.682, 'RELOAD'),
+    (2.538, 1.538, 'KEY_WITHDRAWN'),
+    (2.721, 1.38, 'STORE_LOSES_REPLIES'),
+    (2.888, 1.931, 'CALLERS_SILENT'),
+    (3.077, 4.794, 'ORDERS_LATE'),
+    (4.441, 1.054, 'CALLERS_SILENT'),
+    (4.445, 2.159, 'WORKER_CRASH'),
+    (5.917, 2.083, 'STORE_FORGETS'),
+    (6.729, 1.271, 'KILL_ALL'),
+]
+# The outage is longer than the watch of the leader's key that was sent just
+# before it (4.8 s), so that the next one is lost in it too. The worker leaves
+# after the leader has lost its right to give orders (1.7 s).
+WORKER_LEAVES_DURING_OUTAGE = (
+    faults.Fault(6.0, 5.8, faults.FaultKind.STORE_SILENT_OUTAGE, 0, False),
+    faults.Fault(6.5, 1.5, faults.FaultKind.WORKER_LEAVES, 0, False),
+)
+
+
 class TestSchedule:
     """Guards against schedules that a seed does not reproduce."""
 
@@ -30,8 +52,49 @@
             for fault in first
         )
 
+    def test_seed_determines_series(self):
+        first, again = (
+            series.make_series(random.Random(5), 30) for _ in range(2)
+        )
+        assert first == again
+        assert all(
+            0 < fault.at_s and fault.at_s + fault.for_s <= 30.001
+            for fault in first
+        )
+        assert all(
+            fault.for_s >= series.MIN_OUTAGE_S
+            for fault in first
+            if fault.kind is faults.FaultKind.STORE_SILENT_OUTAGE
+        )
+
+    def test_outage_worker_that_leaves_and_kill_come_within_a_second(self):
+        schedule = series.make_series(random.Random(5), 300)
+        kinds = {
+            faults.FaultKind.STORE_SILENT_OUTAGE,
+            faults.FaultKind.WORKER_LEAVES,
+            faults.FaultKind.KILL,
+        }
+        assert any(
+            kinds
+            <= {
+                fault.kind
+                for fault in schedule
+                if 0 <= fault.at_s - first.at_s <= 1
+            }
+            for first in schedule
+        )
+
+    # A kind that is added to the single faults would change the schedule of
+    # each seed, also of those that guard against a former fault.
+    def test_seeds_keep_their_schedules(self):
+        schedule = faults.make_schedule(random.Random(100), DURATION_S)
+        assert [
+            (fault.at_s, fault.for_s, fault.kind.name) for fault in schedule
+        ] == SCHEDULE_OF_SEED_100
+
     def test_all_kinds_occur(self):
         schedule = faults.make_schedule(random.Random(5), 300)
+        schedule += series.make_series(random.Random(5), 300)
         assert {fault.kind for fault in schedule} == set(faults.FaultKind)
 
 
@@ -44,3 +107,12 @@
         assert not result.violations, report.summarize(result)
         assert result.jobs.get('completed')
         assert result.hits
+
+    # Guards against a new leader that holds all lasting tasks until the leases
+    # of one worker that is gone have expired.
+    def test_worker_leaves_during_silent_outage(self, tmp_path):
+        result = soak.Soak(
+            1, DURATION_S, 2, tmp_path, WORKER_LEAVES_DURING_OUTAGE
+        ).run()
+        assert not result.violations, report.summarize(result)
+        assert len(result.hits) == len(WORKER_LEAVES_DURING_OUTAGE)
