Take a lost host as the end of a silent worker without an entry

Cause: a worker that is silent because its host has lost power was awaited until the longest lease, counted anew from the start of each term.

Evidence: the worker crashed at 3.2 s, the nodes were back at 9.4, its tasks started at 16.5, 6.4 s after the election.

Change: a silent worker without an entry has also ended if its host is listed as down without a worker for 500 ms. A listed one is still awaited.

--- a/figtray/scheduling/membership.py
+++ b/figtray/scheduling/membership.py
@@ -12,7 +12,7 @@
 REFUSALS_TO_END = 2
 # The pages of the host list are not one snapshot, so a single list may lack
 # a host.
-HOST_MISSING_TO_END_MS = 500
+HOST_LOST_TO_END_MS = 500
 
 
 class Membership(scheduler_base.SchedulerBase):
@@ -190,11 +190,10 @@
         """End the incarnations that their hosts certainly run no more.
 
         The list may lag and names no incarnations, so a host that is up in
-        the same pool with the same worker id, or none, ends nothing. Nor
-        does a host that is listed as down: it may merely be cut off from the
-        network while its runs go on. A worker that refuses connections may
-        be cut off as well, so the list must also show that its host does not
-        run it. A silent worker has ended if its host has left the list.
+        the same pool with the same worker id, or none, ends nothing. A worker
+        that is silent or refuses connections may be cut off while its runs go
+        on, so the list must also show that its host does not run it. If it is
+        silent, it must also have no entry.
 
         Args:
             listed: mapping of host id to its fleet Host.
@@ -238,21 +237,17 @@
 
 
 def _note_host(worker_state, listed, now_ms):
-    """Record whether a host list has the host of a worker."""
+    """Record whether a host list has the host of a worker, and not as lost."""
     host_id = worker_state.worker.host_id
     # An empty list is taken for a fault of the host service.
     if not listed or not host_id:
         return
-    if host_id in listed:
-        worker_state.host_seen = True
-        worker_state.host_missing_since_ms = None
-    elif worker_state.host_missing_since_ms is None:
-        worker_state.host_missing_since_ms = now_ms
-
-
-def _is_host_missing(worker_state, now_ms):
-    since_ms = worker_state.host_missing_since_ms
-    return since_ms is not None and now_ms - since_ms >= HOST_MISSING_TO_END_MS
+    host = listed.get(host_id)
+    worker_state.host_seen |= host is not None
+    if host is not None and not _is_down(host):
+        worker_state.host_lost_since_ms = None
+    elif worker_state.host_lost_since_ms is None:
+        worker_state.host_lost_since_ms = now_ms
 
 
 def _end_reason(worker_state, listed, now_ms):
@@ -270,15 +265,24 @@
     refuses = worker_state.refused_connections >= REFUSALS_TO_END
     if refuses and host and not _may_run_on_host(incarnation, host):
         return 'it refuses connections and its host does not run it'
-    if not _is_host_missing(worker_state, now_ms):
+    lost_since_ms = worker_state.host_lost_since_ms
+    if lost_since_ms is None or now_ms - lost_since_ms < HOST_LOST_TO_END_MS:
         return ''
-    # The list may lag: a new host may be missing from it for a while.
-    has_left = worker_state.host_seen or not worker_state.listed
-    if refuses or (worker_state.unresponsive and has_left):
-        return 'it does not answer and its host has left the list'
+    if host is None and refuses:
+        return 'it refuses connections and its host has left the list'
+    # The list may lag, so a new host may be missing from it for a while.
+    was_host_seen = host is None and worker_state.host_seen
+    if worker_state.unresponsive and (
+        was_host_seen or not worker_state.listed
+    ):
+        return 'it is silent and its host is down or has left the list'
     return ''
 
 
+def _is_down(host):
+    return host.state == fleet.HostState.DOWN and not host.worker_id
+
+
 def _may_run_on_host(incarnation, host):
     return host.state == fleet.HostState.UP and host.worker_id in (
         '',
--- a/figtray/scheduling/state.py
+++ b/figtray/scheduling/state.py
@@ -331,8 +331,9 @@
             is under way; 0 if there is none.
         refused_connections: number of refused connections in a row.
         host_seen: whether a host list of this term has had its host.
-        host_missing_since_ms: local time since which the host lists lack its
-            host; None if the last one had it.
+        host_lost_since_ms: local time since which the host lists lack its
+            host, or show it down without a worker; None if the last one
+            doesn't.
         unanswered_starts: number of starts in a row that got no reply.
         strays: for each stray run, the local time of the last order to stop
             it.
@@ -365,7 +366,7 @@
         self.requested_lease_ms = 0
         self.refused_connections = 0
         self.host_seen = False
-        self.host_missing_since_ms = None
+        self.host_lost_since_ms = None
         self.unanswered_starts = 0
         self.strays = {}
         self.orders = queue.SimpleQueue()
--- a/figtray/scheduling/tests/test_takeover.py
+++ b/figtray/scheduling/tests/test_takeover.py
@@ -97,6 +97,15 @@
     fleet.client.choose_fault = choose_fault
 
 
+def set_down(fleet, number):
+    """List the host of a worker as down, without a worker."""
+    fleet.hosts[f'host-{number}'] = dataclasses.replace(
+        fleet.hosts[f'host-{number}'],
+        state=fleet_model.HostState.DOWN,
+        worker_id='',
+    )
+
+
 def submit_pair(fleet, leader):
     """Start a lasting job of two tasks on two workers.
 
@@ -306,16 +315,38 @@
         first, _ = submit_pair(fleet, leader)
         number = place(fleet, first)
         fleet.client.crash(f'10.0.0.{number}:80')
-        fleet.hosts[f'host-{number}'] = dataclasses.replace(
-            fleet.hosts[f'host-{number}'],
-            state=fleet_model.HostState.DOWN,
-            worker_id='',
-        )
+        set_down(fleet, number)
         if new_leader:
             leader = fleet.elect_leader()
         play(leader, FIND_GONE_MS)
         assert place(fleet, first) != number
 
+    # A host without power answers no more, until its lease is over.
+    @pytest.mark.parametrize('new_leader', [True, False])
+    def test_silent_worker_of_a_lost_host_is_awaited(
+        self, fleet, leader, new_leader
+    ):
+        first, _ = submit_pair(fleet, leader)
+        number = place(fleet, first)
+        silence(fleet, number, listed=False)
+        fleet.client.crash(f'10.0.0.{number}:80')
+        set_down(fleet, number)
+        if new_leader:
+            leader = fleet.elect_leader()
+        play(leader, FIND_GONE_MS)
+        assert place(fleet, first) != number
+
+    # A host that is cut off may be listed as down; its worker's entry stays.
+    def test_listed_worker_of_a_host_that_is_down_is_ended(
+        self, fleet, leader
+    ):
+        first, _ = submit_pair(fleet, leader)
+        number = place(fleet, first)
+        silence(fleet, number)
+        set_down(fleet, number)
+        play(leader, LONGEST_LEASE_MS - LEASE_LEFT_MS)
+        assert place(fleet, first) == number
+
     # A host that was taken away answers no more.
     @pytest.mark.parametrize('new_leader', [True, False])
     def test_silent_worker_without_a_host_is_awaited(
