--- a/figtray/scheduling/draining.py
+++ b/figtray/scheduling/draining.py
@@ -2,6 +2,7 @@
 
 import collections
 
+from figtray.scheduling import pool_load
 from figtray.scheduling import scheduler_base
 from figtray.scheduling import state
 
@@ -40,7 +41,8 @@
                     self._work_meter.needed_milli(pool, now_ms)
                 )
             return {
-                pool: state.PoolLoad(**entry) for pool, entry in sums.items()
+                pool: pool_load.PoolLoad(**entry)
+                for pool, entry in sums.items()
             }
 
     def set_upkeep_due(self, worker_ids):
--- a/figtray/scheduling/membership.py
+++ b/figtray/scheduling/membership.py
@@ -6,7 +6,7 @@
 from figtray.jobs import model
 from figtray.scheduling import roster as rosters
 from figtray.scheduling import scheduler_base
-from figtray.scheduling import state
+from figtray.scheduling import worker_state as worker_state_lib
 
 # A single refused connection may be a fault of the network.
 REFUSALS_TO_END = 2
@@ -119,7 +119,7 @@
                 continue
             worker_state = self._worker_states.get(incarnation)
             if worker_state is None:
-                worker_state = state.WorkerState(worker)
+                worker_state = worker_state_lib.WorkerState(worker)
                 self._worker_states[incarnation] = worker_state
                 added.append(worker_state)
                 _log_seen(worker)
@@ -174,7 +174,9 @@
         added = []
         for incarnation in self._unresolved:
             if incarnation not in self._worker_states:
-                worker_state = state.WorkerState(_unlisted_worker(incarnation))
+                worker_state = worker_state_lib.WorkerState(
+                    _unlisted_worker(incarnation)
+                )
                 worker_state.listed = False
                 self._worker_states[incarnation] = worker_state
                 added.append(worker_state)
--- a/figtray/scheduling/service.py
+++ b/figtray/scheduling/service.py
@@ -10,6 +10,7 @@
 from figtray.jobs import records
 from figtray.scheduling import leases
 from figtray.scheduling import pacer as pacers
+from figtray.scheduling import retention
 from figtray.scheduling import roster as rosters
 from figtray.scheduling import scheduler as schedulers
 from figtray.scheduling import session
@@ -32,44 +33,11 @@
 # so that a repeated submission still finds them.
 RETENTION_MARGIN_MS = 60_000
 RETENTION_POLL_MS = 5000
-REMOVAL_TIMEOUT_MS = 5000
 ADVICE_TIMEOUT_MS = 2500
 ADVICE_POLL_MS = 10
 MAX_ADVICE_WORKERS = 30
 
 
-def remove_jobs(scheduler, writer, job_ids, wait_ms=REMOVAL_TIMEOUT_MS):
-    """Remove the records of expired jobs, then the jobs from the scheduler.
-
-    The progress record goes last: a job without it would run again.
-
-    Args:
-        scheduler: the Scheduler.
-        writer: the Writer.
-        job_ids: ids from Scheduler.expired_jobs().
-        wait_ms: longest wait for the store in milliseconds.
-
-    Returns:
-        True if the jobs are removed; False if the store did not confirm it
-        in time, and the scheduler keeps them.
-    """
-    sequence = writer.last_sequence()
-    for job_id in job_ids:
-        for prefix in (records.JOB_PREFIX, records.CANCEL_PREFIX):
-            sequence = writer.enqueue(prefix + job_id, _encode_deletion)
-    if not writer.wait(sequence, wait_ms):
-        return False
-    for job_id in job_ids:
-        writer.enqueue(records.PROGRESS_PREFIX + job_id, _encode_deletion)
-    scheduler.forget_jobs(job_ids)
-    log.emit(catalogue.JOBS_REMOVED, jobs=len(job_ids))
-    return True
-
-
-def _encode_deletion():
-    """Return None, which makes the writer delete the key."""
-
-
 class LeaderService:
     """Schedules during a term.
 
@@ -387,7 +355,9 @@
         while not self._clock.wait(self._term.ended, RETENTION_POLL_MS):
             expired_jobs = self._scheduler.expired_jobs(retention_ms)
             if expired_jobs:
-                remove_jobs(self._scheduler, self._writer, expired_jobs)
+                retention.remove_jobs(
+                    self._scheduler, self._writer, expired_jobs
+                )
 
     def _ask_advice(self):
         while not self._clock.wait(self._term.ended, ADVICE_POLL_MS):
--- a/figtray/scheduling/tests/test_job_lifecycle.py
+++ b/figtray/scheduling/tests/test_job_lifecycle.py
@@ -2,7 +2,7 @@
 
 from figtray.fleet import messages
 from figtray.jobs import records
-from figtray.scheduling import service
+from figtray.scheduling import retention
 from figtray.scheduling import state
 from figtray.scheduling.tests import harness
 
@@ -173,7 +173,7 @@
 
         leader.writer.wait = wait
         expired_jobs = leader.scheduler.expired_jobs(self.RETENTION_MS)
-        done = service.remove_jobs(
+        done = retention.remove_jobs(
             leader.scheduler, leader.writer, expired_jobs
         )
         leader.flush()
--- /dev/null
+++ b/figtray/scheduling/worker_state.py
@@ -0,0 +1,131 @@
+"""State of one incarnation of a worker, as the leader knows it."""
+
+import queue
+import threading
+
+from figtray.jobs import model
+from figtray.jobs import records
+
+
+class WorkerState:
+    """One incarnation of a worker, with its runs.
+
+    Attributes:
+        worker: the fleet Worker.
+        runs: mapping of task name to its Run.
+        used: Resources that the runs occupy; see occupied().
+        has_reported: whether it has reported in the present term.
+        on_roster: whether the stored roster has it, so that a later leader
+            knows that tasks may run on it.
+        listed: whether its entry is in the store.
+        unresponsive: whether the last request for a report failed; its lease
+            is not extended then, so that the end of the lease is known.
+        report_error: why the last request for a report failed; empty if it
+            was answered.
+        gone: whether this incarnation has ended.
+        cordon_reasons: why no task may start on it; empty if tasks may.
+        cordon_reason: the same in one string.
+        upkeep_due: whether its host has an upkeep ahead.
+        avoid_until_ms: local time until which no task is started on it.
+        seen_end: number of the last end that was recorded.
+        acknowledged: number of the last end that is stored.
+        sent_acknowledged: number of the last end that the worker was asked to
+            forget.
+        clock_ms: the worker's clock in its last report; None before that.
+        clock_read_ms: local time at which that report arrived.
+        lease_until_ms: latest end of the lease, on the worker's clock, that
+            the worker may have been asked for.
+        requested_lease_ms: end of the lease in the request for a report that
+            is under way; 0 if there is none.
+        refused_connections: number of refused connections in a row.
+        host_seen: whether a host list of this term has had its host.
+        host_lost_since_ms: local time since which the host lists lack its
+            host, or show it down without a worker; None if the last one
+            doesn't.
+        unanswered_starts: number of starts in a row that got no reply.
+        strays: for each stray run, the local time of the last order to stop
+            it.
+        orders: queue of orders for the session's order threads.
+        wake: wakes the session's report thread from its idle wait.
+        failures: number of failed runs since a task was last done.
+        failed_jobs: ids of the jobs of these runs.
+    """
+
+    def __init__(self, worker):
+        self.worker = worker
+        self.runs = {}
+        self.used = model.NO_RESOURCES
+        self.has_reported = False
+        self.on_roster = False
+        self.listed = True
+        self.unresponsive = False
+        self.report_error = ''
+        self.gone = False
+        self.cordon_reasons = frozenset()
+        self.cordon_reason = ''
+        self.upkeep_due = False
+        self.avoid_until_ms = 0
+        self.seen_end = 0
+        self.acknowledged = 0
+        self.sent_acknowledged = 0
+        self.clock_ms = None
+        self.clock_read_ms = None
+        self.lease_until_ms = 0
+        self.requested_lease_ms = 0
+        self.refused_connections = 0
+        self.host_seen = False
+        self.host_lost_since_ms = None
+        self.unanswered_starts = 0
+        self.strays = {}
+        self.orders = queue.SimpleQueue()
+        self.wake = threading.Event()
+        self.failed_jobs = set()
+        self.failures = 0
+
+    def set_cordoned(self, reason, cordoned):
+        """Set whether the worker is cordoned for a reason."""
+        reasons = self.cordon_reasons - {reason}
+        if cordoned:
+            reasons |= {reason}
+        self.cordon_reasons = reasons
+        self.cordon_reason = ', '.join(sorted(reasons))
+
+    def placement(self):
+        """Return the records.Placement of the runs on this incarnation."""
+        return records.Placement(self.worker.worker_id, self.worker.born_ms)
+
+    def worker_clock(self, now_ms):
+        """Return an estimate of the worker's clock; None if unknown."""
+        if self.clock_ms is None:
+            return None
+        return self.clock_ms + now_ms - self.clock_read_ms
+
+    def extend_lease(self, lease_until_ms):
+        """Record that the worker may have been asked for a longer lease."""
+        self.lease_until_ms = max(self.lease_until_ms, lease_until_ms)
+
+    def settle_requested_lease(self, was_sent):
+        """Record whether the request for a report under way was sent.
+
+        One that was certainly not sent has not extended the lease.
+        """
+        if was_sent:
+            self.extend_lease(self.requested_lease_ms)
+        self.requested_lease_ms = 0
+
+    def is_lease_over(self, now_ms, slowest_rate, margin_ms):
+        """Return whether the lease on the worker has certainly expired.
+
+        Args:
+            now_ms: local time.
+            slowest_rate: rate of the slowest possible clock of a worker.
+            margin_ms: safety margin in milliseconds.
+        """
+        if self.clock_ms is None:
+            return False
+        passed_ms = (now_ms - self.clock_read_ms) * slowest_rate
+        return self.clock_ms + passed_ms > self.lease_until_ms + margin_ms
+
+    def free_resources(self):
+        """Return the Resources that no run occupies."""
+        return self.worker.capacity - self.used
--- a/figtray/upkeep/tests/test_rebalancer.py
+++ b/figtray/upkeep/tests/test_rebalancer.py
@@ -9,7 +9,7 @@
 from figtray.fleet import model as fleet_model
 from figtray.jobs import model
 from figtray.jobs import queues
-from figtray.scheduling import state
+from figtray.scheduling import pool_load
 from figtray.scheduling.tests import harness
 from figtray.upkeep import host_orders
 from figtray.upkeep import rebalancer
@@ -290,21 +290,21 @@
 
 class TestWantedWorkers:
     def test_processor_time(self):
-        load = state.PoolLoad(lasting_milli=8000, short_milli=24_000)
+        load = pool_load.PoolLoad(lasting_milli=8000, short_milli=24_000)
         assert rebalancer.wanted_workers(load, 0, HOST_CAPACITY) >= 4
 
     def test_memory(self):
-        load = state.PoolLoad(memory_mb=5 * 64_000)
+        load = pool_load.PoolLoad(memory_mb=5 * 64_000)
         assert rebalancer.wanted_workers(load, 0, HOST_CAPACITY) >= 5
 
     def test_spread(self):
-        load = state.PoolLoad(spread=6)
+        load = pool_load.PoolLoad(spread=6)
         assert rebalancer.wanted_workers(load, 0, HOST_CAPACITY) >= 6
 
     # Otherwise a task of a step that uses all workers could not move to
     # another one before the upkeep of its host.
     def test_due_upkeep_adds_a_worker(self):
-        load = state.PoolLoad(spread=6, due=2)
+        load = pool_load.PoolLoad(spread=6, due=2)
         assert rebalancer.wanted_workers(load, 0, HOST_CAPACITY) >= 7
 
     def test_minimum_on_a_small_site(self):
