Look at a worker's entry before the host list frees its tasks

Callers could see a task run twice: a leader changes within the lag of the host list, a listed worker is silent, and the list still shows a move of its host that is over, or the worker before.

Cause: an incarnation of earlier terms was resolved by the host list alone, although its entry was still listed.

Change: the host list resolves only incarnations without an entry. Those of hosts that were moved are resolved once the later worker of the host is listed, without a wait for their entries to expire.

Result: test_lagging_list_ends_a_listed_worker failed before (2 cases) and passes; test_former_worker_of_a_moved_host_is_awaited guards the time.

--- a/figtray/scheduling/membership.py
+++ b/figtray/scheduling/membership.py
@@ -202,6 +202,9 @@
         """
         with self.lock:
             for incarnation in list(self._unresolved):
+                worker_state = self._worker_states.get(incarnation)
+                if worker_state is not None and worker_state.listed:
+                    continue
                 host = listed.get(incarnation.host_id)
                 if _has_left_host(incarnation, host):
                     self._resolve_incarnation(
@@ -332,17 +335,18 @@
 
 
 def _latest_born_ms(workers):
-    """Return the latest start time for each worker id and each address."""
+    """Return the latest start time for each worker id, address and host."""
     latest = {}
     for worker in workers:
-        for key in (worker.worker_id, worker.address):
+        for key in (worker.worker_id, worker.address, worker.host_id):
             latest[key] = max(latest.get(key, 0), worker.born_ms)
     return latest
 
 
 def _is_superseded(incarnation, latest_born_ms):
-    """Return whether a later incarnation has its id or its address."""
+    """Return whether a later incarnation has its id, address or host."""
+    keys = (incarnation.worker_id, incarnation.address, incarnation.host_id)
     return any(
-        latest_born_ms.get(key, 0) > incarnation.born_ms
-        for key in (incarnation.worker_id, incarnation.address)
+        key and latest_born_ms.get(key, 0) > incarnation.born_ms
+        for key in keys
     )
--- a/figtray/scheduling/tests/test_takeover.py
+++ b/figtray/scheduling/tests/test_takeover.py
@@ -5,6 +5,7 @@
 import pytest
 
 from figtray import errors
+from figtray.fleet import memory
 from figtray.fleet import messages
 from figtray.fleet import model as fleet_model
 from figtray.jobs import records
@@ -347,6 +348,38 @@
         play(leader, LONGEST_LEASE_MS - LEASE_LEFT_MS)
         assert place(fleet, first) == number
 
+    # The list may still show a move that is over, or the worker before.
+    @pytest.mark.parametrize(
+        'fields',
+        [
+            {'state': fleet_model.HostState.MOVING},
+            {'worker_id': 'worker-before'},
+        ],
+    )
+    def test_lagging_list_ends_a_listed_worker(self, fleet, leader, fields):
+        first, _ = submit_pair(fleet, leader)
+        number = place(fleet, first)
+        silence(fleet, number)
+        fleet.hosts[f'host-{number}'] = dataclasses.replace(
+            fleet.hosts[f'host-{number}'], **fields
+        )
+        play(fleet.elect_leader(), LONGEST_LEASE_MS - LEASE_LEFT_MS)
+        assert place(fleet, first) == number
+
+    # The entry of the former worker of a host that was moved stays a while.
+    def test_former_worker_of_a_moved_host_is_awaited(self, fleet, leader):
+        first, _ = submit_pair(fleet, leader)
+        number = place(fleet, first)
+        silence(fleet, number)
+        fleet.client.crash(f'10.0.0.{number}:80')
+        later = dataclasses.replace(
+            memory.make_worker(9, born_ms=2), host_id=f'host-{number}'
+        )
+        fleet.workers[later.worker_id] = later
+        fleet.client.add(later)
+        play(fleet.elect_leader(), FIND_GONE_MS)
+        assert place(fleet, first) != number
+
     # A host that was taken away answers no more.
     @pytest.mark.parametrize('new_leader', [True, False])
     def test_silent_worker_without_a_host_is_awaited(
