Give the held tasks of a takeover a module of their own

The planner had three methods for them, and its plan() put them back without regard to exceptions. One context manager now takes both kinds of held tasks out of the queues and counts them; no behaviour changes otherwise.

--- /dev/null
+++ b/figtray/scheduling/adoption.py
@@ -0,0 +1,82 @@
+"""Tasks of earlier terms that may still run where the leader can't see it."""
+
+import collections
+import contextlib
+
+from figtray.jobs import model
+from figtray.jobs import records
+from figtray.scheduling import job_lifecycle
+from figtray.scheduling import state
+
+
+class Adoption(job_lifecycle.JobLifecycle):
+    """Holds the tasks that may still run on unresolved incarnations."""
+
+    @contextlib.contextmanager
+    def _hold_uncertain_tasks(self):
+        """Keep tasks that may still run out of the queues of their steps.
+
+        They are back in the queues afterwards. Meanwhile their needs count
+        towards the limits of their teams.
+        """
+        held = {
+            step: tasks
+            for step in self._open_steps.values()
+            if (tasks := self._take_uncertain_tasks(step))
+        }
+        needs = self._needs_out_of_sight(held)
+        for team, total in needs.items():
+            self._quota.add(team, total)
+        try:
+            yield
+        finally:
+            for team, total in needs.items():
+                self._quota.remove(team, total)
+            for step, tasks in held.items():
+                step.waiting.extend(tasks)
+                step.held_reason = (
+                    step.held_reason or state.HeldReason.TAKEOVER
+                )
+
+    def _take_uncertain_tasks(self, step):
+        """Take the tasks that may still run out of the queue of a step.
+
+        A lasting task may if its placement is unresolved. Other tasks have no
+        recorded placement, so each of an earlier term may: a record before
+        each of their starts would put the store into the path of all starts.
+
+        Returns:
+            The tasks.
+        """
+        if step.job.created >= self._term.epoch:
+            return []
+        if not (step.spec.lasting and self._are_placements_known):
+            taken, left = list(step.waiting), ()
+        else:
+            placements = {
+                records.Placement(incarnation.worker_id, incarnation.born_ms)
+                for incarnation in self._unresolved
+            }
+            taken = [t for t in step.waiting if t.placement in placements]
+            left = [t for t in step.waiting if t.placement not in placements]
+        if taken:
+            step.waiting = collections.deque(left)
+            step.held_reason = state.HeldReason.TAKEOVER
+        return taken
+
+    def _needs_out_of_sight(self, held):
+        """Return what the held tasks of each team may need out of sight.
+
+        That is no more than the unresolved incarnations can hold.
+
+        Args:
+            held: mapping of StepState to its held tasks.
+        """
+        capacity = model.NO_RESOURCES
+        for worker_state in self._worker_states.values():
+            capacity = capacity.at_least(worker_state.worker.capacity)
+        limit = capacity.times(len(self._unresolved))
+        needs = collections.defaultdict(lambda: model.NO_RESOURCES)
+        for step, tasks in held.items():
+            needs[step.job.spec.team] += step.spec.needs.times(len(tasks))
+        return {team: total.at_most(limit) for team, total in needs.items()}
--- a/figtray/scheduling/planner.py
+++ b/figtray/scheduling/planner.py
@@ -4,9 +4,7 @@
 
 from figtray.events import catalogue
 from figtray.events import log
-from figtray.jobs import model
-from figtray.jobs import records
-from figtray.scheduling import job_lifecycle
+from figtray.scheduling import adoption
 from figtray.scheduling import placement
 from figtray.scheduling import scheduler_base
 from figtray.scheduling import state
@@ -32,7 +30,7 @@
     TOO_LATE = 2
 
 
-class Planner(job_lifecycle.JobLifecycle):
+class Planner(adoption.Adoption):
     """Chooses the tasks to start and their workers."""
 
     def plan(self):
@@ -57,25 +55,12 @@
                 if start_ms is not None:
                     next_ms = min(next_ms, start_ms)
             pools = self._candidates_by_pool(now_ms)
-            adopting = self._is_adopting(now_ms)
-            if adopting:
+            if self._is_adopting(now_ms):
                 next_ms = min(next_ms, now_ms + ADOPTION_RETRY_MS)
-            held_tasks = self._hold_tasks() if adopting else ()
-            unknown_needs = self._reserve_unknown() if adopting else {}
-            for step in self._steps_by_urgency(now_ms):
-                if adopting and not self._are_runs_known(step):
-                    step.held_reason = state.HeldReason.TAKEOVER
-                    continue
-                worker_states = pools.get(step.job.queue.pool)
-                if worker_states:
-                    step.held_reason = self._start_step(
-                        step, worker_states, now_ms
-                    )
-                else:
-                    step.held_reason = state.HeldReason.NO_WORKERS
-            self._release_tasks(held_tasks)
-            for team, needs in unknown_needs.items():
-                self._quota.remove(team, needs)
+                with self._hold_uncertain_tasks():
+                    self._start_steps(pools, now_ms)
+            else:
+                self._start_steps(pools, now_ms)
             return min(
                 [next_ms]
                 + [
@@ -85,74 +70,16 @@
                 ]
             )
 
-    def _are_runs_known(self, step):
-        """Return whether it is known where tasks of a step may still run.
-
-        This is so for jobs of this term, and for lasting tasks, whose
-        Placements are recorded.
-        """
-        return step.job.created >= self._term.epoch or (
-            step.spec.lasting and self._are_placements_known
-        )
-
-    def _hold_tasks(self):
-        """Take lasting tasks that may still run out of their steps' queues.
-
-        Their needs count towards the limits of their teams.
-
-        Returns:
-            The tasks, for _release_tasks().
-        """
-        unresolved = {
-            records.Placement(incarnation.worker_id, incarnation.born_ms)
-            for incarnation in self._unresolved
-        }
-        held = [
-            task
-            for step in self._open_steps.values()
-            if step.spec.lasting
-            for task in step.waiting
-            if task.placement in unresolved
-        ]
-        for task in held:
-            task.step.waiting.remove(task)
-            task.step.held_reason = state.HeldReason.TAKEOVER
-            self._quota.add(task.step.job.spec.team, task.step.spec.needs)
-        return held
-
-    def _reserve_unknown(self):
-        """Count runs that may go on out of sight towards teams' limits.
-
-        Any waiting task of a step whose runs are not known may be one, but
-        they need no more than the unresolved incarnations can hold.
-
-        Returns:
-            Mapping of team name to the Resources that were counted.
-        """
-        capacity = model.NO_RESOURCES
-        for worker_state in self._worker_states.values():
-            capacity = capacity.at_least(worker_state.worker.capacity)
-        limit = capacity.times(len(self._unresolved))
-        needs = {}
-        for step in self._open_steps.values():
-            if not self._are_runs_known(step):
-                team = step.job.spec.team
-                waiting = step.spec.needs.times(len(step.waiting))
-                needs[team] = needs.get(team, model.NO_RESOURCES) + waiting
-        reserved = {
-            team: total.at_most(limit) for team, total in needs.items()
-        }
-        for team, total in reserved.items():
-            self._quota.add(team, total)
-        return reserved
-
-    def _release_tasks(self, held):
-        """Undo _hold_tasks()."""
-        for task in held:
-            step = task.step
-            step.waiting.append(task)
-            step.held_reason = step.held_reason or state.HeldReason.TAKEOVER
-            self._quota.remove(step.job.spec.team, step.spec.needs)
+    def _start_steps(self, pools, now_ms):
+        """Start what can start of all steps, most urgent first."""
+        for step in self._steps_by_urgency(now_ms):
+            worker_states = pools.get(step.job.queue.pool)
+            if worker_states:
+                step.held_reason = self._start_step(
+                    step, worker_states, now_ms
+                )
+            else:
+                step.held_reason = state.HeldReason.NO_WORKERS
 
     def _candidates_by_pool(self, now_ms):
         """Return the candidate WorkerStates of each pool.
