Remove the placement of a lasting task whose run is over

Callers could see a lasting task wait for up to 7.4 s after a change of the leader although it certainly has no run: it waits for room, and the worker of its last run, whose end is recorded, falls silent.

Cause: the placement stayed in the record until the next start.

Change: the placement is removed when the run is known to be over or has never started.

Result: test_task_without_a_run_waits_for_its_last_worker failed before (2 cases) and passes; both state machines pass with FIGTRAY_FUZZ=150.

--- a/figtray/jobs/records.py
+++ b/figtray/jobs/records.py
@@ -70,9 +70,9 @@
             a number that occurs twice counts once.
         checkpoints: by `OCCURRENCE.STEP.INDEX`, the checkpoint from which the
             next run resumes.
-        placements: by `OCCURRENCE.STEP.INDEX`, the Placement of the last run
-            of a lasting task, stored before the run starts. A lasting task
-            without one has never started.
+        placements: by `OCCURRENCE.STEP.INDEX`, the Placement of the run of a
+            lasting task, stored before the run starts. A lasting task without
+            one has no run.
         ended_ms: Unix time in milliseconds of the end; 0 = not ended.
     """
 
--- a/figtray/scheduling/scheduler_base.py
+++ b/figtray/scheduling/scheduler_base.py
@@ -124,11 +124,16 @@
         self._quota.add(task.step.job.spec.team, spec.needs)
 
     def _detach(self, run):
+        """Record that a run is certainly over, or has never started."""
         task, spec = run.task, run.task.step.spec
         task.run = None
         run.worker_state.runs.pop(task.name, None)
         run.worker_state.used -= state.occupied(spec)
         self._quota.remove(task.step.job.spec.team, spec.needs)
+        if task.placement is not None:
+            task.placement = None
+            if not task.step.job.ended:
+                self._store_progress(task.step.job)
 
     def stop(self, run, reason):
         """Stop a run.
--- a/figtray/scheduling/state.py
+++ b/figtray/scheduling/state.py
@@ -88,8 +88,8 @@
     """One task of one occurrence of a job.
 
     Attributes:
-        placement: of a lasting task, the records.Placement of its last run;
-            None if it has had none.
+        placement: of a lasting task, the records.Placement of the run that
+            may go on; None if there is none.
     """
 
     __slots__ = (
--- a/figtray/scheduling/tests/test_takeover.py
+++ b/figtray/scheduling/tests/test_takeover.py
@@ -263,6 +263,20 @@
         play(fleet.elect_leader(), START_MS)
         assert {f'{job_id}.0.0.0', f'{job_id}.0.0.1'} <= set(running(fleet))
 
+    # It may wait for room after a run that is known to be over.
+    def test_task_without_a_run_waits_for_its_last_worker(
+        self, fleet, leader, listed
+    ):
+        first, _ = submit_pair(fleet, leader)
+        number = place(fleet, first)
+        leader.scheduler.set_cordoned('a test', set(fleet.workers))
+        fleet.sim(number).end(first, messages.EndReason.FAILED)
+        play(leader, 3 * CYCLE_MS)
+        assert first not in running(fleet)
+        silence(fleet, number, listed=listed)
+        play(fleet.elect_leader(), START_MS)
+        assert first in running(fleet)
+
     # play() checks that no second run starts.
     def test_its_own_task_starts_too_early(self, fleet, leader, listed):
         first, second = submit_pair(fleet, leader)
