Refuse a watch of changes that the in-memory store has just compacted

Cause: a watch that asks for compacted changes was refused only if a later change existed. A compaction between a write and the wake-up of the watch that waits for it thus answered the watch without the change and past it.

Evidence: the job was stored at 13.0 s of the logs, the store forgot its history in the same 10 ms; the leader has 1502 for the revisions 377 and 384, none for the job between, and no 200 or 201 of the watch. The node's code goes by the answer, as the protocol says; the fault is in the store of tests and stand-ins.

Change: compacted changes are always refused.

Result: the new test of the stores' contract failed before (2 cases) and passes.

--- a/figtray/store/memory.py
+++ b/figtray/store/memory.py
@@ -188,7 +188,7 @@
                 )
             if not changed:
                 return [], start_revision
-            if start_revision <= self._compacted_revision < self.revision:
+            if start_revision <= self._compacted_revision:
                 # A watch from revision 1 misses nothing while only revision
                 # 1, the empty store, counts as compacted.
                 if start_revision > 1 or self._compacted_revision > 1:
--- a/figtray/store/tests/contract.py
+++ b/figtray/store/tests/contract.py
@@ -195,6 +195,14 @@
         assert next(late).value == b'2'
         late.close()
 
+    def test_watch_of_changes_that_are_just_compacted_is_refused(self, rig):
+        """Guards against a watch that skips changes without a later one."""
+        start = rig.store.range('').revision + 1
+        rig.store.txn([], [base.Put('/w/a', b'1')])
+        rig.backing.compact_history()
+        with pytest.raises(errors.StoreUnavailable):
+            next(rig.store.watch('/w/', start, self.stop))
+
     def test_restore_returns_to_older_state(self, rig):
         """Guards against a restore that keeps newer keys or leases."""
         lease_id = rig.store.grant_lease(1000)
