Count failures that are read before the configuration

Cause: all nodes lose power right after a task's second failure. The next leader reads the end from its worker before it has the configuration.

Change: the limit is also checked when the queue of a job becomes known, and when stored failures are restored.

Result: test_task_starts_after_its_last_attempt failed before (2 cases) and passes.

--- a/figtray/scheduling/job_lifecycle.py
+++ b/figtray/scheduling/job_lifecycle.py
@@ -167,6 +167,7 @@
             _restore(occurrence, job.stored)
         self._open_ready_steps(occurrence, now_ms)
         self._complete_if_done(job)
+        self._fail_exhausted(job)
 
     def _open_ready_steps(self, occurrence, now_ms):
         for step in occurrence.steps:
@@ -246,8 +247,18 @@
         if task.done or job.ended or number in task.failed_runs:
             return
         task.failed_runs.append(number)
-        # The limit of a queue that left the configuration is not known.
-        if job.queue and len(task.failed_runs) >= job.queue.attempts:
+        self._fail_if_exhausted(task)
+
+    def _fail_if_exhausted(self, task):
+        """Fail the job of a task that has failed as often as it may.
+
+        The limit is not known while the configuration lacks the queue, so it
+        is also checked when the queue or stored failures become known.
+        """
+        job = task.step.job
+        if job.ended or job.queue is None or not task.failed_runs:
+            return
+        if len(task.failed_runs) >= job.queue.attempts:
             log.emit(
                 catalogue.JOB_FAILED,
                 job_id=job.job_id,
@@ -256,6 +267,12 @@
             )
             self._end_job(job, records.State.FAILED)
 
+    def _fail_exhausted(self, job):
+        for occurrence in list(job.occurrences.values()):
+            for step in occurrence.steps:
+                for task in step.tasks:
+                    self._fail_if_exhausted(task)
+
 
 def _restore(occurrence, stored):
     for step in occurrence.steps:
--- a/figtray/scheduling/membership.py
+++ b/figtray/scheduling/membership.py
@@ -4,8 +4,8 @@
 from figtray.events import log
 from figtray.fleet import model as fleet
 from figtray.jobs import model
+from figtray.scheduling import job_lifecycle
 from figtray.scheduling import roster as rosters
-from figtray.scheduling import scheduler_base
 from figtray.scheduling import worker_state as worker_state_lib
 
 # A single refused connection may be a fault of the network.
@@ -15,7 +15,7 @@
 HOST_LOST_TO_END_MS = 500
 
 
-class Membership(scheduler_base.SchedulerBase):
+class Membership(job_lifecycle.JobLifecycle):
     """Keeps the configuration, the zones out of service and the workers."""
 
     def configure(self, cfg, evacuated_zones):
@@ -36,8 +36,11 @@
             if cfg is self._cfg:
                 return
             self._cfg = cfg
-            for job in self._jobs.values():
+            for job in list(self._jobs.values()):
+                is_queue_new = job.queue is None
                 job.queue = cfg.queues.get(job.spec.queue, job.queue)
+                if is_queue_new:
+                    self._fail_exhausted(job)
 
     def begin_adoption(self, roster, until_ms):
         """Hold tasks of earlier terms until their runs are known.
--- a/figtray/scheduling/tests/test_waiting_tasks.py
+++ b/figtray/scheduling/tests/test_waiting_tasks.py
@@ -1,7 +1,10 @@
 """Tests of the tasks that wait again after a run or a refused start."""
 
+import pytest
+
 from figtray.fleet import messages
 from figtray.jobs import queues
+from figtray.jobs import records
 from figtray.scheduling.tests import harness
 from figtray import verdict
 
@@ -36,6 +39,30 @@
         leader.run_cycle()
         assert task in fleet.sim(0).runs
 
+    # The configuration may come after the ends. A failure that was recorded
+    # without the limit of the queue did not count towards it.
+    @pytest.mark.parametrize('new_leader', [True, False])
+    def test_task_starts_after_its_last_attempt(self, new_leader):
+        fleet = harness.Fleet(1, harness.make_config(attempts=1))
+        leader = fleet.elect_leader()
+        leader.report_all()
+        job_id = fleet.submit(harness.make_step())
+        leader.run_cycle()
+        cfg = fleet.cfg
+        fleet.cfg = without_queue(cfg, 'q')
+        leader = fleet.elect_leader()
+        leader.report_all()
+        fleet.sim(0).end(f'{job_id}.0.0.0', messages.EndReason.FAILED)
+        leader.report(0)
+        fleet.cfg = cfg
+        if new_leader:
+            leader = fleet.elect_leader()
+            leader.report_all()
+        leader.scheduler.configure(cfg, frozenset())
+        leader.run_cycle()
+        assert not fleet.sim(0).runs
+        assert leader.state(job_id) == records.State.FAILED
+
 
 class TestDoneTask:
     # The first run of a task may turn out to be done while a second start of
