Test that an idle worker is used as soon as its entry returns

The postmortem named test_returned_entry_is_ignored for the fault that a worker whose entry returns was ignored for 5 s.

The new test fails there (no run 0.5 s after the entry is back) and passes now.

--- a/figtray/scheduling/tests/test_takeover.py
+++ b/figtray/scheduling/tests/test_takeover.py
@@ -119,6 +119,16 @@
         assert len(takeovers.running(fleet)) == 20
         assert fleet.sim(number).starts == starts
 
+    # An idle worker that was cut off from the store got no task for 5 s after
+    # its entry was back.
+    def test_idle_worker_is_ignored_as_its_entry_returns(self, fleet, leader):
+        workers, fleet.workers = fleet.workers, {}
+        takeovers.play(leader, 3 * takeovers.CYCLE_MS)
+        fleet.workers = workers
+        fleet.submit(harness.make_step(4, cpu_milli=8000))
+        takeovers.play(leader, takeovers.START_MS)
+        assert len(takeovers.running(fleet)) == 4
+
     # Entries expire during an outage of the store and are back soon after it.
     def test_returned_entry_is_ignored(self, fleet, leader):
         workers, fleet.workers = fleet.workers, {}
