Count the wait for leases of earlier terms from the last record of them

Callers could see a lasting task without a run for over 7 s after an outage of the store: its worker was silent, without an entry, and the host list showed it as up. A new leader waited for the longest lease, 7,443 ms, from the start of its term, although no leader had extended a lease since the outage began.

Cause: nothing in the store tells how far the leases of earlier leaders reach, so the only safe start of the wait is the new term. Class of fault: a bound that is counted from the moment of asking, not from the last moment at which what it waits for could have been prolonged.

Change: the leader stores the record leader-leases each 2 s and extends no lease further than 2.5 s and a lease's length after the last stored one; nodes follow it beside the leader's key. A new leader that has seen the newest record counts from there, and gives reachable workers 3 s to report; one that hasn't counts as before. Leases are extended only while the term is valid: a session that was suspended before its request extended one after the end of its term.

Not covered: all nodes restarted, or a leader lost without an outage; then the wait is as before.

--- a/figtray/leadership/elector.py
+++ b/figtray/leadership/elector.py
@@ -46,6 +46,7 @@
         # Local time since which the key is vacant, as far as it was seen.
         self._vacant_ms = clock.now_ms()
         self._last_leader = ''
+        self._leases_seen = None
         self._watcher = prefix_watcher.PrefixWatcher(
             store,
             terms.LEADER_KEY,
@@ -82,10 +83,20 @@
     def _reset_leader(self, items):
         item = next((i for i in items if i.key == terms.LEADER_KEY), None)
         self._update_leader(item)
+        for item in items:
+            if item.key == terms.LEASES_KEY:
+                self._note_leases(item)
 
     def _apply_change(self, item):
         if item.key == terms.LEADER_KEY:
             self._update_leader(None if item.deleted else item)
+        elif item.key == terms.LEASES_KEY:
+            self._note_leases(item)
+
+    def _note_leases(self, item):
+        self._leases_seen = terms.LeasesSeen(
+            item.mod_revision, self._clock.now_ms()
+        )
 
     def _update_leader(self, item):
         if item is None:
@@ -155,7 +166,9 @@
         if not epoch:
             self._revoke_lease(lease_id)
             return None
-        return terms.Term(epoch, lease_id, self._clock, requested_ms)
+        return terms.Term(
+            epoch, lease_id, self._clock, requested_ms, self._leases_seen
+        )
 
     def _read_own_epoch(self, lease_id):
         """Return the epoch if the write without a reply took effect, or 0."""
--- a/figtray/leadership/term.py
+++ b/figtray/leadership/term.py
@@ -1,10 +1,13 @@
 """Term of a leader and the time until which it may give orders."""
 
+import dataclasses
 import threading
 
 import msgspec
 
 LEADER_KEY = 'leader'
+# Written by the leader while it extends leases; see scheduling.lease_horizon.
+LEASES_KEY = 'leader-leases'
 LEASE_TTL_MS = 2000
 RENEW_INTERVAL_MS = 500
 # The store may end a lease this much before its TTL ends by the local clock.
@@ -34,6 +37,19 @@
     return msgspec.json.decode(data, type=LeaderRecord)
 
 
+@dataclasses.dataclass(frozen=True)
+class LeasesSeen:
+    """The last record under LEASES_KEY that this node has seen.
+
+    Attributes:
+        revision: revision of the record.
+        at_ms: local time at which it was seen, after it was written.
+    """
+
+    revision: int
+    at_ms: int
+
+
 class Term:
     """Right to schedule, from the election to the loss of the lease.
 
@@ -42,6 +58,7 @@
         lease_id: id of the lease in the store.
         clock: the Clock.
         requested_ms: local time, read before the lease was requested.
+        leases_seen: the LeasesSeen of this node, or None.
 
     Attributes:
         ended: threading.Event that is set when the term ends.
@@ -49,9 +66,10 @@
         began_ms: local time at which the term began.
     """
 
-    def __init__(self, epoch, lease_id, clock, requested_ms):
+    def __init__(self, epoch, lease_id, clock, requested_ms, leases_seen=None):
         self.epoch = epoch
         self.lease_id = lease_id
+        self.leases_seen = leases_seen
         self.ended = threading.Event()
         self.reason = ''
         self.began_ms = clock.now_ms()
--- a/figtray/scheduling/leases.py
+++ b/figtray/scheduling/leases.py
@@ -6,6 +6,8 @@
 # Longer leases survive longer outages; shorter ones free the tasks of an
 # unresponsive worker earlier. This one outlasts a change of the leader.
 TARGET_LEASE_MS = 7000
+# Interval of the records of leases, and time to store one.
+HORIZON_SLACK_MS = 2500
 
 
 def lease_ms(bounds):
@@ -15,4 +17,22 @@
 
 def longest_lease_ms(bounds):
     """Return how long a lease can last on a worker, in local milliseconds."""
-    return int(lease_ms(bounds) / SLOWEST_CLOCK_RATE + LEASE_MARGIN_MS)
+    return _on_slowest_clock_ms(lease_ms(bounds))
+
+
+def horizon_ms(bounds):
+    """Return how far leases reach after the request of the last record.
+
+    That is more than the length of a lease, so that a record that is late
+    does not shorten the leases.
+    """
+    return lease_ms(bounds) + HORIZON_SLACK_MS
+
+
+def longest_horizon_ms(bounds):
+    """Return how long such leases can last, in local milliseconds."""
+    return _on_slowest_clock_ms(horizon_ms(bounds))
+
+
+def _on_slowest_clock_ms(duration_ms):
+    return int(duration_ms / SLOWEST_CLOCK_RATE + LEASE_MARGIN_MS)
--- a/figtray/scheduling/outcomes.py
+++ b/figtray/scheduling/outcomes.py
@@ -34,8 +34,9 @@
             if task.run is not run or run.phase != state.Phase.STARTING:
                 return None
             worker_clock = worker_state.worker_clock(now_ms)
+            lease_ms = self._grantable_lease_ms(now_ms)
             if (
-                not self._term.valid()
+                not lease_ms
                 or not self._is_config_fresh()
                 or worker_state.gone
                 or worker_state.cordon_reason
@@ -50,13 +51,15 @@
             # A start extends the lease only if reports don't: a worker that
             # has fallen silent would be awaited for longer.
             if worker_state.lease_until_ms < worker_clock + self._lease_ms / 2:
-                worker_state.extend_lease(worker_clock + self._lease_ms)
+                worker_state.extend_lease(worker_clock + lease_ms)
             return messages.StartOrder(
                 task=task.name,
                 run=run.number,
                 payload=task.step.job.spec.payload,
                 epoch=self._term.epoch,
-                lease_until_ms=worker_state.lease_until_ms,
+                lease_until_ms=min(
+                    worker_state.lease_until_ms, worker_clock + lease_ms
+                ),
                 checkpoint=task.checkpoint,
                 ticket=run.ticket,
             )
--- a/figtray/scheduling/reports.py
+++ b/figtray/scheduling/reports.py
@@ -23,15 +23,20 @@
         Returns:
             (number of the last end that the worker may forget, end of the
             lease on the worker's clock in milliseconds). The latter is None,
-            which leaves the lease as it is, if the worker's clock is unknown
-            or its last report failed.
+            which leaves the lease as it is, if the worker's clock is unknown,
+            its last report failed, or leases may not be extended now.
         """
         with self.lock:
             now_ms = self._clock.now_ms()
             worker_clock = worker_state.worker_clock(now_ms)
-            if worker_clock is None or worker_state.unresponsive:
+            lease_ms = self._grantable_lease_ms(now_ms)
+            if (
+                worker_clock is None
+                or worker_state.unresponsive
+                or not lease_ms
+            ):
                 return worker_state.acknowledged, None
-            worker_state.requested_lease_ms = worker_clock + self._lease_ms
+            worker_state.requested_lease_ms = worker_clock + lease_ms
             return worker_state.acknowledged, worker_state.requested_lease_ms
 
     def handle_report(self, worker_state, report, asked_ms):
--- a/figtray/scheduling/scheduler_base.py
+++ b/figtray/scheduling/scheduler_base.py
@@ -13,6 +13,7 @@
 from figtray.scheduling import arrivals
 from figtray.scheduling import awaited
 from figtray.scheduling import held
+from figtray.scheduling import lease_horizon
 from figtray.scheduling import leases
 from figtray.scheduling import quota
 from figtray.scheduling import state
@@ -53,6 +54,7 @@
         self._writer = writer
         writer.on_written = self.release_recorded_starts
         self._lease_ms = leases.lease_ms(bounds)
+        self.lease_horizon = lease_horizon.LeaseHorizon(writer, clock, bounds)
         self._is_config_fresh = is_config_fresh
         self._metrics = metrics
         # Parts of the takeover of this term that are over.
@@ -118,6 +120,16 @@
                 return worker_state
         return None
 
+    def _grantable_lease_ms(self, now_ms):
+        """Return for how long a lease may be granted; 0 if it may not.
+
+        Args:
+            now_ms: local time, read before the validity of the term.
+        """
+        if not self._term.valid():
+            return 0
+        return min(self._lease_ms, self.lease_horizon.remaining_ms(now_ms))
+
     def _attach(self, run):
         task, spec = run.task, run.task.step.spec
         task.run = run
--- a/figtray/scheduling/service.py
+++ b/figtray/scheduling/service.py
@@ -8,7 +8,8 @@
 from figtray.events import catalogue
 from figtray.events import log
 from figtray.jobs import records
-from figtray.scheduling import leases
+from figtray.leadership import term as terms
+from figtray.scheduling import lease_horizon
 from figtray.scheduling import pacer as pacers
 from figtray.scheduling import retention
 from figtray.scheduling import roster as rosters
@@ -219,10 +220,15 @@
         if roster is None:
             return
         self._roster = roster
-        until_ms = self._term.began_ms + leases.longest_lease_ms(
-            self._service.bounds
+        self._scheduler.begin_adoption(roster, self._earlier_leases_end_ms())
+
+    def _earlier_leases_end_ms(self):
+        item = self._store.get(terms.LEASES_KEY)
+        if item is not None:
+            self._writer.set_revision(item.key, item.mod_revision)
+        return lease_horizon.earlier_leases_end_ms(
+            self._term, item, self._service.bounds
         )
-        self._scheduler.begin_adoption(roster, until_ms)
 
     def _read(self, item, decode):
         try:
@@ -314,7 +320,11 @@
                 self._sessions.pop(incarnation).close()
 
     def _update_roster(self):
-        """Store the incarnations in use before any task starts on them."""
+        """Store the incarnations in use before any task starts on them.
+
+        The record of leases goes first, so it is stored then as well.
+        """
+        self._scheduler.lease_horizon.renew_if_due()
         roster = self._scheduler.roster()
         if roster != self._roster:
             self._roster = roster
--- a/figtray/scheduling/tests/harness.py
+++ b/figtray/scheduling/tests/harness.py
@@ -13,7 +13,7 @@
 from figtray.jobs import records
 from figtray.leadership import term as terms
 from figtray.platform import settings
-from figtray.scheduling import leases
+from figtray.scheduling import lease_horizon
 from figtray.scheduling import pacer as pacers
 from figtray.scheduling import roster as rosters
 from figtray.scheduling import scheduler as schedulers
@@ -238,9 +238,16 @@
         roster = fleet.store.get(rosters.ROSTER_KEY)
         if roster is not None:
             self.writer.set_revision(roster.key, roster.mod_revision)
+            leases_item = fleet.store.get(terms.LEASES_KEY)
+            if leases_item is not None:
+                self.writer.set_revision(
+                    leases_item.key, leases_item.mod_revision
+                )
             self.scheduler.begin_adoption(
                 rosters.decode(roster.value),
-                self.term.began_ms + leases.longest_lease_ms(BOUNDS),
+                lease_horizon.earlier_leases_end_ms(
+                    self.term, leases_item, BOUNDS
+                ),
             )
         self.sync_intake(progress)
         self.sync_workers()
@@ -275,6 +282,7 @@
                 self.term,
                 self.fleet.clock,
             )
+        self.scheduler.lease_horizon.renew_if_due()
         roster = self.scheduler.roster()
         self.writer.enqueue(rosters.ROSTER_KEY, lambda: rosters.encode(roster))
         self.flush()
--- /dev/null
+++ b/figtray/scheduling/tests/test_lease_horizon.py
@@ -0,0 +1,117 @@
+"""Tests of the record that bounds the leases on workers."""
+
+import pytest
+
+from figtray.leadership import term as terms
+from figtray.scheduling import lease_horizon
+from figtray.scheduling import leases
+from figtray.scheduling.tests import harness
+
+BOUNDS = harness.BOUNDS
+
+
+@pytest.fixture
+def fleet():
+    return harness.Fleet(2)
+
+
+@pytest.fixture
+def leader(fleet):
+    leader = fleet.elect_leader()
+    leader.report_all()
+    return leader
+
+
+def lease_left_ms(fleet, number=0):
+    """Return how long the lease on a worker still lasts."""
+    sim = fleet.sim(number)
+    return sim.lease_until_ms - sim.clock_ms()
+
+
+def earlier_leases_end_ms(fleet, seen_revision, seen_ms):
+    """Return the end of earlier leases for a leader that begins now."""
+    term = terms.Term(
+        9,
+        1,
+        fleet.clock,
+        fleet.clock.now_ms(),
+        terms.LeasesSeen(seen_revision, seen_ms),
+    )
+    return lease_horizon.earlier_leases_end_ms(
+        term, fleet.store.get(terms.LEASES_KEY), BOUNDS
+    )
+
+
+class TestLeaseHorizon:
+    # A lease that reaches past the horizon goes on while the next leader
+    # starts its tasks a second time.
+    def test_lease_reaches_past_the_last_stored_record(self, fleet, leader):
+        fleet.submit(harness.make_step(1, lasting=True))
+        leader.run_cycle()
+        stored_ms = fleet.clock.now_ms()
+        fleet.store.down = True
+        for _ in range(leases.horizon_ms(BOUNDS) // 500 + 2):
+            fleet.clock.advance(500)
+            # The term stays valid, though nothing can be written.
+            leader.term.record_renewal(
+                fleet.clock.now_ms(), terms.LEASE_TTL_MS
+            )
+            leader.scheduler.lease_horizon.renew_if_due()
+            leader.report_all()
+            for number in range(2):
+                until_ms = fleet.clock.now_ms() + lease_left_ms(fleet, number)
+                assert until_ms <= stored_ms + leases.horizon_ms(BOUNDS)
+
+    # A record that is renewed too late shortens the leases all the time.
+    def test_leases_have_their_full_length(self, fleet, leader):
+        fleet.submit(harness.make_step(2, lasting=True, max_per_worker=1))
+        leader.run_cycle()
+        for _ in range(20):
+            leader.advance(500)
+            leader.sync_workers()
+            leader.run_cycle()
+            assert lease_left_ms(fleet) == leases.lease_ms(BOUNDS)
+
+    # Before its first record is stored, a leader that is lost at once would
+    # leave leases that nobody knows of.
+    def test_lease_is_extended_before_the_first_record(self, fleet):
+        horizon = lease_horizon.LeaseHorizon(
+            harness.FlushingWriter(fleet.elect_leader()), fleet.clock, BOUNDS
+        )
+        assert horizon.remaining_ms(fleet.clock.now_ms()) == 0
+
+    # A process that was suspended extended a lease after its term had ended.
+    def test_lease_is_extended_after_the_term(self, fleet, leader):
+        fleet.clock.advance(terms.LEASE_TTL_MS)
+        worker_state = leader.worker_state(0)
+        assert leader.scheduler.report_request(worker_state)[1] is None
+
+
+class TestEarlierLeases:
+    # The wait for leases began with the term although they had ended during
+    # an outage of the store.
+    def test_wait_begins_with_the_term(self, fleet, leader):
+        seen_ms = fleet.clock.now_ms()
+        revision = fleet.store.get(terms.LEASES_KEY).mod_revision
+        fleet.clock.advance(10_000)
+        assert earlier_leases_end_ms(fleet, revision, seen_ms) == (
+            fleet.clock.now_ms() + lease_horizon.MIN_ADOPTION_MS
+        )
+
+    # A leader between, which this node has not seen, extended leases.
+    def test_leader_between_is_overlooked(self, fleet, leader):
+        seen_ms = fleet.clock.now_ms()
+        revision = fleet.store.get(terms.LEASES_KEY).mod_revision
+        fleet.elect_leader()
+        fleet.clock.advance(10_000)
+        assert earlier_leases_end_ms(fleet, revision, seen_ms) == (
+            fleet.clock.now_ms() + leases.longest_lease_ms(BOUNDS)
+        )
+
+    # The horizon of a record is longer than a lease.
+    def test_wait_is_longer_than_the_longest_lease(self, fleet, leader):
+        revision = fleet.store.get(terms.LEASES_KEY).mod_revision
+        now_ms = fleet.clock.now_ms()
+        assert earlier_leases_end_ms(fleet, revision, now_ms) == (
+            now_ms + leases.longest_lease_ms(BOUNDS)
+        )
