Move the arithmetic of needed hosts out of the rebalancer

That part is now host_needs.py, with the trend of a pool's demand as the class DemandTrend, so that it is tested without a site.

--- a/figtray/upkeep/rebalancer.py
+++ b/figtray/upkeep/rebalancer.py
@@ -2,30 +2,13 @@
 
 import collections
 import dataclasses
-import math
 
 from figtray import errors
 from figtray.events import catalogue
 from figtray.events import log
 from figtray.fleet import model as fleet
-from figtray.jobs import model
+from figtray.upkeep import host_needs
 
-# Each pool keeps this share of an equal split of all hosts among all pools,
-# but no fewer than MIN_WORKERS, to absorb a peak until spare hosts arrive.
-BASE_SHARE = 0.55
-MIN_WORKERS = 2
-# Share of the needs of waiting tasks for which a pool gets hosts. The other
-# waiting tasks start on the same hosts within seconds.
-WAITING_DEMAND_SHARE = 0.5
-# Share of the needs of steps that are not open yet; these run one after
-# another and don't need it all at the same time.
-LATER_DEMAND_SHARE = 0.3
-# The rise of the demand in the last TREND_WINDOW_MS is extrapolated over
-# FORECAST_MS, the time until moved hosts run tasks. The expected rise is
-# limited to MAX_RISE_SHARE of the demand.
-TREND_WINDOW_MS = 1200
-FORECAST_MS = 2500
-MAX_RISE_SHARE = 0.3
 # A pool keeps surplus hosts for this time, as a move costs about as much as a
 # host costs in a second.
 SURPLUS_DELAY_MS = 2000
@@ -34,8 +17,6 @@
 WORKER_ENTRY_MS = 3000
 MOVE_REASON = 'move'
 MOVED_DETAIL = 'its host has moved'
-# Assumed while the host list contains no capacity.
-DEFAULT_HOST_CAPACITY = model.Resources(16_000, 32_000)
 
 
 @dataclasses.dataclass(frozen=True)
@@ -90,8 +71,8 @@
         self._moving = {}
         # Local time since which a pool has had a surplus, by pool.
         self._surplus_since_ms = {}
-        # Deques of (local time, demand in thousandths of a core), by pool.
-        self._demand_history = {}
+        # The DemandTrend of each pool.
+        self._trends = collections.defaultdict(host_needs.DemandTrend)
         # Id of the worker that is drained for a move, by host id.
         self._draining = {}
 
@@ -110,9 +91,9 @@
         if spare_pool is None:
             return
         loads = self._scheduler.pool_loads()
-        capacity = _smallest_capacity(listed.values())
+        capacity = host_needs.smallest_capacity(listed.values())
         pools = sorted(set(cfg.pools) - cfg.spare_pools())
-        base = base_workers(len(listed), cfg)
+        base = host_needs.base_workers(len(listed), cfg)
         # Hosts that each pool lacks; a negative number is a surplus.
         missing = {}
         for pool in pools:
@@ -120,9 +101,9 @@
             if load is None:
                 continue
             available = load.workers + self._count_incoming(pool)
-            rise = self._forecast_rise(pool, load, now_ms)
-            wanted = max(base, wanted_workers(load, rise, capacity))
-            missing[pool] = wanted - available
+            rise = self._trends[pool].forecast_rise(load, now_ms)
+            wanted = host_needs.wanted_workers(load, rise, capacity)
+            missing[pool] = max(base, wanted) - available
         for pool in sorted(missing, key=missing.get, reverse=True):
             if missing[pool] > 0:
                 missing[pool] -= self._add_hosts(
@@ -152,19 +133,6 @@
             },
         )
 
-    def _forecast_rise(self, pool, load, now_ms):
-        """Return the expected rise of the demand in the next FORECAST_MS."""
-        demand = short_demand_milli(load)
-        history = self._demand_history.setdefault(pool, collections.deque())
-        history.append((now_ms, demand))
-        while now_ms - history[0][0] > TREND_WINDOW_MS:
-            history.popleft()
-        since_ms, before = history[0]
-        if now_ms == since_ms:
-            return 0
-        rate = (demand - before) / (now_ms - since_ms)
-        return min(max(0, rate * FORECAST_MS), MAX_RISE_SHARE * demand)
-
     def _count_incoming(self, pool):
         return sum(1 for move in self._moving.values() if move.pool == pool)
 
@@ -354,59 +322,3 @@
             zone=host.zone,
         )
         return True
-
-
-def base_workers(host_count, cfg):
-    """Return the number of workers that a pool keeps without any demand.
-
-    Args:
-        host_count: number of all hosts.
-        cfg: the queues.Config.
-    """
-    share = math.ceil(BASE_SHARE * host_count / len(cfg.pools))
-    return max(MIN_WORKERS, share)
-
-
-def short_demand_milli(load):
-    """Return the demand of tasks that are not lasting.
-
-    Args:
-        load: the PoolLoad.
-
-    Returns:
-        Processor time in thousandths of a core.
-    """
-    known = (
-        load.short_milli
-        + WAITING_DEMAND_SHARE * load.waiting_milli
-        + LATER_DEMAND_SHARE * load.later_milli
-    )
-    return max(known, load.arriving_milli)
-
-
-def wanted_workers(load, rise_milli, capacity):
-    """Return the number of workers that a pool needs.
-
-    Args:
-        load: its PoolLoad.
-        rise_milli: expected rise of its demand in thousandths of a core.
-        capacity: Resources of a host.
-    """
-    milli = load.lasting_milli + short_demand_milli(load) + rise_milli
-    hosts = max(
-        milli / capacity.cpu_milli, load.memory_mb / capacity.memory_mb
-    )
-    spread = load.spread
-    if spread and load.due:
-        # A task of the widest step needs a free worker to move to before the
-        # upkeep of its host.
-        spread += 1
-    return max(MIN_WORKERS, math.ceil(hosts), spread)
-
-
-def _smallest_capacity(hosts):
-    """Return the capacity of the host with the least processor time."""
-    known = [host.capacity for host in hosts if host.capacity.cpu_milli]
-    if not known:
-        return DEFAULT_HOST_CAPACITY
-    return min(known, key=lambda item: item.cpu_milli)
