Move the test site of upkeep into a support module

The tests of waves and of the host controller imported the site from test_rebalancer.py, and the look-up of cordoned workers stood twice. Both are in figtray/upkeep/tests/support.py, as the API's test deployment is in figtray/api/tests/support.py.

--- a/figtray/upkeep/tests/test_controller.py
+++ b/figtray/upkeep/tests/test_controller.py
@@ -7,7 +7,7 @@
 from figtray.store import base
 from figtray.upkeep import controller
 from figtray.upkeep import host_orders
-from figtray.upkeep.tests import test_rebalancer
+from figtray.upkeep.tests import support
 
 
 class View:
@@ -28,7 +28,7 @@
 
 @pytest.fixture
 def site():
-    return test_rebalancer.Site()
+    return support.Site()
 
 
 def make_controller(site):
--- a/figtray/upkeep/tests/test_host_needs.py
+++ b/figtray/upkeep/tests/test_host_needs.py
@@ -1,31 +1,29 @@
 """Tests of the numbers of hosts that pools need."""
 
-from figtray.jobs import model
 from figtray.jobs import queues
 from figtray.scheduling import pool_load
 from figtray.upkeep import host_needs
-
-HOST_CAPACITY = model.Resources(8000, 64_000)
+from figtray.upkeep.tests import support
 
 
 class TestWantedWorkers:
     def test_processor_time(self):
         load = pool_load.PoolLoad(lasting_milli=8000, short_milli=24_000)
-        assert host_needs.wanted_workers(load, 0, HOST_CAPACITY) >= 4
+        assert host_needs.wanted_workers(load, 0, support.HOST_CAPACITY) >= 4
 
     def test_memory(self):
         load = pool_load.PoolLoad(memory_mb=5 * 64_000)
-        assert host_needs.wanted_workers(load, 0, HOST_CAPACITY) >= 5
+        assert host_needs.wanted_workers(load, 0, support.HOST_CAPACITY) >= 5
 
     def test_spread(self):
         load = pool_load.PoolLoad(spread=6)
-        assert host_needs.wanted_workers(load, 0, HOST_CAPACITY) >= 6
+        assert host_needs.wanted_workers(load, 0, support.HOST_CAPACITY) >= 6
 
     # Otherwise a task of a step that uses all workers could not move to
     # another one before the upkeep of its host.
     def test_due_upkeep_adds_a_worker(self):
         load = pool_load.PoolLoad(spread=6, due=2)
-        assert host_needs.wanted_workers(load, 0, HOST_CAPACITY) >= 7
+        assert host_needs.wanted_workers(load, 0, support.HOST_CAPACITY) >= 7
 
     def test_minimum_on_a_small_site(self):
         cfg = queues.Config(1, [], [queues.Pool('main')], [])
--- a/figtray/upkeep/tests/test_rebalancer.py
+++ b/figtray/upkeep/tests/test_rebalancer.py
@@ -5,107 +5,16 @@
 import pytest
 
 from figtray import errors
-from figtray.fleet import memory
-from figtray.fleet import model as fleet_model
-from figtray.jobs import model
 from figtray.jobs import queues
 from figtray.scheduling.tests import harness
 from figtray.upkeep import host_needs
-from figtray.upkeep import host_orders
 from figtray.upkeep import rebalancer
-
-HOST_CAPACITY = model.Resources(8000, 64_000)
-
-
-def make_host(number, pool='main', worker_id=None, zone='zone-a'):
-    """Return a fleet Host that is up."""
-    if worker_id is None:
-        worker_id = f'worker-{number}' if pool == 'main' else ''
-    return fleet_model.Host(
-        f'host-{number}',
-        pool,
-        fleet_model.HostState.UP,
-        zone,
-        ('a', 'r1'),
-        HOST_CAPACITY,
-        worker_id,
-    )
-
-
-class Site:
-    """A leader with four workers and two spare hosts."""
-
-    def __init__(self):
-        self.fleet = harness.Fleet(4)
-        self.leader = self.fleet.elect_leader()
-        self.leader.report_all()
-        self.hosts = memory.MemoryHosts(
-            [make_host(n) for n in range(4)]
-            + [make_host(n, 'spare') for n in (8, 9)]
-        )
-        self.hosts.on_worker_end = self._end_worker
-        self.rebalancer = rebalancer.PoolRebalancer(
-            self.leader.scheduler,
-            self.leader.term,
-            self.fleet.clock,
-            self.hosts,
-            'node',
-            harness.BOUNDS,
-            harness.InlineExecutor(),
-            self.orders(),
-        )
-
-    def orders(self, former_host_ids=()):
-        """Return HostOrders of the leader's term."""
-        return host_orders.HostOrders(
-            harness.FlushingWriter(self.leader),
-            self.leader.term,
-            self.fleet.clock,
-            harness.BOUNDS.lease_ms,
-            former_host_ids,
-        )
-
-    def _end_worker(self, host):
-        if host.worker_id:
-            worker = self.fleet.workers.pop(host.worker_id)
-            self.fleet.client.crash(worker.address)
-
-    def reconcile(self, evacuated_zones=frozenset()):
-        self.leader.run_cycle()
-        self.rebalancer.reconcile(
-            self.fleet.cfg, dict(self.hosts.hosts), evacuated_zones
-        )
-
-    def cordoned(self):
-        """Return the ids of the workers that are cordoned."""
-        return {
-            worker_state.worker.worker_id
-            for worker_state in self.leader.scheduler.worker_states()
-            if worker_state.cordon_reason
-        }
-
-    def cordon_surplus(self, move):
-        """Cordon the surplus workers, and return their ids.
-
-        Args:
-            move: called in place of the platform's move of a host.
-        """
-        move_host, self.hosts.move = self.hosts.move, move
-        for _ in range(5):
-            self.leader.advance(500)
-            self.reconcile()
-        self.hosts.move = move_host
-        assert self.cordoned()
-        return self.cordoned()
-
-    def moves(self):
-        """Return the (host, pool) of all moves."""
-        return [(order[1], order[2]) for order in self.hosts.accepted_orders]
+from figtray.upkeep.tests import support
 
 
 @pytest.fixture
 def site():
-    return Site()
+    return support.Site()
 
 
 class TestAddingHosts:
@@ -129,7 +38,7 @@
     # The refusal of one host must not prevent the moves of the others.
     def test_refused_host_is_skipped(self, site):
         host = site.hosts.hosts['host-8']
-        site.hosts.hosts['host-8'] = make_host(8, 'spare')
+        site.hosts.hosts['host-8'] = support.make_host(8, 'spare')
         move_host = site.hosts.move
 
         def move(host_id, pool, node_name, epoch):
--- a/figtray/upkeep/tests/test_waves.py
+++ b/figtray/upkeep/tests/test_waves.py
@@ -7,7 +7,7 @@
 from figtray.fleet import messages
 from figtray.fleet import model as fleet_model
 from figtray.scheduling.tests import harness
-from figtray.upkeep.tests import test_rebalancer
+from figtray.upkeep.tests import support
 from figtray.upkeep import waves
 
 
@@ -15,13 +15,10 @@
     """A leader with four workers, and a wave over their hosts."""
 
     def __init__(self, max_down=1):
-        rebalancer_site = test_rebalancer.Site()
-        self.fleet, self.leader, self.hosts = (
-            rebalancer_site.fleet,
-            rebalancer_site.leader,
-            rebalancer_site.hosts,
-        )
-        self.orders = rebalancer_site.orders()
+        site = support.Site()
+        self.fleet, self.leader = site.fleet, site.leader
+        self.hosts = site.hosts
+        self.orders = site.orders()
         self.published = []
         self.records = {}
         self.wave = fleet_model.Wave(
@@ -49,11 +46,7 @@
 
     def cordoned(self):
         """Return the ids of the workers that are cordoned."""
-        return {
-            worker_state.worker.worker_id
-            for worker_state in self.leader.scheduler.worker_states()
-            if worker_state.cordon_reason
-        }
+        return support.cordoned_workers(self.leader)
 
     def hosts_in_upkeep(self):
         """Return the ids of the hosts that are in upkeep now."""
