Split bodies and commits out of the API application

app.py had 416 lines: routing, reading, long polls, the types of request bodies, and the lock, log and error handling of a commit. The bodies are now bodies.py, which also turns an edit of a body into one of edits.py, and a commit is the class Committer in commits.py.

--- a/figtray/api/app.py
+++ b/figtray/api/app.py
@@ -5,8 +5,8 @@
 import urllib.parse
 import uuid
 
-import msgspec
-
+from figtray.api import bodies
+from figtray.api import commits
 from figtray.api import credentials
 from figtray.api import edits as edits_lib
 from figtray.api import messages
@@ -14,9 +14,7 @@
 from figtray.api import propagation
 from figtray.api import routing
 from figtray.configuration import keys
-from figtray.configuration import resources
 from figtray import errors
-from figtray.events import catalogue
 from figtray.events import log
 from figtray import metrics as metrics_lib
 
@@ -24,10 +22,6 @@
 MAX_PAGE_SIZE = 1000
 MAX_WAIT_MS = 10_000
 POLL_INTERVAL_MS = 500
-# How long a change waits for earlier changes of this process when the store
-# is slow.
-COMMIT_LOCK_TIMEOUT_MS = 10_000
-
 # Served without a credential, for the load balancer.
 HEALTH_PATHS = ('/live', '/ready')
 # Concurrent long polls. Further ones are answered immediately, so that long
@@ -50,38 +44,6 @@
 )
 
 
-class PutBody(msgspec.Struct, forbid_unknown_fields=True):
-    """Body of a PUT request."""
-
-    spec: dict
-
-
-class Edit(msgspec.Struct, forbid_unknown_fields=True):
-    """Edit of one resource in a change of several resources.
-
-    `version` is the expected version, 0 for a new resource. A `spec` of null
-    deletes the resource.
-    """
-
-    kind: resources.Kind
-    name: str
-    version: int
-    spec: dict | None
-
-
-class ChangesBody(msgspec.Struct, forbid_unknown_fields=True):
-    """Body of a request that changes several resources atomically."""
-
-    resources: list[Edit]
-    dry_run: bool = False
-
-
-class KeyBody(msgspec.Struct, forbid_unknown_fields=True):
-    """Body of a request that creates a key."""
-
-    team: str
-
-
 class Application:
     """Operators' API over a registry of resources.
 
@@ -115,7 +77,7 @@
         self._credential_hash = credential_hash
         self._metrics_page = metrics_page
         self._propagation = propagation.PropagationTracker(clock, in_force_ms)
-        self._commit_lock = threading.Lock()
+        self._committer = commits.Committer(registry, self._propagation, clock)
         self._long_polls = threading.Semaphore(MAX_LONG_POLLS)
         self._stopping = threading.Event()
 
@@ -228,7 +190,7 @@
     def put_resource(self, req, kind, name):
         """Create or replace a resource."""
         expected = req.expected_version()
-        spec = req.decode_body(PutBody).spec
+        spec = req.decode_body(bodies.PutBody).spec
         edit = edits_lib.Put(kind, name, spec, expected)
         status = 200 if expected else 201
         return self._commit_one(req, edit, status)
@@ -254,8 +216,8 @@
 
     def post_changes(self, req):
         """Apply several edits atomically, or only validate them."""
-        body = req.decode_body(ChangesBody)
-        edits = [_decode_edit(edit) for edit in body.resources]
+        body = req.decode_body(bodies.ChangesBody)
+        edits = [edit.decode() for edit in body.resources]
         if not edits:
             raise problems.invalid_value('resources', [], 'at least one')
         if body.dry_run:
@@ -312,10 +274,10 @@
 
     def post_key(self, req):
         """Create a key; only this response contains its secret."""
-        team = req.decode_body(KeyBody).team
+        team = req.decode_body(bodies.KeyBody).team
         change_id = req.change_id() or uuid.uuid4().hex
         edit = edits_lib.CreateKey(keys.derive_key_id(change_id), team)
-        generation, items = self._commit_with_id(change_id, [edit])
+        generation, items = self._committer.commit(change_id, [edit])
         document = self._change_document(items[0], generation)
         document['secret'] = items[0].secret
         return messages.Response(
@@ -339,45 +301,7 @@
 
     def _commit(self, req, edits):
         change_id = req.change_id() or uuid.uuid4().hex
-        return *self._commit_with_id(change_id, edits), change_id
-
-    def _commit_with_id(self, change_id, edits):
-        edits_lib.validate(edits)
-        if not self._commit_lock.acquire(
-            timeout=COMMIT_LOCK_TIMEOUT_MS / 1000
-        ):
-            raise errors.StoreUnavailable(
-                detail='earlier changes still wait for it'
-            )
-        try:
-            generation, items = self._registry.commit(
-                lambda before: edits_lib.build_resources(before, edits)
-            )
-        except Exception as exc:
-            problem = problems.from_error(exc)
-            # Only failures of the deployment are logged; other statuses
-            # reject the operator's request.
-            if problem.status >= http.HTTPStatus.INTERNAL_SERVER_ERROR:
-                log.emit(
-                    catalogue.OPERATOR_CHANGE_FAILED,
-                    change_id=change_id,
-                    resources=_format_names(edits),
-                    outcome=problem.document['outcome'].value,
-                    detail=str(exc),
-                )
-            problem.document['change_id'] = change_id
-            problem.headers += (('Change-Id', change_id),)
-            raise problem from exc
-        finally:
-            self._commit_lock.release()
-        self._propagation.record_accepted(generation, self._clock.now_ms())
-        log.emit(
-            catalogue.OPERATOR_CHANGE,
-            change_id=change_id,
-            generation=generation,
-            resources=_format_names(items),
-        )
-        return generation, items
+        return *self._committer.commit(change_id, edits), change_id
 
     def _dry_run(self, edits):
         # A dry run makes no store transaction, so the number of edits is
@@ -396,21 +320,5 @@
         )
 
 
-def _decode_edit(edit):
-    if edit.version < 0:
-        raise errors.ValidationFailed(
-            field='version', value=edit.version, allowed='0 or more'
-        )
-    if edit.spec is None:
-        return edits_lib.Delete(edit.kind, edit.name, edit.version)
-    return edits_lib.Put(edit.kind, edit.name, edit.spec, edit.version)
-
-
-def _format_names(resources_or_edits):
-    return ', '.join(
-        f'{item.kind.value}/{item.name}' for item in resources_or_edits
-    )
-
-
 def _etag(item):
     return (('ETag', f'"{item.version}"'),)
