Split the command line by job

Client and output are session.py, error messages and exit statuses failures.py, options that several commands share options.py, and the groups `key` and `zone` have modules of their own.

--- a/figtray/cli/tests/test_main.py
+++ b/figtray/cli/tests/test_main.py
@@ -8,6 +8,7 @@
 
 from figtray.api import client as client_lib
 from figtray.api.tests import support
+from figtray.cli import failures
 from figtray.cli import main
 
 
@@ -21,7 +22,7 @@
         self.transport = support.WsgiTransport(self.deployment.app)
         self._runner = typer.testing.CliRunner()
 
-    def run(self, *args, status=main.ExitStatus.OK):
+    def run(self, *args, status=failures.ExitStatus.OK):
         """Run a command and check its exit status."""
         client = client_lib.Client(
             self.transport, support.CREDENTIAL, self.deployment.clock
@@ -76,8 +77,8 @@
             ['weight', '1'],
             ['cpu_milli', '10'],
         ]
-        shell.run('get', 'teams', 'none', status=main.ExitStatus.REFUSED)
-        shell.run('get', 'things', 'x', status=main.ExitStatus.USAGE)
+        shell.run('get', 'teams', 'none', status=failures.ExitStatus.REFUSED)
+        shell.run('get', 'things', 'x', status=failures.ExitStatus.USAGE)
 
     def test_list(self, shell):
         items = shell.json('list', 'pools', '--prefix', 'sp')
@@ -121,7 +122,7 @@
         assert (spec['weight'], spec['cpu_milli']) == (2.5, 10)
         document['spec']['weight'] = 1
         path = write(json.dumps(document))
-        shell.run('apply', path, status=main.ExitStatus.CONFLICT)
+        shell.run('apply', path, status=failures.ExitStatus.CONFLICT)
 
     def test_directory_is_applied_in_reference_order(
         self, shell, write, monkeypatch
@@ -154,18 +155,18 @@
     @pytest.mark.parametrize(
         ('text', 'status'),
         [
-            ('{', main.ExitStatus.USAGE),
-            ('{}', main.ExitStatus.USAGE),
-            ('[]', main.ExitStatus.USAGE),
-            ("[{kind: 'x', name: 'a', spec: {}}]", main.ExitStatus.USAGE),
+            ('{', failures.ExitStatus.USAGE),
+            ('{}', failures.ExitStatus.USAGE),
+            ('[]', failures.ExitStatus.USAGE),
+            ("[{kind: 'x', name: 'a', spec: {}}]", failures.ExitStatus.USAGE),
             (
                 "[{kind: 'teams', name: 'a', spec: {gpus: -1}}]",
-                main.ExitStatus.REFUSED,
+                failures.ExitStatus.REFUSED,
             ),
             (
                 "[{kind: 'queues', name: 'a', spec: {pool: 'no', host: 'h',"
                 " prefix: '/'}}]",
-                main.ExitStatus.REFUSED,
+                failures.ExitStatus.REFUSED,
             ),
         ],
     )
@@ -177,11 +178,11 @@
 
     def test_missing_file_and_repeated_resource(self, shell, write, tmp_path):
         missing = str(tmp_path / 'none')
-        shell.run('apply', missing, status=main.ExitStatus.USAGE)
+        shell.run('apply', missing, status=failures.ExitStatus.USAGE)
         write(TWO_TEAMS, 'a.json')
         write(TWO_TEAMS, 'b.json')
         result = shell.run(
-            'apply', str(tmp_path), status=main.ExitStatus.USAGE
+            'apply', str(tmp_path), status=failures.ExitStatus.USAGE
         )
         assert 'occurs twice' in result.stderr
 
@@ -191,9 +192,9 @@
 
     def test_delete(self, shell):
         shell.run('delete', 'teams', 'mill', '--watch')
-        shell.run('get', 'teams', 'mill', status=main.ExitStatus.REFUSED)
+        shell.run('get', 'teams', 'mill', status=failures.ExitStatus.REFUSED)
         result = shell.run(
-            'delete', 'pools', 'quoting', status=main.ExitStatus.CONFLICT
+            'delete', 'pools', 'quoting', status=failures.ExitStatus.CONFLICT
         )
         assert 'queues/quotes' in result.stderr
 
@@ -205,11 +206,11 @@
         assert made['secret'] not in listed
         shell.run('key', 'withdraw', made['name'], '--watch')
         shell.run(
-            'key', 'withdraw', made['name'], status=main.ExitStatus.REFUSED
+            'key', 'withdraw', made['name'], status=failures.ExitStatus.REFUSED
         )
         assert shell.json('key', 'list') == []
         assert shell.json('key', 'list', '--team', 'other') == []
-        shell.run('key', 'grant', 'none', status=main.ExitStatus.REFUSED)
+        shell.run('key', 'grant', 'none', status=failures.ExitStatus.REFUSED)
 
     def test_zones(self, shell):
         shell.run('zone', 'out', 'north')
@@ -227,7 +228,9 @@
     def test_timeout_and_success(self, shell):
         generation = shell.json('zone', 'in', 'north')['generation']
         watch_args = ('watch', str(generation), '--timeout-ms', '1000')
-        result = shell.run(*watch_args, status=main.ExitStatus.NOT_IN_FORCE)
+        result = shell.run(
+            *watch_args, status=failures.ExitStatus.NOT_IN_FORCE
+        )
         assert 'not in force' in result.stderr
         status = shell.json('watch', str(generation))['status']
         assert status['in_force'] is True
@@ -239,11 +242,11 @@
     def test_store_down(self, shell):
         shell.deployment.store.set_down(True)
         result = shell.run(
-            'zone', 'out', 'north', status=main.ExitStatus.UNAVAILABLE
+            'zone', 'out', 'north', status=failures.ExitStatus.UNAVAILABLE
         )
         assert 'outcome: not_changed' in result.stderr
         args = ('--output', 'json', 'zone', 'out', 'north')
-        result = shell.run(*args, status=main.ExitStatus.UNAVAILABLE)
+        result = shell.run(*args, status=failures.ExitStatus.UNAVAILABLE)
         assert json.loads(result.stderr)['outcome'] == 'not_changed'
 
     @pytest.mark.parametrize(
@@ -260,7 +263,7 @@
     def test_usage(self, args):
         env = {'FIGTRAY_SERVER': '', 'FIGTRAY_CREDENTIAL_FILE': ''}
         result = typer.testing.CliRunner().invoke(main.app, args, env=env)
-        assert result.exit_code == main.ExitStatus.USAGE
+        assert result.exit_code == failures.ExitStatus.USAGE
         assert result.stderr
 
     def test_version_and_help(self):
