--- a/figtray/api/app.py
+++ b/figtray/api/app.py
@@ -19,8 +19,6 @@
 from figtray import metrics as metrics_lib
 
 DEFAULT_PAGE_SIZE = 100
-MAX_PAGE_SIZE = 1000
-MAX_WAIT_MS = 10_000
 POLL_INTERVAL_MS = 500
 # Served without a credential, for the load balancer.
 HEALTH_PATHS = ('/live', '/ready')
@@ -154,7 +152,9 @@
         """Return one page of the resources of a kind, sorted by name."""
         snapshot = self._registry.read()
         prefix, after = req.query_text('prefix'), req.query_text('after')
-        limit = req.query_int('limit', DEFAULT_PAGE_SIZE, 1, MAX_PAGE_SIZE)
+        limit = req.query_int(
+            'limit', DEFAULT_PAGE_SIZE, 1, messages.MAX_PAGE_SIZE
+        )
         names = [
             name
             for name in snapshot.names(kind)
@@ -246,7 +246,7 @@
             number = -1
         if not 1 <= number < 10**15:
             raise problems.invalid_value('generation', generation, 'a number')
-        wait_ms = req.query_int('wait_ms', 0, 0, MAX_WAIT_MS)
+        wait_ms = req.query_int('wait_ms', 0, 0, messages.MAX_WAIT_MS)
         if wait_ms and self._long_polls.acquire(blocking=False):
             try:
                 status = self._wait_in_force(number, wait_ms)
--- a/figtray/api/client.py
+++ b/figtray/api/client.py
@@ -6,7 +6,7 @@
 import urllib.parse
 import uuid
 
-from figtray.api import app as app_lib
+from figtray.api import messages
 from figtray import clock as clock_lib
 from figtray import errors
 
@@ -134,7 +134,7 @@
             query = urllib.parse.urlencode(
                 {
                     'prefix': prefix,
-                    'limit': app_lib.MAX_PAGE_SIZE,
+                    'limit': messages.MAX_PAGE_SIZE,
                     'after': after,
                 }
             )
@@ -207,7 +207,7 @@
         deadline_ms = self._clock.now_ms() + timeout_ms
         while True:
             remaining_ms = max(deadline_ms - self._clock.now_ms(), 0)
-            wait_ms = min(remaining_ms, app_lib.MAX_WAIT_MS)
+            wait_ms = min(remaining_ms, messages.MAX_WAIT_MS)
             document = self._call_with_retries(
                 'GET', f'/v1/changes/{generation}?wait_ms={wait_ms}'
             )
--- a/figtray/api/messages.py
+++ b/figtray/api/messages.py
@@ -1,4 +1,4 @@
-"""Requests and responses of the operators' API and their size limits."""
+"""Requests and responses of the operators' API and their limits."""
 
 import dataclasses
 import re
@@ -14,6 +14,9 @@
 MAX_QUERY_LENGTH = 1024
 MAX_HEADER_LENGTH = 1024
 MAX_CHANGE_ID_LENGTH = 64
+# Largest page of a list, and longest long poll.
+MAX_PAGE_SIZE = 1000
+MAX_WAIT_MS = 10_000
 
 _VERSION = re.compile(r'"([0-9]{1,15})"')
 _CHANGE_ID = re.compile(rf'[A-Za-z0-9-]{{1,{MAX_CHANGE_ID_LENGTH}}}')
--- a/figtray/api/tests/test_client.py
+++ b/figtray/api/tests/test_client.py
@@ -84,7 +84,7 @@
     """Guards against lists that end after the first page."""
 
     def test_follows_pages(self, client, transport, monkeypatch):
-        monkeypatch.setattr(client_lib.app_lib, 'MAX_PAGE_SIZE', 1)
+        monkeypatch.setattr(client_lib.messages, 'MAX_PAGE_SIZE', 1)
         names = [item['name'] for item in client.list(resources.Kind.POOL)]
         assert names == ['quoting', 'spare']
         assert len(transport.requests) == 2
