Describe the result of a caller's write in one place

The job API mapped the outcomes of a submission and of a cancellation to statuses in two places that agreed case by case. _describe_result() serves both; a submission never has the outcome UNKNOWN_JOB.

--- a/figtray/platform/job_api.py
+++ b/figtray/platform/job_api.py
@@ -116,11 +116,8 @@
                 method, queue, job_id, team, environ
             )
         except _RequestError as exc:
-            status, body, reason = (
-                exc.status,
-                {'error': exc.reason},
-                exc.reason,
-            )
+            reason = exc.reason
+            status, body = exc.status, {'error': reason}
         except errors.StoreUnavailable as exc:
             reason = f'store unavailable: {exc}'
             status, body = 503, {'error': 'the store does not answer'}
@@ -213,15 +210,9 @@
             interval_ms=submission.interval_ms,
             accepted_ms=self._clock.wall_ms(),
         )
-        result = self._intake.submit(
-            job_id, job, self._store_timeout_ms(environ)
+        return _describe_result(
+            self._intake.submit(job_id, job, self._store_timeout_ms(environ))
         )
-        match result.outcome:
-            case intakes.Outcome.STORED | intakes.Outcome.EXISTS:
-                return 200, {}, result.outcome.value
-            case intakes.Outcome.NOT_STORED:
-                return 503, {'error': 'not stored'}, result.detail
-        return 504, {'error': 'may have been stored'}, result.detail
 
     def _read_state(self, job_id, environ):
         state = self._intake.state(job_id, self._store_timeout_ms(environ))
@@ -230,17 +221,9 @@
         return 200, {'state': state.value}, state.value
 
     def _cancel(self, job_id, team, environ):
-        result = self._intake.cancel(
-            job_id, team, self._store_timeout_ms(environ)
+        return _describe_result(
+            self._intake.cancel(job_id, team, self._store_timeout_ms(environ))
         )
-        match result.outcome:
-            case intakes.Outcome.STORED | intakes.Outcome.EXISTS:
-                return 200, {}, result.outcome.value
-            case intakes.Outcome.UNKNOWN_JOB:
-                return 410, {'error': 'no such job'}, result.detail
-            case intakes.Outcome.NOT_STORED:
-                return 503, {'error': 'not stored'}, result.detail
-        return 504, {'error': 'may have been stored'}, result.detail
 
     def _store_timeout_ms(self, environ):
         """Return the timeout of a store call in milliseconds.
@@ -275,6 +258,22 @@
         )
 
 
+def _describe_result(result):
+    """Return the status, the body and the logged reason of a write.
+
+    Args:
+        result: the Intake's result of a submission or cancellation.
+    """
+    match result.outcome:
+        case intakes.Outcome.STORED | intakes.Outcome.EXISTS:
+            return 200, {}, result.outcome.value
+        case intakes.Outcome.UNKNOWN_JOB:
+            return 410, {'error': 'no such job'}, result.detail
+        case intakes.Outcome.NOT_STORED:
+            return 503, {'error': 'not stored'}, result.detail
+    return 504, {'error': 'may have been stored'}, result.detail
+
+
 def _parse_submission(environ):
     """Return the valid _Submission of a request's body.
 
