Build the problems of refused changes with one function

from_error() had 61 lines, as six cases built the same ProblemError with another status and name. _refused() builds it, as _unavailable() does for 503; _unavailable() loses a parameter that nobody passed. Statuses, types and members of the problem documents are the same.

--- a/figtray/api/problems.py
+++ b/figtray/api/problems.py
@@ -79,48 +79,22 @@
         case ProblemError():
             return exc
         case errors.ValidationFailed():
-            return ProblemError(
-                422,
-                'validation-failed',
-                str(exc),
-                outcome=Outcome.NOT_CHANGED,
-                **exc.fields,
-            )
+            return _refused(422, 'validation-failed', exc, **exc.fields)
         case errors.ResourceNotFound():
-            return ProblemError(
-                404, 'not-found', str(exc), outcome=Outcome.NOT_CHANGED
-            )
+            return _refused(404, 'not-found', exc)
         case errors.ResourceInUse():
-            return ProblemError(
-                409,
-                'resource-in-use',
-                str(exc),
-                outcome=Outcome.NOT_CHANGED,
-                referrer=exc.fields['referrer'],
+            return _refused(
+                409, 'resource-in-use', exc, referrer=exc.fields['referrer']
             )
         case errors.VersionConflict():
-            return ProblemError(
-                412,
-                'version-conflict',
-                str(exc),
-                outcome=Outcome.NOT_CHANGED,
-                current=exc.fields['item'] and exc.fields['item'].document(),
-            )
+            current = exc.fields['item'] and exc.fields['item'].document()
+            return _refused(412, 'version-conflict', exc, current=current)
         case errors.SecretNotRepeatable():
-            return ProblemError(
-                409,
-                'secret-not-repeatable',
-                str(exc),
-                outcome=Outcome.NOT_CHANGED,
-                key=exc.fields['key'],
+            return _refused(
+                409, 'secret-not-repeatable', exc, key=exc.fields['key']
             )
         case errors.WriteForbidden():
-            return ProblemError(
-                403,
-                'read-only',
-                str(exc),
-                outcome=Outcome.NOT_CHANGED,
-            )
+            return _refused(403, 'read-only', exc)
         case errors.WriteUncertain():
             return _unavailable(
                 'write-uncertain', exc, Outcome.MAY_HAVE_CHANGED
@@ -136,12 +110,18 @@
     )
 
 
-def _unavailable(name, exc, outcome, **members):
+def _refused(status, name, exc, **members):
+    """Return the ProblemError of a change that was certainly not made."""
+    return ProblemError(
+        status, name, str(exc), outcome=Outcome.NOT_CHANGED, **members
+    )
+
+
+def _unavailable(name, exc, outcome):
     return ProblemError(
         503,
         name,
         str(exc),
         headers=(('Retry-After', str(RETRY_AFTER_S)),),
         outcome=outcome,
-        **members,
     )
