Test that no start brings a worker over its shrunk capacity

The simulated workers of the tests start whatever they are told to start, as workers do that do not guard their capacity. An observer of the harness notes each start that brings one over its capacity. The tests shrink and grow the capacity of a worker that runs tasks, also while runs are stopped and across a change of the leader.

--- a/figtray/scheduling/tests/harness.py
+++ b/figtray/scheduling/tests/harness.py
@@ -1,6 +1,9 @@
 """Leader that tests drive step by step, over in-memory store and workers."""
 
 import concurrent.futures
+import dataclasses
+
+import msgspec
 
 from figtray import clock as clock_lib
 from figtray import errors
@@ -18,6 +21,7 @@
 from figtray.scheduling import roster as rosters
 from figtray.scheduling import scheduler as schedulers
 from figtray.scheduling import session
+from figtray.scheduling import state
 from figtray.scheduling import writer as writers
 from figtray.store import base
 from figtray.store import memory as store_memory
@@ -76,13 +80,41 @@
     ]
 
 
+class CapacityObserver(fleet_memory.RunObserver):
+    """Notes the starts that bring workers over their capacities.
+
+    A SimWorker starts whatever it is told to start.
+
+    Attributes:
+        steps: mapping of job id to the Steps of the job.
+        overloads: (worker id, task name, used Resources) of these starts.
+        enabled: whether starts are noted.
+    """
+
+    def __init__(self):
+        self.steps = {}
+        self.overloads = []
+        self.enabled = True
+
+    def run_started(self, sim, task, run):
+        used = model.NO_RESOURCES
+        for name in sim.runs:
+            task_id = model.parse_task_id(name)
+            if task_id.job_id in self.steps:
+                step = self.steps[task_id.job_id][task_id.step]
+                used += state.occupied(step)
+        if self.enabled and not sim.worker.capacity.covers(used):
+            self.overloads.append((sim.worker.worker_id, task, used))
+
+
 class Fleet:
     """Store, workers and clock, which outlive a leader."""
 
     def __init__(self, workers=3, cfg=None, rate=1.0):
         self.clock = clock_lib.ManualClock()
         self.store = store_memory.MemoryStore(self.clock)
-        self.client = fleet_memory.MemoryWorkers(self.clock)
+        self.capacities = CapacityObserver()
+        self.client = fleet_memory.MemoryWorkers(self.clock, self.capacities)
         self.intake = intakes.Intake(self.store, self.clock)
         self.cfg = cfg or make_config()
         self.metrics = None
@@ -109,6 +141,21 @@
         """Return the SimWorker with a number."""
         return self.client.sims[f'10.0.0.{number}:80']
 
+    def resize(self, number, **amounts):
+        """Change the capacity of a worker, and its entry if it has one.
+
+        Args:
+            number: number of the worker.
+            amounts: the fields of its Resources that change.
+        """
+        sim = self.sim(number)
+        sim.worker = dataclasses.replace(
+            sim.worker,
+            capacity=msgspec.structs.replace(sim.worker.capacity, **amounts),
+        )
+        if sim.worker.worker_id in self.workers:
+            self.workers[sim.worker.worker_id] = sim.worker
+
     def submit(self, *steps, queue='q', team='t', **fields):
         """Store a job; returns its id."""
         self._jobs += 1
@@ -122,6 +169,7 @@
             **fields,
         )
         self.intake.submit(job_id, job)
+        self.capacities.steps[job_id] = steps
         return job_id
 
     def elect_leader(self):
--- /dev/null
+++ b/figtray/scheduling/tests/test_capacity.py
@@ -0,0 +1,159 @@
+"""Tests of workers whose capacity shrinks and grows while they run tasks."""
+
+import pytest
+
+from figtray.scheduling.tests import harness
+from figtray.scheduling.tests import takeovers
+
+FULL_MILLI = 8000
+
+
+@pytest.fixture
+def fleet():
+    fleet = harness.Fleet(1)
+    yield fleet
+    assert not fleet.capacities.overloads
+
+
+@pytest.fixture
+def leader(fleet):
+    leader = fleet.elect_leader()
+    leader.report_all()
+    return leader
+
+
+def plan(fleet, leader, *steps):
+    """Plan a job, without sending the orders; returns its id."""
+    job_id = fleet.submit(*steps)
+    leader.sync_intake()
+    leader.scheduler.plan()
+    return job_id
+
+
+def settle(leader, cycles=6):
+    """Let a leader work until what can start has started."""
+    for _ in range(cycles):
+        leader.advance(200)
+        leader.sync_workers()
+        leader.run_cycle()
+
+
+def count_runs(fleet):
+    """Return the number of runs on all workers."""
+    return len(takeovers.running(fleet))
+
+
+class TestShrunkWorker:
+    @pytest.mark.parametrize('cpu_milli', [0, 1000, 2000, 3999])
+    def test_no_start_while_runs_exceed_the_capacity(
+        self, fleet, leader, cpu_milli
+    ):
+        fleet.submit(harness.make_step(4, 1000))
+        settle(leader)
+        fleet.resize(0, cpu_milli=cpu_milli)
+        fleet.submit(harness.make_step(1, 100))
+        settle(leader)
+        assert count_runs(fleet) == 4
+
+    def test_capacity_between_used_and_full_is_used(self, fleet, leader):
+        fleet.submit(harness.make_step(4, 1000))
+        settle(leader)
+        fleet.resize(0, cpu_milli=6000)
+        fleet.submit(harness.make_step(4, 1000))
+        settle(leader)
+        assert count_runs(fleet) == 6
+
+    @pytest.mark.parametrize('amounts', [{'cpu_milli': 0}, {'memory_mb': 0}])
+    def test_tasks_start_once_the_capacity_has_grown(
+        self, fleet, leader, amounts
+    ):
+        fleet.resize(0, **amounts)
+        leader.sync_workers()
+        fleet.submit(harness.make_step(8, 1000))
+        settle(leader)
+        assert not count_runs(fleet)
+        fleet.resize(0, cpu_milli=FULL_MILLI, memory_mb=64_000)
+        settle(leader)
+        assert count_runs(fleet) == 8
+
+    def test_runs_end_down_to_the_capacity_before_a_start(self, fleet, leader):
+        first = fleet.submit(harness.make_step(4, 2000))
+        settle(leader)
+        fleet.resize(0, cpu_milli=4000)
+        second = fleet.submit(harness.make_step(1, 2000))
+        for index in range(4):
+            settle(leader)
+            assert (f'{second}.0.0.0' in harness.running(fleet)) == (index > 2)
+            harness.finish(fleet, f'{first}.0.0.{index}')
+
+    def test_gang_does_not_start_on_what_has_shrunk(self, fleet, leader):
+        fleet.resize(0, cpu_milli=3000)
+        leader.sync_workers()
+        fleet.submit(harness.make_step(4, 1000, gang=True))
+        settle(leader)
+        assert not count_runs(fleet)
+        fleet.resize(0, cpu_milli=4000)
+        settle(leader)
+        assert count_runs(fleet) == 4
+
+
+class TestRunsBeingStopped:
+    def test_stopped_run_counts_until_its_end_is_listed(self, fleet, leader):
+        first = fleet.submit(harness.make_step(1, 6000))
+        settle(leader)
+        fleet.resize(0, cpu_milli=6000)
+        leader.sync_workers()
+        fleet.intake.cancel(first, 't')
+        fleet.client.choose_fault = lambda kind, _: (
+            'not sent' if kind == 'stop' else 'ok'
+        )
+        second = fleet.submit(harness.make_step(1, 1000))
+        settle(leader)
+        assert list(harness.running(fleet)) == [f'{first}.0.0.0']
+        fleet.client.choose_fault = lambda *_: 'ok'
+        settle(leader)
+        assert list(harness.running(fleet)) == [f'{second}.0.0.0']
+
+
+class TestAdoptedRuns:
+    @pytest.mark.parametrize('cancelled', [False, True])
+    def test_runs_of_the_former_leader_count(self, fleet, leader, cancelled):
+        first = fleet.submit(harness.make_step(4, 1000))
+        settle(leader)
+        fleet.resize(0, cpu_milli=4000)
+        if cancelled:
+            # The new leader stops the runs as soon as it has adopted them.
+            fleet.intake.cancel(first, 't')
+            fleet.client.choose_fault = lambda kind, _: (
+                'not sent' if kind == 'stop' else 'ok'
+            )
+        second = fleet.elect_leader()
+        fleet.submit(harness.make_step(1, 100))
+        settle(second)
+        assert count_runs(fleet) == 4
+
+    # The worker is known from the roster only; its capacity is not.
+    def test_worker_without_entry_gets_no_tasks(self, fleet, leader):
+        fleet.submit(harness.make_step(2, 1000))
+        settle(leader)
+        entry = fleet.workers.pop('worker-0')
+        fleet.resize(0, cpu_milli=2000)
+        second = fleet.elect_leader()
+        fleet.submit(harness.make_step(1, 1000))
+        settle(second)
+        assert count_runs(fleet) == 2
+        fleet.workers['worker-0'] = entry
+        fleet.resize(0, cpu_milli=3000)
+        settle(second)
+        assert count_runs(fleet) == 3
+
+
+class TestBestEffort:
+    def test_memory_of_best_effort_tasks_counts(self, fleet, leader):
+        fleet.submit(harness.make_step(4, 1000, fills=True))
+        settle(leader)
+        fleet.resize(0, memory_mb=350)
+        fleet.submit(harness.make_step(1, 1000, fills=True))
+        fleet.submit(harness.make_step(1, 1000))
+        settle(leader)
+        assert count_runs(fleet) == 4
