Check the capacity of a worker again before each start order

What callers saw: nothing yet; all services of the known deployments guard their capacity.

Cause: the room for a run is checked when it is planned. Its order then waits in the queue of the worker, and that of a lasting task also for the write of its placement. If the entry of the worker shrinks or goes meanwhile, the order is sent all the same.

Evidence: TestShrinkBeforeTheOrder, five cases, failed before: 4 runs started on a worker that had shrunk to 0 or to 3.5 of the 4 cores that they need.

Change: prepare_start() also needs the entry of the worker, and its runs, which include the one to start, must not occupy more than its capacity. Otherwise the task waits again.

Result: the tests of figtray/scheduling pass.

--- a/figtray/scheduling/outcomes.py
+++ b/figtray/scheduling/outcomes.py
@@ -21,8 +21,8 @@
         """Check again that a run may start, and extend the worker's lease.
 
         Called directly before the order is sent: since the run was planned,
-        the term, the worker, its zone or the job may have changed. The task
-        of a run that must not start waits again.
+        the term, the worker, its capacity, its zone or the job may have
+        changed. The task of a run that must not start waits again.
 
         Returns:
             The StartOrder, or None if the run must not start.
@@ -39,6 +39,8 @@
                 or worker_state.gone
                 or worker_state.cordon_reason
                 or worker_state.unresponsive
+                or not worker_state.listed
+                or worker_state.is_overloaded()
                 or worker_clock is None
                 or worker_state.worker.draining
                 or worker_state.worker.zone in self._evacuated_zones
--- a/figtray/scheduling/tests/test_capacity.py
+++ b/figtray/scheduling/tests/test_capacity.py
@@ -97,6 +97,52 @@
         assert count_runs(fleet) == 4
 
 
+class TestShrinkBeforeTheOrder:
+    # Orders wait in the queue of the worker while its entry shrinks.
+    @pytest.mark.parametrize(
+        'amounts, started',
+        [
+            ({'cpu_milli': 0}, 0),
+            ({'cpu_milli': 3500}, 3),
+            ({'memory_mb': 250}, 2),
+        ],
+    )
+    def test_planned_tasks_start_within_the_capacity(
+        self, fleet, leader, amounts, started
+    ):
+        plan(fleet, leader, harness.make_step(4, 1000))
+        fleet.resize(0, **amounts)
+        leader.sync_workers()
+        leader.deliver_orders(0)
+        assert count_runs(fleet) == started
+        settle(leader)
+        assert count_runs(fleet) == started
+
+    # The start of a lasting task waits until its placement is stored.
+    def test_shrink_while_a_placement_is_written(self, fleet, leader):
+        plan(fleet, leader, harness.make_step(1, 1000, lasting=True))
+        fleet.resize(0, cpu_milli=999)
+        leader.sync_workers()
+        leader.deliver_orders(0)
+        assert not count_runs(fleet)
+        fleet.resize(0, cpu_milli=1000)
+        settle(leader)
+        assert count_runs(fleet) == 1
+
+    # Without an entry nobody knows the capacity.
+    def test_entry_is_gone_before_the_order(self, fleet, leader):
+        plan(fleet, leader, harness.make_step(1, 1000))
+        entry = fleet.workers.pop('worker-0')
+        fleet.resize(0, cpu_milli=0)
+        leader.sync_workers()
+        leader.deliver_orders(0)
+        assert not count_runs(fleet)
+        fleet.workers['worker-0'] = entry
+        fleet.resize(0, cpu_milli=1000)
+        settle(leader)
+        assert count_runs(fleet) == 1
+
+
 class TestRunsBeingStopped:
     def test_stopped_run_counts_until_its_end_is_listed(self, fleet, leader):
         first = fleet.submit(harness.make_step(1, 6000))
--- a/figtray/scheduling/worker_state.py
+++ b/figtray/scheduling/worker_state.py
@@ -129,3 +129,7 @@
     def free_resources(self):
         """Return the Resources that no run occupies."""
         return self.worker.capacity - self.used
+
+    def is_overloaded(self):
+        """Return whether the runs occupy more than the capacity."""
+        return not self.worker.capacity.covers(self.used)
