Count stray runs towards the capacity of their worker

A start brings a worker that does not guard its capacity over it (LIMIT: what is being stopped still counts).

Cause: a run that the leader finds on a worker, and that it does not track because the job is unknown or the task runs elsewhere, is stopped, but nothing counts it until its end is listed. On a worker without other runs the stop was also never repeated if the first one was not sent, as such a worker is not asked for a report.

Evidence: TestStrayRuns (two tests) and test_stray_run_goes_on_on_an_idle_worker failed before.

Change: the last report of a worker tells how many stray runs it has and what they need. Nothing starts on the worker while the needs of one are unknown. A worker with stray runs is asked for reports.

--- a/figtray/scheduling/placement.py
+++ b/figtray/scheduling/placement.py
@@ -26,6 +26,7 @@
         worker_state.avoid_until_ms > now_ms
         or worker_state.cordon_reason
         or worker_state.unresponsive
+        or worker_state.stray_runs.unknown
     ):
         return False
     if spec.label and spec.label not in worker_state.worker.labels:
--- a/figtray/scheduling/reports.py
+++ b/figtray/scheduling/reports.py
@@ -3,12 +3,14 @@
 from figtray.events import catalogue
 from figtray.events import log
 from figtray.fleet import messages
+from figtray.jobs import model
 from figtray.jobs import records
 from figtray.scheduling import job_lifecycle
 from figtray.scheduling import leases
 from figtray.scheduling import scheduler_base
 from figtray.scheduling import state
 from figtray.scheduling import worker_orders
+from figtray.scheduling import worker_state as worker_state_lib
 
 # Least time between two orders to stop the same stray run.
 STRAY_STOP_INTERVAL_MS = 500
@@ -90,6 +92,9 @@
                     and (run.task.name, run.number) not in reported
                 ):
                     self._mark_lost(run, 'absent from a report')
+            worker_state.stray_runs = self._stray_runs(
+                worker_state, reported - ended
+            )
             self._resolve_incarnation(
                 worker_state.worker.incarnation, 'it reports'
             )
@@ -215,6 +220,23 @@
         )
         worker_state.orders.put(worker_orders.StopStray(item.task, item.run))
 
+    def _stray_runs(self, worker_state, running):
+        """Return the StrayRuns of a report that has been handled.
+
+        Args:
+            worker_state: the WorkerState of the worker that reports.
+            running: (task name, run number) of what runs there.
+        """
+        tasks = [
+            self.find_task(name)
+            for name, _ in running
+            if name not in worker_state.runs
+        ]
+        needs = model.NO_RESOURCES
+        for task in filter(None, tasks):
+            needs += state.occupied(task.step.spec)
+        return worker_state_lib.StrayRuns(len(tasks), needs, None in tasks)
+
     def _handle_end(self, worker_state, item, now_ms):
         task = self.find_task(item.task)
         run = worker_state.runs.get(item.task)
--- a/figtray/scheduling/session.py
+++ b/figtray/scheduling/session.py
@@ -115,6 +115,7 @@
             not worker_state.has_reported
             or worker_state.unresponsive
             or bool(worker_state.runs)
+            or worker_state.stray_runs.count > 0
             or worker_state.sent_acknowledged < worker_state.acknowledged
         )
 
--- a/figtray/scheduling/tests/test_capacity.py
+++ b/figtray/scheduling/tests/test_capacity.py
@@ -2,10 +2,12 @@
 
 import pytest
 
+from figtray.fleet import messages
 from figtray.scheduling.tests import harness
 from figtray.scheduling.tests import takeovers
 
 FULL_MILLI = 8000
+UNKNOWN_TASK = f'{"f" * 16}.0.0.0'
 
 
 @pytest.fixture
@@ -161,6 +163,59 @@
         assert list(harness.running(fleet)) == [f'{second}.0.0.0']
 
 
+def start_unasked(fleet, leader, task, number=0):
+    """Start a task on a worker without the leader's knowledge."""
+    sim = fleet.sim(number)
+    sim.start(
+        messages.StartOrder(
+            task,
+            1,
+            'p',
+            sim.epoch,
+            sim.clock_ms() + takeovers.LONGEST_LEASE_MS,
+        )
+    )
+
+
+class TestStrayRuns:
+    # A run that the leader does not track is stopped; until its end is
+    # listed it occupies the worker.
+    def test_second_run_of_a_task_counts(self, fleet, leader):
+        fleet.add_worker(1)
+        leader.sync_workers()
+        leader.report_all()
+        fleet.resize(0, cpu_milli=0)
+        first = fleet.submit(harness.make_step(1, 6000))
+        settle(leader)
+        fleet.resize(0, cpu_milli=8000)
+        start_unasked(fleet, leader, f'{first}.0.0.0')
+        leader.sync_workers()
+        leader.report(0)
+        fleet.client.choose_fault = lambda kind, _: (
+            'not sent' if kind == 'stop' else 'ok'
+        )
+        fleet.submit(harness.make_step(2, 4000))
+        leader.run_cycle()
+        assert len(fleet.sim(0).runs) == 1
+        fleet.client.choose_fault = lambda *_: 'ok'
+        settle(leader)
+        assert len(fleet.sim(0).runs) == 2
+
+    # Nobody can tell how much a run of an unknown job occupies.
+    def test_run_of_an_unknown_job_fills_its_worker(self, fleet, leader):
+        start_unasked(fleet, leader, UNKNOWN_TASK)
+        leader.report(0)
+        fleet.client.choose_fault = lambda kind, _: (
+            'not sent' if kind == 'stop' else 'ok'
+        )
+        job_id = fleet.submit(harness.make_step(1, 100))
+        leader.run_cycle()
+        assert list(harness.running(fleet)) == [UNKNOWN_TASK]
+        fleet.client.choose_fault = lambda *_: 'ok'
+        settle(leader)
+        assert list(harness.running(fleet)) == [f'{job_id}.0.0.0']
+
+
 class TestAdoptedRuns:
     @pytest.mark.parametrize('cancelled', [False, True])
     def test_runs_of_the_former_leader_count(self, fleet, leader, cancelled):
--- a/figtray/scheduling/tests/test_session.py
+++ b/figtray/scheduling/tests/test_session.py
@@ -6,6 +6,7 @@
 import pytest
 
 from figtray.fleet import messages
+from figtray.scheduling import reports
 from figtray.scheduling.tests import harness
 
 WAIT_S = 10
@@ -86,6 +87,30 @@
             leader.term.end('test')
             session.close()
 
+    # A worker without tracked runs was not asked again after an order to
+    # stop a stray run that was not sent.
+    def test_stray_run_goes_on_on_an_idle_worker(self):
+        fleet = harness.Fleet(1)
+        leader = fleet.elect_leader()
+        sim = fleet.sim(0)
+        sim.start(messages.StartOrder(f'{"f" * 16}.0.0.0', 1, 'p', 0, 5000))
+        fleet.client.choose_fault = lambda kind, _: (
+            'not sent' if kind == 'stop' else 'ok'
+        )
+        leader.report(0)
+        leader.deliver_orders(0)
+        assert sim.runs
+        fleet.client.choose_fault = lambda *_: 'ok'
+        # Long enough for another order, and within the lease of the run.
+        leader.advance(reports.STRAY_STOP_INTERVAL_MS)
+        [session] = leader._sessions.values()
+        session.start()
+        try:
+            assert wait_for(lambda: not sim.runs)
+        finally:
+            leader.term.end('test')
+            session.close()
+
     def test_threads_end_with_the_term(self):
         fleet = harness.Fleet(1)
         leader = fleet.elect_leader()
--- a/figtray/scheduling/worker_state.py
+++ b/figtray/scheduling/worker_state.py
@@ -1,5 +1,6 @@
 """State of one incarnation of a worker, as the leader knows it."""
 
+import dataclasses
 import queue
 import threading
 
@@ -7,6 +8,21 @@
 from figtray.jobs import records
 
 
+@dataclasses.dataclass(frozen=True)
+class StrayRuns:
+    """Runs that a worker lists and the leader does not track.
+
+    Attributes:
+        count: number of the runs.
+        needs: Resources that they occupy.
+        unknown: whether the needs of some are unknown.
+    """
+
+    count: int = 0
+    needs: model.Resources = model.NO_RESOURCES
+    unknown: bool = False
+
+
 class WorkerState:
     """One incarnation of a worker, with its runs.
 
@@ -45,6 +61,7 @@
         unanswered_starts: number of starts in a row that got no reply.
         strays: for each stray run, the local time of the last order to stop
             it.
+        stray_runs: the StrayRuns in its last report.
         orders: queue of orders for the session's order threads.
         wake: wakes the session's report thread from its idle wait.
         failures: number of failed runs since a task was last done.
@@ -77,6 +94,7 @@
         self.host_lost_since_ms = None
         self.unanswered_starts = 0
         self.strays = {}
+        self.stray_runs = StrayRuns()
         self.orders = queue.SimpleQueue()
         self.wake = threading.Event()
         self.failed_jobs = set()
@@ -127,9 +145,11 @@
         return self.clock_ms + passed_ms > self.lease_until_ms + margin_ms
 
     def free_resources(self):
-        """Return the Resources that no run occupies."""
-        return self.worker.capacity - self.used
+        """Return the Resources that no run with known needs occupies."""
+        return self.worker.capacity - self.used - self.stray_runs.needs
 
     def is_overloaded(self):
-        """Return whether the runs occupy more than the capacity."""
-        return not self.worker.capacity.covers(self.used)
+        """Return whether the runs may occupy more than the capacity."""
+        return self.stray_runs.unknown or not self.free_resources().covers(
+            model.NO_RESOURCES
+        )
