Count the GPUs of best-effort tasks towards the capacity

What callers saw: nothing yet; no known deployment has GPUs. A best-effort task that needs a GPU starts on a worker without a free one, and one that needs none starts on a worker whose other tasks take more than its shrunk capacity.

Cause: of the needs of a best-effort task only the memory was compared with what is free. Only its processor time does not count.

Evidence: test_best_effort_task_counts_gpus and test_no_best_effort_task_beside_runs_over_the_capacity failed before.

Change: what a task occupies is compared as a whole, as in gangs.

Result: the tests of figtray/scheduling pass.

--- a/figtray/scheduling/placement.py
+++ b/figtray/scheduling/placement.py
@@ -1,5 +1,7 @@
 """Choice of the worker for a task."""
 
+from figtray.scheduling import state
+
 
 def choose(step, worker_states, now_ms):
     """Return the best worker for a task of a step, or None.
@@ -31,10 +33,7 @@
         return False
     if spec.label and spec.label not in worker_state.worker.labels:
         return False
-    if spec.fills:
-        if worker_state.free_resources().memory_mb < spec.needs.memory_mb:
-            return False
-    elif not worker_state.free_resources().covers(spec.needs):
+    if not worker_state.free_resources().covers(state.occupied(spec)):
         return False
     if spec.max_per_worker:
         running_here = sum(
--- a/figtray/scheduling/tests/test_capacity.py
+++ b/figtray/scheduling/tests/test_capacity.py
@@ -3,6 +3,7 @@
 import pytest
 
 from figtray.fleet import messages
+from figtray.jobs import model
 from figtray.scheduling.tests import harness
 from figtray.scheduling.tests import takeovers
 
@@ -250,6 +251,26 @@
 
 
 class TestBestEffort:
+    def test_best_effort_task_counts_gpus(self, fleet, leader):
+        needs = model.Resources(1000, 100, 1)
+        fleet.submit(model.Step(count=1, needs=needs, fills=True))
+        settle(leader)
+        assert not count_runs(fleet)
+        fleet.resize(0, gpus=1)
+        settle(leader)
+        assert count_runs(fleet) == 1
+
+    # It gets what other tasks leave unused, and these leave nothing.
+    def test_no_best_effort_task_beside_runs_over_the_capacity(
+        self, fleet, leader
+    ):
+        fleet.submit(harness.make_step(4, 1000))
+        settle(leader)
+        fleet.resize(0, cpu_milli=3000)
+        fleet.submit(harness.make_step(1, 1000, fills=True))
+        settle(leader)
+        assert count_runs(fleet) == 4
+
     def test_memory_of_best_effort_tasks_counts(self, fleet, leader):
         fleet.submit(harness.make_step(4, 1000, fills=True))
         settle(leader)
