Stop a gang of which a member did not start

Cause: if a start is refused, not sent or unanswered, only the task of that start waits again or is stopped. A gang starts only as a whole, so nothing joins its members that run. A worker whose capacity shrinks between the plan and the order makes this more likely.

Evidence: test_gang_goes_on_without_a_member_that_did_not_start, three cases, failed before.

Change: the other members are stopped at once, and the gang waits as a whole.

Result: the tests of figtray/scheduling and figtray/upkeep pass.

--- a/figtray/scheduling/outcomes.py
+++ b/figtray/scheduling/outcomes.py
@@ -151,6 +151,7 @@
                 )
             if run.task.run is run and run.phase == state.Phase.STARTING:
                 self._stop(run)
+                self._stop_gang(run)
 
     def handle_stopped(self, run):
         """Record that a worker has confirmed an order to stop a run."""
--- a/figtray/scheduling/scheduler_base.py
+++ b/figtray/scheduling/scheduler_base.py
@@ -164,6 +164,17 @@
         if run.task.run is run:
             self._detach(run)
             self._requeue(run.task)
+            self._stop_gang(run)
+
+    def _stop_gang(self, run):
+        """Stop the other members of a gang, one of which did not start.
+
+        They would only wait for it and occupy their workers.
+        """
+        if run.task.step.spec.gang:
+            for task in run.task.step.tasks:
+                if task.run is not None:
+                    self.stop(task.run, 'a member of its gang did not start')
 
     def _mark_lost(self, run, reason):
         """Record that a run is over without a known end."""
--- a/figtray/scheduling/tests/test_job_lifecycle.py
+++ b/figtray/scheduling/tests/test_job_lifecycle.py
@@ -1,8 +1,11 @@
 """Tests of the steps of jobs, and of their end and removal."""
 
+import pytest
+
 from figtray.fleet import messages
 from figtray.jobs import records
 from figtray.scheduling import retention
+from figtray.scheduling import scheduler_base
 from figtray.scheduling import state
 from figtray.scheduling.tests import harness
 
@@ -107,6 +110,38 @@
         leader.run_cycle()
         assert leader.state(job_id) == records.State.COMPLETED
 
+    # The others wait for the missing member until their time is up.
+    @pytest.mark.parametrize('cause', ['shrunk', 'refused', 'unanswered'])
+    def test_gang_goes_on_without_a_member_that_did_not_start(
+        self, fleet, leader, cause
+    ):
+        job_id = fleet.submit(
+            harness.make_step(3, gang=True, max_per_worker=1)
+        )
+        leader.sync_intake()
+        leader.scheduler.plan()
+        for number in (0, 1):
+            leader.deliver_orders(number)
+        if cause == 'shrunk':
+            fleet.resize(2, cpu_milli=0)
+            leader.sync_workers()
+        else:
+            fault = 'not sent' if cause == 'refused' else 'late'
+            fleet.client.choose_fault = lambda *_: fault
+        leader.deliver_orders(2, limit=1)
+        fleet.client.choose_fault = lambda *_: 'ok'
+        for _ in range(3):
+            leader.run_cycle()
+        assert len(harness.running(fleet)) in (0, 3)
+        fleet.resize(2, cpu_milli=8000)
+        for _ in range(3):
+            leader.advance(scheduler_base.UNHEALTHY_BACKOFF_MS)
+            leader.sync_workers()
+            leader.run_cycle()
+        runs = harness.running(fleet)
+        assert set(runs) == {f'{job_id}.0.0.{index}' for index in range(3)}
+        assert len({run for [(_, run)] in runs.values()}) == 1
+
     # Some members of a gang alone would only wait and occupy their workers.
     def test_gang_without_room_does_not_start(self, fleet, leader):
         fleet.submit(harness.make_step(30, gang=True))
