Measure the needs of pools in hosts of the usual size

What callers saw: nothing yet. While one host of the list has next to no processor time, each pool asks for all spare hosts; a host without memory stops the rebalancing with an exception.

Cause: what a pool needs was divided by the capacity of the host with the least processor time, and only hosts without processor time were ignored. A capacity may shrink for a while.

Evidence: test_one_shrunk_host_does_not_count_as_the_usual_one (two moves for four small tasks) and test_hosts_without_capacity (ZeroDivisionError) failed before.

Change: the median of each resource of the hosts counts.

--- a/figtray/upkeep/rebalancer.py
+++ b/figtray/upkeep/rebalancer.py
@@ -3,6 +3,7 @@
 import collections
 import dataclasses
 import math
+import statistics
 
 from figtray import errors
 from figtray.events import catalogue
@@ -110,7 +111,7 @@
         if spare_pool is None:
             return
         loads = self._scheduler.pool_loads()
-        capacity = _smallest_capacity(listed.values())
+        capacity = _usual_capacity(listed.values())
         pools = sorted(set(cfg.pools) - cfg.spare_pools())
         base = base_workers(len(listed), cfg)
         # Hosts that each pool lacks; a negative number is a surplus.
@@ -404,9 +405,19 @@
     return max(MIN_WORKERS, math.ceil(hosts), spread)
 
 
-def _smallest_capacity(hosts):
-    """Return the capacity of the host with the least processor time."""
-    known = [host.capacity for host in hosts if host.capacity.cpu_milli]
+def _usual_capacity(hosts):
+    """Return the median of each resource of the hosts.
+
+    Some hosts may have shrunk for a while.
+    """
+    known = [
+        host.capacity
+        for host in hosts
+        if host.capacity.cpu_milli and host.capacity.memory_mb
+    ]
     if not known:
         return DEFAULT_HOST_CAPACITY
-    return min(known, key=lambda item: item.cpu_milli)
+    return model.Resources(
+        statistics.median_low(item.cpu_milli for item in known),
+        statistics.median_low(item.memory_mb for item in known),
+    )
--- a/figtray/upkeep/tests/test_rebalancer.py
+++ b/figtray/upkeep/tests/test_rebalancer.py
@@ -156,6 +156,43 @@
         assert sorted(site.moves()) == [('host-8', 'main'), ('host-9', 'main')]
 
 
+class TestShrunkWorkers:
+    def shrink(self, site, numbers, cpu_milli):
+        for number in numbers:
+            site.fleet.resize(number, cpu_milli=cpu_milli)
+        site.leader.sync_workers()
+
+    def test_shrunk_worker_of_a_quiet_pool_moves_no_host(self, site):
+        for cpu_milli in (0, 8000) * 10:
+            self.shrink(site, [0], cpu_milli)
+            site.leader.advance(1000)
+            site.reconcile()
+        moved_hosts = [host_id for host_id, _ in site.moves()]
+        assert len(moved_hosts) == len(set(moved_hosts))
+
+    # One host that has shrunk made each pool seem to need all hosts.
+    def test_one_shrunk_host_does_not_count_as_the_usual_one(self, site):
+        host = site.hosts.hosts['host-0']
+        site.hosts.hosts['host-0'] = dataclasses.replace(
+            host, capacity=model.Resources(100, 64_000)
+        )
+        site.fleet.submit(harness.make_step(4, 1000))
+        site.reconcile()
+        assert not site.moves()
+
+    @pytest.mark.parametrize(
+        'capacity', [model.NO_RESOURCES, model.Resources(8000, 0)]
+    )
+    def test_hosts_without_capacity(self, site, capacity):
+        for host_id, host in site.hosts.hosts.items():
+            site.hosts.hosts[host_id] = dataclasses.replace(
+                host, capacity=capacity
+            )
+        site.fleet.submit(harness.make_step(4, 1000))
+        site.reconcile()
+        assert len(harness.running(site.fleet)) == 4
+
+
 class TestSurplus:
     def run_cycles(self, site):
         for _ in range(8):
