Count shrunk workers of a pool as the hosts that they replace

What callers saw: nothing yet. If the workers of a pool shrink, its tasks wait although spare hosts stand idle.

Cause: the rebalancer compares the number of hosts that a pool needs with the number of its workers, whatever these have.

Evidence: test_pool_whose_workers_have_shrunk_gets_hosts failed before: no host moved to a pool of four workers without processor time and four waiting tasks.

Change: the needs of the tasks are compared with what the workers of the pool have, in hosts of the usual size. The number that each pool keeps without demand still counts workers, so a worker of a quiet pool that shrinks and grows moves no host (test_shrunk_worker_of_a_quiet_pool_moves_no_host). Event 1806 also tells the memory.

--- a/figtray/events/catalogue.py
+++ b/figtray/events/catalogue.py
@@ -488,6 +488,7 @@
         'pool',
         'workers',
         'capacity_milli',
+        'capacity_mb',
         'lasting_milli',
         'short_milli',
         'waiting_milli',
--- a/figtray/scheduling/draining.py
+++ b/figtray/scheduling/draining.py
@@ -29,6 +29,7 @@
                     continue
                 entry['workers'] += 1
                 entry['capacity_milli'] += worker.capacity.cpu_milli
+                entry['capacity_mb'] += worker.capacity.memory_mb
             for job in self._jobs.values():
                 if not job.ended and job.queue is not None:
                     entry = sums.setdefault(
--- a/figtray/scheduling/pool_load.py
+++ b/figtray/scheduling/pool_load.py
@@ -10,6 +10,7 @@
     Attributes:
         workers: number of workers on which tasks may start.
         capacity_milli: their processor time in thousandths of a core.
+        capacity_mb: their memory in megabytes.
         lasting_milli: processor time that running lasting tasks need.
         short_milli: processor time that other running tasks need.
         waiting_milli: processor time that waiting tasks need; these are
@@ -25,6 +26,7 @@
 
     workers: int = 0
     capacity_milli: int = 0
+    capacity_mb: int = 0
     lasting_milli: int = 0
     short_milli: int = 0
     waiting_milli: int = 0
--- a/figtray/upkeep/rebalancer.py
+++ b/figtray/upkeep/rebalancer.py
@@ -120,10 +120,13 @@
             load = loads.get(pool)
             if load is None:
                 continue
-            available = load.workers + self._count_incoming(pool)
             rise = self._forecast_rise(pool, load, now_ms)
-            wanted = max(base, wanted_workers(load, rise, capacity))
-            missing[pool] = wanted - available
+            lacking = max(
+                base - load.workers,
+                wanted_workers(load, rise, capacity)
+                - usual_workers(load, capacity),
+            )
+            missing[pool] = lacking - self._count_incoming(pool)
         for pool in sorted(missing, key=missing.get, reverse=True):
             if missing[pool] > 0:
                 missing[pool] -= self._add_hosts(
@@ -405,6 +408,20 @@
     return max(MIN_WORKERS, math.ceil(hosts), spread)
 
 
+def usual_workers(load, capacity):
+    """Return how many hosts of the usual size the workers of a pool replace.
+
+    Args:
+        load: its PoolLoad.
+        capacity: Resources of a host.
+    """
+    return min(
+        load.workers,
+        round(load.capacity_milli / capacity.cpu_milli),
+        round(load.capacity_mb / capacity.memory_mb),
+    )
+
+
 def _usual_capacity(hosts):
     """Return the median of each resource of the hosts.
 
--- a/figtray/upkeep/tests/test_rebalancer.py
+++ b/figtray/upkeep/tests/test_rebalancer.py
@@ -162,6 +162,13 @@
             site.fleet.resize(number, cpu_milli=cpu_milli)
         site.leader.sync_workers()
 
+    # The pool seemed to have workers enough, and its tasks waited for good.
+    def test_pool_whose_workers_have_shrunk_gets_hosts(self, site):
+        self.shrink(site, range(4), 0)
+        site.fleet.submit(harness.make_step(4, 1000))
+        site.reconcile()
+        assert [pool for _, pool in site.moves()] == ['main', 'main']
+
     def test_shrunk_worker_of_a_quiet_pool_moves_no_host(self, site):
         for cpu_milli in (0, 8000) * 10:
             self.shrink(site, [0], cpu_milli)
