Limit what may run out of sight by the largest capacity seen

What callers saw: nothing yet. A new leader lets a team start more than its limit while workers of the former leader are awaited (QUOTA).

Cause: what the held tasks need is counted up to what the awaited workers can hold, and that was the most that a listed worker has at the moment. Runs out of sight may have started before the workers shrank.

Evidence: test_needs_out_of_sight_are_limited_to_a_shrunk_worker failed before.

Change: the largest capacity of a worker or a listed host in this term counts.

Limit: where the host list shows shrunk capacities too, or has not been read when the first tasks start, a new leader knows no other capacity.

--- a/figtray/scheduling/adoption.py
+++ b/figtray/scheduling/adoption.py
@@ -67,15 +67,13 @@
     def _needs_out_of_sight(self, held):
         """Return what the held tasks of each team may need out of sight.
 
-        That is no more than the unresolved incarnations can hold.
+        That is no more than the unresolved incarnations can hold. They may
+        hold more than they have by now, if they have shrunk.
 
         Args:
             held: mapping of StepState to its held tasks.
         """
-        capacity = model.NO_RESOURCES
-        for worker_state in self._worker_states.values():
-            capacity = capacity.at_least(worker_state.worker.capacity)
-        limit = capacity.times(len(self._unresolved))
+        limit = self._largest_capacity.times(len(self._unresolved))
         needs = collections.defaultdict(lambda: model.NO_RESOURCES)
         for step, tasks in held.items():
             needs[step.job.spec.team] += step.spec.needs.times(len(tasks))
--- a/figtray/scheduling/membership.py
+++ b/figtray/scheduling/membership.py
@@ -133,6 +133,7 @@
                     runs=len(worker_state.runs),
                 )
             worker_state.set_worker(worker)
+            self._note_capacity(worker.capacity)
             worker_state.listed = True
         return added
 
@@ -215,6 +216,8 @@
                         f'its host is {host.state.value} in {host.pool} '
                         f'with worker {host.worker_id!r}',
                     )
+            for host in listed.values():
+                self._note_capacity(host.capacity)
             self._awaited_log.note_hosts(self._unresolved, listed)
             for worker_state in list(self._worker_states.values()):
                 _note_host(worker_state, listed, self._clock.now_ms())
--- a/figtray/scheduling/scheduler_base.py
+++ b/figtray/scheduling/scheduler_base.py
@@ -71,6 +71,8 @@
         self._adoption_until_ms = 0
         # Whether the leaders before this term recorded all Placements.
         self._are_placements_known = False
+        # Most of each resource that a worker or a host was seen to have.
+        self._largest_capacity = model.NO_RESOURCES
         # Runs of lasting tasks whose Placements are not stored yet, with the
         # sequence numbers of the Writer to wait for, in ascending order.
         self._unrecorded_runs = collections.deque()
@@ -83,6 +85,9 @@
         # cancellation.
         self._early_cancellations = {}
 
+    def _note_capacity(self, capacity):
+        self._largest_capacity = self._largest_capacity.at_least(capacity)
+
     def worker_state(self, incarnation):
         """Return the WorkerState of an incarnation, or None."""
         with self.lock:
--- a/figtray/scheduling/tests/harness.py
+++ b/figtray/scheduling/tests/harness.py
@@ -133,6 +133,7 @@
             worker.pool,
             fleet_model.HostState.UP,
             worker.zone,
+            capacity=worker.capacity,
             worker_id=worker.worker_id,
         )
         return self.client.add(worker, rate)
--- a/figtray/scheduling/tests/test_takeover.py
+++ b/figtray/scheduling/tests/test_takeover.py
@@ -296,6 +296,25 @@
         takeovers.play(fleet.elect_leader(), takeovers.START_MS)
         assert len(takeovers.running(fleet)) == 6
 
+    # What runs out of sight was started before the workers shrank.
+    def test_needs_out_of_sight_are_limited_to_a_shrunk_worker(self):
+        fleet = harness.Fleet(1, harness.make_config(limit_milli=6000))
+        leader = fleet.elect_leader()
+        leader.report_all()
+        fleet.submit(harness.make_step(6))
+        takeovers.play(leader, 2 * takeovers.CYCLE_MS)
+        fleet.submit(harness.make_step(4, lasting=True))
+        takeovers.play(leader, 2 * takeovers.CYCLE_MS)
+        assert len(takeovers.running(fleet)) == 6
+        takeovers.silence(fleet, 0)
+        fleet.resize(0, cpu_milli=1000)
+        fleet.add_worker(9)
+        fleet.resize(9, cpu_milli=4000)
+        leader = fleet.elect_leader()
+        leader.scheduler.reconcile_hosts(fleet.hosts)
+        takeovers.play(leader, takeovers.START_MS)
+        assert len(takeovers.running(fleet)) == 6
+
 
 class TestEntryThatLapses:
     # A silent worker without an entry was taken for one that has ended,
