--- a/figtray/scheduling/scheduler_base.py
+++ b/figtray/scheduling/scheduler_base.py
@@ -76,6 +76,8 @@
         self._adoption_until_ms = 0
         # Whether the leaders before this term recorded all Placements.
         self._are_placements_known = False
+        # Most of each resource that a worker or a host was seen to have.
+        self._largest_capacity = model.NO_RESOURCES
         # Runs of lasting tasks whose Placements are not stored yet, with the
         # sequence numbers of the Writer to wait for, in ascending order.
         self._unrecorded_runs = collections.deque()
@@ -88,6 +90,9 @@
         # cancellation.
         self._early_cancellations = {}
 
+    def _note_capacity(self, capacity):
+        self._largest_capacity = self._largest_capacity.at_least(capacity)
+
     def worker_state(self, incarnation):
         """Return the WorkerState of an incarnation, or None."""
         with self.lock:
@@ -179,6 +184,17 @@
         if run.task.run is run:
             self._detach(run)
             self._requeue(run.task)
+            self._stop_gang(run)
+
+    def _stop_gang(self, run):
+        """Stop the other members of a gang, one of which did not start.
+
+        They would only wait for it and occupy their workers.
+        """
+        if run.task.step.spec.gang:
+            for task in run.task.step.tasks:
+                if task.run is not None:
+                    self.stop(task.run, 'a member of its gang did not start')
 
     def _mark_lost(self, run, reason):
         """Record that a run is over without a known end."""
--- a/figtray/scheduling/worker_state.py
+++ b/figtray/scheduling/worker_state.py
@@ -1,5 +1,6 @@
 """State of one incarnation of a worker, as the leader knows it."""
 
+import dataclasses
 import queue
 import threading
 
@@ -7,6 +8,21 @@
 from figtray.jobs import records
 
 
+@dataclasses.dataclass(frozen=True)
+class StrayRuns:
+    """Runs that a worker lists and the leader does not track.
+
+    Attributes:
+        count: number of the runs.
+        needs: Resources that they occupy.
+        unknown: whether the needs of some are unknown.
+    """
+
+    count: int = 0
+    needs: model.Resources = model.NO_RESOURCES
+    unknown: bool = False
+
+
 class WorkerState:
     """One incarnation of a worker, with its runs.
 
@@ -43,8 +59,11 @@
             host, or show it down without a worker; None if the last one
             doesn't.
         unanswered_starts: number of starts in a row that got no reply.
+        room_refusals: number of starts in a row that it refused for want of
+            room.
         strays: for each stray run, the local time of the last order to stop
             it.
+        stray_runs: the StrayRuns in its last report.
         orders: queue of orders for the session's order threads.
         wake: wakes the session's report thread from its idle wait.
         failures: number of failed runs since a task was last done.
@@ -76,7 +95,9 @@
         self.host_seen = False
         self.host_lost_since_ms = None
         self.unanswered_starts = 0
+        self.room_refusals = 0
         self.strays = {}
+        self.stray_runs = StrayRuns()
         self.orders = queue.SimpleQueue()
         self.wake = threading.Event()
         self.failed_jobs = set()
@@ -90,6 +111,16 @@
         self.cordon_reasons = reasons
         self.cordon_reason = ', '.join(sorted(reasons))
 
+    def set_worker(self, worker):
+        """Set the Worker that its entry describes.
+
+        A worker whose capacity has changed may have room again.
+        """
+        if worker.capacity != self.worker.capacity and self.room_refusals:
+            self.room_refusals = 0
+            self.avoid_until_ms = 0
+        self.worker = worker
+
     def placement(self):
         """Return the records.Placement of the runs on this incarnation."""
         return records.Placement(self.worker.worker_id, self.worker.born_ms)
@@ -127,5 +158,11 @@
         return self.clock_ms + passed_ms > self.lease_until_ms + margin_ms
 
     def free_resources(self):
-        """Return the Resources that no run occupies."""
-        return self.worker.capacity - self.used
+        """Return the Resources that no run with known needs occupies."""
+        return self.worker.capacity - self.used - self.stray_runs.needs
+
+    def is_overloaded(self):
+        """Return whether the runs may occupy more than the capacity."""
+        return self.stray_runs.unknown or not self.free_resources().covers(
+            model.NO_RESOURCES
+        )
--- a/figtray/upkeep/host_needs.py
+++ b/figtray/upkeep/host_needs.py
@@ -2,6 +2,7 @@
 
 import collections
 import math
+import statistics
 
 from figtray.jobs import model
 
@@ -101,9 +102,33 @@
     return max(MIN_WORKERS, math.ceil(hosts), spread)
 
 
-def smallest_capacity(hosts):
-    """Return the capacity of the host with the least processor time."""
-    known = [host.capacity for host in hosts if host.capacity.cpu_milli]
+def usual_workers(load, capacity):
+    """Return how many hosts of the usual size the workers of a pool replace.
+
+    Args:
+        load: its PoolLoad.
+        capacity: Resources of a host.
+    """
+    return min(
+        load.workers,
+        round(load.capacity_milli / capacity.cpu_milli),
+        round(load.capacity_mb / capacity.memory_mb),
+    )
+
+
+def usual_capacity(hosts):
+    """Return the median of each resource of the hosts.
+
+    Some hosts may have shrunk for a while.
+    """
+    known = [
+        host.capacity
+        for host in hosts
+        if host.capacity.cpu_milli and host.capacity.memory_mb
+    ]
     if not known:
         return DEFAULT_HOST_CAPACITY
-    return min(known, key=lambda item: item.cpu_milli)
+    return model.Resources(
+        statistics.median_low(item.cpu_milli for item in known),
+        statistics.median_low(item.memory_mb for item in known),
+    )
--- a/figtray/upkeep/rebalancer.py
+++ b/figtray/upkeep/rebalancer.py
@@ -91,7 +91,7 @@
         if spare_pool is None:
             return
         loads = self._scheduler.pool_loads()
-        capacity = host_needs.smallest_capacity(listed.values())
+        capacity = host_needs.usual_capacity(listed.values())
         pools = sorted(set(cfg.pools) - cfg.spare_pools())
         base = host_needs.base_workers(len(listed), cfg)
         # Hosts that each pool lacks; a negative number is a surplus.
@@ -100,10 +100,13 @@
             load = loads.get(pool)
             if load is None:
                 continue
-            available = load.workers + self._count_incoming(pool)
             rise = self._trends[pool].forecast_rise(load, now_ms)
-            wanted = host_needs.wanted_workers(load, rise, capacity)
-            missing[pool] = max(base, wanted) - available
+            lacking = max(
+                base - load.workers,
+                host_needs.wanted_workers(load, rise, capacity)
+                - host_needs.usual_workers(load, capacity),
+            )
+            missing[pool] = lacking - self._count_incoming(pool)
         for pool in sorted(missing, key=missing.get, reverse=True):
             if missing[pool] > 0:
                 missing[pool] -= self._add_hosts(
