Log how workers end and which tasks were on crashed ones

1704 gets a kind (crashed, drained, reassigned, host-lost, unknown), with a counter figtray_worker_ends; 1724 names each task that may have caused a crash, how often, and how soon after its start. Nothing is decided by it.

--- a/figtray/events/catalogue.py
+++ b/figtray/events/catalogue.py
@@ -325,7 +325,7 @@
     logbook.WARNING,
     'An incarnation of a worker has ended; the tasks that it ran are '
     'scheduled again.',
-    ('worker', 'born_ms', 'runs', 'reason'),
+    ('worker', 'born_ms', 'runs', 'kind', 'reason'),
 )
 WORKER_AVOIDED = Event(
     1705,
@@ -438,6 +438,15 @@
     'empty once they are no longer held. waited_ms is the longest wait.',
     ('step', 'queue', 'pool', 'lasting', 'reason', 'tasks', 'waited_ms'),
 )
+TASK_SUSPECTED = Event(
+    1724,
+    logbook.INFO,
+    'A worker has crashed under a run, so its task may have caused the crash. '
+    'crashes counts those of the task that nothing has cleared it of, alone '
+    'those on a worker of its own; after_ms is the time from the order to '
+    'start until the worker fell silent.',
+    ('task', 'run', 'worker', 'crashes', 'alone', 'after_ms'),
+)
 
 WAVE_SEEN = Event(
     1800,
--- a/figtray/jobs/records.py
+++ b/figtray/jobs/records.py
@@ -60,6 +60,37 @@
     born_ms: int
 
 
+class Crashes(msgspec.Struct, frozen=True, array_like=True):
+    """Crashes of workers that a task is suspected of.
+
+    Attributes:
+        runs: numbers of the runs under which workers crashed.
+        alone: how many of them were on trial, on a worker of their own.
+    """
+
+    runs: tuple[int, ...] = ()
+    alone: int = 0
+
+    @property
+    def count(self):
+        """Number of the crashes."""
+        return len(self.runs)
+
+    def add(self, number, alone):
+        """Return the Crashes with one more.
+
+        Args:
+            number: number of the run.
+            alone: whether it was on trial.
+        """
+        if number in self.runs:
+            return self
+        return Crashes((*self.runs, number), self.alone + alone)
+
+
+NO_CRASHES = Crashes()
+
+
 class Progress(msgspec.Struct, frozen=True, omit_defaults=True):
     """Stored progress of a job.
 
--- a/figtray/metrics.py
+++ b/figtray/metrics.py
@@ -96,6 +96,9 @@
         self._refused_starts = self._counter(
             'refused_starts', 'Starts that a worker refused, by reason.'
         )
+        self._worker_ends = self._counter(
+            'worker_ends', 'Incarnations of workers that ended, by kind.'
+        )
         self._waits = None
         self._waits_gauge(
             'awaited_incarnations',
@@ -159,6 +162,10 @@
         """Count a start that a worker refused."""
         self._refused_starts.add(1, {'reason': reason})
 
+    def count_worker_end(self, kind):
+        """Count an incarnation of a worker that has ended."""
+        self._worker_ends.add(1, {'kind': kind})
+
     def record_waits(self, awaited, held, longest_lasting_ms):
         """Record what the tasks of the leader wait for.
 
--- /dev/null
+++ b/figtray/scheduling/ends.py
@@ -0,0 +1,66 @@
+"""How incarnations of workers end."""
+
+import dataclasses
+import enum
+
+from figtray.fleet import model as fleet
+
+
+class Kind(enum.Enum):
+    """How an incarnation of a worker has ended."""
+
+    CRASHED = 'crashed'
+    DRAINED = 'drained'
+    REASSIGNED = 'reassigned'
+    HOST_LOST = 'host-lost'
+    UNKNOWN = 'unknown'
+
+
+@dataclasses.dataclass(frozen=True)
+class End:
+    """End of an incarnation of a worker.
+
+    Attributes:
+        kind: the Kind.
+        reason: what the leader has seen.
+    """
+
+    kind: Kind
+    reason: str
+
+
+def of_process(worker_state, reason, answered=False):
+    """Return the End of an incarnation that another one has followed.
+
+    A process that crashes closes its connections, so that its address
+    refuses or another incarnation answers there. A worker that was only
+    silent before may have been cut off or have lost its host.
+
+    Args:
+        worker_state: its WorkerState.
+        reason: what the leader has seen.
+        answered: whether another incarnation has answered at its address.
+    """
+    if worker_state.worker.draining:
+        return End(Kind.DRAINED, reason)
+    if worker_state.refused_connections or (
+        answered and not worker_state.unresponsive
+    ):
+        return End(Kind.CRASHED, reason)
+    return End(Kind.UNKNOWN, reason)
+
+
+def on_host(worker_state, host, reason):
+    """Return the End of an incarnation that its host runs no more.
+
+    Args:
+        worker_state: its WorkerState.
+        host: the fleet Host.
+        reason: what the leader has seen.
+    """
+    if (
+        host.state in (fleet.HostState.MOVING, fleet.HostState.UPKEEP)
+        or host.pool != worker_state.worker.pool
+    ):
+        return End(Kind.REASSIGNED, reason)
+    return of_process(worker_state, reason)
--- a/figtray/scheduling/membership.py
+++ b/figtray/scheduling/membership.py
@@ -4,6 +4,7 @@
 from figtray.events import log
 from figtray.fleet import model as fleet
 from figtray.jobs import model
+from figtray.scheduling import ends
 from figtray.scheduling import job_lifecycle
 from figtray.scheduling import roster as rosters
 from figtray.scheduling import worker_state as worker_state_lib
@@ -147,7 +148,9 @@
             if incarnation not in listed and _is_superseded(
                 incarnation, latest
             ):
-                self._end_incarnation(worker_state, reason)
+                self._end_incarnation(
+                    worker_state, ends.of_process(worker_state, reason)
+                )
 
     def _handle_missing_entries(self, listed, trust_absence):
         """Apply that workers have no entry; see sync_workers()."""
@@ -159,7 +162,8 @@
                 worker_state.listed = False
             elif not worker_state.listed and not worker_state.runs:
                 self._end_incarnation(
-                    worker_state, 'it has no entry and no runs'
+                    worker_state,
+                    ends.End(ends.Kind.UNKNOWN, 'it has no entry and no runs'),
                 )
                 # Its entry returns if it was only cut off from the store.
                 self._ended_incarnations.pop(incarnation)
@@ -218,11 +222,9 @@
             self._awaited_log.note_hosts(self._unresolved, listed)
             for worker_state in list(self._worker_states.values()):
                 _note_host(worker_state, listed, self._clock.now_ms())
-                reason = _end_reason(
-                    worker_state, listed, self._clock.now_ms()
-                )
-                if reason:
-                    self._end_incarnation(worker_state, reason)
+                end = _find_end(worker_state, listed, self._clock.now_ms())
+                if end is not None:
+                    self._end_incarnation(worker_state, end)
         self.changed.set()
 
     def retire_idle_worker(self, worker_id, reason):
@@ -235,12 +237,17 @@
         with self.lock:
             worker_state = self._find_worker(worker_id)
             if worker_state is not None and not worker_state.runs:
-                self._end_incarnation(worker_state, reason)
+                self._end_incarnation(
+                    worker_state, ends.End(ends.Kind.REASSIGNED, reason)
+                )
 
-    def end_incarnation(self, worker_state, reason):
-        """Record that an incarnation of a worker has ended with its runs."""
+    def end_superseded(self, worker_state, reason):
+        """Record that another incarnation has answered for a worker."""
         with self.lock:
-            self._end_incarnation(worker_state, reason)
+            self._end_incarnation(
+                worker_state,
+                ends.of_process(worker_state, reason, answered=True),
+            )
         self.changed.set()
 
 
@@ -258,8 +265,8 @@
         worker_state.host_lost_since_ms = now_ms
 
 
-def _end_reason(worker_state, listed, now_ms):
-    """Return why an incarnation has certainly ended; empty if it may go on.
+def _find_end(worker_state, listed, now_ms):
+    """Return the End of an incarnation that has certainly ended, or None.
 
     Args:
         worker_state: its WorkerState.
@@ -269,22 +276,32 @@
     incarnation = worker_state.worker.incarnation
     host = listed.get(incarnation.host_id)
     if not worker_state.listed and _has_left_host(incarnation, host):
-        return 'its host has another worker'
+        return ends.on_host(worker_state, host, 'its host has another worker')
     refuses = worker_state.refused_connections >= REFUSALS_TO_END
     if refuses and host and not _may_run_on_host(incarnation, host):
-        return 'it refuses connections and its host does not run it'
+        return ends.on_host(
+            worker_state,
+            host,
+            'it refuses connections and its host does not run it',
+        )
     lost_since_ms = worker_state.host_lost_since_ms
     if lost_since_ms is None or now_ms - lost_since_ms < HOST_LOST_TO_END_MS:
-        return ''
+        return None
     if host is None and refuses:
-        return 'it refuses connections and its host has left the list'
+        return ends.End(
+            ends.Kind.HOST_LOST,
+            'it refuses connections and its host has left the list',
+        )
     # The list may lag, so a new host may be missing from it for a while.
     was_host_seen = host is None and worker_state.host_seen
     if worker_state.unresponsive and (
         was_host_seen or not worker_state.listed
     ):
-        return 'it is silent and its host is down or has left the list'
-    return ''
+        return ends.End(
+            ends.Kind.HOST_LOST,
+            'it is silent and its host is down or has left the list',
+        )
+    return None
 
 
 def _is_down(host):
--- a/figtray/scheduling/outcomes.py
+++ b/figtray/scheduling/outcomes.py
@@ -50,6 +50,7 @@
             # has fallen silent would be awaited for longer.
             if worker_state.lease_until_ms < worker_clock + self._lease_ms / 2:
                 worker_state.extend_lease(worker_clock + self._lease_ms)
+            run.sent_ms = now_ms
             return messages.StartOrder(
                 task=task.name,
                 run=run.number,
--- a/figtray/scheduling/reports.py
+++ b/figtray/scheduling/reports.py
@@ -4,6 +4,7 @@
 from figtray.events import log
 from figtray.fleet import messages
 from figtray.jobs import records
+from figtray.scheduling import ends
 from figtray.scheduling import job_lifecycle
 from figtray.scheduling import leases
 from figtray.scheduling import scheduler_base
@@ -54,13 +55,19 @@
                 return 0
             if report.born_ms != worker_state.worker.born_ms:
                 self._end_incarnation(
-                    worker_state, 'another incarnation reports'
+                    worker_state,
+                    ends.of_process(
+                        worker_state,
+                        'another incarnation reports',
+                        answered=True,
+                    ),
                 )
                 return 0
             worker_state.settle_requested_lease(was_sent=True)
             worker_state.clock_ms = report.clock_ms
             worker_state.clock_read_ms = now_ms
             worker_state.unresponsive = False
+            worker_state.silent_since_ms = None
             if not worker_state.has_reported:
                 worker_state.has_reported = True
                 # An earlier leader may have extended the lease this far.
@@ -129,6 +136,8 @@
         with self.lock:
             worker_state.settle_requested_lease(was_sent)
             worker_state.unresponsive = True
+            if worker_state.silent_since_ms is None:
+                worker_state.silent_since_ms = self._clock.now_ms()
             if worker_state.gone or not worker_state.runs:
                 return
             if worker_state.is_lease_over(
@@ -176,6 +185,7 @@
         run = state.Run(task, worker_state, item.run, now_ms)
         run.phase = state.Phase.RUNNING
         run.confirmed_ms = now_ms
+        run.sent_ms = now_ms
         self._attach(run)
         job = task.step.job
         from_earlier_term = (
--- a/figtray/scheduling/scheduler_base.py
+++ b/figtray/scheduling/scheduler_base.py
@@ -11,6 +11,8 @@
 from figtray.jobs import records
 from figtray.scheduling import arrivals
 from figtray.scheduling import awaited
+from figtray.scheduling import crashes
+from figtray.scheduling import ends
 from figtray.scheduling import held
 from figtray.scheduling import leases
 from figtray.scheduling import quota
@@ -178,7 +180,7 @@
         self._detach(run)
         self._requeue(task)
 
-    def _end_incarnation(self, worker_state, reason):
+    def _end_incarnation(self, worker_state, end):
         if worker_state.gone:
             return
         worker_state.gone = True
@@ -187,18 +189,29 @@
             worker=worker_state.worker.worker_id,
             born_ms=worker_state.worker.born_ms,
             runs=len(worker_state.runs),
-            reason=reason,
+            kind=end.kind.value,
+            reason=end.reason,
         )
+        if self._metrics:
+            self._metrics.count_worker_end(end.kind.value)
+        if end.kind == ends.Kind.CRASHED:
+            self._suspect_runs(worker_state)
         for run in list(worker_state.runs.values()):
             self._mark_lost(run, 'its worker is gone')
         self._worker_states.pop(worker_state.worker.incarnation, None)
         self._ended_incarnations[worker_state.worker.incarnation] = (
             self._clock.now_ms() + ENDED_INCARNATION_TTL_MS
         )
-        self._resolve_incarnation(worker_state.worker.incarnation, reason)
+        self._resolve_incarnation(worker_state.worker.incarnation, end.reason)
         worker_state.orders.put(None)
         worker_state.wake.set()
 
+    def _suspect_runs(self, worker_state):
+        """Record that a worker has crashed under its runs."""
+        for run in crashes.suspects(worker_state):
+            run.task.crashes = run.task.crashes.add(run.number, False)
+            crashes.log_suspected(run)
+
     def _resolve_incarnation(self, incarnation, reason):
         if incarnation in self._unresolved:
             self._unresolved.discard(incarnation)
--- a/figtray/scheduling/session.py
+++ b/figtray/scheduling/session.py
@@ -177,7 +177,7 @@
     def _handle_mismatch(self, exc):
         match exc:
             case errors.IncarnationMismatch():
-                self._scheduler.end_incarnation(self._worker_state, str(exc))
+                self._scheduler.end_superseded(self._worker_state, str(exc))
             case errors.StaleEpoch():
                 self._term.end(str(exc))
 
--- a/figtray/scheduling/state.py
+++ b/figtray/scheduling/state.py
@@ -54,6 +54,8 @@
             None if it doesn't.
         ticket: the adviser's ticket for the worker; empty if the queue needs
             none.
+        sent_ms: local time from which the worker may have run it; None if
+            its start was not sent.
     """
 
     __slots__ = (
@@ -68,6 +70,7 @@
         'pace_percent',
         'full_speed_since_ms',
         'ticket',
+        'sent_ms',
     )
 
     def __init__(self, task, worker_state, number, ordered_ms, ticket=''):
@@ -82,6 +85,7 @@
         self.pace_percent = 100
         self.full_speed_since_ms = None
         self.ticket = ticket
+        self.sent_ms = None
 
 
 class TaskState:
@@ -90,6 +94,7 @@
     Attributes:
         placement: of a lasting task, the records.Placement of the run that
             may go on; None if there is none.
+        crashes: the records.Crashes that it is suspected of.
     """
 
     __slots__ = (
@@ -101,6 +106,7 @@
         'checkpoint',
         'last_run',
         'placement',
+        'crashes',
         'run',
         'ready_ms',
     )
@@ -118,6 +124,7 @@
         self.checkpoint = ''
         self.last_run = 0
         self.placement = None
+        self.crashes = records.NO_CRASHES
         self.run = None
         self.ready_ms = 0
 
--- a/figtray/scheduling/worker_state.py
+++ b/figtray/scheduling/worker_state.py
@@ -20,6 +20,8 @@
         listed: whether its entry is in the store.
         unresponsive: whether the last request for a report failed; its lease
             is not extended then, so that the end of the lease is known.
+        silent_since_ms: local time of the first failed request for a report
+            since the last report; None if the last one was answered.
         report_error: why the last request for a report failed; empty if it
             was answered.
         gone: whether this incarnation has ended.
@@ -59,6 +61,7 @@
         self.on_roster = False
         self.listed = True
         self.unresponsive = False
+        self.silent_since_ms = None
         self.report_error = ''
         self.gone = False
         self.cordon_reasons = frozenset()
