Test that tasks that crash their workers are given up

The tests of test_deadly_tasks.py play a fleet in which a task crashes each worker that starts it: by itself, among innocent tasks, across changes of the leader, without a leader, in a gang, in a pool of one worker.

--- /dev/null
+++ b/figtray/scheduling/tests/deadly.py
@@ -0,0 +1,140 @@
+"""Tasks that crash each worker that starts them, for tests."""
+
+import collections
+import dataclasses
+
+from figtray.fleet import memory as fleet_memory
+from figtray.fleet import model as fleet_model
+from figtray.scheduling.tests import harness
+from figtray.scheduling.tests import takeovers
+
+# A worker is back after this time.
+BACK_MS = 3000
+# A task that has crashed three workers may be started twice more.
+MOST_CRASHES = 3 + 2
+
+
+class Site:
+    """Fleet in which some tasks crash their workers, and others end.
+
+    Args:
+        fleet: the Fleet.
+
+    Attributes:
+        deadly: names of the tasks that crash their workers.
+        delay_ms: time from their start to the crash.
+        run_ms: time after which the other tasks are done; None: they go on.
+        crashes: by task, the number of workers that crashed under it.
+    """
+
+    def __init__(self, fleet, delay_ms=0, run_ms=800):
+        self.fleet = fleet
+        self.deadly = set()
+        self.delay_ms = delay_ms
+        self.run_ms = run_ms
+        self.crashes = collections.Counter()
+        self._back_at_ms = {}
+        self._number = len(fleet.workers)
+
+    def crash(self, number):
+        """Crash a worker, which is back later with another id."""
+        fleet = self.fleet
+        fleet.client.crash(f'10.0.0.{number}:80')
+        takeovers.set_down(fleet, number)
+        self._back_at_ms[number] = fleet.clock.now_ms() + BACK_MS
+
+    def play(self, leader, ms):
+        """Let a leader work for a while; no task may run twice at a time."""
+        for _ in range(ms // takeovers.CYCLE_MS):
+            leader.advance(takeovers.CYCLE_MS)
+            self._bring_back()
+            leader.sync_workers()
+            leader.run_cycle()
+            found = takeovers.running(self.fleet)
+            assert all(len(runs) == 1 for runs in found.values()), found
+            self.act()
+
+    def act(self):
+        """Crash the workers of deadly tasks, and end other tasks."""
+        for number, sim in self._up():
+            ages = {
+                run.task: sim.clock_ms() - run.started_ms
+                for run in sim.runs.values()
+            }
+            due = [
+                task
+                for task, age_ms in ages.items()
+                if task in self.deadly and age_ms >= self.delay_ms
+            ]
+            if due:
+                self.crashes.update(due)
+                self.crash(number)
+                continue
+            for task, age_ms in ages.items():
+                if self.run_ms is not None and age_ms >= self.run_ms:
+                    if task not in self.deadly:
+                        harness.finish(self.fleet, task)
+
+    def _up(self):
+        for address, sim in list(self.fleet.client.sims.items()):
+            if sim.up:
+                number = int(address.split('.')[3].removesuffix(':80'))
+                yield number, sim
+
+    def _bring_back(self):
+        now_ms = self.fleet.clock.now_ms()
+        for number, at_ms in list(self._back_at_ms.items()):
+            if at_ms <= now_ms:
+                del self._back_at_ms[number]
+                self._restart(number, now_ms)
+
+    def _restart(self, number, now_ms):
+        fleet = self.fleet
+        old = fleet.client.sims[f'10.0.0.{number}:80'].worker
+        fleet.workers.pop(old.worker_id, None)
+        self._number += 1
+        worker = dataclasses.replace(
+            fleet_memory.make_worker(number),
+            worker_id=f'worker-{number}-{self._number}',
+            born_ms=now_ms + 1,
+        )
+        fleet.workers[worker.worker_id] = worker
+        fleet.hosts[worker.host_id] = fleet_model.Host(
+            worker.host_id,
+            worker.pool,
+            fleet_model.HostState.UP,
+            worker.zone,
+            worker_id=worker.worker_id,
+        )
+        fleet.client.add(worker)
+
+
+def submit(fleet, count=1, **fields):
+    """Submit a job; returns its id and the names of its tasks."""
+    job_id = fleet.submit(harness.make_step(count, **fields))
+    return job_id, [f'{job_id}.0.0.{index}' for index in range(count)]
+
+
+def end_otherwise(fleet, site, worker_id, how):
+    """End a worker by an order or with its host; it is back later.
+
+    Args:
+        fleet: the Fleet.
+        site: the Site.
+        worker_id: id of the worker.
+        how: `moved`, `lost` or `drained`.
+    """
+    number = int(worker_id.split('-')[1])
+    site.crash(number)
+    host_id = f'host-{number}'
+    if how == 'moved':
+        fleet.hosts[host_id] = dataclasses.replace(
+            fleet.hosts[host_id], state=fleet_model.HostState.MOVING
+        )
+    elif how == 'lost':
+        fleet.hosts.pop(host_id)
+        fleet.workers.pop(worker_id)
+    else:
+        fleet.workers[worker_id] = dataclasses.replace(
+            fleet.workers[worker_id], draining=True
+        )
--- /dev/null
+++ b/figtray/scheduling/tests/test_deadly_tasks.py
@@ -0,0 +1,151 @@
+"""Tests of tasks that crash the workers that start them."""
+
+import pytest
+
+from figtray.jobs import records
+from figtray.scheduling.tests import deadly
+from figtray.scheduling.tests import harness
+
+LONG_MS = 60_000
+
+
+@pytest.fixture
+def fleet():
+    return harness.Fleet(workers=8)
+
+
+@pytest.fixture
+def site(fleet):
+    return deadly.Site(fleet)
+
+
+def states(fleet, job_ids):
+    """Return the set of the states of some jobs."""
+    return {fleet.intake.state(job_id) for job_id in job_ids}
+
+
+class TestGivingUp:
+    # A task that crashed each worker was started without end.
+    @pytest.mark.parametrize('fields', [{}, {'lasting': True}])
+    def test_task_that_crashes_workers_is_given_up(
+        self, fleet, site, leader, fields
+    ):
+        job_id, [task] = deadly.submit(fleet, **fields)
+        site.deadly = {task}
+        site.play(leader, LONG_MS)
+        assert site.crashes[task] <= deadly.MOST_CRASHES
+        assert leader.state(job_id) == records.State.FAILED
+
+    # A count in the leader's memory began anew with each leader.
+    def test_count_of_crashes_survives_leaders(self, fleet, site, leader):
+        job_id, [task] = deadly.submit(fleet)
+        site.deadly = {task}
+        for _ in range(20):
+            site.play(leader, 1500)
+            leader = fleet.elect_leader()
+            leader.report_all()
+        site.play(leader, LONG_MS)
+        assert site.crashes[task] <= deadly.MOST_CRASHES
+        assert leader.state(job_id) == records.State.FAILED
+
+    # A crash that no leader saw was not counted.
+    def test_crash_without_a_leader_is_counted(self, fleet, site, leader):
+        job_id, [task] = deadly.submit(fleet)
+        site.deadly = {task}
+        site.play(leader, 1000)
+        for _ in range(6):
+            for _ in range(100):
+                before = site.crashes[task]
+                site.play(leader, 100)
+                if site.crashes[task] > before:
+                    break
+            leader = fleet.elect_leader()
+            leader.report_all()
+        site.play(leader, LONG_MS)
+        assert site.crashes[task] <= deadly.MOST_CRASHES
+        assert leader.state(job_id) == records.State.FAILED
+
+    # A task that crashes its worker only after some time was cleared by it.
+    def test_late_crashes_are_counted(self, fleet, leader):
+        site = deadly.Site(fleet, delay_ms=2000)
+        job_id, [task] = deadly.submit(fleet)
+        site.deadly = {task}
+        site.play(leader, LONG_MS)
+        assert site.crashes[task] <= deadly.MOST_CRASHES
+        assert leader.state(job_id) == records.State.FAILED
+
+    # With one worker, nobody is left to try the task on.
+    def test_pool_of_one_worker(self):
+        fleet = harness.Fleet(workers=1)
+        leader = fleet.elect_leader()
+        leader.report_all()
+        site = deadly.Site(fleet)
+        job_id, [task] = deadly.submit(fleet)
+        other, _ = deadly.submit(fleet, 3)
+        site.deadly = {task}
+        site.play(leader, LONG_MS)
+        assert site.crashes[task] <= deadly.MOST_CRASHES
+        assert leader.state(job_id) == records.State.FAILED
+        assert leader.state(other) == records.State.COMPLETED
+
+    def test_member_of_a_gang_is_given_up(self, fleet, site, leader):
+        job_id, tasks = deadly.submit(fleet, 3, gang=True)
+        other, _ = deadly.submit(fleet, 12)
+        site.deadly = {tasks[1]}
+        site.play(leader, LONG_MS)
+        assert site.crashes[tasks[1]] <= deadly.MOST_CRASHES
+        assert leader.state(job_id) == records.State.FAILED
+        assert leader.state(other) == records.State.COMPLETED
+
+
+class TestInnocentTasks:
+    # The tasks of a crashed worker started again together on the next one,
+    # so innocent ones shared each crash.
+    @pytest.mark.parametrize('guilty', [1, 2, 5])
+    def test_jobs_beside_deadly_tasks_complete(
+        self, fleet, site, leader, guilty
+    ):
+        bad = [deadly.submit(fleet) for _ in range(guilty)]
+        good = [deadly.submit(fleet, 6)[0] for _ in range(8)]
+        site.deadly = {task for _, [task] in bad}
+        for _ in range(30):
+            good.append(deadly.submit(fleet, 3)[0])
+            site.play(leader, 500)
+        site.play(leader, LONG_MS)
+        assert max(site.crashes.values()) <= deadly.MOST_CRASHES
+        assert states(fleet, good) == {records.State.COMPLETED}
+        assert states(fleet, [job for job, _ in bad]) == {records.State.FAILED}
+
+    # Workers that crash by themselves must not fail a job.
+    def test_chance_crashes_fail_no_job(self, fleet, site, leader):
+        site.run_ms = None
+        job_ids = [deadly.submit(fleet, 5)[0] for _ in range(4)]
+        for turn in range(24):
+            site.play(leader, 3500)
+            site.crash(turn % 8)
+        site.run_ms = 800
+        site.play(leader, LONG_MS)
+        assert states(fleet, job_ids) == {records.State.COMPLETED}
+
+    # A crash by chance of the worker on which a task is on trial.
+    def test_crash_during_a_trial_fails_no_job(self, fleet, site, leader):
+        job_id, [task] = deadly.submit(fleet)
+        site.deadly = {task}
+        while site.crashes[task] < 3:
+            site.play(leader, 100)
+        site.deadly = set()
+        site.play(leader, 10_000)
+        assert leader.state(job_id) == records.State.COMPLETED
+
+    # A move, an upkeep, a drain or a lost host is not the task's doing.
+    @pytest.mark.parametrize('how', ['moved', 'lost', 'drained'])
+    def test_other_ends_are_not_counted(self, fleet, leader, how):
+        site = deadly.Site(fleet, run_ms=None)
+        job_id, [task] = deadly.submit(fleet)
+        for _ in range(6):
+            site.play(leader, 3500)
+            [(worker_id, _)] = deadly.takeovers.running(fleet)[task]
+            deadly.end_otherwise(fleet, site, worker_id, how)
+        site.play(leader, 20_000)
+        assert leader.scheduler.find_task(task).crashes.count == 0
+        assert task in deadly.takeovers.running(fleet)
