Give up tasks that crash the workers that start them

Cause: a run that is lost with its worker leaves no trace on its task. The tasks of a crashed worker start again at once and together, so the innocent ones share the next crash as well, and a count alone can't tell them apart.

Change: only the end of a process by itself counts as a crash (ends.Kind). It makes the tasks that had just started there suspects (crashes.suspects). The count is stored, and with it the placement of each suspect's run, before the run is ordered: so a new leader goes on with the count, and counts a crash that happened while nobody led. A suspect starts on trial: on a worker where nothing else starts meanwhile. A crash then is its own doing, and of no other task there. After three crashes, two of them on trial, the job has failed; after five in any case. A run that ends, or goes on for 10 s, clears its task. A suspect that waits too long for a trial starts without one, apart from other suspects, unless three workers have crashed under it.

--- a/figtray/events/catalogue.py
+++ b/figtray/events/catalogue.py
@@ -447,6 +447,33 @@
     'start until the worker fell silent.',
     ('task', 'run', 'worker', 'crashes', 'alone', 'after_ms'),
 )
+TRIAL_STARTED = Event(
+    1725,
+    logbook.INFO,
+    'A task under which workers crashed starts on trial, on a worker where '
+    'nothing else starts meanwhile; others are runs that were there before.',
+    ('task', 'run', 'worker', 'crashes', 'others'),
+)
+TRIAL_PASSED = Event(
+    1726,
+    logbook.INFO,
+    'The worker of a task on trial has not crashed; other tasks start there '
+    'again.',
+    ('task', 'run', 'worker'),
+)
+TASK_CLEARED = Event(
+    1727,
+    logbook.INFO,
+    'A task is no longer suspected of the crashes of its workers.',
+    ('task', 'crashes', 'reason'),
+)
+TASK_GIVEN_UP = Event(
+    1728,
+    logbook.WARNING,
+    'A task has crashed workers again and again, also while nothing else '
+    'could have crashed them; its job has failed. 1724 names each crash.',
+    ('job_id', 'task', 'crashes', 'alone', 'runs'),
+)
 
 WAVE_SEEN = Event(
     1800,
--- a/figtray/jobs/records.py
+++ b/figtray/jobs/records.py
@@ -102,8 +102,10 @@
         checkpoints: by `OCCURRENCE.STEP.INDEX`, the checkpoint from which the
             next run resumes.
         placements: by `OCCURRENCE.STEP.INDEX`, the Placement of the run of a
-            lasting task, stored before the run starts. A lasting task without
-            one has no run.
+            lasting task or of one with crashes, stored before the run starts.
+            A lasting task without one has no run.
+        crashes: by `OCCURRENCE.STEP.INDEX`, the Crashes that a task is
+            suspected of, stored before its next run starts.
         ended_ms: Unix time in milliseconds of the end; 0 = not ended.
     """
 
@@ -112,6 +114,7 @@
     failures: dict[str, tuple[int, ...]] = {}
     checkpoints: dict[str, str] = {}
     placements: dict[str, Placement] = {}
+    crashes: dict[str, Crashes] = {}
     ended_ms: int = 0
 
 
--- a/figtray/scheduling/ends.py
+++ b/figtray/scheduling/ends.py
@@ -58,9 +58,28 @@
         host: the fleet Host.
         reason: what the leader has seen.
     """
-    if (
-        host.state in (fleet.HostState.MOVING, fleet.HostState.UPKEEP)
-        or host.pool != worker_state.worker.pool
-    ):
+    if _is_reassigned(worker_state.worker.pool, host):
         return End(Kind.REASSIGNED, reason)
     return of_process(worker_state, reason)
+
+
+def kind_on_host(worker_state, incarnation, host):
+    """Return the Kind of end of an incarnation that its host runs no more.
+
+    Args:
+        worker_state: its WorkerState, or None.
+        incarnation: the fleet Incarnation.
+        host: the fleet Host.
+    """
+    if _is_reassigned(incarnation.pool, host):
+        return Kind.REASSIGNED
+    if worker_state is None:
+        return Kind.UNKNOWN
+    return of_process(worker_state, '').kind
+
+
+def _is_reassigned(pool, host):
+    return (
+        host.state in (fleet.HostState.MOVING, fleet.HostState.UPKEEP)
+        or host.pool != pool
+    )
--- a/figtray/scheduling/job_lifecycle.py
+++ b/figtray/scheduling/job_lifecycle.py
@@ -4,6 +4,7 @@
 from figtray.events import log
 from figtray.jobs import records
 from figtray.scheduling import arrivals
+from figtray.scheduling import crashes
 from figtray.scheduling import scheduler_base
 from figtray.scheduling import state
 
@@ -272,6 +273,22 @@
             for step in occurrence.steps:
                 for task in step.tasks:
                     self._fail_if_exhausted(task)
+                    self._give_up_if_guilty(task)
+
+    def _give_up_if_guilty(self, task):
+        """Fail the job of a task that certainly crashes its workers."""
+        job = task.step.job
+        if job.ended or task.done or not crashes.is_guilty(task):
+            return
+        log.emit(
+            catalogue.TASK_GIVEN_UP,
+            job_id=job.job_id,
+            task=task.name,
+            crashes=task.crashes.count,
+            alone=task.crashes.alone,
+            runs=task.crashes.runs,
+        )
+        self._end_job(job, records.State.FAILED)
 
 
 def _restore(occurrence, stored):
@@ -286,6 +303,7 @@
             task.failed_runs = list(stored.failures.get(key, ()))
             task.checkpoint = stored.checkpoints.get(key, '')
             task.placement = stored.placements.get(key)
+            task.crashes = stored.crashes.get(key, records.NO_CRASHES)
 
 
 def _objective_ms(job, factor):
--- a/figtray/scheduling/membership.py
+++ b/figtray/scheduling/membership.py
@@ -5,8 +5,8 @@
 from figtray.fleet import model as fleet
 from figtray.jobs import model
 from figtray.scheduling import ends
-from figtray.scheduling import job_lifecycle
 from figtray.scheduling import roster as rosters
+from figtray.scheduling import suspicion
 from figtray.scheduling import worker_state as worker_state_lib
 
 # A single refused connection may be a fault of the network.
@@ -16,7 +16,7 @@
 HOST_LOST_TO_END_MS = 500
 
 
-class Membership(job_lifecycle.JobLifecycle):
+class Membership(suspicion.Suspicion):
     """Keeps the configuration, the zones out of service and the workers."""
 
     def configure(self, cfg, evacuated_zones):
@@ -143,7 +143,16 @@
         reason = 'a later incarnation is listed'
         for incarnation in list(self._unresolved):
             if _is_superseded(incarnation, latest):
-                self._resolve_incarnation(incarnation, reason)
+                worker_state = self._worker_states.get(incarnation)
+                self._resolve_incarnation(
+                    incarnation,
+                    reason,
+                    (
+                        ends.of_process(worker_state, reason).kind
+                        if worker_state is not None
+                        else ends.Kind.UNKNOWN
+                    ),
+                )
         for incarnation, worker_state in list(self._worker_states.items()):
             if incarnation not in listed and _is_superseded(
                 incarnation, latest
@@ -218,6 +227,7 @@
                         incarnation,
                         f'its host is {host.state.value} in {host.pool} '
                         f'with worker {host.worker_id!r}',
+                        ends.kind_on_host(worker_state, incarnation, host),
                     )
             self._awaited_log.note_hosts(self._unresolved, listed)
             for worker_state in list(self._worker_states.values()):
--- a/figtray/scheduling/placement.py
+++ b/figtray/scheduling/placement.py
@@ -1,19 +1,25 @@
 """Choice of the worker for a task."""
 
+from figtray.scheduling import state
 
-def choose(step, worker_states, now_ms):
+
+def choose(step, worker_states, now_ms, apart=False):
     """Return the best worker for a task of a step, or None.
 
     Args:
         step: the StepState.
         worker_states: candidate WorkerStates of the pool.
         now_ms: local time in milliseconds.
+        apart: whether the task should run apart from others that are
+            suspected of crashes.
     """
     best, best_score = None, None
     for worker_state in worker_states:
         if not fits(step, worker_state, now_ms):
             continue
         score = _score(step.spec, worker_state)
+        if apart:
+            score = (_suspect_count(worker_state), *score)
         if best is None or score < best_score:
             best, best_score = worker_state, score
     return best
@@ -21,14 +27,31 @@
 
 def fits(step, worker_state, now_ms):
     """Return whether one more task of a step may start on a worker now."""
-    spec = step.spec
-    if (
+    return worker_state.trial is None and has_room(step, worker_state, now_ms)
+
+
+def is_usable(worker_state, now_ms):
+    """Return whether tasks may start on a worker now."""
+    return not (
         worker_state.avoid_until_ms > now_ms
         or worker_state.cordon_reason
         or worker_state.unresponsive
-    ):
-        return False
-    if spec.label and spec.label not in worker_state.worker.labels:
+    )
+
+
+def suits(step, worker_state, now_ms):
+    """Return whether a worker that runs nothing else may run a task."""
+    return (
+        is_usable(worker_state, now_ms)
+        and step.spec.label in ('', *worker_state.worker.labels)
+        and worker_state.worker.capacity.covers(state.occupied(step.spec))
+    )
+
+
+def has_room(step, worker_state, now_ms):
+    """Return whether a worker has room for one more task of a step."""
+    spec = step.spec
+    if not suits(step, worker_state, now_ms):
         return False
     if spec.fills:
         if worker_state.free_resources().memory_mb < spec.needs.memory_mb:
@@ -43,6 +66,12 @@
     return True
 
 
+def _suspect_count(worker_state):
+    return sum(
+        1 for run in worker_state.runs.values() if run.task.crashes.runs
+    )
+
+
 def _score(spec, worker_state):
     """Return a sort key of a worker; the lowest key is the best worker.
 
--- a/figtray/scheduling/planner.py
+++ b/figtray/scheduling/planner.py
@@ -4,10 +4,11 @@
 
 from figtray.events import catalogue
 from figtray.events import log
-from figtray.scheduling import adoption
+from figtray.scheduling import crashes
 from figtray.scheduling import placement
 from figtray.scheduling import scheduler_base
 from figtray.scheduling import state
+from figtray.scheduling import trials
 from figtray.scheduling import worker_orders
 
 # Planning is suspended while the term or the configuration may be outdated.
@@ -30,7 +31,7 @@
     TOO_LATE = 2
 
 
-class Planner(adoption.Adoption):
+class Planner(trials.Trials):
     """Chooses the tasks to start and their workers."""
 
     def plan(self):
@@ -55,12 +56,15 @@
                 if start_ms is not None:
                     next_ms = min(next_ms, start_ms)
             pools = self._candidates_by_pool(now_ms)
+            self._release_trials()
             if self._is_adopting(now_ms):
                 next_ms = min(next_ms, now_ms + ADOPTION_RETRY_MS)
                 with self._hold_uncertain_tasks():
                     self._start_steps(pools, now_ms)
             else:
                 self._start_steps(pools, now_ms)
+            if self._release_trials():
+                next_ms = min(next_ms, now_ms + trials.TRIAL_RETRY_MS)
             return min(
                 [next_ms]
                 + [
@@ -154,18 +158,54 @@
         team = self._cfg.teams.get(job.spec.team)
         if step.spec.gang:
             return self._start_gang(step, worker_states, team, now_ms)
+        tried = [
+            task
+            for task in step.waiting
+            if crashes.is_trial_needed(task, now_ms)
+        ]
+        for task in tried:
+            step.waiting.remove(task)
+        reason = self._start_each(step, worker_states, team, now_ms)
+        left = self._start_tried(tried, worker_states, team, now_ms)
+        step.waiting.extendleft(reversed(left))
+        return state.HeldReason.TRIAL if left else reason
+
+    def _start_each(self, step, worker_states, team, now_ms):
+        """Start as many waiting tasks as can start; see _start_step()."""
         while step.waiting:
             if not self._quota.allows(team, step.spec.needs):
                 return state.HeldReason.TEAM_LIMIT
-            worker_state = self._choose(step, worker_states, now_ms)
+            task = step.waiting[0]
+            worker_state = self._choose(
+                step, worker_states, now_ms, bool(task.crashes.count)
+            )
             if worker_state is None:
                 return state.HeldReason.NO_ROOM
-            task = step.waiting.popleft()
+            step.waiting.popleft()
             self._start(
                 task, worker_state, self._next_run_number(task), now_ms
             )
         return None
 
+    def _start_tried(self, tasks, worker_states, team, now_ms):
+        """Start the trials that can start; return the other tasks."""
+        left = []
+        for task in tasks:
+            if not self._quota.allows(team, task.step.spec.needs):
+                left.append(task)
+                continue
+            if task.step.job.queue.advice is not None:
+                # This asks for advice on the workers that it lacks.
+                self._choose(task.step, worker_states, now_ms, True)
+            worker_state = self._trial_worker(task, worker_states, now_ms)
+            if worker_state is None:
+                left.append(task)
+                continue
+            self._start(
+                task, worker_state, self._next_run_number(task), now_ms
+            )
+        return left
+
     def _start_gang(self, step, worker_states, team, now_ms):
         """Start all members of a gang together, on one rack if possible.
 
@@ -178,6 +218,12 @@
             team, step.spec.needs.times(step.spec.count)
         ):
             return state.HeldReason.TEAM_LIMIT
+        suspect = trials.prime_suspect(step.tasks, now_ms)
+        lone = None
+        if suspect is not None:
+            lone = self._trial_worker(suspect, worker_states, now_ms)
+            if lone is None:
+                return state.HeldReason.TRIAL
         by_rack = {}
         for worker_state in worker_states:
             by_rack.setdefault(worker_state.worker.rack, []).append(
@@ -194,7 +240,7 @@
             ),
         )
         for group in [*choices, worker_states]:
-            assigned = self._assign_gang(step, group, now_ms)
+            assigned = self._assign_gang(step, group, now_ms, suspect, lone)
             if assigned is None:
                 continue
             number = max(self._next_run_number(task) for task in step.tasks)
@@ -206,15 +252,25 @@
             return None
         return state.HeldReason.NO_ROOM
 
-    def _assign_gang(self, step, worker_states, now_ms):
+    def _assign_gang(self, step, worker_states, now_ms, suspect, lone):
         """Return a WorkerState for each member of a gang.
 
+        Args:
+            step: the StepState.
+            worker_states: candidate WorkerStates.
+            now_ms: local time.
+            suspect: the member to try on a worker of its own, or None.
+            lone: the WorkerState for it.
+
         Returns:
             A list, or None if the workers have no room for all members.
         """
         assigned, assigned_counts = [], {}
         needs = state.occupied(step.spec)
-        for _ in step.tasks:
+        for task in step.tasks:
+            if task is suspect:
+                assigned.append(lone)
+                continue
             chosen = None
             for worker_state in worker_states:
                 count = assigned_counts.get(worker_state.worker.incarnation, 0)
@@ -277,12 +333,12 @@
                 )
         self.changed.set()
 
-    def _choose(self, step, worker_states, now_ms):
+    def _choose(self, step, worker_states, now_ms, apart):
         if step.job.queue.advice is None:
-            return placement.choose(step, worker_states, now_ms)
+            return placement.choose(step, worker_states, now_ms, apart)
         if step.advice is None:
             step.advice = worker_orders.StepAdvice()
-        return step.advice.choose(step, worker_states, now_ms)
+        return step.advice.choose(step, worker_states, now_ms, apart)
 
     def _next_run_number(self, task):
         return (
@@ -297,7 +353,9 @@
             ticket = step.advice.ticket(worker_state.worker.worker_id)
         run = state.Run(task, worker_state, number, now_ms, ticket)
         self._attach(run)
-        if step.spec.lasting:
+        if worker_state.trial is not None:
+            self._log_trial(run)
+        if step.spec.lasting or task.crashes.count:
             sequence = self._record_placement(run)
             self._unrecorded_runs.append((sequence, run))
         else:
--- a/figtray/scheduling/reports.py
+++ b/figtray/scheduling/reports.py
@@ -5,17 +5,17 @@
 from figtray.fleet import messages
 from figtray.jobs import records
 from figtray.scheduling import ends
-from figtray.scheduling import job_lifecycle
 from figtray.scheduling import leases
 from figtray.scheduling import scheduler_base
 from figtray.scheduling import state
+from figtray.scheduling import suspicion
 from figtray.scheduling import worker_orders
 
 # Least time between two orders to stop the same stray run.
 STRAY_STOP_INTERVAL_MS = 500
 
 
-class Reports(job_lifecycle.JobLifecycle):
+class Reports(suspicion.Suspicion):
     """Records the reports of workers and extends their leases."""
 
     def report_request(self, worker_state):
@@ -97,6 +97,8 @@
                     and (run.task.name, run.number) not in reported
                 ):
                     self._mark_lost(run, 'absent from a report')
+                elif (run.task.name, run.number) in reported:
+                    self._note_running(run, asked_ms)
             self._resolve_incarnation(
                 worker_state.worker.incarnation, 'it reports'
             )
@@ -250,6 +252,8 @@
                 )
         if item.checkpoint and not task.done:
             task.checkpoint = item.checkpoint
+        if item.end in (messages.EndReason.DONE, messages.EndReason.FAILED):
+            self._clear(task, 'its worker reports its end')
         spec = task.step.spec
         if item.end == messages.EndReason.DONE and not spec.lasting:
             if tracked and not spec.gang:
--- a/figtray/scheduling/scheduler_base.py
+++ b/figtray/scheduling/scheduler_base.py
@@ -11,8 +11,6 @@
 from figtray.jobs import records
 from figtray.scheduling import arrivals
 from figtray.scheduling import awaited
-from figtray.scheduling import crashes
-from figtray.scheduling import ends
 from figtray.scheduling import held
 from figtray.scheduling import leases
 from figtray.scheduling import quota
@@ -73,7 +71,8 @@
         self._adoption_until_ms = 0
         # Whether the leaders before this term recorded all Placements.
         self._are_placements_known = False
-        # Runs of lasting tasks whose Placements are not stored yet, with the
+        # Runs of lasting tasks and suspects whose Placements are not stored
+        # yet, with the
         # sequence numbers of the Writer to wait for, in ascending order.
         self._unrecorded_runs = collections.deque()
         self._awaited_log = awaited.AwaitedLog()
@@ -130,6 +129,9 @@
         task, spec = run.task, run.task.step.spec
         task.run = None
         run.worker_state.runs.pop(task.name, None)
+        trial = run.worker_state.trial
+        if trial is not None and trial.task is task:
+            run.worker_state.trial = None
         run.worker_state.used -= state.occupied(spec)
         self._quota.remove(task.step.job.spec.team, spec.needs)
         if task.placement is not None:
@@ -180,59 +182,15 @@
         self._detach(run)
         self._requeue(task)
 
-    def _end_incarnation(self, worker_state, end):
-        if worker_state.gone:
-            return
-        worker_state.gone = True
-        log.emit(
-            catalogue.WORKER_GONE,
-            worker=worker_state.worker.worker_id,
-            born_ms=worker_state.worker.born_ms,
-            runs=len(worker_state.runs),
-            kind=end.kind.value,
-            reason=end.reason,
-        )
-        if self._metrics:
-            self._metrics.count_worker_end(end.kind.value)
-        if end.kind == ends.Kind.CRASHED:
-            self._suspect_runs(worker_state)
-        for run in list(worker_state.runs.values()):
-            self._mark_lost(run, 'its worker is gone')
-        self._worker_states.pop(worker_state.worker.incarnation, None)
-        self._ended_incarnations[worker_state.worker.incarnation] = (
-            self._clock.now_ms() + ENDED_INCARNATION_TTL_MS
-        )
-        self._resolve_incarnation(worker_state.worker.incarnation, end.reason)
-        worker_state.orders.put(None)
-        worker_state.wake.set()
-
-    def _suspect_runs(self, worker_state):
-        """Record that a worker has crashed under its runs."""
-        for run in crashes.suspects(worker_state):
-            run.task.crashes = run.task.crashes.add(run.number, False)
-            crashes.log_suspected(run)
-
-    def _resolve_incarnation(self, incarnation, reason):
-        if incarnation in self._unresolved:
-            self._unresolved.discard(incarnation)
-            log.emit(
-                catalogue.LIFE_ACCOUNTED,
-                worker=incarnation.worker_id,
-                born_ms=incarnation.born_ms,
-                reason=reason,
-                left=len(self._unresolved),
-            )
-            if not self._unresolved:
-                self._awaited_log.log_all_accounted()
-
     def _is_adopting(self, now_ms):
         return bool(self._unresolved) and now_ms < self._adoption_until_ms
 
     def _record_placement(self, run):
-        """Queue a write of where a lasting task may run.
+        """Queue a write of where a lasting task or a suspect may run.
 
-        A later leader then holds the task only if it can't tell whether this
-        run goes on, not because of any other worker.
+        A later leader then holds the lasting task only if it can't tell
+        whether this run goes on, not because of any other worker. It counts
+        a crash of the worker that happens while nobody leads.
 
         Returns:
             The sequence number of the write.
@@ -241,7 +199,7 @@
         return self._store_progress(run.task.step.job)
 
     def release_recorded_starts(self):
-        """Order the starts of the lasting tasks whose placement is stored."""
+        """Order the starts of the runs whose placement is stored."""
         with self.lock:
             while self._unrecorded_runs:
                 sequence, run = self._unrecorded_runs[0]
--- a/figtray/scheduling/session.py
+++ b/figtray/scheduling/session.py
@@ -20,6 +20,8 @@
 # Shorter while lasting tasks start up, as drains of other workers wait for
 # them.
 SETTLING_WAIT_MS = 700
+# Shorter while a task is on trial, as nothing else starts on the worker.
+TRIAL_WAIT_MS = 200
 REPORT_GRACE_MS = 400
 RETRY_MS = 200
 # Longest wait of a report thread that needs no report.
@@ -172,6 +174,8 @@
             wait_ms = PACING_WAIT_MS
         if self._scheduler.is_settling(worker_state):
             wait_ms = min(wait_ms, SETTLING_WAIT_MS)
+        if worker_state.trial is not None:
+            wait_ms = min(wait_ms, TRIAL_WAIT_MS)
         return wait_ms
 
     def _handle_mismatch(self, exc):
--- a/figtray/scheduling/state.py
+++ b/figtray/scheduling/state.py
@@ -18,6 +18,7 @@
     NO_ROOM = 'no worker has room'
     TEAM_LIMIT = 'the team is at its limit'
     GANG_INCOMPLETE = 'not all members of the gang are ready'
+    TRIAL = 'the task may crash its worker and waits for one of its own'
 
     @functools.cached_property
     def label(self):
@@ -92,9 +93,11 @@
     """One task of one occurrence of a job.
 
     Attributes:
-        placement: of a lasting task, the records.Placement of the run that
-            may go on; None if there is none.
+        placement: of a lasting task or a suspect, the records.Placement of
+            the run that may go on; None if there is none.
         crashes: the records.Crashes that it is suspected of.
+        late_crashes: numbers of the runs under which workers crashed that
+            younger runs are suspected of.
     """
 
     __slots__ = (
@@ -107,6 +110,7 @@
         'last_run',
         'placement',
         'crashes',
+        'late_crashes',
         'run',
         'ready_ms',
     )
@@ -125,6 +129,7 @@
         self.last_run = 0
         self.placement = None
         self.crashes = records.NO_CRASHES
+        self.late_crashes = ()
         self.run = None
         self.ready_ms = 0
 
@@ -238,9 +243,15 @@
         What earlier terms have stored on occurrences that are not open in
         this term is kept.
         """
-        done, failures, checkpoints, placements = (
+        done, failures, checkpoints, placements, crashes = (
             self._stored_elsewhere(field)
-            for field in ('done', 'failures', 'checkpoints', 'placements')
+            for field in (
+                'done',
+                'failures',
+                'checkpoints',
+                'placements',
+                'crashes',
+            )
         )
         for number, occurrence in self.occurrences.items():
             for step in occurrence.steps:
@@ -256,16 +267,19 @@
                         checkpoints[key] = task.checkpoint
                     if task.placement:
                         placements[key] = task.placement
+                    if task.crashes.count:
+                        crashes[key] = task.crashes
                 if mask:
                     done[f'{number}.{step.number}'] = mask
         if self.state.ended:
-            failures, checkpoints, placements = {}, {}, {}
+            failures, checkpoints, placements, crashes = {}, {}, {}, {}
         return records.Progress(
             state=self.state,
             done=done,
             failures=failures,
             checkpoints=checkpoints,
             placements=placements,
+            crashes=crashes,
             ended_ms=self.ended_ms,
         )
 
--- /dev/null
+++ b/figtray/scheduling/suspicion.py
@@ -0,0 +1,158 @@
+"""Ends of workers, and what they show about the tasks there."""
+
+from figtray.events import catalogue
+from figtray.events import log
+from figtray.jobs import records
+from figtray.scheduling import crashes
+from figtray.scheduling import ends
+from figtray.scheduling import job_lifecycle
+from figtray.scheduling import scheduler_base
+
+
+class Suspicion(job_lifecycle.JobLifecycle):
+    """Records the ends of workers and suspects the tasks that crash them."""
+
+    def _end_incarnation(self, worker_state, end):
+        if worker_state.gone:
+            return
+        worker_state.gone = True
+        worker = worker_state.worker
+        log.emit(
+            catalogue.WORKER_GONE,
+            worker=worker.worker_id,
+            born_ms=worker.born_ms,
+            runs=len(worker_state.runs),
+            kind=end.kind.value,
+            reason=end.reason,
+        )
+        if self._metrics:
+            self._metrics.count_worker_end(end.kind.value)
+        suspects = ()
+        if end.kind == ends.Kind.CRASHED:
+            suspects = self._suspect_runs(worker_state)
+        for run in list(worker_state.runs.values()):
+            self._mark_lost(run, 'its worker is gone')
+        for task in suspects:
+            self._give_up_if_guilty(task)
+        self._worker_states.pop(worker.incarnation, None)
+        self._ended_incarnations[worker.incarnation] = (
+            self._clock.now_ms() + scheduler_base.ENDED_INCARNATION_TTL_MS
+        )
+        self._resolve_incarnation(worker.incarnation, end.reason, end.kind)
+        worker_state.orders.put(None)
+        worker_state.wake.set()
+
+    def _resolve_incarnation(self, incarnation, reason, kind=None):
+        """Record that the runs on an incarnation are known or over.
+
+        Args:
+            incarnation: the Incarnation.
+            reason: what the leader has seen.
+            kind: the ends.Kind of its end; None if it goes on.
+        """
+        if incarnation not in self._unresolved:
+            return
+        self._unresolved.discard(incarnation)
+        log.emit(
+            catalogue.LIFE_ACCOUNTED,
+            worker=incarnation.worker_id,
+            born_ms=incarnation.born_ms,
+            reason=reason,
+            left=len(self._unresolved),
+        )
+        if not self._unresolved:
+            self._awaited_log.log_all_accounted()
+        if kind in (ends.Kind.CRASHED, ends.Kind.UNKNOWN):
+            self._suspect_placed(incarnation, kind)
+
+    def _suspect_runs(self, worker_state):
+        """Suspect the runs of a crashed worker; return their tasks."""
+        runs = crashes.suspects(worker_state)
+        alone = runs == [crashes.tried_run(worker_state)]
+        for run in runs:
+            run.task.crashes = run.task.crashes.add(run.number, alone)
+            crashes.log_suspected(run)
+            if not run.task.step.job.ended:
+                self._store_progress(run.task.step.job)
+        return [run.task for run in runs]
+
+    def _suspect_placed(self, incarnation, kind):
+        """Suspect the tasks that were placed on a crashed worker.
+
+        It crashed, or ended in an unknown way, while nobody led. Only the
+        starts of lasting tasks and of suspects are recorded.
+
+        Args:
+            incarnation: its Incarnation.
+            kind: the ends.Kind of its end.
+        """
+        placement = records.Placement(
+            incarnation.worker_id, incarnation.born_ms
+        )
+        for task in self._unfinished_tasks():
+            if task.placement != placement or task.run is not None:
+                continue
+            if not task.crashes.count and kind != ends.Kind.CRASHED:
+                continue
+            # The number of the run is unknown; no run has this one.
+            number = self._term.epoch * scheduler_base.RUNS_PER_TERM
+            task.crashes = task.crashes.add(number, False)
+            task.placement = None
+            self._store_progress(task.step.job)
+            log.emit(
+                catalogue.TASK_SUSPECTED,
+                task=task.name,
+                run=0,
+                worker=incarnation.worker_id,
+                crashes=task.crashes.count,
+                alone=task.crashes.alone,
+                after_ms=None,
+            )
+            self._give_up_if_guilty(task)
+
+    def _unfinished_tasks(self):
+        """Return the tasks of all open steps that are not done."""
+        return [
+            task
+            for step in self._open_steps.values()
+            for task in step.tasks
+            if not task.done
+        ]
+
+    def _note_running(self, run, asked_ms):
+        """End the trial of a run, or clear its task, if it went on.
+
+        Args:
+            run: the Run.
+            asked_ms: local time at which it certainly went on.
+        """
+        if not run.task.crashes.count:
+            return
+        worker_state = run.worker_state
+        if crashes.tried_run(worker_state) is run:
+            if crashes.is_trial_over(run, asked_ms):
+                worker_state.trial = None
+                log.emit(
+                    catalogue.TRIAL_PASSED,
+                    task=run.task.name,
+                    run=run.number,
+                    worker=worker_state.worker.worker_id,
+                )
+                self.changed.set()
+        if crashes.is_cleared(run, asked_ms):
+            self._clear(run.task, 'it goes on')
+
+    def _clear(self, task, reason):
+        """Record that a task is not suspected of any crash."""
+        task.late_crashes = ()
+        if not task.crashes.count:
+            return
+        log.emit(
+            catalogue.TASK_CLEARED,
+            task=task.name,
+            crashes=task.crashes.count,
+            reason=reason,
+        )
+        task.crashes = records.NO_CRASHES
+        if not task.step.job.ended:
+            self._store_progress(task.step.job)
--- /dev/null
+++ b/figtray/scheduling/trials.py
@@ -0,0 +1,149 @@
+"""Trials of tasks that may crash their workers."""
+
+import dataclasses
+
+from figtray.events import catalogue
+from figtray.events import log
+from figtray.scheduling import adoption
+from figtray.scheduling import crashes
+from figtray.scheduling import placement
+from figtray.scheduling import state
+
+# Part of the workers of a pool on which trials may be held.
+POOL_SHARE = 0.34
+# The other runs on a worker must have gone on for this long.
+QUIET_MS = 300
+# A task waits for so long until the other runs on its worker have ended.
+EMPTY_WAIT_MS = 300
+# Time between two plans while a trial awaits its start.
+TRIAL_RETRY_MS = 100
+
+
+@dataclasses.dataclass(frozen=True)
+class Trial:
+    """Trial of a task; nothing else starts on its worker meanwhile.
+
+    Attributes:
+        task: the TaskState.
+    """
+
+    task: state.TaskState
+
+
+class Trials(adoption.Adoption):
+    """Chooses the workers of tasks on trial, and keeps others away."""
+
+    def _release_trials(self):
+        """Free the workers whose trials will not go on.
+
+        Returns:
+            Whether a trial awaits its start.
+        """
+        is_waiting = False
+        for worker_state in self._worker_states.values():
+            if worker_state.trial is None:
+                continue
+            task = worker_state.trial.task
+            if task.run is not None and task.run.worker_state is worker_state:
+                continue
+            if (
+                task.run is not None
+                or task not in task.step.waiting
+                or worker_state.worker.draining
+                or not placement.is_usable(worker_state, self._clock.now_ms())
+            ):
+                worker_state.trial = None
+            else:
+                is_waiting = True
+        return is_waiting
+
+    def _trial_worker(self, task, worker_states, now_ms):
+        """Return the WorkerState on which a task can be tried now, or None.
+
+        A worker is kept free of other starts for it until it is quiet.
+        """
+        worker_state = self._reserved(task, worker_states)
+        if worker_state is None:
+            worker_state = self._reserve(task, worker_states, now_ms)
+        if worker_state is None:
+            return None
+        if not placement.has_room(task.step, worker_state, now_ms):
+            return None
+        if not _is_quiet(worker_state, task, now_ms):
+            return None
+        return worker_state
+
+    def _reserved(self, task, worker_states):
+        for worker_state in worker_states:
+            trial = worker_state.trial
+            if trial is not None and trial.task is task:
+                return worker_state
+        return None
+
+    def _reserve(self, task, worker_states, now_ms):
+        """Keep the worker with the fewest runs free for a task."""
+        trials = sum(1 for w in worker_states if w.trial is not None)
+        if trials >= max(1, POOL_SHARE * len(worker_states)):
+            return None
+        best = min(
+            (
+                worker_state
+                for worker_state in worker_states
+                if worker_state.trial is None
+                and placement.suits(task.step, worker_state, now_ms)
+                and self._is_approved(task.step, worker_state)
+            ),
+            key=_run_counts,
+            default=None,
+        )
+        if best is not None:
+            best.trial = Trial(task)
+        return best
+
+    def _is_approved(self, step, worker_state):
+        if step.job.queue.advice is None:
+            return True
+        return step.advice is not None and bool(
+            step.advice.ticket(worker_state.worker.worker_id)
+        )
+
+    def _log_trial(self, run):
+        log.emit(
+            catalogue.TRIAL_STARTED,
+            task=run.task.name,
+            run=run.number,
+            worker=run.worker_state.worker.worker_id,
+            crashes=run.task.crashes.count,
+            others=len(run.worker_state.runs) - 1,
+        )
+
+
+def prime_suspect(tasks, now_ms):
+    """Return the task that most needs a trial; None if none needs one."""
+    return max(
+        (task for task in tasks if crashes.is_trial_needed(task, now_ms)),
+        key=lambda task: task.crashes.count,
+        default=None,
+    )
+
+
+def _is_quiet(worker_state, task, now_ms):
+    """Return whether a worker can be used for a trial now.
+
+    Its runs would be lost with it, so those that end soon are awaited for a
+    while.
+    """
+    runs = worker_state.runs.values()
+    if now_ms - task.ready_ms < EMPTY_WAIT_MS:
+        return all(run.task.step.spec.lasting for run in runs)
+    return all(
+        run.sent_ms is not None and now_ms - run.sent_ms >= QUIET_MS
+        for run in runs
+    )
+
+
+def _run_counts(worker_state):
+    lasting = sum(
+        1 for run in worker_state.runs.values() if run.task.step.spec.lasting
+    )
+    return lasting, len(worker_state.runs)
--- a/figtray/scheduling/worker_orders.py
+++ b/figtray/scheduling/worker_orders.py
@@ -51,10 +51,11 @@
         self.candidates = ()
         self.request_pending = False
 
-    def choose(self, step, worker_states, now_ms):
+    def choose(self, step, worker_states, now_ms, apart=False):
         """Return the best approved worker for a task of a step, or None.
 
         If there is none, the workers to ask about become the candidates.
+        See placement.choose().
         """
         if now_ms >= self._valid_until_ms:
             self._tickets.clear()
@@ -64,7 +65,7 @@
             for worker_state in worker_states
             if worker_state.worker.worker_id in self._tickets
         ]
-        best = placement.choose(step, approved, now_ms)
+        best = placement.choose(step, approved, now_ms, apart)
         if best is None and not self.request_pending:
             self.candidates = tuple(
                 worker_state.worker.worker_id
--- a/figtray/scheduling/worker_state.py
+++ b/figtray/scheduling/worker_state.py
@@ -27,6 +27,8 @@
         gone: whether this incarnation has ended.
         cordon_reasons: why no task may start on it; empty if tasks may.
         cordon_reason: the same in one string.
+        trial: the trials.Trial for which it is kept free of other starts;
+            None if there is none.
         upkeep_due: whether its host has an upkeep ahead.
         avoid_until_ms: local time until which no task is started on it.
         seen_end: number of the last end that was recorded.
@@ -66,6 +68,7 @@
         self.gone = False
         self.cordon_reasons = frozenset()
         self.cordon_reason = ''
+        self.trial = None
         self.upkeep_due = False
         self.avoid_until_ms = 0
         self.seen_end = 0
