--- a/figtray/events/catalogue.py
+++ b/figtray/events/catalogue.py
@@ -326,7 +326,7 @@
     logbook.WARNING,
     'An incarnation of a worker has ended; the tasks that it ran are '
     'scheduled again.',
-    ('worker', 'born_ms', 'runs', 'reason'),
+    ('worker', 'born_ms', 'runs', 'kind', 'reason'),
 )
 WORKER_AVOIDED = Event(
     1705,
@@ -439,6 +439,42 @@
     'empty once they are no longer held. waited_ms is the longest wait.',
     ('step', 'queue', 'pool', 'lasting', 'reason', 'tasks', 'waited_ms'),
 )
+TASK_SUSPECTED = Event(
+    1724,
+    logbook.INFO,
+    'A worker has crashed under a run, so its task may have caused the crash. '
+    'crashes counts those of the task that nothing has cleared it of, alone '
+    'those on a worker of its own; after_ms is the time from the order to '
+    'start until the worker fell silent.',
+    ('task', 'run', 'worker', 'crashes', 'alone', 'after_ms'),
+)
+TRIAL_STARTED = Event(
+    1725,
+    logbook.INFO,
+    'A task under which workers crashed starts on trial, on a worker where '
+    'nothing else starts meanwhile; others are runs that were there before.',
+    ('task', 'run', 'worker', 'crashes', 'others'),
+)
+TRIAL_PASSED = Event(
+    1726,
+    logbook.INFO,
+    'The worker of a task on trial has not crashed; other tasks start there '
+    'again.',
+    ('task', 'run', 'worker'),
+)
+TASK_CLEARED = Event(
+    1727,
+    logbook.INFO,
+    'A task is no longer suspected of the crashes of its workers.',
+    ('task', 'crashes', 'reason'),
+)
+TASK_GIVEN_UP = Event(
+    1728,
+    logbook.WARNING,
+    'A task has crashed workers again and again, also while nothing else '
+    'could have crashed them; its job has failed. 1724 names each crash.',
+    ('job_id', 'task', 'crashes', 'alone', 'runs'),
+)
 
 WAVE_SEEN = Event(
     1800,
--- a/figtray/scheduling/reports.py
+++ b/figtray/scheduling/reports.py
@@ -5,10 +5,11 @@
 from figtray.fleet import messages
 from figtray.jobs import model
 from figtray.jobs import records
-from figtray.scheduling import job_lifecycle
+from figtray.scheduling import ends
 from figtray.scheduling import leases
 from figtray.scheduling import scheduler_base
 from figtray.scheduling import state
+from figtray.scheduling import suspicion
 from figtray.scheduling import worker_orders
 from figtray.scheduling import worker_state as worker_state_lib
 
@@ -16,7 +17,7 @@
 STRAY_STOP_INTERVAL_MS = 500
 
 
-class Reports(job_lifecycle.JobLifecycle):
+class Reports(suspicion.Suspicion):
     """Records the reports of workers and extends their leases."""
 
     def report_request(self, worker_state):
@@ -61,13 +62,19 @@
                 return 0
             if report.born_ms != worker_state.worker.born_ms:
                 self._end_incarnation(
-                    worker_state, 'another incarnation reports'
+                    worker_state,
+                    ends.of_process(
+                        worker_state,
+                        'another incarnation reports',
+                        answered=True,
+                    ),
                 )
                 return 0
             worker_state.settle_requested_lease(was_sent=True)
             worker_state.clock_ms = report.clock_ms
             worker_state.clock_read_ms = now_ms
             worker_state.unresponsive = False
+            worker_state.silent_since_ms = None
             if not worker_state.has_reported:
                 worker_state.has_reported = True
                 # An earlier leader may have extended the lease this far.
@@ -97,6 +104,8 @@
                     and (run.task.name, run.number) not in reported
                 ):
                     self._mark_lost(run, 'absent from a report')
+                elif (run.task.name, run.number) in reported:
+                    self._note_running(run, asked_ms)
             worker_state.stray_runs = self._stray_runs(
                 worker_state, reported - ended
             )
@@ -139,6 +148,8 @@
         with self.lock:
             worker_state.settle_requested_lease(was_sent)
             worker_state.unresponsive = True
+            if worker_state.silent_since_ms is None:
+                worker_state.silent_since_ms = self._clock.now_ms()
             if worker_state.gone or not worker_state.runs:
                 return
             if worker_state.is_lease_over(
@@ -186,6 +197,7 @@
         run = state.Run(task, worker_state, item.run, now_ms)
         run.phase = state.Phase.RUNNING
         run.confirmed_ms = now_ms
+        run.sent_ms = now_ms
         self._attach(run)
         job = task.step.job
         from_earlier_term = (
@@ -267,6 +279,8 @@
                 )
         if item.checkpoint and not task.done:
             task.checkpoint = item.checkpoint
+        if item.end in (messages.EndReason.DONE, messages.EndReason.FAILED):
+            self._clear(task, 'its worker reports its end')
         spec = task.step.spec
         if item.end == messages.EndReason.DONE and not spec.lasting:
             if tracked and not spec.gang:
--- a/figtray/scheduling/scheduler_base.py
+++ b/figtray/scheduling/scheduler_base.py
@@ -78,8 +78,9 @@
         self._are_placements_known = False
         # Most of each resource that a worker or a host was seen to have.
         self._largest_capacity = model.NO_RESOURCES
-        # Runs of lasting tasks whose Placements are not stored yet, with the
-        # sequence numbers of the Writer to wait for, in ascending order.
+        # Runs of lasting tasks and suspects whose Placements are not stored
+        # yet, with the sequence numbers of the Writer to wait for, in
+        # ascending order.
         self._unrecorded_runs = collections.deque()
         self._awaited_log = awaited.AwaitedLog()
         self._held_log = held.HeldLog()
@@ -148,6 +149,9 @@
         task, spec = run.task, run.task.step.spec
         task.run = None
         run.worker_state.runs.pop(task.name, None)
+        trial = run.worker_state.trial
+        if trial is not None and trial.task is task:
+            run.worker_state.trial = None
         run.worker_state.used -= state.occupied(spec)
         self._quota.remove(task.step.job.spec.team, spec.needs)
         if task.placement is not None:
@@ -209,41 +213,6 @@
         self._detach(run)
         self._requeue(task)
 
-    def _end_incarnation(self, worker_state, reason):
-        if worker_state.gone:
-            return
-        worker_state.gone = True
-        log.emit(
-            catalogue.WORKER_GONE,
-            worker=worker_state.worker.worker_id,
-            born_ms=worker_state.worker.born_ms,
-            runs=len(worker_state.runs),
-            reason=reason,
-        )
-        for run in list(worker_state.runs.values()):
-            self._mark_lost(run, 'its worker is gone')
-        self._worker_states.pop(worker_state.worker.incarnation, None)
-        self._ended_incarnations[worker_state.worker.incarnation] = (
-            self._clock.now_ms() + ENDED_INCARNATION_TTL_MS
-        )
-        self._resolve_incarnation(worker_state.worker.incarnation, reason)
-        worker_state.orders.put(None)
-        worker_state.wake.set()
-
-    def _resolve_incarnation(self, incarnation, reason):
-        if incarnation in self._unresolved:
-            self._unresolved.discard(incarnation)
-            log.emit(
-                catalogue.LIFE_ACCOUNTED,
-                worker=incarnation.worker_id,
-                born_ms=incarnation.born_ms,
-                reason=reason,
-                left=len(self._unresolved),
-            )
-            if not self._unresolved:
-                self._awaited_log.log_all_accounted()
-                self._record_takeover(metrics_lib.TakeoverPhase.ACCOUNTED)
-
     def set_loaded(self):
         """Record that the jobs and workers of earlier terms are loaded."""
         with self.lock:
@@ -262,10 +231,11 @@
         return bool(self._unresolved) and now_ms < self._adoption_until_ms
 
     def _record_placement(self, run):
-        """Queue a write of where a lasting task may run.
+        """Queue a write of where a lasting task or a suspect may run.
 
-        A later leader then holds the task only if it can't tell whether this
-        run goes on, not because of any other worker.
+        A later leader then holds the lasting task only if it can't tell
+        whether this run goes on, not because of any other worker. It counts
+        a crash of the worker that happens while nobody leads.
 
         Returns:
             The sequence number of the write.
@@ -274,7 +244,7 @@
         return self._store_progress(run.task.step.job)
 
     def release_recorded_starts(self):
-        """Order the starts of the lasting tasks whose placement is stored."""
+        """Order the starts of the runs whose placement is stored."""
         with self.lock:
             while self._unrecorded_runs:
                 sequence, run = self._unrecorded_runs[0]
--- a/figtray/scheduling/worker_state.py
+++ b/figtray/scheduling/worker_state.py
@@ -36,11 +36,15 @@
         listed: whether its entry is in the store.
         unresponsive: whether the last request for a report failed; its lease
             is not extended then, so that the end of the lease is known.
+        silent_since_ms: local time of the first failed request for a report
+            since the last report; None if the last one was answered.
         report_error: why the last request for a report failed; empty if it
             was answered.
         gone: whether this incarnation has ended.
         cordon_reasons: why no task may start on it; empty if tasks may.
         cordon_reason: the same in one string.
+        trial: the trials.Trial for which it is kept free of other starts;
+            None if there is none.
         upkeep_due: whether its host has an upkeep ahead.
         avoid_until_ms: local time until which no task is started on it.
         seen_end: number of the last end that was recorded.
@@ -78,10 +82,12 @@
         self.on_roster = False
         self.listed = True
         self.unresponsive = False
+        self.silent_since_ms = None
         self.report_error = ''
         self.gone = False
         self.cordon_reasons = frozenset()
         self.cordon_reason = ''
+        self.trial = None
         self.upkeep_due = False
         self.avoid_until_ms = 0
         self.seen_end = 0
