Estimate the clock of an idle worker as slow

Callers could see two runs of a task at a time: after a change of the leader, a task of a worker that had been idle before its run started a second time while the first one went on.

Cause: a lease ends at a time on the worker's clock, which the leader estimates from the last report. A worker without runs is not asked for reports, so on a clock 2 % slow the estimate was 1.2 s ahead after a minute, and the lease that much longer than the 7.4 s that the next leader waits. Only a worker that allows longer leases than the leader asks for grants it (hold_max_ms above 7 s).

Change: the estimate takes the slowest clock, and an idle worker is asked for a report each minute, so that its leases don't get shorter for ever.

--- a/figtray/scheduling/session.py
+++ b/figtray/scheduling/session.py
@@ -26,6 +26,9 @@
 RETRY_MS = 200
 # Longest wait of a report thread that needs no report.
 IDLE_WAIT_MS = 20_000
+# The clock of an idle worker is read again after this time. Its estimate may
+# be late by a fiftieth of it.
+MAX_CLOCK_AGE_MS = 60_000
 STORE_WAIT_MS = 500
 # Reports are suspended while the term is not certainly valid.
 SUSPENDED_POLL_MS = 50
@@ -119,6 +122,8 @@
             or bool(worker_state.runs)
             or worker_state.stray_runs.count > 0
             or worker_state.sent_acknowledged < worker_state.acknowledged
+            or self._clock.now_ms() - worker_state.clock_read_ms
+            >= MAX_CLOCK_AGE_MS
         )
 
     def report_once(self):
--- a/figtray/scheduling/worker_state.py
+++ b/figtray/scheduling/worker_state.py
@@ -6,6 +6,7 @@
 
 from figtray.jobs import model
 from figtray.jobs import records
+from figtray.scheduling import leases
 
 
 @dataclasses.dataclass(frozen=True)
@@ -132,10 +133,14 @@
         return records.Placement(self.worker.worker_id, self.worker.born_ms)
 
     def worker_clock(self, now_ms):
-        """Return an estimate of the worker's clock; None if unknown."""
+        """Return the least time on the worker's clock; None if unknown.
+
+        It is late if anything, so that no lease lasts longer than meant.
+        """
         if self.clock_ms is None:
             return None
-        return self.clock_ms + now_ms - self.clock_read_ms
+        passed_ms = (now_ms - self.clock_read_ms) * leases.SLOWEST_CLOCK_RATE
+        return self.clock_ms + int(passed_ms)
 
     def extend_lease(self, lease_until_ms):
         """Record that the worker may have been asked for a longer lease."""
