Split the order of an upkeep from what follows an accepted one

WaveRunner._begin_upkeep() had 45 lines and logged a refusal in two places. _order_upkeep() makes the call and handles its failures.

--- a/figtray/upkeep/waves.py
+++ b/figtray/upkeep/waves.py
@@ -256,30 +256,7 @@
     def _begin_upkeep(self, state, host, now_ms):
         if not self._term.valid():
             return
-        try:
-            accepted = self._host_client.begin_upkeep(
-                host.host_id,
-                state.wave.number,
-                self._node_name,
-                self._term.epoch,
-            )
-        except errors.CallNotSent as exc:
-            accepted, detail = False, str(exc)
-        except errors.ReplyLost as exc:
-            # The upkeep may have begun, so the host counts as down until the
-            # list shows it as up. The order is repeated for a host that is
-            # listed as up; the platform ignores it if the upkeep is done.
-            state.down[host.host_id] = now_ms
-            log.emit(
-                catalogue.UPKEEP_REFUSED, host=host.host_id, detail=str(exc)
-            )
-            return
-        else:
-            detail = 'refused by the platform'
-        if not accepted:
-            log.emit(
-                catalogue.UPKEEP_REFUSED, host=host.host_id, detail=detail
-            )
+        if not self._order_upkeep(state, host, now_ms):
             return
         state.begun[host.host_id] = now_ms
         state.down[host.host_id] = now_ms
@@ -299,6 +276,30 @@
         del state.cordoned_ms[host.host_id]
         self._store_record(state)
 
+    def _order_upkeep(self, state, host, now_ms):
+        """Order an upkeep, and return whether the platform has accepted it.
+
+        If the reply is lost, the upkeep may have begun, so the host counts as
+        down until the list shows it as up. The order is repeated for a host
+        that is listed as up; the platform ignores it if the upkeep is done.
+        """
+        detail = 'refused by the platform'
+        try:
+            if self._host_client.begin_upkeep(
+                host.host_id,
+                state.wave.number,
+                self._node_name,
+                self._term.epoch,
+            ):
+                return True
+        except errors.CallNotSent as exc:
+            detail = str(exc)
+        except errors.ReplyLost as exc:
+            state.down[host.host_id] = now_ms
+            detail = str(exc)
+        log.emit(catalogue.UPKEEP_REFUSED, host=host.host_id, detail=detail)
+        return False
+
     def _store_record(self, state, completed=False):
         record = WaveRecord(tuple(sorted(state.begun)), completed)
         self._records[state.wave.number] = record
