Tell in one place whether the rebalancer may move a host

The choice of spare hosts and the choice of surplus hosts repeated three conditions; _is_movable() has them. The counts of hosts by zone are a Counter, so that a zone without hosts needs no default at each use.

--- a/figtray/upkeep/rebalancer.py
+++ b/figtray/upkeep/rebalancer.py
@@ -186,30 +186,35 @@
             host
             for host in listed.values()
             if host.pool == spare_pool
-            and host.state == fleet.HostState.UP
-            and host.host_id not in self._moving
             and host.zone not in evacuated_zones
-            and self._orders.is_order_allowed(host.host_id)
+            and self._is_movable(host)
         ]
         while added < count and candidates:
             chosen = []
             while candidates and added + len(chosen) < count:
                 host = min(
                     candidates,
-                    key=lambda h: (zone_counts.get(h.zone, 0), h.host_id),
+                    key=lambda h: (zone_counts[h.zone], h.host_id),
                 )
                 candidates.remove(host)
-                zone_counts[host.zone] = zone_counts.get(host.zone, 0) + 1
+                zone_counts[host.zone] += 1
                 chosen.append((host, pool))
             added += sum(self._move_all(chosen))
         return added
 
     def _count_by_zone(self, pool, listed):
-        zone_counts = {}
-        for host in listed.values():
-            if host.pool == pool:
-                zone_counts[host.zone] = zone_counts.get(host.zone, 0) + 1
-        return zone_counts
+        """Return a Counter of the hosts of a pool in each zone."""
+        return collections.Counter(
+            host.zone for host in listed.values() if host.pool == pool
+        )
+
+    def _is_movable(self, host):
+        """Return whether a host is up, not moving, and may get an order."""
+        return (
+            host.state == fleet.HostState.UP
+            and host.host_id not in self._moving
+            and self._orders.is_order_allowed(host.host_id)
+        )
 
     def _drain_surplus(self, pool, surplus, listed, now_ms, shortage):
         """Choose the surplus hosts of a pool after SURPLUS_DELAY_MS.
@@ -227,17 +232,15 @@
             host
             for host in listed.values()
             if host.pool == pool
-            and host.state == fleet.HostState.UP
             and host.worker_id
             and host.host_id not in self._draining
-            and host.host_id not in self._moving
-            and self._orders.is_order_allowed(host.host_id)
+            and self._is_movable(host)
             and self._scheduler.is_schedulable(host.worker_id)
         ]
         candidates.sort(
             key=lambda h: (
                 *self._scheduler.drain_cost(h.worker_id),
-                -zone_counts.get(h.zone, 0),
+                -zone_counts[h.zone],
                 h.host_id,
             )
         )
