--- a/figtray/settings/loader.py
+++ b/figtray/settings/loader.py
@@ -93,7 +93,7 @@
             the working directory.
 
     Returns:
-        64 hexadecimal digits.
+        64 hexadecimal digits in lower case.
 
     Raises:
         SettingsError: the file can't be read or holds something else.
@@ -139,7 +139,19 @@
         raise errors.SettingsError(
             path, f'includes are nested more than {MAX_INCLUDE_DEPTH} deep'
         )
-    text = _read_text(path)
+    data, locations = _decode(path, _read_text(path))
+    base, base_locations = {}, {}
+    for name in _pop_includes(path, data, locations):
+        included, included_locations = _read(
+            path.parent / name, (*including_paths, path.resolve())
+        )
+        base = _merge(base, included)
+        base_locations |= included_locations
+    return _merge(base, data), base_locations | locations
+
+
+def _decode(path, text):
+    """Return the data of one file and the (file, line) of each field."""
     try:
         data = pyjson5.decode(text)
     except pyjson5.Json5DecoderException as exc:
@@ -158,6 +170,11 @@
         raise _error(path, locations, duplicates[0], 'the field occurs twice')
     if not isinstance(data, dict):
         raise errors.SettingsError(path, 'the file must hold one object')
+    return data, locations
+
+
+def _pop_includes(path, data, locations):
+    """Remove the field INCLUDE_FIELD and return the file names in it."""
     includes = data.pop(INCLUDE_FIELD, ())
     if isinstance(includes, str):
         includes = [includes]
@@ -167,14 +184,7 @@
         raise _error(
             path, locations, f'$.{INCLUDE_FIELD}', 'expected file names'
         )
-    base, base_locations = {}, {}
-    for name in includes:
-        included, included_locations = _read(
-            path.parent / name, (*including_paths, path.resolve())
-        )
-        base = _merge(base, included)
-        base_locations |= included_locations
-    return _merge(base, data), base_locations | locations
+    return includes
 
 
 def _read_text(path):
