Remove unused parts of the in-memory store

Nothing read the number of calls by method or called expire_leases(). The number of replies to lose is always an integer, so it needs no conversion.

--- a/figtray/store/memory.py
+++ b/figtray/store/memory.py
@@ -6,7 +6,9 @@
 from figtray import errors
 from figtray.store import base
 
+# Number of changes that are kept for watches.
 HISTORY_LENGTH = 10_000
+# Wait of a watch whose `wait_ms` is 0 or None.
 WATCH_WAIT_MS = base.WATCH_WAIT_MS
 # Limit of the platform's store on conditions, puts and deletes together.
 MAX_TXN_ENTRIES = 32
@@ -47,7 +49,6 @@
         self._next_lease = 1
         self.revision = 1
         self._history_id = 0
-        self.calls = {}
         self.down = False
         self.replies_to_lose = 0
 
@@ -67,12 +68,12 @@
             StoreUnavailable: the store is down.
         """
         with self._cond:
-            self._begin_call('get')
+            self._begin_call()
             return self._items.get(key), self.revision
 
     def range(self, prefix):
         with self._cond:
-            self._begin_call('range')
+            self._begin_call()
             items = tuple(
                 self._items[key]
                 for key in sorted(self._items)
@@ -82,7 +83,7 @@
 
     def txn(self, compares, puts=(), deletes=(), timeout_ms=None):
         with self._cond:
-            self._begin_call('txn')
+            self._begin_call()
             keys = [put.key for put in puts] + list(deletes)
             if len(set(keys)) < len(keys):
                 raise InvalidTxn(detail='duplicate key')
@@ -95,7 +96,7 @@
                         raise errors.LeaseLost(lease_id=put.lease)
                 self._write(puts, deletes)
             if self.replies_to_lose:
-                self.replies_to_lose = int(self.replies_to_lose) - 1
+                self.replies_to_lose -= 1
                 raise errors.WriteUncertain(detail='injected')
             current = ()
             if not succeeded:
@@ -108,7 +109,7 @@
 
     def grant_lease(self, ttl_ms):
         with self._cond:
-            self._begin_call('grant_lease')
+            self._begin_call()
             lease_id = self._next_lease
             self._next_lease += 1
             self._leases[lease_id] = (ttl_ms, self._clock.now_ms() + ttl_ms)
@@ -116,7 +117,7 @@
 
     def keep_alive(self, lease_id):
         with self._cond:
-            self._begin_call('keep_alive')
+            self._begin_call()
             if lease_id not in self._leases:
                 return 0
             ttl_ms = self._leases[lease_id][0]
@@ -125,7 +126,7 @@
 
     def revoke(self, lease_id):
         with self._cond:
-            self._begin_call('revoke')
+            self._begin_call()
             self._end_lease(lease_id)
 
     def watch(self, prefix, start_revision, stop, wait_ms=base.WATCH_WAIT_MS):
@@ -139,7 +140,7 @@
             yield None
 
     def begin_watch(self):
-        """Count the start of a watch.
+        """Start a watch.
 
         Returns:
             The id of the present history, for wait_for_changes().
@@ -148,7 +149,7 @@
             StoreUnavailable: the store is down.
         """
         with self._cond:
-            self._begin_call('watch')
+            self._begin_call()
             return self._history_id
 
     def wait_for_changes(
@@ -223,11 +224,6 @@
             self._history = []
             self._compacted_revision = self.revision
 
-    def call_counts(self):
-        """Return the number of calls by the name of the method."""
-        with self._cond:
-            return dict(self.calls)
-
     def dump(self):
         """Return the state, for a later restore()."""
         with self._cond:
@@ -257,13 +253,7 @@
             self._history_id += 1
             self._cond.notify_all()
 
-    def expire_leases(self):
-        """End the leases whose time to live has passed."""
-        with self._cond:
-            self._end_expired_leases()
-
-    def _begin_call(self, call):
-        self.calls[call] = self.calls.get(call, 0) + 1
+    def _begin_call(self):
         if self.down:
             raise errors.StoreUnavailable(detail='injected outage')
         self._end_expired_leases()
