Keep the evacuated zones of the operator view as a set

The view stored the revision of each zone's document, which nothing read. The name says what the set holds. A wave is decoded before the lock is taken once, not between two critical sections; the store's single watch thread is the only writer of both.

--- a/figtray/platform/view.py
+++ b/figtray/platform/view.py
@@ -22,7 +22,7 @@
         self._lock = threading.Lock()
         self._max_staleness_ms = max_staleness_ms
         self._config = None
-        self._evacuations = {}
+        self._evacuated_zones = set()
         self._waves = {}
         self._subscribers = []
         self.watcher = prefix_watcher.PrefixWatcher(
@@ -44,7 +44,7 @@
     def evacuated_zones(self):
         """Return the names of the zones that are out of service."""
         with self._lock:
-            return frozenset(self._evacuations)
+            return frozenset(self._evacuated_zones)
 
     def waves(self):
         """Return the fleet Waves by their keys in the store."""
@@ -73,11 +73,12 @@
             self._subscribers.remove(callback)
 
     def _reset(self, items):
+        """Apply a full read; the last configuration stays if it is gone."""
         present = {item.key for item in items}
         with self._lock:
-            for zone in list(self._evacuations):
+            for zone in list(self._evacuated_zones):
                 if documents.EVACUATE_PREFIX + zone not in present:
-                    del self._evacuations[zone]
+                    self._evacuated_zones.remove(zone)
             for key in list(self._waves):
                 if key not in present:
                     del self._waves[key]
@@ -127,18 +128,17 @@
         zone = item.key.removeprefix(documents.EVACUATE_PREFIX)
         with self._lock:
             if item.deleted:
-                self._evacuations.pop(zone, None)
+                self._evacuated_zones.discard(zone)
             else:
-                self._evacuations[zone] = item.mod_revision
+                self._evacuated_zones.add(zone)
 
     def _apply_wave(self, item):
+        wave = None if item.deleted else documents.decode_wave(item.value)
         with self._lock:
-            if item.deleted:
+            if wave is None:
                 self._waves.pop(item.key, None)
-                return
-        wave = documents.decode_wave(item.value)
-        with self._lock:
-            self._waves[item.key] = wave
+            else:
+                self._waves[item.key] = wave
 
 
 class WorkerList:
