Name the parts of a node's stop

_Node.run() looped over a slice of one listener and joined a thread by its index in a list. _close_front() closes the listener for callers, and the campaign's thread has a name.

--- a/figtray/platform/main.py
+++ b/figtray/platform/main.py
@@ -124,11 +124,9 @@
         self._listeners = self._build_listeners()
 
     def run(self, stop):
-        bounds = self._settings.bounds
-        threads = [
-            self._spawn(lambda: self._view.run(self._ended), 'operator view'),
-            self._spawn(lambda: self._elector.run(stop), 'campaign'),
-        ]
+        """Serve until `stop` is set, then finish the open requests."""
+        self._spawn(lambda: self._view.run(self._ended), 'operator view')
+        campaign = self._spawn(lambda: self._elector.run(stop), 'campaign')
         for server in self._listeners:
             server.start()
         stop.wait()
@@ -136,19 +134,28 @@
         self._stopping.set()
         # A plain delay: the event is set only at the end of this method.
         self._clock.wait(self._ended, LEAVE_ROTATION_MS)
-        # The listeners for probes and metrics serve until the process ends.
-        for server in self._listeners[:1]:
-            remaining_ms = (
-                stopped_ms
-                + int(bounds.grace_s * 1000)
-                - SHUTDOWN_MARGIN_MS
-                - self._clock.now_ms()
-            )
-            cut_off = server.close(max(0, remaining_ms), self._clock)
-            log.emit(catalogue.FRONT_CLOSED, cut_off=cut_off)
-        threads[1].join(SHUTDOWN_MARGIN_MS / 1000)
+        self._close_front(stopped_ms)
+        campaign.join(SHUTDOWN_MARGIN_MS / 1000)
         self._ended.set()
 
+    def _close_front(self, stopped_ms):
+        """Stop serving callers, with time for their open requests.
+
+        The listeners for probes and metrics serve until the process ends.
+
+        Args:
+            stopped_ms: local time at which the stop began.
+        """
+        front = self._listeners[0]
+        remaining_ms = (
+            stopped_ms
+            + int(self._settings.bounds.grace_s * 1000)
+            - SHUTDOWN_MARGIN_MS
+            - self._clock.now_ms()
+        )
+        cut_off = front.close(max(0, remaining_ms), self._clock)
+        log.emit(catalogue.FRONT_CLOSED, cut_off=cut_off)
+
     def _spawn(self, target, name):
         thread = threading.Thread(target=target, name=name, daemon=True)
         thread.start()
@@ -184,6 +191,7 @@
         )
 
     def _build_listeners(self):
+        """Return the listeners for callers, probes and metrics."""
         settings = self._settings
         intake = intakes.Intake(self._store, self._clock)
         app = job_api.JobApi(self._view, intake, self._clock, self._metrics)
