Give hosts to a pool whose workers can't be reached

Callers saw all tasks of a pool wait for 10 to 25 s, until a cut healed: most workers of the pool were cut off with their entries in the store, and a new leader that had never reached them gave the pool no host.

Cause: the rebalancer counted workers that are listed but unresponsive as workers of the pool, so nothing was missing; it even drained the reachable ones as a surplus, as a worker that has never reported can't be drained. Class of fault: what is only believed (an entry) counts like what was confirmed.

test_pool_without_a_reachable_worker_gets_no_host and test_last_reachable_workers_are_drained failed before. All tests pass.

--- a/figtray/events/catalogue.py
+++ b/figtray/events/catalogue.py
@@ -524,6 +524,7 @@
     (
         'pool',
         'workers',
+        'reachable',
         'capacity_milli',
         'capacity_mb',
         'lasting_milli',
--- a/figtray/scheduling/draining.py
+++ b/figtray/scheduling/draining.py
@@ -28,6 +28,7 @@
                 ):
                     continue
                 entry['workers'] += 1
+                entry['reachable'] += not worker_state.unresponsive
                 entry['capacity_milli'] += worker.capacity.cpu_milli
                 entry['capacity_mb'] += worker.capacity.memory_mb
             for job in self._jobs.values():
--- a/figtray/scheduling/pool_load.py
+++ b/figtray/scheduling/pool_load.py
@@ -8,7 +8,10 @@
     """Capacity and demand of one pool; all fields are written to the log.
 
     Attributes:
-        workers: number of workers on which tasks may start.
+        workers: number of workers on which tasks may start, if they can be
+            reached.
+        reachable: how many of them have not left the last request for a
+            report unanswered.
         capacity_milli: their processor time in thousandths of a core.
         capacity_mb: their memory in megabytes.
         lasting_milli: processor time that running lasting tasks need.
@@ -25,6 +28,7 @@
     """
 
     workers: int = 0
+    reachable: int = 0
     capacity_milli: int = 0
     capacity_mb: int = 0
     lasting_milli: int = 0
--- a/figtray/upkeep/rebalancer.py
+++ b/figtray/upkeep/rebalancer.py
@@ -103,6 +103,7 @@
             rise = self._trends[pool].forecast_rise(load, now_ms)
             lacking = max(
                 base - load.workers,
+                host_needs.MIN_WORKERS - load.reachable,
                 host_needs.wanted_workers(load, rise, capacity)
                 - host_needs.usual_workers(load, capacity),
             )
@@ -114,9 +115,8 @@
                 )
         shortage = any(count > 0 for count in missing.values())
         for pool in pools:
-            self._drain_surplus(
-                pool, -missing.get(pool, 0), listed, now_ms, shortage
-            )
+            surplus = -missing.get(pool, 0)
+            self._drain_surplus(pool, surplus, listed, now_ms, shortage)
         self._set_cordoned()
         self._move_drained(listed, spare_pool, missing, evacuated_zones)
         self._scheduler.set_workers_expected(
--- a/figtray/upkeep/tests/test_rebalancer.py
+++ b/figtray/upkeep/tests/test_rebalancer.py
@@ -66,6 +66,42 @@
         assert sorted(site.moves()) == [('host-8', 'main'), ('host-9', 'main')]
 
 
+class TestUnresponsiveWorkers:
+    def silence(self, site, numbers):
+        ids = {f'worker-{number}' for number in numbers}
+        site.fleet.client.choose_fault = lambda _, worker: (
+            'not sent' if worker.worker_id in ids else 'ok'
+        )
+        site.leader.report_all()
+
+    # The workers that nobody reaches seemed to be enough for the pool, whose
+    # tasks waited until they were reached again.
+    def test_pool_without_a_reachable_worker_gets_no_host(self, site):
+        self.silence(site, range(4))
+        site.fleet.submit(harness.make_step(1, lasting=True))
+        site.reconcile()
+        assert len(site.moves()) == host_needs.MIN_WORKERS
+
+    # Workers that nobody reaches can't be drained, so the surplus of a pool
+    # was taken from the few that tasks could start on.
+    def test_last_reachable_workers_are_drained(self, site):
+        self.silence(site, (0, 1))
+        for number in (0, 1):
+            # Those that a new leader has never reached.
+            site.leader.worker_state(number).has_reported = False
+        for _ in range(20):
+            site.leader.advance(500)
+            site.reconcile()
+        moved_hosts = {host_id for host_id, _ in site.moves()}
+        assert not moved_hosts & {'host-2', 'host-3'}
+
+    # A single silent worker is no reason to move hosts.
+    def test_one_silent_worker_moves_hosts(self, site):
+        self.silence(site, (0,))
+        site.reconcile()
+        assert not site.moves()
+
+
 class TestShrunkWorkers:
     def shrink(self, site, numbers, cpu_milli):
         for number in numbers:
