--- a/figtray/tests/test_listener.py
+++ b/figtray/tests/test_listener.py
@@ -24,6 +24,19 @@
         conn.close()
 
 
+class BlockingApp:
+    """WSGI application whose response waits until `release` is set."""
+
+    def __init__(self):
+        self.started = threading.Event()
+        self.release = threading.Event()
+
+    def __call__(self, environ, start_response):
+        self.started.set()
+        self.release.wait(LIMIT_MS / 1000)
+        return listener.json_response(start_response, 200, 'done')
+
+
 class TestListener:
     # Guards against a program that starts without its address.
     def test_address_in_use(self):
@@ -34,13 +47,7 @@
 
     # Guards against a stop that aborts a request in progress.
     def test_close_waits_for_request(self):
-        started, release = threading.Event(), threading.Event()
-
-        def app(environ, start_response):
-            started.set()
-            release.wait(LIMIT_MS / 1000)
-            return listener.json_response(start_response, 200, 'done')
-
+        app = BlockingApp()
         server = listener.Listener('127.0.0.1:0', app)
         server.start()
         answers = []
@@ -48,12 +55,12 @@
             target=lambda: answers.append(get(server.address, '/'))
         )
         client.start()
-        assert started.wait(LIMIT_MS / 1000)
+        assert app.started.wait(LIMIT_MS / 1000)
         server.stop_accepting()
         with pytest.raises(ConnectionRefusedError):
             get(server.address, '/')
         assert server.busy_connections() == 1
-        release.set()
+        app.release.set()
         assert server.close(LIMIT_MS) == 0
         client.join(LIMIT_MS / 1000)
         assert answers == [(200, b'"done"')]
@@ -81,20 +88,14 @@
 
     # Guards against a stop that aborts requests and does not report them.
     def test_close_returns_number_of_aborted_requests(self):
-        started, release = threading.Event(), threading.Event()
-
-        def app(environ, start_response):
-            started.set()
-            release.wait(LIMIT_MS / 1000)
-            return listener.json_response(start_response, 200, 'late')
-
+        app = BlockingApp()
         server = listener.Listener('127.0.0.1:0', app)
         server.start()
         conn = http.client.HTTPConnection(server.address)
         conn.request('GET', '/')
-        assert started.wait(LIMIT_MS / 1000)
+        assert app.started.wait(LIMIT_MS / 1000)
         assert server.close(0) == 1
-        release.set()
+        app.release.set()
         with pytest.raises(OSError):
             conn.getresponse()
         conn.close()
