See the end of an outage within two seconds

Callers saw all tasks wait up to 1.2 s longer than needed after an outage of 2 to 4.8 s: a watch of the leader's key that was sent before the outage hung for 4.8 s, so the node saw the store's return up to 3.2 s late.

Cause: the watch waits 4 s to save calls. Since the record of leases changes each 2 s, a watch ends by then anyway.

Change: it waits 2.5 s at most. TestBounds adds up the bounds from the store's return to the first start; it failed before (3,200 ms to notice the return, of 2,000 that the other waits leave).

--- a/figtray/leadership/elector.py
+++ b/figtray/leadership/elector.py
@@ -12,9 +12,10 @@
 from figtray.store import base
 from figtray.store import prefix_watcher
 
-# Longest wait of one watch call. A change of the key ends it at once, so a
-# long wait costs no time and saves calls.
-WATCH_WAIT_MS = 4000
+# Longest wait of one watch call. The record of leases ends it each 2 s while
+# there is a leader, so a longer wait would save no calls, and a call that
+# hangs in an outage hides its end.
+WATCH_WAIT_MS = 2500
 RETRY_MS = 300
 # Interval at which the wait for a stop checks whether the term has ended. A
 # stop ends the wait at once.
--- a/figtray/scheduling/tests/test_sum_of_waits.py
+++ b/figtray/scheduling/tests/test_sum_of_waits.py
@@ -4,9 +4,14 @@
 
 from figtray.leadership import elector
 from figtray.leadership import term as terms
+from figtray.platform import main as node_main
+from figtray.platform import store as platform_store
+from figtray.scheduling import lease_horizon
 from figtray.scheduling import leases
+from figtray.scheduling import service
 from figtray.scheduling.tests import harness
 from figtray.scheduling.tests import takeovers
+from figtray.store import prefix_watcher
 
 # A lasting task runs again within this time of the store's return.
 RESTART_MS = 7000
@@ -80,6 +85,34 @@
     fleet.store.expire_leases()
 
 
+class TestBounds:
+    # Each of the waits was bounded, but their sum was over the promise.
+    def test_sum_of_the_bounds_is_over_the_promise(self):
+        retry_ms = prefix_watcher.RETRY_MS + prefix_watcher.RETRY_JITTER_MS
+        # In a shorter outage no lease of a leader expires.
+        hanging_watch_ms = elector.WATCH_WAIT_MS - terms.LEASE_TTL_MS
+        notice_ms = (
+            max(hanging_watch_ms, prefix_watcher.CONFIRM_WAIT_MS)
+            + platform_store.WATCH_TIMEOUT_MARGIN_MS
+            + retry_ms
+        )
+        # A host has at least half a core.
+        election_ms = (
+            int(node_main.CANDIDACY_DELAY_PER_CORE_MS * 1.5)
+            + elector.MAX_JITTER_MS
+        )
+        load_ms = service.ROSTER_WRITE_TIMEOUT_MS
+        assert notice_ms <= ELECTION_MS
+        assert (
+            notice_ms
+            + election_ms
+            + load_ms
+            + lease_horizon.MIN_ADOPTION_MS
+            + takeovers.START_MS
+            <= RESTART_MS
+        )
+
+
 class TestOutage:
     # The wait for the lease of a silent worker began with the term of the
     # next leader, although no leader had extended it since the outage began.
