Clear a suspect of crashes by a trial that it passes

Cause: once suspected, a task was counted for each crash of its workers, however long it had gone on there, until it had gone on for 10 s; and five crashes without any on trial were enough to give it up.

Now a run that goes on for the length of a trial clears its task of the crashes so far, a task is given up only with a crash on trial, and a run that had settled is not suspected beside younger ones. A task under which workers crash late, three times, gets a longer trial. A suspect that can't be tried in time starts where no other suspect has just started. Idle workers may be used for trials on up to three quarters of a pool.

test_lasting_job_beside_many_deadly_tasks_goes_on failed on (the job is shown as failed) and passes now.

--- a/figtray/scheduling/crashes.py
+++ b/figtray/scheduling/crashes.py
@@ -11,24 +11,21 @@
 # Crashes come right after the start. A run that has gone on for this long is
 # not suspected if its worker also had a younger one.
 SETTLED_MS = 300
-# It is suspected all the same once so many workers crashed under it.
-LATE_CRASHES_TO_SUSPECT = 2
-# Crashes after which a task is given up if this many were on trial. One
-# crash on trial may be chance.
-CRASHES_TO_GIVE_UP = 3
-ALONE_TO_GIVE_UP = 2
-# Crashes after which a task is given up in any case.
-MOST_CRASHES = 5
-# Length of a trial. A task that may have passed short trials is tried for
-# longer.
+# It is tried all the same once so many workers crashed under it.
+LATE_CRASHES_TO_TRY = 3
+# Length of a trial, and of that of a task whose runs had gone on for a while
+# when their workers crashed.
 TRIAL_MS = 300
 LONG_TRIAL_MS = 3000
-CRASHES_FOR_LONG_TRIAL = 3
-# A run that has gone on for this long clears its task of all crashes.
+# A run that has gone on for this long was not the cause of earlier crashes.
 CLEARED_MS = 10_000
-# Longest wait for a trial by the number of crashes. Then the task starts
-# without one; after more crashes it may not.
-MAX_TRIAL_WAIT_MS = {1: 1500, 2: 2000}
+# Crashes after which a task is given up, by the number of those on trial. One
+# crash on trial may be chance.
+CRASHES_TO_GIVE_UP = {1: 4, 2: 3}
+# A task that crashed fewer workers starts without a trial if it has waited
+# for one for so long.
+CRASHES_TO_INSIST = 3
+MAX_TRIAL_WAIT_MS = 1500
 
 
 def suspects(worker_state):
@@ -43,28 +40,24 @@
     tried = tried_run(worker_state)
     if tried in sent:
         return [tried]
-    fresh = [run for run in sent if not _is_settled(run)]
-    if not fresh:
-        return sent
-    return fresh + [
-        run for run in sent if _is_settled(run) and _is_late_suspect(run)
-    ]
+    settled = [run for run in sent if _is_settled(run)]
+    for run in settled:
+        run.task.late_crashes += (run.number,)
+    return [run for run in sent if run not in settled] or sent
 
 
-def _is_late_suspect(run):
-    """Count a crash against a run that has gone on for a while.
+def has_fresh_suspect(worker_state, now_ms):
+    """Return whether a run on a worker may still crash it.
 
-    Returns:
-        Whether its task is suspected, now or from before.
+    Args:
+        worker_state: its WorkerState.
+        now_ms: local time.
     """
-    task = run.task
-    if not task.crashes.count:
-        task.late_crashes += (run.number,)
-        if len(task.late_crashes) < LATE_CRASHES_TO_SUSPECT:
-            return False
-        for number in task.late_crashes:
-            task.crashes = task.crashes.add(number, False)
-    return True
+    return any(
+        is_suspect(run.task)
+        and (run.sent_ms is None or now_ms - run.sent_ms < SETTLED_MS)
+        for run in worker_state.runs.values()
+    )
 
 
 def tried_run(worker_state):
@@ -76,30 +69,32 @@
 def is_guilty(task):
     """Return whether a task certainly crashes its workers."""
     crashes = task.crashes
-    return crashes.count >= MOST_CRASHES or (
-        crashes.count >= CRASHES_TO_GIVE_UP
-        and crashes.alone >= ALONE_TO_GIVE_UP
+    alone = min(crashes.alone, max(CRASHES_TO_GIVE_UP))
+    return alone > 0 and crashes.count >= CRASHES_TO_GIVE_UP[alone]
+
+
+def is_suspect(task):
+    """Return whether a task may have crashed workers."""
+    return (
+        task.crashes.count > 0 or len(task.late_crashes) >= LATE_CRASHES_TO_TRY
     )
 
 
 def is_trial_needed(task, now_ms):
     """Return whether a task may start only on a worker of its own."""
-    count = task.crashes.count
-    max_wait_ms = MAX_TRIAL_WAIT_MS.get(count)
-    if max_wait_ms is None:
-        return count > 0
-    return now_ms - task.ready_ms < max_wait_ms
+    if task.crashes.count >= CRASHES_TO_INSIST:
+        return True
+    return is_suspect(task) and now_ms - task.ready_ms < MAX_TRIAL_WAIT_MS
 
 
 def is_trial_over(run, asked_ms):
-    """Return whether a run on trial has gone on for long enough.
+    """Return whether a run has gone on for as long as a trial.
 
     Args:
         run: the Run.
         asked_ms: local time at which it certainly went on.
     """
-    is_short = run.task.crashes.count < CRASHES_FOR_LONG_TRIAL
-    trial_ms = TRIAL_MS if is_short else LONG_TRIAL_MS
+    trial_ms = LONG_TRIAL_MS if run.task.late_crashes else TRIAL_MS
     return run.sent_ms is not None and asked_ms - run.sent_ms >= trial_ms
 
 
--- a/figtray/scheduling/placement.py
+++ b/figtray/scheduling/placement.py
@@ -1,5 +1,6 @@
 """Choice of the worker for a task."""
 
+from figtray.scheduling import crashes
 from figtray.scheduling import state
 
 
@@ -10,16 +11,16 @@
         step: the StepState.
         worker_states: candidate WorkerStates of the pool.
         now_ms: local time in milliseconds.
-        apart: whether the task should run apart from others that are
+        apart: whether the task may not start together with others that are
             suspected of crashes.
     """
     best, best_score = None, None
     for worker_state in worker_states:
         if not fits(step, worker_state, now_ms):
             continue
+        if apart and crashes.has_fresh_suspect(worker_state, now_ms):
+            continue
         score = _score(step.spec, worker_state)
-        if apart:
-            score = (_suspect_count(worker_state), *score)
         if best is None or score < best_score:
             best, best_score = worker_state, score
     return best
@@ -66,12 +67,6 @@
     return True
 
 
-def _suspect_count(worker_state):
-    return sum(
-        1 for run in worker_state.runs.values() if run.task.crashes.runs
-    )
-
-
 def _score(spec, worker_state):
     """Return a sort key of a worker; the lowest key is the best worker.
 
--- a/figtray/scheduling/planner.py
+++ b/figtray/scheduling/planner.py
@@ -63,7 +63,8 @@
                     self._start_steps(pools, now_ms)
             else:
                 self._start_steps(pools, now_ms)
-            if self._release_trials():
+            self._release_trials()
+            if self._is_suspect_waiting():
                 next_ms = min(next_ms, now_ms + trials.TRIAL_RETRY_MS)
             return min(
                 [next_ms]
@@ -158,15 +159,15 @@
         team = self._cfg.teams.get(job.spec.team)
         if step.spec.gang:
             return self._start_gang(step, worker_states, team, now_ms)
-        tried = [
-            task
-            for task in step.waiting
-            if crashes.is_trial_needed(task, now_ms)
-        ]
-        for task in tried:
+        suspects = [t for t in step.waiting if crashes.is_suspect(t)]
+        for task in suspects:
             step.waiting.remove(task)
         reason = self._start_each(step, worker_states, team, now_ms)
-        left = self._start_tried(tried, worker_states, team, now_ms)
+        left = [
+            task
+            for task in suspects
+            if not self._start_suspect(task, worker_states, team, now_ms)
+        ]
         step.waiting.extendleft(reversed(left))
         return state.HeldReason.TRIAL if left else reason
 
@@ -175,36 +176,29 @@
         while step.waiting:
             if not self._quota.allows(team, step.spec.needs):
                 return state.HeldReason.TEAM_LIMIT
-            task = step.waiting[0]
-            worker_state = self._choose(
-                step, worker_states, now_ms, bool(task.crashes.count)
-            )
+            worker_state = self._choose(step, worker_states, now_ms)
             if worker_state is None:
                 return state.HeldReason.NO_ROOM
-            step.waiting.popleft()
+            task = step.waiting.popleft()
             self._start(
                 task, worker_state, self._next_run_number(task), now_ms
             )
         return None
 
-    def _start_tried(self, tasks, worker_states, team, now_ms):
-        """Start the trials that can start; return the other tasks."""
-        left = []
-        for task in tasks:
-            if not self._quota.allows(team, task.step.spec.needs):
-                left.append(task)
-                continue
-            if task.step.job.queue.advice is not None:
-                # This asks for advice on the workers that it lacks.
-                self._choose(task.step, worker_states, now_ms, True)
+    def _start_suspect(self, task, worker_states, team, now_ms):
+        """Start a suspect if it can start; return whether it does."""
+        if not self._quota.allows(team, task.step.spec.needs):
+            return False
+        # This also asks for advice on the workers that lack it.
+        worker_state = self._choose(
+            task.step, worker_states, now_ms, apart=True
+        )
+        if crashes.is_trial_needed(task, now_ms):
             worker_state = self._trial_worker(task, worker_states, now_ms)
-            if worker_state is None:
-                left.append(task)
-                continue
-            self._start(
-                task, worker_state, self._next_run_number(task), now_ms
-            )
-        return left
+        if worker_state is None:
+            return False
+        self._start(task, worker_state, self._next_run_number(task), now_ms)
+        return True
 
     def _start_gang(self, step, worker_states, team, now_ms):
         """Start all members of a gang together, on one rack if possible.
@@ -333,7 +327,7 @@
                 )
         self.changed.set()
 
-    def _choose(self, step, worker_states, now_ms, apart):
+    def _choose(self, step, worker_states, now_ms, apart=False):
         if step.job.queue.advice is None:
             return placement.choose(step, worker_states, now_ms, apart)
         if step.advice is None:
--- a/figtray/scheduling/state.py
+++ b/figtray/scheduling/state.py
@@ -96,8 +96,8 @@
         placement: of a lasting task or a suspect, the records.Placement of
             the run that may go on; None if there is none.
         crashes: the records.Crashes that it is suspected of.
-        late_crashes: numbers of the runs under which workers crashed that
-            younger runs are suspected of.
+        late_crashes: numbers of the runs that had gone on for a while when
+            their workers crashed.
     """
 
     __slots__ = (
--- a/figtray/scheduling/suspicion.py
+++ b/figtray/scheduling/suspicion.py
@@ -70,10 +70,14 @@
         runs = crashes.suspects(worker_state)
         alone = runs == [crashes.tried_run(worker_state)]
         for run in runs:
-            run.task.crashes = run.task.crashes.add(run.number, alone)
+            task = run.task
+            if alone:
+                for number in task.late_crashes:
+                    task.crashes = task.crashes.add(number, False)
+            task.crashes = task.crashes.add(run.number, alone)
             crashes.log_suspected(run)
-            if not run.task.step.job.ended:
-                self._store_progress(run.task.step.job)
+            if not task.step.job.ended:
+                self._store_progress(task.step.job)
         return [run.task for run in runs]
 
     def _suspect_placed(self, incarnation, kind):
@@ -90,13 +94,19 @@
             incarnation.worker_id, incarnation.born_ms
         )
         for task in self._unfinished_tasks():
-            if task.placement != placement or task.run is not None:
-                continue
-            if not task.crashes.count and kind != ends.Kind.CRASHED:
+            if (
+                task.placement != placement
+                or task.run is not None
+                or not task.crashes.count
+            ):
                 continue
             # The number of the run is unknown; no run has this one.
             number = self._term.epoch * scheduler_base.RUNS_PER_TERM
-            task.crashes = task.crashes.add(number, False)
+            alone = (
+                kind == ends.Kind.CRASHED
+                and task.crashes.count >= crashes.CRASHES_TO_INSIST
+            )
+            task.crashes = task.crashes.add(number, alone)
             task.placement = None
             self._store_progress(task.step.job)
             log.emit(
@@ -126,25 +136,27 @@
             run: the Run.
             asked_ms: local time at which it certainly went on.
         """
-        if not run.task.crashes.count:
+        task, worker_state = run.task, run.worker_state
+        if not task.crashes.count and not task.late_crashes:
+            return
+        if not crashes.is_trial_over(run, asked_ms):
             return
-        worker_state = run.worker_state
         if crashes.tried_run(worker_state) is run:
-            if crashes.is_trial_over(run, asked_ms):
-                worker_state.trial = None
-                log.emit(
-                    catalogue.TRIAL_PASSED,
-                    task=run.task.name,
-                    run=run.number,
-                    worker=worker_state.worker.worker_id,
-                )
-                self.changed.set()
+            worker_state.trial = None
+            task.late_crashes = ()
+            log.emit(
+                catalogue.TRIAL_PASSED,
+                task=task.name,
+                run=run.number,
+                worker=worker_state.worker.worker_id,
+            )
+            self.changed.set()
         if crashes.is_cleared(run, asked_ms):
-            self._clear(run.task, 'it goes on')
+            task.late_crashes = ()
+        self._clear(task, 'it goes on')
 
     def _clear(self, task, reason):
-        """Record that a task is not suspected of any crash."""
-        task.late_crashes = ()
+        """Record that a task did not cause the crashes so far."""
         if not task.crashes.count:
             return
         log.emit(
--- a/figtray/scheduling/tests/deadly.py
+++ b/figtray/scheduling/tests/deadly.py
@@ -26,6 +26,7 @@
         delay_ms: time from their start to the crash.
         run_ms: time after which the other tasks are done; None: they go on.
         gang: tasks that run all or not at all, and are never done.
+        lasting: tasks that are never done.
         crashes: by task, the number of workers that crashed under it.
     """
 
@@ -33,6 +34,7 @@
         self.fleet = fleet
         self.deadly = set()
         self.gang = ()
+        self.lasting = ()
         self.delay_ms = delay_ms
         self.run_ms = run_ms
         self.crashes = collections.Counter()
@@ -75,7 +77,7 @@
                 continue
             for task, age_ms in ages.items():
                 if self.run_ms is not None and age_ms >= self.run_ms:
-                    if task not in self.deadly and task not in self.gang:
+                    if task not in (*self.deadly, *self.gang, *self.lasting):
                         harness.finish(self.fleet, task)
         self._end_incomplete_gang()
 
--- a/figtray/scheduling/tests/test_deadly_tasks.py
+++ b/figtray/scheduling/tests/test_deadly_tasks.py
@@ -117,6 +117,26 @@
         assert states(fleet, good) == {records.State.COMPLETED}
         assert states(fleet, [job for job, _ in bad]) == {records.State.FAILED}
 
+    # A lasting task was counted for each crash of its workers, though it had
+    # gone on for seconds, and its job was shown as failed.
+    def test_lasting_job_beside_many_deadly_tasks_goes_on(
+        self, fleet, site, leader
+    ):
+        job_id, tasks = deadly.submit(fleet, 4, lasting=True)
+        site.lasting = tasks
+        site.play(leader, 2000)
+        for turn in range(60):
+            _, [task] = deadly.submit(fleet)
+            site.deadly.add(task)
+            site.play(leader, 500)
+            if turn % 20 == 10:
+                leader = fleet.elect_leader()
+                leader.report_all()
+        site.play(leader, LONG_MS)
+        assert leader.state(job_id) == records.State.RUNNING
+        assert set(tasks) <= set(deadly.takeovers.running(fleet))
+        assert max(site.crashes.values()) <= deadly.MOST_CRASHES
+
     # Workers that crash by themselves must not fail a job.
     def test_chance_crashes_fail_no_job(self, fleet, site, leader):
         site.run_ms = None
--- a/figtray/scheduling/trials.py
+++ b/figtray/scheduling/trials.py
@@ -9,13 +9,15 @@
 from figtray.scheduling import placement
 from figtray.scheduling import state
 
-# Part of the workers of a pool on which trials may be held.
-POOL_SHARE = 0.34
+# Trials are held on no more than this part of the workers of a pool, if the
+# next worker is busy or idle.
+BUSY_SHARE = 0.34
+IDLE_SHARE = 0.75
 # The other runs on a worker must have gone on for this long.
 QUIET_MS = 300
 # A task waits for so long until the other runs on its worker have ended.
 EMPTY_WAIT_MS = 300
-# Time between two plans while a trial awaits its start.
+# Time between two plans while suspects wait.
 TRIAL_RETRY_MS = 100
 
 
@@ -34,12 +36,7 @@
     """Chooses the workers of tasks on trial, and keeps others away."""
 
     def _release_trials(self):
-        """Free the workers whose trials will not go on.
-
-        Returns:
-            Whether a trial awaits its start.
-        """
-        is_waiting = False
+        """Free the workers whose trials will not go on."""
         for worker_state in self._worker_states.values():
             if worker_state.trial is None:
                 continue
@@ -53,9 +50,13 @@
                 or not placement.is_usable(worker_state, self._clock.now_ms())
             ):
                 worker_state.trial = None
-            else:
-                is_waiting = True
-        return is_waiting
+
+    def _is_suspect_waiting(self):
+        # The planner puts the suspects of a step first.
+        return any(
+            step.waiting and crashes.is_suspect(step.waiting[0])
+            for step in self._open_steps.values()
+        )
 
     def _trial_worker(self, task, worker_states, now_ms):
         """Return the WorkerState on which a task can be tried now, or None.
@@ -82,9 +83,6 @@
 
     def _reserve(self, task, worker_states, now_ms):
         """Keep the worker with the fewest runs free for a task."""
-        trials = sum(1 for w in worker_states if w.trial is not None)
-        if trials >= max(1, POOL_SHARE * len(worker_states)):
-            return None
         best = min(
             (
                 worker_state
@@ -96,8 +94,13 @@
             key=_run_counts,
             default=None,
         )
-        if best is not None:
-            best.trial = Trial(task)
+        if best is None:
+            return None
+        trials = sum(1 for w in worker_states if w.trial is not None)
+        share = BUSY_SHARE if best.runs else IDLE_SHARE
+        if trials >= max(1, share * len(worker_states)):
+            return None
+        best.trial = Trial(task)
         return best
 
     def _is_approved(self, step, worker_state):
