Let a suspect of crashes start after 2.5 s beside other suspects

After 2.5 s a suspect under which fewer than three workers crashed may start beside others. SETTLED_MS is 400, as on the grown sites the leader noticed crashes up to 160 ms after the order to start (20 to 50 ms on the small ones).

--- a/figtray/scheduling/crashes.py
+++ b/figtray/scheduling/crashes.py
@@ -10,7 +10,7 @@
 
 # Crashes come right after the start. A run that has gone on for this long is
 # not suspected if its worker also had a younger one.
-SETTLED_MS = 300
+SETTLED_MS = 400
 # It is tried all the same once so many workers crashed under it.
 LATE_CRASHES_TO_TRY = 3
 # Length of a trial, and of that of a task whose runs had gone on for a while
@@ -23,9 +23,10 @@
 # crash on trial may be chance.
 CRASHES_TO_GIVE_UP = {1: 4, 2: 3}
 # A task that crashed fewer workers starts without a trial if it has waited
-# for one for so long.
+# for one for so long, and later also beside other suspects.
 CRASHES_TO_INSIST = 3
 MAX_TRIAL_WAIT_MS = 1500
+MAX_APART_WAIT_MS = 2500
 
 
 def suspects(worker_state):
@@ -87,6 +88,11 @@
     return is_suspect(task) and now_ms - task.ready_ms < MAX_TRIAL_WAIT_MS
 
 
+def is_apart(task, now_ms):
+    """Return whether a suspect may not start beside another one."""
+    return now_ms - task.ready_ms < MAX_APART_WAIT_MS
+
+
 def is_trial_over(run, asked_ms):
     """Return whether a run has gone on for as long as a trial.
 
--- a/figtray/scheduling/planner.py
+++ b/figtray/scheduling/planner.py
@@ -191,7 +191,10 @@
             return False
         # This also asks for advice on the workers that lack it.
         worker_state = self._choose(
-            task.step, worker_states, now_ms, apart=True
+            task.step,
+            worker_states,
+            now_ms,
+            crashes.is_apart(task, now_ms),
         )
         if crashes.is_trial_needed(task, now_ms):
             worker_state = self._trial_worker(task, worker_states, now_ms)
