--- /dev/null
+++ b/figtray/soak/injector.py
@@ -0,0 +1,287 @@
+"""Injection of the faults of a schedule."""
+
+import signal
+import threading
+
+from figtray import errors
+from figtray.leadership import term as terms
+from figtray.platform import standin_site as sites
+from figtray.soak import faults
+from figtray.soak import proxies as proxies_lib
+
+LOST_REPLY_COUNT = 4
+OPERATOR_RETRY_DELAY_S = 0.05
+# Three heartbeats, after which the entry of a silent worker is removed.
+SILENCE_BOUND_MS = int(3 * sites.HEARTBEAT_INTERVAL_S * 1000)
+
+
+class Injector:
+    """Injects faults; each target has at most one fault at a time.
+
+    Args:
+        site: standin_site.Site of the soak.
+        nodes: its NodeProcesses.
+        proxies: mapping of what is proxied to a list of TcpProxy: the name
+            of a node for its connections to the store (the first) and the
+            host service, `front NAME` for those from its callers, `worker`
+            for those to all workers.
+        checker: InvariantChecker to notify.
+        stop: threading.Event that ends all faults early.
+    """
+
+    def __init__(self, site, nodes, proxies, checker, stop):
+        self._config_version = 1
+        self._stop = stop
+        self._site = site
+        self._nodes = nodes
+        self._proxies = proxies
+        self._checker = checker
+        self._lock = threading.Lock()
+        self._active_targets = set()
+
+    def inject(self, fault):
+        """Inject a fault, wait for its duration, and end it.
+
+        Args:
+            fault: Fault to inject.
+
+        Returns:
+            Names of the targets, or None if one of them has a fault already;
+            then nothing is injected.
+        """
+        node = self._select_node(fault)
+        begin, end, targets = self._resolve(fault, node)
+        with self._lock:
+            if self._active_targets & targets:
+                return None
+            self._active_targets |= targets
+        self._checker.record_fault_begin()
+        try:
+            begin()
+            self._stop.wait(fault.for_s)
+            end()
+        finally:
+            self._checker.record_fault_end()
+            with self._lock:
+                self._active_targets -= targets
+        return ', '.join(sorted(targets))
+
+    def _select_node(self, fault):
+        if fault.leader:
+            record = self._site.store.peek(terms.LEADER_KEY)
+            name = terms.decode(record.value).node if record else ''
+            for node in self._nodes:
+                if node.name == name:
+                    return node
+        return self._nodes[fault.choice % len(self._nodes)]
+
+    def _resolve(self, fault, node):
+        """Return the actions that begin and end a fault, and its targets.
+
+        Returns:
+            (begin, end, set of the names of the targets).
+        """
+        if fault.kind in faults.NETWORK_FAULTS:
+            return self._resolve_network_fault(fault, node)
+        store, process = self._site.store, {f'process {node.name}'}
+        begin, end, targets = _no_action, _no_action, process
+        match fault.kind:
+            case faults.FaultKind.KILL:
+                begin, end = lambda: node.stop(signal.SIGKILL), node.start
+            case faults.FaultKind.TERMINATE:
+                begin, end = node.stop, node.start
+            case faults.FaultKind.RELOAD:
+                begin, end = (
+                    lambda: node.send_signal(signal.SIGHUP),
+                    _no_action,
+                )
+            case faults.FaultKind.PAUSE:
+                begin, end = (
+                    lambda: node.send_signal(signal.SIGSTOP),
+                    lambda: node.send_signal(signal.SIGCONT),
+                )
+            case faults.FaultKind.KILL_ALL:
+                begin, end = self._kill_all, self._start_all
+                targets = {f'process {item.name}' for item in self._nodes}
+            case faults.FaultKind.STORE_DOWN:
+                targets = {'store'}
+                begin, end = (
+                    lambda: store.set_down(True),
+                    lambda: store.set_down(False),
+                )
+            case faults.FaultKind.STORE_LOSES_REPLIES:
+                begin, targets = self._lose_replies, {'replies of the store'}
+            case faults.FaultKind.STORE_FORGETS:
+                begin, targets = store.compact_history, {'history'}
+            case faults.FaultKind.STORE_SILENT_OUTAGE:
+                begin, end = self._silent_outage_actions()
+                stores = {f'store of {item.name}' for item in self._nodes}
+                targets = {'store', *stores}
+            case faults.FaultKind.ORDERS_LATE:
+                begin, end = self._late_order_actions(fault)
+                targets = {'orders'}
+            case faults.FaultKind.WORKER_CRASH:
+                begin, targets = lambda: self._crash_worker(fault), {'crash'}
+            case faults.FaultKind.WORKER_LEAVES:
+                begin, end = self._leave_actions(fault)
+                targets = {'leaving worker'}
+            case faults.FaultKind.WORKER_SILENT_CRASH:
+                targets = {'silent crash'}
+                begin, end = lambda: self._crash_silently(fault), _no_action
+            case faults.FaultKind.KEY_WITHDRAWN:
+                begin, targets = self._withdraw_key, {'keys'}
+            case faults.FaultKind.ZONE_OUT:
+                begin, end = self._zone_out_actions()
+                targets = {'zone'}
+            case _:
+                raise ValueError(fault.kind)
+        return begin, end, targets
+
+    def _resolve_network_fault(self, fault, node):
+        peer, method, *args = faults.NETWORK_FAULTS[fault.kind]
+        if peer == 'workers':
+            proxies, target = self._select_worker_proxies(fault), 'workers'
+        elif peer == 'callers':
+            proxies = self._proxies[f'front {node.name}']
+            target = f'callers of {node.name}'
+        else:
+            proxies, target = self._proxies[node.name], f'store of {node.name}'
+
+        def end():
+            if method in ('stall', 'delay'):
+                _call_all(proxies, 'heal')
+
+        return lambda: _call_all(proxies, method, *args), end, {target}
+
+    def _select_worker_proxies(self, fault):
+        proxies = self._proxies['worker']
+        first = fault.choice % len(proxies)
+        return proxies[first : first + 1 + fault.choice % 2]
+
+    def _kill_all(self):
+        for node in self._nodes:
+            node.stop(signal.SIGKILL)
+
+    def _start_all(self):
+        for node in self._nodes:
+            node.start()
+
+    def _lose_replies(self):
+        self._site.store.replies_to_lose = LOST_REPLY_COUNT
+
+    def _late_order_actions(self, fault):
+        workers = self._site.workers
+
+        def choose(kind, worker):
+            is_late = (
+                kind in ('start', 'stop')
+                and (stable_hash(worker.worker_id) + fault.choice) % 3 == 0
+            )
+            return 'late' if is_late else 'ok'
+
+        def begin():
+            workers.choose_fault = choose
+
+        def end():
+            workers.choose_fault = lambda kind, worker: 'ok'
+            workers.execute_late_orders()
+
+        return begin, end
+
+    def _select_host(self, fault):
+        hosts = self._site.worker_host_ids()
+        return hosts[fault.choice % len(hosts)]
+
+    def _crash_worker(self, fault):
+        self._site.crash_worker(self._select_host(fault))
+
+    def _crash_silently(self, fault):
+        worker = self._site.remove_host(
+            self._select_host(fault), SILENCE_BOUND_MS
+        )
+        if worker is not None:
+            self._take_worker_proxy(worker).fall_silent()
+
+    def _leave_actions(self, fault):
+        host_id = self._select_host(fault)
+
+        def end():
+            worker = self._site.remove_host(host_id)
+            if worker is not None:
+                self._take_worker_proxy(worker).close()
+                self._site.stop_server(worker)
+
+        return lambda: self._site.drain_worker(host_id), end
+
+    def _take_worker_proxy(self, worker):
+        """Take away and return the proxy of a worker that has ended."""
+        proxies = self._proxies['worker']
+        proxy = next(p for p in proxies if p.address == worker.address)
+        proxies.remove(proxy)
+        self._proxies['ended worker'].append(proxy)
+        return proxy
+
+    def _silent_outage_actions(self):
+        """Return actions of an outage in which calls are lost unanswered."""
+        store = self._site.store
+        proxies = [self._proxies[node.name][0] for node in self._nodes]
+
+        def begin():
+            _call_all(proxies, 'stall', *proxies_lib.Direction)
+            store.set_down(True)
+
+        def end():
+            _call_all(proxies, 'blackhole')
+            self._site.expire_entries()
+            store.set_down(False)
+            _call_all(proxies, 'heal')
+
+        return begin, end
+
+    def _zone_out_actions(self):
+        zone = sites.ZONES[0]
+
+        def begin():
+            self._retry_change(self._site.set_zone_in_service, zone, False)
+            self._checker.record_zone_out(zone)
+
+        def end():
+            self._checker.record_zone_out(None)
+            self._retry_change(self._site.set_zone_in_service, zone, True)
+
+        return begin, end
+
+    def _withdraw_key(self):
+        self._config_version += 1
+        self._retry_change(
+            self._site.write_config, self._config_version, (sites.API_KEY,)
+        )
+        self._checker.record_key_withdrawn()
+
+    def _retry_change(self, change, *args):
+        """Retry a change of an operator until it succeeds or all faults end.
+
+        Args:
+            change: function that makes the change.
+            *args: its arguments.
+        """
+        while not self._stop.is_set():
+            try:
+                change(*args)
+                return
+            except (errors.StoreUnavailable, errors.WriteUncertain):
+                self._stop.wait(OPERATOR_RETRY_DELAY_S)
+
+
+def stable_hash(text):
+    """Return a hash that is the same in all processes, unlike hash()."""
+    return sum(text.encode())
+
+
+def _call_all(proxies, method, *args):
+    for proxy in proxies:
+        getattr(proxy, method)(*args)
+
+
+def _no_action():
+    """End a fault that needs no action to end."""
--- a/figtray/soak/soak.py
+++ b/figtray/soak/soak.py
@@ -12,6 +12,7 @@
 from figtray.platform import standin_site as sites
 from figtray.soak import callers as callers_lib
 from figtray.soak import faults as faults_lib
+from figtray.soak import injector as injectors
 from figtray.soak import invariants
 from figtray.soak import lasting
 from figtray.soak import proxies as proxies_lib
@@ -209,7 +210,7 @@
         return self._result()
 
     def _run_schedule(self):
-        injector = faults_lib.Injector(
+        injector = injectors.Injector(
             self._site,
             self._nodes,
             self._proxies,
--- a/figtray/soak/tests/test_faults.py
+++ b/figtray/soak/tests/test_injector.py
@@ -11,6 +11,7 @@
 from figtray import errors
 from figtray.platform import standin_site as sites
 from figtray.soak import faults
+from figtray.soak import injector
 from figtray.soak import invariants
 from figtray.soak import proxies as proxies_lib
 from figtray.store import base
@@ -47,7 +48,7 @@
         settings = self.site.node_settings('node-0')
         self.store_address = settings['platform']['address']
         self.pause = Pause()
-        self.injector = faults.Injector(
+        self.injector = injector.Injector(
             self.site,
             [types.SimpleNamespace(name='node-0')],
             self.proxies,
