Shrink workers in the soak, and let tasks crash them

Workers of the stand-in site start what they are told to start. In each seed some of them shrink and grow again beside the other faults, from a random source of their own, so that seeds keep their schedules. No start may exceed the capacity of its worker; one that has shrunk counts contact_ms and one heartbeat later while nodes are in touch.

A number of deadly jobs (--deadly-jobs) have a task that crashes each worker 50 to 400 ms after its start. The worker refuses connections and forgets all, and is back as a new incarnation after 2 s. After three crashes such a task is not to be started three times more, and no other job may be shown as failed. test_tasks_crash_their_workers fails until such tasks are given up: two tasks crash a worker every half second, and most other jobs don\x27t complete.

One test of the checker starts more lasting tasks than its worker has room for; the worker now has room, and the test checks the same limit.

--- a/figtray/soak/faults.py
+++ b/figtray/soak/faults.py
@@ -10,6 +10,7 @@
 MAX_DURATION_S = 5.0
 MIN_DURATION_S = 0.3
 MEAN_INTERVAL_S = 0.8
+MEAN_SHRINK_INTERVAL_S = 2.0
 PROXY_DELAY_MS = 250
 LEADER_PROBABILITY = 0.5
 
@@ -44,6 +45,8 @@
     STORE_SILENT_OUTAGE = 'the store gives no answer and then runs on'
     WORKER_LEAVES = 'a worker drains and leaves for good'
     WORKER_SILENT_CRASH = 'a worker crashes and its address falls silent'
+    # These come beside the others.
+    WORKER_SHRINKS = 'the capacity of a worker shrinks and grows again'
 
 
 SERIES_KINDS = (
@@ -52,7 +55,11 @@
     FaultKind.WORKER_SILENT_CRASH,
 )
 # A kind that is added here changes the schedule of each seed.
-SINGLE_KINDS = tuple(kind for kind in FaultKind if kind not in SERIES_KINDS)
+SINGLE_KINDS = tuple(
+    kind
+    for kind in FaultKind
+    if kind not in (*SERIES_KINDS, FaultKind.WORKER_SHRINKS)
+)
 
 _DIRECTIONS = tuple(proxies_lib.Direction)
 # The peer of the proxied connections, and the call of their proxies.
@@ -94,15 +101,19 @@
     leader: bool
 
 
-def make_schedule(rng, length_s):
-    """Return random Faults of SINGLE_KINDS, sorted by start; they may overlap.
+def make_schedule(
+    rng, length_s, kinds=SINGLE_KINDS, mean_interval_s=MEAN_INTERVAL_S
+):
+    """Return random Faults, sorted by start; they may overlap.
 
     Args:
         rng: random.Random to use.
         length_s: time in seconds in which all faults begin and end.
+        kinds: their FaultKinds.
+        mean_interval_s: mean time between their starts in seconds.
     """
     faults, at_s = [], 1.0
-    while (at_s := at_s + rng.expovariate(1 / MEAN_INTERVAL_S)) < length_s:
+    while (at_s := at_s + rng.expovariate(1 / mean_interval_s)) < length_s:
         faults.append(
             Fault(
                 round(at_s, 3),
@@ -113,7 +124,7 @@
                     ),
                     3,
                 ),
-                rng.choice(SINGLE_KINDS),
+                rng.choice(kinds),
                 rng.getrandbits(16),
                 rng.random() < LEADER_PROBABILITY,
             )
--- a/figtray/soak/injector.py
+++ b/figtray/soak/injector.py
@@ -4,15 +4,21 @@
 import threading
 
 from figtray import errors
+from figtray.jobs import model
 from figtray.leadership import term as terms
 from figtray.platform import standin_site as sites
 from figtray.soak import faults
 from figtray.soak import proxies as proxies_lib
 
 LOST_REPLY_COUNT = 4
+# Of a worker that shrinks; a task needs a core, and a lasting one a tenth.
+SHRUNK_CAPACITIES = (
+    model.NO_RESOURCES,
+    model.Resources(1500, 32_000),
+    model.Resources(3000, 32_000),
+    model.Resources(8000, 200),
+)
 OPERATOR_RETRY_DELAY_S = 0.05
-# Three heartbeats, after which the entry of a silent worker is removed.
-SILENCE_BOUND_MS = int(3 * sites.HEARTBEAT_INTERVAL_S * 1000)
 
 
 class Injector:
@@ -55,13 +61,17 @@
             if self._active_targets & targets:
                 return None
             self._active_targets |= targets
-        self._checker.record_fault_begin()
+        # A worker that shrinks is no excuse for anything.
+        disrupts = fault.kind is not faults.FaultKind.WORKER_SHRINKS
+        if disrupts:
+            self._checker.record_fault_begin()
         try:
             begin()
             self._stop.wait(fault.for_s)
             end()
         finally:
-            self._checker.record_fault_end()
+            if disrupts:
+                self._checker.record_fault_end()
             with self._lock:
                 self._active_targets -= targets
         return ', '.join(sorted(targets))
@@ -128,6 +138,9 @@
             case faults.FaultKind.WORKER_SILENT_CRASH:
                 targets = {'silent crash'}
                 begin, end = lambda: self._crash_silently(fault), _no_action
+            case faults.FaultKind.WORKER_SHRINKS:
+                begin, end, host_id = self._shrink_actions(fault)
+                targets = {f'capacity of {host_id}'}
             case faults.FaultKind.KEY_WITHDRAWN:
                 begin, targets = self._withdraw_key, {'keys'}
             case faults.FaultKind.ZONE_OUT:
@@ -197,7 +210,7 @@
 
     def _crash_silently(self, fault):
         worker = self._site.remove_host(
-            self._select_host(fault), SILENCE_BOUND_MS
+            self._select_host(fault), sites.ENTRY_MS
         )
         if worker is not None:
             self._take_worker_proxy(worker).fall_silent()
@@ -213,6 +226,22 @@
 
         return lambda: self._site.drain_worker(host_id), end
 
+    def _shrink_actions(self, fault):
+        host_id = self._select_host(fault)
+        capacity = SHRUNK_CAPACITIES[fault.choice % len(SHRUNK_CAPACITIES)]
+        return (
+            lambda: self._resize(host_id, capacity),
+            lambda: self._resize(host_id, None),
+            host_id,
+        )
+
+    def _resize(self, host_id, capacity):
+        # Recorded first, so that no start finds an unknown capacity.
+        worker = self._site.worker_on(host_id)
+        if worker is not None:
+            self._checker.record_resize(worker)
+            self._site.resize_worker(worker, capacity)
+
     def _take_worker_proxy(self, worker):
         """Take away and return the proxy of a worker that has ended."""
         proxies = self._proxies['worker']
--- a/figtray/soak/lasting.py
+++ b/figtray/soak/lasting.py
@@ -6,6 +6,8 @@
 from figtray.jobs import model
 from figtray.platform import standin_site as sites
 from figtray.soak import callers
+from figtray.soak import capacities
+from figtray.soak import deadly
 
 TEAM = sites.Team('lasting', 'lasting-key', 8000)
 TASK_MILLI = 100
@@ -52,7 +54,9 @@
 
 
 def choose_end(rng, run_ms, jobs, task):
-    """Return how long a run takes in milliseconds, and its EndReason.
+    """Return how long a run takes in milliseconds, and how it ends.
+
+    That is an EndReason, or None if it crashes its worker.
 
     Args:
         rng: random.Random to use.
@@ -64,6 +68,8 @@
     if job is not None and job.lasting:
         delay_ms = rng.expovariate(1 / MEAN_FAILURE_MS)
         return delay_ms, messages.EndReason.FAILED
+    if job is not None and job.deadly:
+        return rng.uniform(*deadly.CRASH_DELAY_MS), None
     return rng.uniform(*run_ms), messages.EndReason.DONE
 
 
@@ -155,7 +161,7 @@
             task_id = model.parse_task_id(task)
             job = self._jobs.get(task_id.job_id)
             for incarnation in runs if job else ():
-                needs = _needs(job.steps[task_id.step])
+                needs = capacities.needs_of(job.steps[task_id.step])
                 team_milli += job.lasting * needs.cpu_milli
                 used[incarnation] += needs
                 step_counts[incarnation, task_id.job_id, task_id.step] += 1
@@ -166,14 +172,10 @@
             max_count = step.get('max_per_server') or step['count']
             for worker in workers:
                 key = worker.incarnation, task_id.job_id, task_id.step
-                needs = used[worker.incarnation] + _needs(step)
+                needs = used[worker.incarnation] + capacities.needs_of(step)
                 if worker.capacity.covers(needs):
                     if step_counts[key] < max_count:
                         return team_milli < TEAM.limit_milli * MAX_TEAM_SHARE
             return False
 
         return has_room
-
-
-def _needs(step):
-    return model.Resources(step.get('cpu', 0), step.get('mem_mb', 0))
--- a/figtray/soak/main.py
+++ b/figtray/soak/main.py
@@ -18,6 +18,9 @@
     seeds: int = typer.Option(1, min=1, help='Number of seeds.'),
     length_s: float = typer.Option(20, min=1, help='Time with faults.'),
     nodes: int = typer.Option(3, min=1, max=100, help='Number of nodes.'),
+    deadly_jobs: int = typer.Option(
+        0, min=0, help='Number of jobs whose tasks crash their workers.'
+    ),
     plot: typing.Annotated[
         bool, typer.Option(help='Draw a timeline of each seed.')
     ] = False,
@@ -30,7 +33,13 @@
         run_seed = seed + offset if seed else random.getrandbits(31)
         seed_directory = pathlib.Path(directory) / f'seed-{run_seed}'
         seed_directory.mkdir(parents=True, exist_ok=True)
-        result = soak.Soak(run_seed, length_s, nodes, seed_directory).run()
+        result = soak.Soak(
+            run_seed,
+            length_s,
+            nodes,
+            seed_directory,
+            deadly_jobs=deadly_jobs,
+        ).run()
         (seed_directory / 'report.json').write_bytes(report.encode(result))
         if plot:
             report.draw_timeline(result, seed_directory / 'timeline.png')
--- a/figtray/soak/soak.py
+++ b/figtray/soak/soak.py
@@ -11,6 +11,7 @@
 from figtray.platform import standin_nodes
 from figtray.platform import standin_site as sites
 from figtray.soak import callers as callers_lib
+from figtray.soak import deadly
 from figtray.soak import faults as faults_lib
 from figtray.soak import injector as injectors
 from figtray.soak import invariants
@@ -88,10 +89,20 @@
         nodes: number of nodes.
         directory: directory for the settings and logs of the nodes.
         schedule: list of Faults, sorted by start, instead of random ones.
+        deadly_jobs: number of jobs whose tasks crash their workers.
     """
 
-    def __init__(self, seed, length_s, nodes, directory, schedule=None):
+    def __init__(
+        self,
+        seed,
+        length_s,
+        nodes,
+        directory,
+        schedule=None,
+        deadly_jobs=0,
+    ):
         self._seed = seed
+        self._deadly_jobs = deadly_jobs
         rng = random.Random(seed)
         # Each source of random numbers that is added gets a seed of its own
         # so that a seed keeps its schedule and its callers.
@@ -99,6 +110,12 @@
         random_schedule += series.make_series(
             random.Random(f'series {seed}'), length_s
         )
+        random_schedule += faults_lib.make_schedule(
+            random.Random(f'shrinkages {seed}'),
+            length_s,
+            (faults_lib.FaultKind.WORKER_SHRINKS,),
+            faults_lib.MEAN_SHRINK_INTERVAL_S,
+        )
         self._schedule = schedule or sorted(
             random_schedule, key=lambda fault: fault.at_s
         )
@@ -121,7 +138,8 @@
                 RUN_DURATION_MS,
                 self._checker.jobs,
             ),
-            other_teams=(lasting.TEAM,),
+            other_teams=(lasting.TEAM, deadly.TEAM),
+            on_crash=self._refuse_connections,
         )
         self._checker.workers = self._site.workers
         self._site.write_config(1, (sites.API_KEY, WITHDRAWN_KEY))
@@ -164,6 +182,11 @@
         self._proxies[kind].append(proxy)
         return proxy.address
 
+    def _refuse_connections(self, worker):
+        for proxy in self._proxies['worker']:
+            if proxy.address == worker.address:
+                proxy.close()
+
     def _all_proxies(self):
         return [
             proxy for proxies in self._proxies.values() for proxy in proxies
@@ -180,6 +203,12 @@
     def _run_with_faults(self):
         callers = [(callers_lib.Caller, seed) for seed in self._caller_seeds]
         callers.append((lasting.LastingCaller, f'lasting {self._seed}'))
+        callers.append(
+            (
+                functools.partial(deadly.DeadlyCaller, self._deadly_jobs),
+                f'deadly {self._seed}',
+            )
+        )
         threads = [
             caller(
                 random.Random(seed),
--- a/figtray/soak/tests/test_injector.py
+++ b/figtray/soak/tests/test_injector.py
@@ -150,3 +150,23 @@
         harness.pause.action = lambda: harness.site.remove_host(worker.host_id)
         assert harness.inject(faults.FaultKind.STORE_SILENT_OUTAGE)
         assert harness.site.store.peek(key) is None
+
+
+class TestShrinkage:
+    """Guards against workers that say that they have what they have not."""
+
+    def test_worker_shrinks_and_grows(self, harness):
+        worker = harness.workers[0]
+        sim = harness.site.workers.sims[worker.address]
+        seen = []
+
+        def note():
+            seen.append(sim.worker.capacity)
+            seen.append(harness.site.worker_on(worker.host_id).capacity)
+
+        harness.pause.action = note
+        assert harness.inject(faults.FaultKind.WORKER_SHRINKS)
+        note()
+        assert (
+            seen == [injector.SHRUNK_CAPACITIES[0]] * 2 + [worker.capacity] * 2
+        )
--- a/figtray/soak/tests/test_invariants.py
+++ b/figtray/soak/tests/test_invariants.py
@@ -5,10 +5,13 @@
 from figtray import clock as clock_lib
 from figtray.fleet import memory
 from figtray.fleet import messages
+from figtray.soak import capacities
+from figtray.soak import deadly
 from figtray.soak import invariants
 
 STEPS = [{'count': 2}, {'count': 1, 'after': [0]}]
 JOB = 'a' * 16
+DEADLY_JOB = 'b' * 16
 
 
 class Harness:
@@ -41,6 +44,100 @@
     return Harness()
 
 
+def resize(harness, number, cpu_milli):
+    """Change the capacity of a worker."""
+    sim = harness.sims[number]
+    harness.checker.record_resize(sim.worker)
+    sim.worker = memory.make_worker(
+        number, zone=sim.worker.zone, cpu_milli=cpu_milli
+    )
+
+
+class TestCapacity:
+    """Guards against starts for which a worker has no room."""
+
+    TASKS = (f'{JOB}.0.0.0', f'{JOB}.0.0.1')
+
+    @pytest.fixture
+    def harness(self, harness):
+        harness.checker.jobs[JOB].steps = [{'count': 2, 'cpu': 1000}]
+        return harness
+
+    @pytest.mark.parametrize('cpu_milli', [1999, 2000])
+    def test_capacity_that_has_shrunk(self, harness, cpu_milli):
+        resize(harness, 0, cpu_milli)
+        harness.clock.advance(capacities.SHRUNK_BOUND_MS + 1)
+        for task in self.TASKS:
+            harness.start(0, task)
+        assert harness.violated_invariants() == (
+            ['capacity of the worker'] if cpu_milli < 2000 else []
+        )
+
+    def test_capacity_that_has_just_shrunk(self, harness):
+        resize(harness, 0, 0)
+        harness.clock.advance(capacities.SHRUNK_BOUND_MS)
+        harness.start(0, self.TASKS[0])
+        assert not harness.violated_invariants()
+
+    def test_capacity_that_has_grown(self, harness):
+        resize(harness, 0, 0)
+        harness.clock.advance(2 * capacities.SHRUNK_BOUND_MS)
+        resize(harness, 0, 2000)
+        for task in self.TASKS:
+            harness.start(0, task)
+        assert not harness.violated_invariants()
+
+    # Nodes that are not in touch can't know that a worker has shrunk.
+    def test_capacity_that_has_shrunk_during_a_fault(self, harness):
+        harness.checker.record_fault_begin()
+        resize(harness, 0, 0)
+        harness.clock.advance(capacities.SHRUNK_BOUND_MS + 1)
+        harness.start(0, self.TASKS[0])
+        assert not harness.violated_invariants()
+
+
+class TestCrashes:
+    """Guards against tasks that crash worker after worker."""
+
+    TASK = f'{DEADLY_JOB}.0.0.0'
+
+    @pytest.fixture
+    def harness(self, harness):
+        for job_id in (DEADLY_JOB, JOB):
+            image = deadly.IMAGE if job_id == DEADLY_JOB else ''
+            harness.checker.record_submit_attempt(job_id, [])
+            harness.checker.jobs[job_id].steps = [{'count': 1, 'image': image}]
+        return harness
+
+    def crash(self, harness, count, task=TASK):
+        """Start a task, which crashes its worker, a number of times."""
+        for _ in range(count):
+            self.run = getattr(self, 'run', 0) + 1
+            harness.start(0, task, self.run)
+            harness.sims[0].crash()
+
+    def test_starts_within_the_budget(self, harness):
+        self.crash(harness, deadly.CRASHES_TO_STOP + deadly.MAX_STARTS - 1)
+        assert not harness.violated_invariants()
+
+    def test_starts_over_the_budget(self, harness):
+        self.crash(harness, deadly.CRASHES_TO_STOP + deadly.MAX_STARTS)
+        assert harness.violated_invariants() == ['crashes end']
+
+    @pytest.mark.parametrize('crashes', [1, 2])
+    def test_deadly_job_fails(self, harness, crashes):
+        self.crash(harness, crashes)
+        harness.checker.check_job_response(DEADLY_JOB, 200, 'failed')
+        assert harness.violated_invariants() == (
+            ['failed only with a cause'] if crashes == 1 else []
+        )
+
+    def test_job_beside_a_deadly_one_fails(self, harness):
+        self.crash(harness, 5, f'{JOB}.0.0.0')
+        harness.checker.check_job_response(JOB, 200, 'failed')
+        assert harness.violated_invariants() == ['failed only with a cause']
+
+
 class TestRuns:
     """Guards against missed and false violations by runs on workers."""
 
--- a/figtray/soak/tests/test_lasting.py
+++ b/figtray/soak/tests/test_lasting.py
@@ -288,6 +288,9 @@
 
     def test_lasting_tasks_over_their_limit(self, harness):
         job_id = 'd' * 16
+        harness.sims[0].worker = memory.make_worker(
+            0, cpu_milli=2 * lasting.TEAM.limit_milli
+        )
         allowed = int(
             lasting.TEAM.limit_milli
             * (1 + invariants.LIMIT_OVERRUN_FRACTION)
--- a/figtray/soak/tests/test_soak.py
+++ b/figtray/soak/tests/test_soak.py
@@ -37,6 +37,15 @@
     faults.Fault(6.0, 5.8, faults.FaultKind.STORE_SILENT_OUTAGE, 0, False),
     faults.Fault(6.5, 1.5, faults.FaultKind.WORKER_LEAVES, 0, False),
 )
+# All workers shrink, for longer than it takes until that counts, and grow.
+WORKERS_SHRINK = tuple(
+    faults.Fault(at_s, 5.5, faults.FaultKind.WORKER_SHRINKS, choice, False)
+    for at_s in (1.0, 8.0)
+    for choice in range(4)
+)
+RELOAD_AT_THE_END = (
+    faults.Fault(8.0, 0.1, faults.FaultKind.RELOAD, 0, False),
+)
 
 
 class TestSchedule:
@@ -95,6 +104,9 @@
     def test_all_kinds_occur(self):
         schedule = faults.make_schedule(random.Random(5), 300)
         schedule += series.make_series(random.Random(5), 300)
+        schedule += faults.make_schedule(
+            random.Random(5), 300, (faults.FaultKind.WORKER_SHRINKS,)
+        )
         assert {fault.kind for fault in schedule} == set(faults.FaultKind)
 
 
@@ -116,3 +128,17 @@
         ).run()
         assert not result.violations, report.summarize(result)
         assert len(result.hits) == len(WORKER_LEAVES_DURING_OUTAGE)
+
+    # Guards against starts on a worker that has shrunk below what runs there.
+    def test_workers_shrink_and_grow(self, tmp_path):
+        result = soak.Soak(1, DURATION_S, 2, tmp_path, WORKERS_SHRINK).run()
+        assert not result.violations, report.summarize(result)
+        assert len(result.hits) == len(WORKERS_SHRINK)
+
+    # Guards against tasks that crash one worker after the other.
+    def test_tasks_crash_their_workers(self, tmp_path):
+        result = soak.Soak(
+            1, DURATION_S, 2, tmp_path, RELOAD_AT_THE_END, deadly_jobs=2
+        ).run()
+        assert not result.violations, report.summarize(result)
+        assert result.jobs['failed'] == 2
