Try a suspected task on a worker that has room for it

What callers saw: a lasting task that had been on three crashed workers could stay without a run for good, with room for it in its pool; nothing else started on the worker that was kept free for it.

Cause: the worker of a trial was the one with the fewest runs, however much they occupy. If it is full of runs that never end, the trial never starts, and after three crashes the wait for a trial has no bound. The choice was kept even when another worker got room.

Evidence: test_trial_awaits_a_full_worker_though_another_has_room fails before this change.

Change: workers with room come first, and a worker without room is chosen anew in each plan. If none has room, that is again the one with the fewest runs, which starts nothing else, so the choice settles.

--- /dev/null
+++ b/figtray/scheduling/tests/test_trials.py
@@ -0,0 +1,34 @@
+"""Tests of the choice of workers for trials."""
+
+from figtray.jobs import records
+from figtray.scheduling.tests import deadly
+from figtray.scheduling.tests import harness
+from figtray.scheduling.tests import takeovers
+
+WORKER_MILLI = 8000
+
+
+def play_suspect(site, leader, names):
+    """Stop tasks that run, the first of which is suspected from now on."""
+    site.play(leader, 200)
+    tasks = [leader.scheduler.find_task(name) for name in names]
+    tasks[0].crashes = records.Crashes((1, 2, 3))
+    for task in tasks:
+        leader.scheduler.stop(task.run, 'a test')
+    site.play(leader, 4000)
+
+
+class TestTrialWorker:
+    # The worker with the fewest runs was awaited, however full it was.
+    def test_trial_awaits_a_full_worker_though_another_has_room(self):
+        fleet = harness.Fleet(workers=2)
+        leader = fleet.elect_leader()
+        leader.report_all()
+        site = deadly.Site(fleet, run_ms=None)
+        deadly.submit(fleet, cpu_milli=WORKER_MILLI, lasting=True)
+        site.play(leader, 400)
+        deadly.submit(fleet, 2, cpu_milli=1000, lasting=True)
+        site.play(leader, 400)
+        _, [task] = deadly.submit(fleet, cpu_milli=2000, lasting=True)
+        play_suspect(site, leader, [task])
+        assert task in takeovers.running(fleet)
--- a/figtray/scheduling/trials.py
+++ b/figtray/scheduling/trials.py
@@ -63,6 +63,12 @@
         A worker is kept free of other starts for it until it is quiet.
         """
         worker_state = self._reserved(task, worker_states)
+        if worker_state is not None and not placement.has_room(
+            task.step, worker_state, now_ms
+        ):
+            # Its runs may never end, and another may have room by now.
+            worker_state.trial = None
+            worker_state = None
         if worker_state is None:
             worker_state = self._reserve(task, worker_states, now_ms)
         if worker_state is None:
@@ -81,7 +87,10 @@
         return None
 
     def _reserve(self, task, worker_states, now_ms):
-        """Keep the worker with the fewest runs free for a task."""
+        """Keep a worker free for a task.
+
+        That is one with room for it, if there is one, and with few runs.
+        """
         trials = sum(1 for w in worker_states if w.trial is not None)
         if trials >= max(1, POOL_SHARE * len(worker_states)):
             return None
@@ -93,7 +102,10 @@
                 and placement.suits(task.step, worker_state, now_ms)
                 and self._is_approved(task.step, worker_state)
             ),
-            key=_run_counts,
+            key=lambda worker_state: (
+                not placement.has_room(task.step, worker_state, now_ms),
+                *_run_counts(worker_state),
+            ),
             default=None,
         )
         if best is not None:
