Place the gang of a suspected task where no worker is left for it alone

What callers saw: a pool with one worker, or with room for a gang only if all its workers are used, ran nothing any more once a member of a gang had been on three crashed workers.

Cause: a worker is kept free for the suspected member, and the other members start elsewhere. If they have no room elsewhere, the gang does not start, and the worker is kept for it in each further plan.

Evidence: test_trial_of_a_gang_keeps_the_only_worker_for_good and test_trial_of_a_gang_without_room_keeps_a_worker fail before this change.

Change: the other members may start on that worker if they fit nowhere else. Whichever of them crashes it, it is the same job that is given up. If the gang has no room even so, the worker is not kept.

--- a/figtray/scheduling/planner.py
+++ b/figtray/scheduling/planner.py
@@ -239,8 +239,13 @@
                 ),
             ),
         )
-        for group in [*choices, worker_states]:
-            assigned = self._assign_gang(step, group, now_ms, suspect, lone)
+        groups = [(group, False) for group in (*choices, worker_states)]
+        if lone is not None:
+            groups.append((worker_states, True))
+        for group, beside in groups:
+            assigned = self._assign_gang(
+                step, group, now_ms, suspect, lone, beside
+            )
             if assigned is None:
                 continue
             number = max(self._next_run_number(task) for task in step.tasks)
@@ -250,9 +255,11 @@
                 task.checkpoint = checkpoint
                 self._start(task, worker_state, number, now_ms)
             return None
+        if lone is not None:
+            lone.trial = None
         return state.HeldReason.NO_ROOM
 
-    def _assign_gang(self, step, worker_states, now_ms, suspect, lone):
+    def _assign_gang(self, step, worker_states, now_ms, suspect, lone, beside):
         """Return a WorkerState for each member of a gang.
 
         Args:
@@ -261,11 +268,15 @@
             now_ms: local time.
             suspect: the member to try on a worker of its own, or None.
             lone: the WorkerState for it.
+            beside: whether other members may start there as well. Whichever
+                of them crashes it, their job is given up.
 
         Returns:
             A list, or None if the workers have no room for all members.
         """
         assigned, assigned_counts = [], {}
+        if lone is not None:
+            assigned_counts[lone.worker.incarnation] = 1
         needs = state.occupied(step.spec)
         for task in step.tasks:
             if task is suspect:
@@ -274,8 +285,13 @@
             chosen = None
             for worker_state in worker_states:
                 count = assigned_counts.get(worker_state.worker.incarnation, 0)
+                usable = (
+                    placement.has_room
+                    if beside and worker_state is lone
+                    else placement.fits
+                )
                 if (
-                    placement.fits(step, worker_state, now_ms)
+                    usable(step, worker_state, now_ms)
                     and worker_state.free_resources().covers(
                         needs.times(count + 1)
                     )
@@ -353,7 +369,7 @@
             ticket = step.advice.ticket(worker_state.worker.worker_id)
         run = state.Run(task, worker_state, number, now_ms, ticket)
         self._attach(run)
-        if worker_state.trial is not None:
+        if crashes.tried_run(worker_state) is run:
             self._log_trial(run)
         if step.spec.lasting or task.crashes.count:
             sequence = self._record_placement(run)
--- a/figtray/scheduling/tests/test_trials.py
+++ b/figtray/scheduling/tests/test_trials.py
@@ -32,3 +32,31 @@
         _, [task] = deadly.submit(fleet, cpu_milli=2000, lasting=True)
         play_suspect(site, leader, [task])
         assert task in takeovers.running(fleet)
+
+    # The only worker was kept free for a member whose gang could never be
+    # placed beside it.
+    def test_trial_of_a_gang_keeps_the_only_worker_for_good(self):
+        fleet = harness.Fleet(workers=1)
+        leader = fleet.elect_leader()
+        leader.report_all()
+        site = deadly.Site(fleet)
+        gang, tasks = deadly.submit(fleet, 2, gang=True)
+        play_suspect(site, leader, tasks)
+        other, _ = deadly.submit(fleet, 3)
+        site.play(leader, 10_000)
+        assert leader.state(gang) == records.State.COMPLETED
+        assert leader.state(other) == records.State.COMPLETED
+
+    # A gang without room for all members keeps no worker from others.
+    def test_trial_of_a_gang_without_room_keeps_a_worker(self):
+        fleet = harness.Fleet(workers=2)
+        leader = fleet.elect_leader()
+        leader.report_all()
+        site = deadly.Site(fleet)
+        _, tasks = deadly.submit(fleet, 2, gang=True, cpu_milli=WORKER_MILLI)
+        site.play(leader, 200)
+        fleet.resize(1, cpu_milli=4000)
+        play_suspect(site, leader, tasks)
+        other, _ = deadly.submit(fleet, cpu_milli=6000)
+        site.play(leader, 10_000)
+        assert leader.state(other) == records.State.COMPLETED
