--- a/figtray/soak/tests/test_faults.py
+++ b/figtray/soak/tests/test_injector.py
@@ -11,6 +11,7 @@
 from figtray import errors
 from figtray.platform import standin_site as sites
 from figtray.soak import faults
+from figtray.soak import injector
 from figtray.soak import invariants
 from figtray.soak import proxies as proxies_lib
 from figtray.store import base
@@ -47,7 +48,7 @@
         settings = self.site.node_settings('node-0')
         self.store_address = settings['platform']['address']
         self.pause = Pause()
-        self.injector = faults.Injector(
+        self.injector = injector.Injector(
             self.site,
             [types.SimpleNamespace(name='node-0')],
             self.proxies,
@@ -149,3 +150,23 @@
         harness.pause.action = lambda: harness.site.remove_host(worker.host_id)
         assert harness.inject(faults.FaultKind.STORE_SILENT_OUTAGE)
         assert harness.site.store.peek(key) is None
+
+
+class TestShrinkage:
+    """Guards against workers that say that they have what they have not."""
+
+    def test_worker_shrinks_and_grows(self, harness):
+        worker = harness.workers[0]
+        sim = harness.site.workers.sims[worker.address]
+        seen = []
+
+        def note():
+            seen.append(sim.worker.capacity)
+            seen.append(harness.site.worker_on(worker.host_id).capacity)
+
+        harness.pause.action = note
+        assert harness.inject(faults.FaultKind.WORKER_SHRINKS)
+        note()
+        assert (
+            seen == [injector.SHRUNK_CAPACITIES[0]] * 2 + [worker.capacity] * 2
+        )
