--- a/figtray/scheduling/ends.py
+++ b/figtray/scheduling/ends.py
@@ -33,8 +33,8 @@
     """Return the End of an incarnation that another one has followed.
 
     A process that crashes closes its connections, so that its address
-    refuses or another incarnation answers there. A worker that was only
-    silent before may have been cut off or have lost its host.
+    refuses or another incarnation answers there. A worker that was silent
+    before, or never reached, may have been cut off or have lost its host.
 
     Args:
         worker_state: its WorkerState.
@@ -43,9 +43,8 @@
     """
     if worker_state.worker.draining:
         return End(Kind.DRAINED, reason)
-    if worker_state.refused_connections or (
-        answered and not worker_state.unresponsive
-    ):
+    was_reached = worker_state.has_reported and not worker_state.unresponsive
+    if worker_state.refused_connections or (answered and was_reached):
         return End(Kind.CRASHED, reason)
     return End(Kind.UNKNOWN, reason)
 
--- a/figtray/scheduling/tests/test_deadly_tasks.py
+++ b/figtray/scheduling/tests/test_deadly_tasks.py
@@ -3,6 +3,7 @@
 import pytest
 
 from figtray.jobs import records
+from figtray.scheduling import crashes
 from figtray.scheduling.tests import deadly
 from figtray.scheduling.tests import harness
 
@@ -170,3 +171,29 @@
         site.play(leader, 20_000)
         assert leader.scheduler.find_task(task).crashes.count == 0
         assert task in deadly.takeovers.running(fleet)
+
+
+class TestWaitingSuspects:
+    # A suspect stood still while more urgent ones took each worker.
+    @pytest.mark.parametrize(
+        'waited_ms, starts',
+        [
+            (crashes.MAX_TRIAL_WAIT_MS, False),
+            (crashes.MAX_APART_WAIT_MS, True),
+        ],
+    )
+    def test_suspect_waits_only_so_long_for_others(self, waited_ms, starts):
+        fleet = harness.Fleet(workers=1)
+        leader = fleet.elect_leader()
+        leader.report_all()
+        tasks = []
+        for _ in range(2):
+            _, [name] = deadly.submit(fleet)
+            leader.sync_intake()
+            task = leader.scheduler.find_task(name)
+            task.ready_ms = fleet.clock.now_ms() - waited_ms
+            task.crashes = records.Crashes((1,), 0)
+            leader.run_cycle()
+            tasks.append(name)
+        assert tasks[0] in harness.running(fleet)
+        assert (tasks[1] in harness.running(fleet)) == starts
