Renew the record of leases also while workers can't be listed

Found in the review. The record was renewed after the list of workers was read: if only the list fails, for instance by an entry that can't be decoded, all leases run out after 7 s under a valid term. Starts were also allowed, and taken back each 20 ms, until the first record of a term was stored if the roster had not changed.

test_record_is_not_renewed_while_workers_are_not_listed failed before.

--- a/figtray/scheduling/lease_horizon.py
+++ b/figtray/scheduling/lease_horizon.py
@@ -31,10 +31,15 @@
         self._until_ms = 0
         # Sequence number of the write under way and the time of its request.
         self._pending = None
+        self._sequence = 0
         self._requested_ms = None
 
     def renew_if_due(self):
-        """Queue a write of the record each RENEW_INTERVAL_MS."""
+        """Queue a write of the record each RENEW_INTERVAL_MS.
+
+        Returns:
+            Sequence number of the last write in the Writer.
+        """
         with self._lock:
             self._settle()
             now_ms = self._clock.now_ms()
@@ -42,11 +47,13 @@
                 self._requested_ms is None
                 or now_ms - self._requested_ms >= RENEW_INTERVAL_MS
             )
-            if not is_due or self._pending is not None:
-                return
-            self._requested_ms = now_ms
-            sequence = self._writer.enqueue(terms.LEASES_KEY, _encode)
-            self._pending = sequence, now_ms
+            if is_due and self._pending is None:
+                self._requested_ms = now_ms
+                self._sequence = self._writer.enqueue(
+                    terms.LEASES_KEY, _encode
+                )
+                self._pending = self._sequence, now_ms
+            return self._sequence
 
     def remaining_ms(self, now_ms):
         """Return how long a lease may last from now on; 0 if it may not.
--- a/figtray/scheduling/service.py
+++ b/figtray/scheduling/service.py
@@ -293,6 +293,8 @@
         return WORKERS_POLL_MS
 
     def _update_workers(self):
+        # Leases last while the workers can't be listed.
+        leases_sequence = self._scheduler.lease_horizon.renew_if_due()
         workers = self._service.list_workers()
         now_ms = self._clock.now_ms()
         self._list_failing = False
@@ -314,24 +316,21 @@
             )
             self._sessions[worker_state.worker.incarnation] = worker_session
             worker_session.start()
-        self._update_roster()
+        self._update_roster(leases_sequence)
         for incarnation in list(self._sessions):
             if self._scheduler.worker_state(incarnation) is None:
                 self._sessions.pop(incarnation).close()
 
-    def _update_roster(self):
-        """Store the incarnations in use before any task starts on them.
-
-        The record of leases goes first, so it is stored then as well.
-        """
-        self._scheduler.lease_horizon.renew_if_due()
+    def _update_roster(self, leases_sequence):
+        """Store the incarnations in use before any task starts on them."""
         roster = self._scheduler.roster()
         if roster != self._roster:
             self._roster = roster
             self._roster_sequence = self._writer.enqueue(
                 rosters.ROSTER_KEY, lambda: rosters.encode(self._roster)
             )
-        if self._writer.wait(self._roster_sequence, ROSTER_WRITE_TIMEOUT_MS):
+        sequence = max(self._roster_sequence, leases_sequence)
+        if self._writer.wait(sequence, ROSTER_WRITE_TIMEOUT_MS):
             self._scheduler.allow_starts(roster)
 
     # Periodic work.
--- a/figtray/scheduling/tests/test_lease_horizon.py
+++ b/figtray/scheduling/tests/test_lease_horizon.py
@@ -2,9 +2,11 @@
 
 import pytest
 
+from figtray import errors
 from figtray.leadership import term as terms
 from figtray.scheduling import lease_horizon
 from figtray.scheduling import leases
+from figtray.scheduling import service
 from figtray.scheduling import session
 from figtray.scheduling.tests import harness
 
@@ -83,6 +85,31 @@
         )
         assert horizon.remaining_ms(fleet.clock.now_ms()) == 0
 
+    # Leases ran out under a valid term because the workers could not be
+    # listed.
+    def test_record_is_not_renewed_while_workers_are_not_listed(
+        self, fleet, leader
+    ):
+        def list_workers():
+            raise errors.StoreUnavailable(detail='down')
+
+        leader_term = service._LeaderTerm(
+            service.LeaderService(
+                fleet.store,
+                fleet.clock,
+                leader.view,
+                list_workers,
+                fleet.client,
+                None,
+                None,
+                BOUNDS,
+            ),
+            leader.term,
+        )
+        with pytest.raises(errors.StoreUnavailable):
+            leader_term._update_workers()
+        assert leader_term._writer.has_pending()
+
     # A process that was suspended extended a lease after its term had ended.
     def test_lease_is_extended_after_the_term(self, fleet, leader):
         fleet.clock.advance(terms.LEASE_TTL_MS)
