Split the configuration and settings of the stand-in site from it

The document of the configuration, the settings of nodes and their ports are a module of their own now.

--- a/figtray/platform/load.py
+++ b/figtray/platform/load.py
@@ -14,7 +14,7 @@
 
 from figtray import connections
 from figtray.platform import settings as settings_lib
-from figtray.platform import standin_site as site
+from figtray.platform import standin_config
 
 CALL_TIMEOUT_S = 3
 POLL_INTERVAL_S = 0.2
@@ -69,13 +69,15 @@
             )
             self._conns[address] = conn
         headers = {
-            'Host': site.CALLER_HOST,
+            'Host': standin_config.CALLER_HOST,
             'Authorization': f'Token {key}',
             **DEADLINE_HEADERS,
         }
         data = json.dumps(body) if body is not None else None
         try:
-            conn.request(method, site.PATH_PREFIX + job_id, data, headers)
+            conn.request(
+                method, standin_config.PATH_PREFIX + job_id, data, headers
+            )
             resp = conn.getresponse()
             return resp.status, msgspec.json.decode(resp.read())
         except (OSError, http.client.HTTPException, msgspec.DecodeError):
@@ -117,11 +119,15 @@
         attempts += 1
         if accepted_s is None:
             body = {'spec': 'demo', 'steps': STEPS}
-            status, _ = pool.call(address, 'POST', job_id, site.API_KEY, body)
+            status, _ = pool.call(
+                address, 'POST', job_id, standin_config.API_KEY, body
+            )
             if status == 200:
                 accepted_s = time.monotonic() - began
         else:
-            status, reply = pool.call(address, 'GET', job_id, site.API_KEY)
+            status, reply = pool.call(
+                address, 'GET', job_id, standin_config.API_KEY
+            )
             state = reply.get('state', state)
             if state in ('completed', 'failed', 'cancelled'):
                 ended_s = time.monotonic() - began
--- a/figtray/platform/standin_site.py
+++ b/figtray/platform/standin_site.py
@@ -6,7 +6,6 @@
 import json
 import pathlib
 import random
-import socket
 import threading
 
 import typer
@@ -17,6 +16,7 @@
 from figtray.fleet import messages
 from figtray.fleet import model as fleet
 from figtray.jobs import model
+from figtray.platform import standin_config
 from figtray.platform import standin_runs
 from figtray.platform import standin_server
 from figtray.platform import standin_services
@@ -25,33 +25,10 @@
 
 HEARTBEAT_INTERVAL_S = 0.5
 RUN_TIME_RANGE_MS = (200, 600)
-CALLER_HOST = 'jobs.example'
-API_KEY = 'demo-key'
-PATH_PREFIX = '/jobs/'
-ZONES = ('zone-a', 'zone-b')
-FIRST_PORT, LAST_PORT = 10_000, 32_000
-# Two for listeners, and a range whose third port serves the metrics.
-PORTS_PER_NODE = 8
 # A crashed worker is back after this time, and its entry is removed after
 # three heartbeats.
 CRASH_S = 2.0
 ENTRY_MS = int(3 * HEARTBEAT_INTERVAL_S * 1000)
-LOOPBACK = '127.0.0.1'
-
-
-@dataclasses.dataclass(frozen=True)
-class Team:
-    """Team of the configuration.
-
-    Attributes:
-        name: its name.
-        key: its API key.
-        limit_milli: its limit in thousandths of a core; 0 = none.
-    """
-
-    name: str
-    key: str
-    limit_milli: int
 
 
 class Site:
@@ -120,7 +97,7 @@
         # next heartbeat deletes their entries.
         self._entry_ends_ms = {}
         self._store_server = standin_services.start_store_server(
-            f'{LOOPBACK}:0', self.store
+            f'{standin_config.LOOPBACK}:0', self.store
         )
         self._hosts_server = self._serve(
             standin_services.HostService(self.hosts)
@@ -134,70 +111,27 @@
             target=self._run_heartbeats, name='heartbeats', daemon=True
         ).start()
 
-    def write_config(self, version=1, keys=(API_KEY,)):
+    def write_config(self, version=1, keys=(standin_config.API_KEY,)):
         """Write a version of the configuration into the store.
 
         Args:
             version: its number.
             keys: API keys of the team.
         """
-        config = {
-            'version': version,
-            'routes': [
-                {
-                    'name': 'jobs',
-                    'host': CALLER_HOST,
-                    'prefix': PATH_PREFIX,
-                    'service': 'main',
-                    'attempts': 3,
-                    'stretch': 2,
-                    'target_latency_ms': 1000,
-                }
-            ],
-            'services': [{'name': 'main'}, {'name': 'spare', 'spare': True}],
-            'tenants': [
-                {
-                    'name': 'demo',
-                    'api_keys': list(keys),
-                    'weight': 1,
-                    'maximum': {'cpu': self._limit_milli},
-                },
-                *(
-                    {
-                        'name': team.name,
-                        'api_keys': [team.key],
-                        'weight': 1,
-                        'maximum': {'cpu': team.limit_milli},
-                    }
-                    for team in self._other_teams
-                ),
-            ],
-        }
+        config = standin_config.config_document(
+            version, keys, self._limit_milli, self._other_teams
+        )
         self.store.txn(
             [], [base.Put('op/config', json.dumps(config).encode())]
         )
 
     def node_settings(self, name):
         """Return the settings of an additional node as plain data."""
-        ports = _free_ports(4)
-        return {
-            'node_name': name,
-            'ip': LOOPBACK,
-            'zone': ZONES[0],
-            'listen': {
-                'front': f'{LOOPBACK}:{ports[0]}',
-                'ready': f'{LOOPBACK}:{ports[1]}',
-            },
-            # The metrics port is the third of this range.
-            'internal_ports': [ports[2], ports[2] + 3],
-            'platform': {
-                'address': self._advertise(name, self._store_server.address)
-            },
-            'cloud': {
-                'address': self._advertise(name, self._hosts_server.address)
-            },
-            'limits': {'cpu_share': 1.0, 'cores': 2, 'memory_mb': 300},
-        }
+        return standin_config.node_settings(
+            name,
+            self._advertise(name, self._store_server.address),
+            self._advertise(name, self._hosts_server.address),
+        )
 
     def started_runs(self):
         """Return the (task, run) pairs that the workers have started."""
@@ -322,7 +256,7 @@
             server.stop()
 
     def _serve(self, service):
-        server = standin_server.Server(f'{LOOPBACK}:0', service)
+        server = standin_server.Server(f'{standin_config.LOOPBACK}:0', service)
         server.start()
         self._servers.append(server)
         return server
@@ -333,7 +267,7 @@
             f'host-{number}',
             pool,
             fleet.HostState.UP,
-            ZONES[number % len(ZONES)],
+            standin_config.ZONES[number % len(standin_config.ZONES)],
             ('a', f'r{number % 2}'),
             model.Resources(8000, 32_000),
         )
@@ -426,23 +360,6 @@
                 self._start_worker(self.hosts.hosts[host_id])
 
 
-def _free_ports(count):
-    """Return adjacent ports that are free now.
-
-    They lie below the ephemeral range, from which the system takes ports
-    for outgoing connections, so that none is taken while a node restarts.
-    """
-    while True:
-        first = random.randrange(FIRST_PORT, LAST_PORT - PORTS_PER_NODE)
-        try:
-            for port in range(first, first + PORTS_PER_NODE):
-                with socket.socket() as probe:
-                    probe.bind((LOOPBACK, port))
-        except OSError:
-            continue
-        return list(range(first, first + count))
-
-
 def main(
     directory: str = typer.Argument(help='Where settings files are written.'),
     nodes: int = typer.Option(3, help='Number of nodes to write them for.'),
--- a/figtray/platform/tests/test_node.py
+++ b/figtray/platform/tests/test_node.py
@@ -10,6 +10,7 @@
 from figtray.platform import load
 from figtray.platform import main
 from figtray.platform import settings as settings_lib
+from figtray.platform import standin_config
 from figtray.platform import standin_nodes
 from figtray.platform import standin_site as sites
 
@@ -72,7 +73,7 @@
         assert result.state == 'completed'
         port = nodes[0].settings['internal_ports'][0] + 2
         status, page = nodes[0].http_get(
-            f'{sites.LOOPBACK}:{port}', '/metrics'
+            f'{standin_config.LOOPBACK}:{port}', '/metrics'
         )
         assert status == 200
         assert 'figtray_call_time_ms_bucket' in page
@@ -88,7 +89,7 @@
         def count_pages_with_waits():
             pages = [
                 node.http_get(
-                    f'{sites.LOOPBACK}:'
+                    f'{standin_config.LOOPBACK}:'
                     f'{node.settings["internal_ports"][0] + 2}',
                     '/metrics',
                 )
@@ -106,7 +107,7 @@
         for node in nodes:
             wait_for(
                 lambda: pool.call(
-                    node.front_address, 'GET', '0' * 16, sites.API_KEY
+                    node.front_address, 'GET', '0' * 16, standin_config.API_KEY
                 )[0]
                 == 401
             )
--- a/figtray/soak/callers.py
+++ b/figtray/soak/callers.py
@@ -3,7 +3,7 @@
 import threading
 
 from figtray.platform import load
-from figtray.platform import standin_site as sites
+from figtray.platform import standin_config
 
 POLL_INTERVAL_S = 0.15
 TASK_MILLI = 1000
@@ -25,7 +25,7 @@
         stop_polling: threading.Event that also ends the polling of jobs.
     """
 
-    key = sites.API_KEY
+    key = standin_config.API_KEY
 
     def __init__(self, rng, addresses, checker, stop_submitting, stop_polling):
         self._rng = rng
--- a/figtray/soak/deadly.py
+++ b/figtray/soak/deadly.py
@@ -3,11 +3,11 @@
 import collections
 
 from figtray.jobs import model
-from figtray.platform import standin_site as sites
+from figtray.platform import standin_config
 from figtray.soak import callers
 
 # Without a limit, so that its jobs don't wait for those of the busy team.
-TEAM = sites.Team('deadly', 'deadly-key', 0)
+TEAM = standin_config.Team('deadly', 'deadly-key', 0)
 # Tasks of the same image behave alike.
 IMAGE = 'deadly'
 CRASH_DELAY_MS = (50, 400)
--- a/figtray/soak/injector.py
+++ b/figtray/soak/injector.py
@@ -6,6 +6,7 @@
 from figtray import errors
 from figtray.jobs import model
 from figtray.leadership import term as terms
+from figtray.platform import standin_config
 from figtray.platform import standin_site as sites
 from figtray.soak import faults
 from figtray.soak import proxies as proxies_lib
@@ -268,7 +269,7 @@
         return begin, end
 
     def _zone_out_actions(self):
-        zone = sites.ZONES[0]
+        zone = standin_config.ZONES[0]
 
         def begin():
             self._retry_change(self._site.set_zone_in_service, zone, False)
@@ -283,7 +284,9 @@
     def _withdraw_key(self):
         self._config_version += 1
         self._retry_change(
-            self._site.write_config, self._config_version, (sites.API_KEY,)
+            self._site.write_config,
+            self._config_version,
+            (standin_config.API_KEY,),
         )
         self._checker.record_key_withdrawn()
 
--- a/figtray/soak/lasting.py
+++ b/figtray/soak/lasting.py
@@ -4,12 +4,12 @@
 
 from figtray.fleet import messages
 from figtray.jobs import model
-from figtray.platform import standin_site as sites
+from figtray.platform import standin_config
 from figtray.soak import callers
 from figtray.soak import capacities
 from figtray.soak import deadly
 
-TEAM = sites.Team('lasting', 'lasting-key', 8000)
+TEAM = standin_config.Team('lasting', 'lasting-key', 8000)
 TASK_MILLI = 100
 TASK_MEMORY_MB = 64
 MAX_JOBS = 3
--- a/figtray/soak/soak.py
+++ b/figtray/soak/soak.py
@@ -8,6 +8,7 @@
 
 from figtray import clock as clock_lib
 from figtray.platform import load
+from figtray.platform import standin_config
 from figtray.platform import standin_nodes
 from figtray.platform import standin_site as sites
 from figtray.soak import callers as callers_lib
@@ -142,7 +143,7 @@
             on_crash=self._refuse_connections,
         )
         self._checker.workers = self._site.workers
-        self._site.write_config(1, (sites.API_KEY, WITHDRAWN_KEY))
+        self._site.write_config(1, (standin_config.API_KEY, WITHDRAWN_KEY))
         self._nodes = [
             standin_nodes.NodeProcess(
                 directory, self._site.node_settings(f'node-{number}')
