Split the in-memory hosts from the in-memory workers

figtray/fleet/memory.py had 419 lines and two subjects that don't use each other: workers with their runs, and hosts with their orders. A reader of the upkeep tests, which need the hosts alone, met the workers first. The documentation of a run left out half of its fields, and the limit of ends in a report had no explanation.

MemoryHosts now stands in fleet/memory_hosts.py; memory.py has 362 lines.

--- a/figtray/fleet/memory.py
+++ b/figtray/fleet/memory.py
@@ -1,4 +1,4 @@
-"""In-memory workers and hosts with faults, for tests and the stand-in site."""
+"""In-memory workers with faults, for tests and the stand-in site."""
 
 import dataclasses
 import threading
@@ -11,6 +11,7 @@
 from figtray import verdict
 
 HOLD_MAX_MS = 6000
+# Ends in one report; a worker keeps the others for later reports.
 MAX_REPORTED_ENDS = 500
 
 
@@ -19,9 +20,13 @@
     """A run on a simulated worker.
 
     Attributes:
+        task: name of its task.
+        run: its number.
         started_ms: start of the run on the worker's clock.
+        checkpoint: where a later run could resume.
         percent: reported share of its full speed.
-        pace: limit of that share, as set by the last pace order.
+        load: reported load; see messages.ActiveRun.
+        pace: limit of its speed in percent, as set by the last pace order.
     """
 
     task: str
@@ -62,6 +67,7 @@
         ended: EndedRuns that are not acknowledged yet.
         highest_runs: mapping of task name to the highest number of a run
             that has ended or was stopped.
+        next_end_number: number of its next EndedRun.
         lease_until_ms: end of the lease of all runs on the worker's clock.
         up: whether this incarnation goes on.
         starts: (task name, run number) of all starts.
@@ -340,69 +346,6 @@
             return result
 
 
-class MemoryHosts(base.HostClient):
-    """Simulated hosts; a test ends their moves and upkeeps by finish().
-
-    Attributes:
-        hosts: mapping of host id to fleet Host.
-        accepted_orders: (kind, host id, argument, node name, epoch) of
-            accepted calls.
-        down: whether the service fails all calls.
-        on_worker_end: called with the Host whose worker ends.
-        replies_to_lose: number of next replies that are lost.
-    """
-
-    def __init__(self, hosts=()):
-        self.hosts = {host.host_id: host for host in hosts}
-        self.accepted_orders = []
-        self.down = False
-        self.on_worker_end = lambda host: None
-        self.replies_to_lose = 0
-
-    def list_hosts(self):
-        if self.down:
-            raise errors.HostListUnavailable(detail='injected')
-        return tuple(self.hosts.values())
-
-    def move(self, host_id, pool, node_name, epoch):
-        return self._accept_order(
-            'move', host_id, pool, node_name, epoch, model.HostState.MOVING
-        )
-
-    def begin_upkeep(self, host_id, wave, node_name, epoch):
-        return self._accept_order(
-            'upkeep', host_id, wave, node_name, epoch, model.HostState.UPKEEP
-        )
-
-    def finish(self, host_id, pool=None, worker_id=''):
-        """Bring a host back up after its move or upkeep."""
-        host = self.hosts[host_id]
-        self.hosts[host_id] = dataclasses.replace(
-            host,
-            state=model.HostState.UP,
-            pool=pool or host.pool,
-            worker_id=worker_id,
-        )
-
-    def _accept_order(self, kind, host_id, argument, node_name, epoch, state):
-        if self.down:
-            raise errors.CallNotSent(address='hosts', detail='injected')
-        host = self.hosts[host_id]
-        if host.state != model.HostState.UP:
-            return False
-        self.accepted_orders.append(
-            (kind, host_id, argument, node_name, epoch)
-        )
-        self.on_worker_end(host)
-        self.hosts[host_id] = dataclasses.replace(
-            host, state=state, worker_id=''
-        )
-        if self.replies_to_lose:
-            self.replies_to_lose -= 1
-            raise errors.ReplyLost(address='hosts', detail='injected')
-        return True
-
-
 def make_worker(
     number, pool='main', zone='zone-a', born_ms=1, cpu_milli=8000, rack='r1'
 ):
--- a/figtray/platform/standin_site.py
+++ b/figtray/platform/standin_site.py
@@ -13,6 +13,7 @@
 from figtray import clock as clock_lib
 from figtray import errors
 from figtray.fleet import memory as fleet_memory
+from figtray.fleet import memory_hosts
 from figtray.fleet import messages
 from figtray.fleet import model as fleet
 from figtray.jobs import model
@@ -87,7 +88,7 @@
         self._on_crash = on_crash
         self._advertise = advertise
         self._clock_rate = clock_rate
-        self.hosts = fleet_memory.MemoryHosts()
+        self.hosts = memory_hosts.MemoryHosts()
         self._stop = threading.Event()
         self._servers = []
         self._host_numbers = itertools.count()
--- a/figtray/platform/tests/test_workers.py
+++ b/figtray/platform/tests/test_workers.py
@@ -5,6 +5,7 @@
 from figtray import clock as clock_lib
 from figtray import errors
 from figtray.fleet import memory
+from figtray.fleet import memory_hosts
 from figtray.fleet import messages
 from figtray.fleet import model as fleet
 from figtray.platform import hosts as host_client
@@ -111,7 +112,7 @@
 class TestHosts:
     @pytest.fixture
     def hosts(self):
-        backing = memory.MemoryHosts(
+        backing = memory_hosts.MemoryHosts(
             [
                 fleet.Host(f'h{n:03}', 'main', fleet.HostState.UP, 'z')
                 for n in range(standin_services.PAGE_ITEMS + 5)
--- a/figtray/upkeep/tests/support.py
+++ b/figtray/upkeep/tests/support.py
@@ -1,6 +1,6 @@
 """A site with a leader and hosts, for tests of upkeep."""
 
-from figtray.fleet import memory
+from figtray.fleet import memory_hosts
 from figtray.fleet import model as fleet_model
 from figtray.jobs import model
 from figtray.scheduling.tests import harness
@@ -39,7 +39,7 @@
         self.fleet = harness.Fleet(4)
         self.leader = self.fleet.elect_leader()
         self.leader.report_all()
-        self.hosts = memory.MemoryHosts(
+        self.hosts = memory_hosts.MemoryHosts(
             [make_host(n) for n in range(4)]
             + [make_host(n, 'spare') for n in (8, 9)]
         )
