Separate the choice of suspects from the count of late crashes

crashes.suspects(worker_state) was documented as returning runs, but also added a crash to the tasks of the other runs, which are no suspects. Someone who called it twice, as in a log line, would have counted twice.

suspects() and the new settled_runs() only read. Suspicion._suspect_runs() records the late crashes itself, before it asks for the suspects, so the order of the effects stays. No behaviour changes.

--- a/figtray/scheduling/crashes.py
+++ b/figtray/scheduling/crashes.py
@@ -32,19 +32,31 @@
 def suspects(worker_state):
     """Return the runs that may have crashed a worker.
 
+    That is the run on trial, if there is one; else those that had just
+    started, or all if none had.
+
     Args:
         worker_state: its WorkerState.
     """
-    sent = [
-        run for run in worker_state.runs.values() if run.sent_ms is not None
-    ]
+    sent = _sent_runs(worker_state)
     tried = tried_run(worker_state)
     if tried in sent:
         return [tried]
-    settled = [run for run in sent if _is_settled(run)]
-    for run in settled:
-        run.task.late_crashes += (run.number,)
-    return [run for run in sent if run not in settled] or sent
+    return [run for run in sent if not _is_settled(run)] or sent
+
+
+def settled_runs(worker_state):
+    """Return the runs that had gone on for SETTLED_MS before a crash.
+
+    A run on trial is the only suspect, so then there are none.
+
+    Args:
+        worker_state: WorkerState of the crashed worker.
+    """
+    sent = _sent_runs(worker_state)
+    if tried_run(worker_state) in sent:
+        return []
+    return [run for run in sent if _is_settled(run)]
 
 
 def has_fresh_suspect(worker_state, now_ms):
@@ -122,6 +134,13 @@
     )
 
 
+def _sent_runs(worker_state):
+    """Return the runs on a worker that it may have started."""
+    return [
+        run for run in worker_state.runs.values() if run.sent_ms is not None
+    ]
+
+
 def _is_settled(run):
     age_ms = _age_ms(run)
     return age_ms is not None and age_ms >= SETTLED_MS
--- a/figtray/scheduling/suspicion.py
+++ b/figtray/scheduling/suspicion.py
@@ -69,6 +69,8 @@
 
     def _suspect_runs(self, worker_state):
         """Suspect the runs of a crashed worker; return their tasks."""
+        for run in crashes.settled_runs(worker_state):
+            run.task.late_crashes += (run.number,)
         runs = crashes.suspects(worker_state)
         alone = runs == [crashes.tried_run(worker_state)]
         for run in runs:
