Say what the limits of trials limit, and name their functions plainly

CRASHES_TO_INSIST didn't say on what is insisted; is_apart() returned whether something must be done, not how things are; prime_suspect() is a figure of speech for the task with the most crashes. The comments on the limits of trials left open whether a limit is a least, a longest or a count, and TaskState documented three of its twelve attributes.

They are now CRASHES_TO_REQUIRE_TRIAL, must_start_apart() and most_suspected(), each limit says what it limits, and the attributes and the private functions of trials have their doc comments. Names and comments only; no behaviour changes.

--- a/figtray/scheduling/crashes.py
+++ b/figtray/scheduling/crashes.py
@@ -11,7 +11,7 @@
 # Crashes come right after the start. A run that has gone on for this long is
 # not suspected if its worker also had a younger one.
 SETTLED_MS = 400
-# It is tried all the same once so many workers crashed under it.
+# Crashes of such runs after which their task is suspected as well.
 LATE_CRASHES_TO_TRY = 3
 # Length of a trial, and of that of a task whose runs had gone on for a while
 # when their workers crashed.
@@ -19,12 +19,13 @@
 LONG_TRIAL_MS = 3000
 # A run that has gone on for this long was not the cause of earlier crashes.
 CLEARED_MS = 10_000
-# Crashes after which a task is given up, by the number of those on trial. One
-# crash on trial may be chance.
+# Number of crashes after which a task is given up, by how many of them were on
+# trial. One crash on trial may be chance.
 CRASHES_TO_GIVE_UP = {1: 4, 2: 3}
-# A task that crashed fewer workers starts without a trial if it has waited
-# for one for so long, and later also beside other suspects.
-CRASHES_TO_INSIST = 3
+# From this number of crashes on, a task starts on trial only.
+CRASHES_TO_REQUIRE_TRIAL = 3
+# With fewer, it starts without a trial after the first of these waits, and
+# beside other suspects after the second.
 MAX_TRIAL_WAIT_MS = 1500
 MAX_APART_WAIT_MS = 2500
 
@@ -94,14 +95,24 @@
 
 
 def is_trial_needed(task, now_ms):
-    """Return whether a task may start only on a worker of its own."""
-    if task.crashes.count >= CRASHES_TO_INSIST:
+    """Return whether a task may start only on trial.
+
+    Args:
+        task: the TaskState.
+        now_ms: local time.
+    """
+    if task.crashes.count >= CRASHES_TO_REQUIRE_TRIAL:
         return True
     return is_suspect(task) and now_ms - task.ready_ms < MAX_TRIAL_WAIT_MS
 
 
-def is_apart(task, now_ms):
-    """Return whether a suspect may not start beside another one."""
+def must_start_apart(task, now_ms):
+    """Return whether a suspect may not start beside another one.
+
+    Args:
+        task: its TaskState.
+        now_ms: local time.
+    """
     return now_ms - task.ready_ms < MAX_APART_WAIT_MS
 
 
@@ -117,7 +128,12 @@
 
 
 def is_cleared(run, asked_ms):
-    """Return whether a run has gone on long enough to clear its task."""
+    """Return whether a run has gone on long enough to clear its task.
+
+    Args:
+        run: the Run.
+        asked_ms: local time at which it certainly went on.
+    """
     return run.sent_ms is not None and asked_ms - run.sent_ms >= CLEARED_MS
 
 
--- a/figtray/scheduling/planner.py
+++ b/figtray/scheduling/planner.py
@@ -194,7 +194,7 @@
             task.step,
             worker_states,
             now_ms,
-            crashes.is_apart(task, now_ms),
+            crashes.must_start_apart(task, now_ms),
         )
         if crashes.is_trial_needed(task, now_ms):
             worker_state = self._trial_worker(task, worker_states, now_ms)
@@ -215,7 +215,7 @@
             team, step.spec.needs.times(step.spec.count)
         ):
             return state.HeldReason.TEAM_LIMIT
-        suspect = trials.prime_suspect(step.tasks, now_ms)
+        suspect = trials.most_suspected(step.tasks, now_ms)
         lone = None
         if suspect is not None:
             lone = self._trial_worker(suspect, worker_states, now_ms)
--- a/figtray/scheduling/state.py
+++ b/figtray/scheduling/state.py
@@ -93,11 +93,20 @@
     """One task of one occurrence of a job.
 
     Attributes:
+        step: its StepState.
+        index: its number in the step.
+        name: its TaskId as a string.
+        done: whether it is done; a lasting task never is.
+        failed_runs: numbers of the runs that have failed.
+        checkpoint: where its next run resumes; empty = at the start.
+        last_run: highest number of a run so far.
         placement: of a lasting task or a suspect, the records.Placement of
             the run that may go on; None if there is none.
         crashes: the records.Crashes that it is suspected of.
         late_crashes: numbers of the runs that had gone on for a while when
             their workers crashed.
+        run: its Run; None if it has none.
+        ready_ms: local time since which it is ready to start.
     """
 
     __slots__ = (
--- a/figtray/scheduling/suspicion.py
+++ b/figtray/scheduling/suspicion.py
@@ -108,7 +108,7 @@
             number = self._term.epoch * scheduler_base.RUNS_PER_TERM
             alone = (
                 kind == ends.Kind.CRASHED
-                and task.crashes.count >= crashes.CRASHES_TO_INSIST
+                and task.crashes.count >= crashes.CRASHES_TO_REQUIRE_TRIAL
             )
             task.crashes = task.crashes.add(number, alone)
             task.placement = None
--- a/figtray/scheduling/trials.py
+++ b/figtray/scheduling/trials.py
@@ -9,15 +9,16 @@
 from figtray.scheduling import placement
 from figtray.scheduling import state
 
-# Trials are held on no more than this part of the workers of a pool, if the
-# next worker is busy or idle.
+# Shares of the workers of a pool that may hold trials at a time: the first
+# one if the next trial is on a worker with runs, the second if it has none.
 BUSY_SHARE = 0.34
 IDLE_SHARE = 0.75
-# The other runs on a worker must have gone on for this long.
+# Least age of the other runs on a worker as a trial starts there.
 QUIET_MS = 300
-# A task waits for so long until the other runs on its worker have ended.
+# Longest time for which a task on trial awaits that its worker has no other
+# runs that end.
 EMPTY_WAIT_MS = 300
-# Time between two plans while suspects wait.
+# Longest time between two plans while suspects wait.
 TRIAL_RETRY_MS = 100
 
 
@@ -52,6 +53,7 @@
                 worker_state.trial = None
 
     def _is_suspect_waiting(self):
+        """Return whether a suspect of an open step waits for its start."""
         # The planner puts the suspects of a step first.
         return any(
             step.waiting and crashes.is_suspect(step.waiting[0])
@@ -81,6 +83,7 @@
         return worker_state
 
     def _reserved(self, task, worker_states):
+        """Return the WorkerState that is kept free for a task, or None."""
         for worker_state in worker_states:
             trial = worker_state.trial
             if trial is not None and trial.task is task:
@@ -91,6 +94,9 @@
         """Keep a worker free for a task.
 
         That is one with room for it, if there is one, and with few runs.
+
+        Returns:
+            Its WorkerState; None if no worker suits or too many hold trials.
         """
         best = min(
             (
@@ -116,6 +122,7 @@
         return best
 
     def _is_approved(self, step, worker_state):
+        """Return whether the adviser lets a step use a worker."""
         if step.job.queue.advice is None:
             return True
         return step.advice is not None and bool(
@@ -133,8 +140,16 @@
         )
 
 
-def prime_suspect(tasks, now_ms):
-    """Return the task that most needs a trial; None if none needs one."""
+def most_suspected(tasks, now_ms):
+    """Return the task with the most crashes of those that need a trial.
+
+    Args:
+        tasks: the TaskStates.
+        now_ms: local time.
+
+    Returns:
+        A TaskState; None if none of them needs a trial.
+    """
     return max(
         (task for task in tasks if crashes.is_trial_needed(task, now_ms)),
         key=lambda task: task.crashes.count,
@@ -158,6 +173,7 @@
 
 
 def _run_counts(worker_state):
+    """Return the numbers of lasting runs and of all runs on a worker."""
     lasting = sum(
         1 for run in worker_state.runs.values() if run.task.step.spec.lasting
     )
