Name the part of the scheduler that ends workers after what it does

The class Suspicion in suspicion.py ends incarnations, records that earlier ones are accounted for, and suspects tasks. Membership and Reports inherit it for the first of these, and nothing in its name led there from "where does an incarnation end?".

It is now WorkerEnds in worker_ends.py, beside ends.py, which has the values. No behaviour changes.

--- a/figtray/scheduling/membership.py
+++ b/figtray/scheduling/membership.py
@@ -7,7 +7,7 @@
 from figtray import metrics
 from figtray.scheduling import ends
 from figtray.scheduling import roster as rosters
-from figtray.scheduling import suspicion
+from figtray.scheduling import worker_ends
 from figtray.scheduling import worker_state as worker_state_lib
 
 # A single refused connection may be a fault of the network.
@@ -17,7 +17,7 @@
 HOST_LOST_TO_END_MS = 500
 
 
-class Membership(suspicion.Suspicion):
+class Membership(worker_ends.WorkerEnds):
     """Keeps the configuration, the zones out of service and the workers."""
 
     def configure(self, cfg, evacuated_zones):
--- a/figtray/scheduling/reports.py
+++ b/figtray/scheduling/reports.py
@@ -9,7 +9,7 @@
 from figtray.scheduling import leases
 from figtray.scheduling import scheduler_base
 from figtray.scheduling import state
-from figtray.scheduling import suspicion
+from figtray.scheduling import worker_ends
 from figtray.scheduling import worker_orders
 from figtray.scheduling import worker_state as worker_state_lib
 
@@ -17,7 +17,7 @@
 STRAY_STOP_INTERVAL_MS = 500
 
 
-class Reports(suspicion.Suspicion):
+class Reports(worker_ends.WorkerEnds):
     """Records the reports of workers and extends their leases."""
 
     def report_request(self, worker_state):
--- a/figtray/scheduling/suspicion.py
+++ b/figtray/scheduling/worker_ends.py
@@ -10,10 +10,16 @@
 from figtray.scheduling import scheduler_base
 
 
-class Suspicion(job_lifecycle.JobLifecycle):
+class WorkerEnds(job_lifecycle.JobLifecycle):
     """Records the ends of workers and suspects the tasks that crash them."""
 
     def _end_incarnation(self, worker_state, end):
+        """Record that an incarnation has ended, and with it its runs.
+
+        Args:
+            worker_state: its WorkerState.
+            end: the ends.End.
+        """
         if worker_state.gone:
             return
         worker_state.gone = True
