Split the start of gangs into the choice of workers and the start

The order of the racks and the test of a worker for one more member are now in placement beside the other choices, the start is a function of its own, and the worker is named trial_worker, as the function that chooses it. The conditions and their order are as before; no behaviour changes.

--- a/figtray/scheduling/placement.py
+++ b/figtray/scheduling/placement.py
@@ -1,4 +1,4 @@
-"""Choice of the worker for a task."""
+"""Choice of the workers for a task or a gang."""
 
 from figtray.scheduling import crashes
 from figtray.scheduling import state
@@ -65,6 +65,48 @@
     return True
 
 
+def by_rack(step, worker_states):
+    """Return lists of the WorkerStates of each rack, the best rack first.
+
+    That is the rack of the data of a step, then the one with the most free
+    processor time.
+    """
+    racks = {}
+    for worker_state in worker_states:
+        racks.setdefault(worker_state.worker.rack, []).append(worker_state)
+    return sorted(
+        racks.values(),
+        key=lambda group: (
+            group[0].worker.rack != step.spec.data_rack,
+            -sum(
+                worker_state.free_resources().cpu_milli
+                for worker_state in group
+            ),
+        ),
+    )
+
+
+def fits_member(step, worker_state, count, now_ms, on_trial_worker):
+    """Return whether a worker can get one more member of a gang.
+
+    Args:
+        step: the StepState.
+        worker_state: the WorkerState.
+        count: number of members that it gets already.
+        now_ms: local time.
+        on_trial_worker: whether it may be the worker of the trial.
+    """
+    can_start = has_room if on_trial_worker else fits
+    max_count = step.spec.max_per_worker
+    return (
+        can_start(step, worker_state, now_ms)
+        and worker_state.free_resources().covers(
+            state.occupied(step.spec).times(count + 1)
+        )
+        and (not max_count or count < max_count)
+    )
+
+
 def _score(spec, worker_state):
     """Return a sort key of a worker; the lowest key is the best worker.
 
--- a/figtray/scheduling/planner.py
+++ b/figtray/scheduling/planner.py
@@ -1,5 +1,6 @@
 """Planner, which chooses the tasks to start and their workers."""
 
+import collections
 import enum
 
 from figtray.events import catalogue
@@ -216,47 +217,46 @@
         ):
             return state.HeldReason.TEAM_LIMIT
         suspect = trials.most_suspected(step.tasks, now_ms)
-        lone = None
+        trial_worker = None
         if suspect is not None:
-            lone = self._trial_worker(suspect, worker_states, now_ms)
-            if lone is None:
+            trial_worker = self._trial_worker(suspect, worker_states, now_ms)
+            if trial_worker is None:
                 return state.HeldReason.TRIAL
-        by_rack = {}
-        for worker_state in worker_states:
-            by_rack.setdefault(worker_state.worker.rack, []).append(
-                worker_state
+        groups = [
+            (group, False)
+            for group in (
+                *placement.by_rack(step, worker_states),
+                worker_states,
             )
-        choices = sorted(
-            by_rack.values(),
-            key=lambda group: (
-                group[0].worker.rack != step.spec.data_rack,
-                -sum(
-                    worker_state.free_resources().cpu_milli
-                    for worker_state in group
-                ),
-            ),
-        )
-        groups = [(group, False) for group in (*choices, worker_states)]
-        if lone is not None:
+        ]
+        if trial_worker is not None:
             groups.append((worker_states, True))
         for group, beside in groups:
             assigned = self._assign_gang(
-                step, group, now_ms, suspect, lone, beside
+                step, group, now_ms, suspect, trial_worker, beside
             )
-            if assigned is None:
-                continue
-            number = max(self._next_run_number(task) for task in step.tasks)
-            checkpoint = max(task.checkpoint for task in step.tasks)
-            step.waiting.clear()
-            for task, worker_state in zip(step.tasks, assigned):
-                task.checkpoint = checkpoint
-                self._start(task, worker_state, number, now_ms)
-            return None
-        if lone is not None:
-            lone.trial = None
+            if assigned is not None:
+                self._start_members(step, assigned, now_ms)
+                return None
+        if trial_worker is not None:
+            trial_worker.trial = None
         return state.HeldReason.NO_ROOM
 
-    def _assign_gang(self, step, worker_states, now_ms, suspect, lone, beside):
+    def _start_members(self, step, assigned, now_ms):
+        """Start the members of a gang on the WorkerStates assigned to them.
+
+        They get the same run number and resume from the same checkpoint.
+        """
+        number = max(self._next_run_number(task) for task in step.tasks)
+        checkpoint = max(task.checkpoint for task in step.tasks)
+        step.waiting.clear()
+        for task, worker_state in zip(step.tasks, assigned):
+            task.checkpoint = checkpoint
+            self._start(task, worker_state, number, now_ms)
+
+    def _assign_gang(
+        self, step, worker_states, now_ms, suspect, trial_worker, beside
+    ):
         """Return a WorkerState for each member of a gang.
 
         Args:
@@ -264,46 +264,37 @@
             worker_states: candidate WorkerStates.
             now_ms: local time.
             suspect: the member to try on a worker of its own, or None.
-            lone: the WorkerState for it.
+            trial_worker: the WorkerState for it, or None.
             beside: whether other members may start there as well. Whichever
                 of them crashes it, their job is given up.
 
         Returns:
             A list, or None if the workers have no room for all members.
         """
-        assigned, assigned_counts = [], {}
-        if lone is not None:
-            assigned_counts[lone.worker.incarnation] = 1
-        needs = state.occupied(step.spec)
+        assigned, counts = [], collections.Counter()
+        if trial_worker is not None:
+            counts[trial_worker.worker.incarnation] = 1
         for task in step.tasks:
             if task is suspect:
-                assigned.append(lone)
+                assigned.append(trial_worker)
                 continue
-            chosen = None
-            for worker_state in worker_states:
-                count = assigned_counts.get(worker_state.worker.incarnation, 0)
-                usable = (
-                    placement.has_room
-                    if beside and worker_state is lone
-                    else placement.fits
-                )
-                if (
-                    usable(step, worker_state, now_ms)
-                    and worker_state.free_resources().covers(
-                        needs.times(count + 1)
-                    )
-                    and (
-                        not step.spec.max_per_worker
-                        or count < step.spec.max_per_worker
+            chosen = next(
+                (
+                    worker_state
+                    for worker_state in worker_states
+                    if placement.fits_member(
+                        step,
+                        worker_state,
+                        counts[worker_state.worker.incarnation],
+                        now_ms,
+                        beside and worker_state is trial_worker,
                     )
-                ):
-                    chosen = worker_state
-                    break
+                ),
+                None,
+            )
             if chosen is None:
                 return None
-            assigned_counts[chosen.worker.incarnation] = (
-                assigned_counts.get(chosen.worker.incarnation, 0) + 1
-            )
+            counts[chosen.worker.incarnation] += 1
             assigned.append(chosen)
         return assigned
 
