Split the handling of a report into its steps

Reports.handle_report() was 60 lines in which the state of the connection, the ends, the lost runs and the stray runs followed one another, and two sets were filled while runs were handled.

What an answer shows of the worker, and which tracked runs are lost or go on, are functions of their own; the sets are made before the loops. The order of the effects is as before, and the two branches for a tracked run exclude each other as they did. No behaviour changes.

--- a/figtray/scheduling/reports.py
+++ b/figtray/scheduling/reports.py
@@ -70,42 +70,17 @@
                     ),
                 )
                 return 0
-            worker_state.settle_requested_lease(was_sent=True)
-            worker_state.clock_ms = report.clock_ms
-            worker_state.clock_read_ms = now_ms
-            worker_state.unresponsive = False
-            worker_state.silent_since_ms = None
-            if not worker_state.has_reported:
-                worker_state.has_reported = True
-                # An earlier leader may have extended the lease this far.
-                worker_state.extend_lease(report.clock_ms + self._lease_ms)
-                log.emit(
-                    catalogue.WORKER_REACHED,
-                    worker=worker_state.worker.worker_id,
-                    running=len(report.running),
-                    ended=len(report.ended),
-                )
-            reported = set()
-            ended = set()
-            for item in report.ended:
-                ended.add((item.task, item.run))
+            self._note_answer(worker_state, report, now_ms)
+            reported = {(item.task, item.run) for item in report.running}
+            ended = {(item.task, item.run) for item in report.ended}
             for item in report.running:
-                reported.add((item.task, item.run))
                 if (item.task, item.run) not in ended:
                     self._handle_running(worker_state, item, now_ms)
             for item in report.ended:
                 if item.number > worker_state.seen_end:
                     self._handle_end(worker_state, item, now_ms)
                     worker_state.seen_end = item.number
-            for run in list(worker_state.runs.values()):
-                if (
-                    run.confirmed_ms is not None
-                    and run.confirmed_ms <= asked_ms
-                    and (run.task.name, run.number) not in reported
-                ):
-                    self._mark_lost(run, 'absent from a report')
-                elif (run.task.name, run.number) in reported:
-                    self._note_running(run, asked_ms)
+            self._check_tracked(worker_state, reported, asked_ms)
             worker_state.stray_runs = self._stray_runs(
                 worker_state, reported - ended
             )
@@ -164,6 +139,39 @@
                 )
                 self.changed.set()
 
+    def _note_answer(self, worker_state, report, now_ms):
+        """Record that a worker answers, and what its clock shows."""
+        worker_state.settle_requested_lease(was_sent=True)
+        worker_state.clock_ms = report.clock_ms
+        worker_state.clock_read_ms = now_ms
+        worker_state.unresponsive = False
+        worker_state.silent_since_ms = None
+        if worker_state.has_reported:
+            return
+        worker_state.has_reported = True
+        # An earlier leader may have extended the lease this far.
+        worker_state.extend_lease(report.clock_ms + self._lease_ms)
+        log.emit(
+            catalogue.WORKER_REACHED,
+            worker=worker_state.worker.worker_id,
+            running=len(report.running),
+            ended=len(report.ended),
+        )
+
+    def _check_tracked(self, worker_state, reported, asked_ms):
+        """Find the lost runs of a worker, and note that the others go on.
+
+        Args:
+            worker_state: its WorkerState.
+            reported: (task name, run number) of what it reports as running.
+            asked_ms: see handle_report().
+        """
+        for run in list(worker_state.runs.values()):
+            if (run.task.name, run.number) in reported:
+                self._note_running(run, asked_ms)
+            elif run.confirmed_ms is not None and run.confirmed_ms <= asked_ms:
+                self._mark_lost(run, 'absent from a report')
+
     def _handle_running(self, worker_state, item, now_ms):
         run = worker_state.runs.get(item.task)
         if run is None or run.number != item.run:
