Name the check of the worker directly before a start

The comment on the wait after a refusal for want of room had no subject.

The eight terms on the worker are now _is_start_allowed(). None of the terms has an effect, so their order doesn't matter. No behaviour changes.

--- a/figtray/scheduling/outcomes.py
+++ b/figtray/scheduling/outcomes.py
@@ -9,8 +9,9 @@
 from figtray.scheduling import state
 from figtray import verdict
 
-# After a refusal for want of room; doubled by each further one in a row. The
-# entry of the worker shows what it has after a heartbeat.
+# Time for which a worker is avoided after a refusal for want of room; doubled
+# by each further one in a row. Its entry shows a new capacity after a
+# heartbeat.
 NO_CAPACITY_BACKOFF_MS = 150
 MAX_NO_CAPACITY_BACKOFF_MS = 1200
 # A single lost reply may be a fault of the network; the second in a row is
@@ -41,15 +42,8 @@
             if (
                 not lease_ms
                 or not self._is_config_fresh()
-                or worker_state.gone
-                or worker_state.cordon_reason
-                or worker_state.unresponsive
-                or not worker_state.listed
-                or worker_state.avoid_until_ms > now_ms
-                or worker_state.is_overloaded()
+                or not self._is_start_allowed(worker_state, now_ms)
                 or worker_clock is None
-                or worker_state.worker.draining
-                or worker_state.worker.zone in self._evacuated_zones
                 or task.step.job.ended
             ):
                 self._revert_start(run, 'not sent')
@@ -182,8 +176,25 @@
                 and not self._term.ended.is_set()
             )
 
+    def _is_start_allowed(self, worker_state, now_ms):
+        """Return whether a worker may get the order to start a planned run.
+
+        Its capacity may have shrunk since, below what its runs occupy.
+        """
+        return not (
+            worker_state.gone
+            or worker_state.cordon_reason
+            or worker_state.unresponsive
+            or not worker_state.listed
+            or worker_state.avoid_until_ms > now_ms
+            or worker_state.is_overloaded()
+            or worker_state.worker.draining
+            or worker_state.worker.zone in self._evacuated_zones
+        )
+
 
 def _no_capacity_backoff_ms(worker_state):
+    """Return for how long a worker is avoided after one more refusal."""
     return min(
         NO_CAPACITY_BACKOFF_MS << worker_state.room_refusals,
         MAX_NO_CAPACITY_BACKOFF_MS,
