--- a/figtray/scheduling/suspicion.py
+++ b/figtray/scheduling/worker_ends.py
@@ -10,10 +10,16 @@
 from figtray.scheduling import scheduler_base
 
 
-class Suspicion(job_lifecycle.JobLifecycle):
+class WorkerEnds(job_lifecycle.JobLifecycle):
     """Records the ends of workers and suspects the tasks that crash them."""
 
     def _end_incarnation(self, worker_state, end):
+        """Record that an incarnation has ended, and with it its runs.
+
+        Args:
+            worker_state: its WorkerState.
+            end: the ends.End.
+        """
         if worker_state.gone:
             return
         worker_state.gone = True
@@ -69,6 +75,8 @@
 
     def _suspect_runs(self, worker_state):
         """Suspect the runs of a crashed worker; return their tasks."""
+        for run in crashes.settled_runs(worker_state):
+            run.task.late_crashes += (run.number,)
         runs = crashes.suspects(worker_state)
         alone = runs == [crashes.tried_run(worker_state)]
         for run in runs:
@@ -106,7 +114,7 @@
             number = self._term.epoch * scheduler_base.RUNS_PER_TERM
             alone = (
                 kind == ends.Kind.CRASHED
-                and task.crashes.count >= crashes.CRASHES_TO_INSIST
+                and task.crashes.count >= crashes.CRASHES_TO_REQUIRE_TRIAL
             )
             task.crashes = task.crashes.add(number, alone)
             task.placement = None
