Keep the end of earlier leases when a takeover is tried again

Callers see that lasting tasks of a worker that can't be reached wait for 7.4 s after an outage that has outlasted all leases, in place of 3 s, if the new leader's first list of workers fails.

Cause: a new leader queues its own record of leases before it lists the workers. If the list fails, the takeover is tried again and reads the record once more. That is now its own one, which it has not seen as one of earlier leaders, so it waits for the longest lease from the start of its term.

Evidence: found by reading; the test, which fails before this change and passes if the takeover is tried once only.

Change: the end of earlier leases is taken from the first record that is read in a term. A record that is read later can only be the term's own, as writes of earlier leaders fail once its key is stored.

--- a/figtray/scheduling/service.py
+++ b/figtray/scheduling/service.py
@@ -103,6 +103,9 @@
         self._sessions = {}
         self._roster = rosters.Roster()
         self._roster_sequence = 0
+        # Local time at which the leases of earlier terms have ended; None
+        # until the record of them is read.
+        self._earlier_leases_until_ms = None
         self._threads = []
         self._list_failed_ms = None
         self._list_failing = False
@@ -220,7 +223,10 @@
         if roster is None:
             return
         self._roster = roster
-        self._scheduler.begin_adoption(roster, self._earlier_leases_end_ms())
+        # A takeover that is tried again finds the record of this term.
+        if self._earlier_leases_until_ms is None:
+            self._earlier_leases_until_ms = self._earlier_leases_end_ms()
+        self._scheduler.begin_adoption(roster, self._earlier_leases_until_ms)
 
     def _earlier_leases_end_ms(self):
         item = self._store.get(terms.LEASES_KEY)
--- a/figtray/scheduling/tests/harness.py
+++ b/figtray/scheduling/tests/harness.py
@@ -175,15 +175,26 @@
 
     def elect_leader(self):
         """Return the Leader of a new term; the present one loses its key."""
+        return Leader(self, self.begin_term())
+
+    def begin_term(self, leases_seen=None):
+        """Return a new Term; the present leader loses its key.
+
+        Args:
+            leases_seen: the LeasesSeen of the new leader's node, or None.
+        """
         item = self.store.get(terms.LEADER_KEY)
         if item is not None:
             self.store.revoke(item.lease)
         lease = self.store.grant_lease(terms.LEASE_TTL_MS)
         result = self.store.txn((), [base.Put(terms.LEADER_KEY, b'{}', lease)])
-        term = terms.Term(
-            result.revision, lease, self.clock, self.clock.now_ms()
+        return terms.Term(
+            result.revision,
+            lease,
+            self.clock,
+            self.clock.now_ms(),
+            leases_seen,
         )
-        return Leader(self, term)
 
 
 def sims(fleet):
--- a/figtray/scheduling/tests/test_lease_horizon.py
+++ b/figtray/scheduling/tests/test_lease_horizon.py
@@ -31,6 +31,27 @@
     return sim.lease_until_ms - sim.clock_ms()
 
 
+def make_leader_term(fleet, term):
+    """Return the _LeaderTerm of a leader that can't list the workers."""
+
+    def list_workers():
+        raise errors.StoreUnavailable(detail='down')
+
+    return service._LeaderTerm(
+        service.LeaderService(
+            fleet.store,
+            fleet.clock,
+            harness.View(fleet),
+            list_workers,
+            fleet.client,
+            None,
+            None,
+            BOUNDS,
+        ),
+        term,
+    )
+
+
 def earlier_leases_end_ms(fleet, seen_revision, seen_ms):
     """Return the end of earlier leases for a leader that begins now."""
     term = terms.Term(
@@ -90,22 +111,7 @@
     def test_record_is_not_renewed_while_workers_are_not_listed(
         self, fleet, leader
     ):
-        def list_workers():
-            raise errors.StoreUnavailable(detail='down')
-
-        leader_term = service._LeaderTerm(
-            service.LeaderService(
-                fleet.store,
-                fleet.clock,
-                leader.view,
-                list_workers,
-                fleet.client,
-                None,
-                None,
-                BOUNDS,
-            ),
-            leader.term,
-        )
+        leader_term = make_leader_term(fleet, leader.term)
         with pytest.raises(errors.StoreUnavailable):
             leader_term._update_workers()
         assert leader_term._writer.has_pending()
@@ -173,3 +179,21 @@
         assert earlier_leases_end_ms(fleet, revision, now_ms) == (
             now_ms + leases.longest_lease_ms(BOUNDS)
         )
+
+    # A takeover that failed once took its own record for the last one of
+    # earlier leaders, and waited for the longest lease.
+    def test_own_record_of_a_failed_takeover_prolongs_the_wait(
+        self, fleet, leader
+    ):
+        seen = terms.LeasesSeen(
+            fleet.store.get(terms.LEASES_KEY).mod_revision,
+            fleet.clock.now_ms(),
+        )
+        fleet.clock.advance(10_000)
+        leader_term = make_leader_term(fleet, fleet.begin_term(seen))
+        for _ in range(2):
+            with pytest.raises(errors.StoreUnavailable):
+                leader_term._load_once()
+            leader_term._writer.flush()
+        fleet.clock.advance(lease_horizon.MIN_ADOPTION_MS)
+        assert not leader_term._scheduler._is_adopting(fleet.clock.now_ms())
