Keep the time at which a known record of leases was first seen

Callers see that lasting tasks of a worker that can't be reached, and all tasks of earlier terms that end, wait for 7.4 s after an outage that has outlasted all leases, in place of 3 s, if the store has also lost its history of changes.

Cause: a watch that is answered 410 is followed by a full read. The node took the record in it for a new one and counted its leases from the time of the read, though the record was the one that it had seen before the outage.

Evidence: found by reading; the test fails before this change (1,010,000 in place of 1,000,000 ms).

Change: a record whose revision is known keeps its time. It was written before it was seen first, so the bound still holds.

--- a/figtray/leadership/elector.py
+++ b/figtray/leadership/elector.py
@@ -95,6 +95,9 @@
             self._note_leases(item)
 
     def _note_leases(self, item):
+        seen = self._leases_seen
+        if seen is not None and seen.revision == item.mod_revision:
+            return
         self._leases_seen = terms.LeasesSeen(
             item.mod_revision, self._clock.now_ms()
         )
--- a/figtray/leadership/tests/test_elector.py
+++ b/figtray/leadership/tests/test_elector.py
@@ -10,6 +10,7 @@
 from figtray.events import catalogue
 from figtray.leadership import elector
 from figtray.leadership import term as terms
+from figtray.store import base
 from figtray.store import memory
 
 WAIT_S = 10
@@ -197,3 +198,19 @@
             for record in handler.records
             if record.extra['event'] is catalogue.LEADER_VACANT
         ] == [{'leader': 'node-1', 'unconfirmed_ms': 4900}]
+
+
+class TestLeasesSeen:
+    # After an outage with a loss of the history, all nodes took the record of
+    # the former leader for a new one, and waited for its leases once more.
+    def test_full_read_renews_the_time_of_a_known_record(self, store, clock):
+        store.txn((), [base.Put(terms.LEASES_KEY, b'{}')])
+        leader_elector = make_elector(store, clock)
+        leader_elector._watcher.load()
+        seen_ms = clock.now_ms()
+        clock.advance(10_000)
+        leader_elector._watcher.load()
+        term = leader_elector._try_acquire()
+        assert term.leases_seen == terms.LeasesSeen(
+            store.get(terms.LEASES_KEY).mod_revision, seen_ms
+        )
