Start on new workers while a record of leases is renewed

Callers see that tasks wait for a worker that is new, such as one that a move has brought into the pool, for longer than its entry in the stored roster takes, while writes to the store are slow.

Cause: starts on a new worker are allowed once the roster that names it is stored, and also the newest record of leases. A record is queued each 2 s, so a list of workers that comes with a new record waits for it, even if the roster has been stored for a while and the record before still allows leases. If a write takes longer than the 2 s, each list comes with a new record, and no new worker is used at all.

Change: starts wait for a record only while none allows leases. A start takes its lease from the stored records in any case.

--- a/figtray/scheduling/lease_horizon.py
+++ b/figtray/scheduling/lease_horizon.py
@@ -38,7 +38,8 @@
         """Queue a write of the record each RENEW_INTERVAL_MS.
 
         Returns:
-            Sequence number of the last write in the Writer.
+            Sequence number of the Writer that must be written before leases
+            may be granted; 0 if they may be now.
         """
         with self._lock:
             self._settle()
@@ -53,7 +54,7 @@
                     terms.LEASES_KEY, _encode
                 )
                 self._pending = self._sequence, now_ms
-            return self._sequence
+            return 0 if now_ms < self._until_ms else self._sequence
 
     def remaining_ms(self, now_ms):
         """Return how long a lease may last from now on; 0 if it may not.
