Count a record of leases from the request that stores it

Callers see that runs lapse right after their start, and that nothing starts for up to 1.7 s, when the store is back after an outage of 7.5 s or more in which the leader's own lease did not expire, or when a record has waited for long behind other writes.

Cause: the leases that a record allows were counted from the moment at which it was queued. A record that is queued at the start of an outage and stored after it allows leases of 100 ms, or none, until the next one is stored, although it was stored just now. So the reports and starts in between ask for leases of that length.

Evidence: found by reading; the test, where a record waits for 8.4 s, got 100 ms in place of 8,500 ms before this change.

Change: the writer encodes a record directly before each request, and that is the time from which the leases count. Other nodes can see it only after the request, so their bound still holds.

--- a/figtray/scheduling/lease_horizon.py
+++ b/figtray/scheduling/lease_horizon.py
@@ -29,9 +29,9 @@
         self._horizon_ms = leases.horizon_ms(bounds)
         self._lock = threading.Lock()
         self._until_ms = 0
-        # Sequence number of the write under way and the time of its request.
+        # Sequence number of the write that is queued or under way, or None.
         self._pending = None
-        self._sequence = 0
+        # Local time before the last request of a write.
         self._requested_ms = None
 
     def renew_if_due(self):
@@ -49,12 +49,10 @@
                 or now_ms - self._requested_ms >= RENEW_INTERVAL_MS
             )
             if is_due and self._pending is None:
-                self._requested_ms = now_ms
-                self._sequence = self._writer.enqueue(
-                    terms.LEASES_KEY, _encode
+                self._pending = self._writer.enqueue(
+                    terms.LEASES_KEY, self._encode
                 )
-                self._pending = self._sequence, now_ms
-            return 0 if now_ms < self._until_ms else self._sequence
+            return 0 if now_ms < self._until_ms else self._pending
 
     def remaining_ms(self, now_ms):
         """Return how long a lease may last from now on; 0 if it may not.
@@ -67,13 +65,21 @@
             return max(0, self._until_ms - now_ms)
 
     def _settle(self):
-        if self._pending is None:
-            return
-        sequence, requested_ms = self._pending
-        if self._writer.is_written(sequence):
-            self._until_ms = requested_ms + self._horizon_ms
+        if self._pending is not None and self._writer.is_written(
+            self._pending
+        ):
+            self._until_ms = self._requested_ms + self._horizon_ms
             self._pending = None
 
+    def _encode(self):
+        """Return an empty record, directly before a request to write it.
+
+        Only its revision matters to other nodes.
+        """
+        with self._lock:
+            self._requested_ms = self._clock.now_ms()
+        return b'{}'
+
 
 def earlier_leases_end_ms(term, item, bounds):
     """Return the local time at which the leases of earlier terms have ended.
@@ -90,8 +96,3 @@
         return longest_ms
     ended_ms = seen.at_ms + leases.longest_horizon_ms(bounds)
     return min(longest_ms, max(ended_ms, term.began_ms + MIN_ADOPTION_MS))
-
-
-def _encode():
-    """Return an empty record; only its revision matters."""
-    return b'{}'
--- a/figtray/scheduling/tests/test_lease_horizon.py
+++ b/figtray/scheduling/tests/test_lease_horizon.py
@@ -106,6 +106,21 @@
         )
         assert horizon.remaining_ms(fleet.clock.now_ms()) == 0
 
+    # A record that had waited for the return of the store only allowed leases
+    # of fractions of a second, so that new runs lapsed at once.
+    def test_record_counts_from_the_time_at_which_it_was_queued(
+        self, fleet, leader
+    ):
+        horizon = lease_horizon.LeaseHorizon(
+            leader.writer, fleet.clock, BOUNDS
+        )
+        horizon.renew_if_due()
+        leader.advance(leases.horizon_ms(BOUNDS) - 100)
+        leader.flush()
+        assert horizon.remaining_ms(fleet.clock.now_ms()) == leases.horizon_ms(
+            BOUNDS
+        )
+
     # Leases ran out under a valid term because the workers could not be
     # listed.
     def test_record_is_not_renewed_while_workers_are_not_listed(
