--- a/figtray/scheduling/tests/test_lease_horizon.py
+++ b/figtray/scheduling/tests/test_lease_horizon.py
@@ -31,6 +31,27 @@
     return sim.lease_until_ms - sim.clock_ms()
 
 
+def make_leader_term(fleet, term):
+    """Return the _LeaderTerm of a leader that can't list the workers."""
+
+    def list_workers():
+        raise errors.StoreUnavailable(detail='down')
+
+    return service._LeaderTerm(
+        service.LeaderService(
+            fleet.store,
+            fleet.clock,
+            harness.View(fleet),
+            list_workers,
+            fleet.client,
+            None,
+            None,
+            BOUNDS,
+        ),
+        term,
+    )
+
+
 def earlier_leases_end_ms(fleet, seen_revision, seen_ms):
     """Return the end of earlier leases for a leader that begins now."""
     term = terms.Term(
@@ -85,31 +106,47 @@
         )
         assert horizon.remaining_ms(fleet.clock.now_ms()) == 0
 
+    # A record that had waited for the return of the store only allowed leases
+    # of fractions of a second, so that new runs lapsed at once.
+    def test_record_counts_from_the_time_at_which_it_was_queued(
+        self, fleet, leader
+    ):
+        horizon = lease_horizon.LeaseHorizon(
+            leader.writer, fleet.clock, BOUNDS
+        )
+        horizon.renew_if_due()
+        leader.advance(leases.horizon_ms(BOUNDS) - 100)
+        leader.flush()
+        assert horizon.remaining_ms(fleet.clock.now_ms()) == leases.horizon_ms(
+            BOUNDS
+        )
+
     # Leases ran out under a valid term because the workers could not be
     # listed.
     def test_record_is_not_renewed_while_workers_are_not_listed(
         self, fleet, leader
     ):
-        def list_workers():
-            raise errors.StoreUnavailable(detail='down')
-
-        leader_term = service._LeaderTerm(
-            service.LeaderService(
-                fleet.store,
-                fleet.clock,
-                leader.view,
-                list_workers,
-                fleet.client,
-                None,
-                None,
-                BOUNDS,
-            ),
-            leader.term,
-        )
+        leader_term = make_leader_term(fleet, leader.term)
         with pytest.raises(errors.StoreUnavailable):
             leader_term._update_workers()
         assert leader_term._writer.has_pending()
 
+    # While writes were slow, starts on new workers waited for each new record,
+    # although the last one still allowed leases.
+    def test_starts_wait_for_a_record_that_is_renewed(
+        self, fleet, monkeypatch
+    ):
+        monkeypatch.setattr(service, 'ROSTER_WRITE_TIMEOUT_MS', 0)
+        leader_term = make_leader_term(fleet, fleet.begin_term())
+        scheduler = leader_term._scheduler
+        scheduler.sync_workers(fleet.workers.values(), True)
+        for _ in range(2):
+            leader_term._update_roster(scheduler.lease_horizon.renew_if_due())
+            allowed = [w.on_roster for w in scheduler.worker_states()]
+            leader_term._writer.flush()
+            fleet.clock.advance(lease_horizon.RENEW_INTERVAL_MS)
+        assert all(allowed)
+
     # A process that was suspended extended a lease after its term had ended.
     def test_lease_is_extended_after_the_term(self, fleet, leader):
         fleet.clock.advance(terms.LEASE_TTL_MS)
@@ -173,3 +210,21 @@
         assert earlier_leases_end_ms(fleet, revision, now_ms) == (
             now_ms + leases.longest_lease_ms(BOUNDS)
         )
+
+    # A takeover that failed once took its own record for the last one of
+    # earlier leaders, and waited for the longest lease.
+    def test_own_record_of_a_failed_takeover_prolongs_the_wait(
+        self, fleet, leader
+    ):
+        seen = terms.LeasesSeen(
+            fleet.store.get(terms.LEASES_KEY).mod_revision,
+            fleet.clock.now_ms(),
+        )
+        fleet.clock.advance(10_000)
+        leader_term = make_leader_term(fleet, fleet.begin_term(seen))
+        for _ in range(2):
+            with pytest.raises(errors.StoreUnavailable):
+                leader_term._load_once()
+            leader_term._writer.flush()
+        fleet.clock.advance(lease_horizon.MIN_ADOPTION_MS)
+        assert not leader_term._scheduler._is_adopting(fleet.clock.now_ms())
