Let no drain of a wave keep a lasting task waiting without an end

Callers saw: while a wave was carried out in a small or full pool, lasting tasks waited although cordoned workers had room for them; without an end if a host did not return from its upkeep.

Cause: a wave cordons two hosts more than may be down and stops their lasting tasks. Nothing bounded how long the hosts stay cordoned while their upkeep can't begin. A second case: two tasks of a step on one host, of which one may be away. One is stopped and finds no room but on this host, the other can't be stopped while the first waits.

Change: a lasting task that has waited for room for 2 s, and that a cordoned worker could run, ends the drain of this host if the drain has no bound of its own (another host's upkeep goes on, or the host still has lasting tasks). The host is not cordoned for 5 s, and the other hosts of its pool only on their turn. The release is logged (1809). Bounded drains go on, so a wave still makes progress in a full pool.

Open: a host on its turn whose short tasks run on has up to 6 s and its upkeep; a lasting task for which only this host has room waits that long.

--- a/figtray/events/catalogue.py
+++ b/figtray/events/catalogue.py
@@ -553,6 +553,13 @@
     'host stays where it is until another move is ordered.',
     ('host', 'pool', 'detail'),
 )
+DRAIN_POSTPONED = Event(
+    1809,
+    logbook.INFO,
+    'A lasting task waits for room that the cordoned worker of this host has; '
+    'tasks start there again, and the host is drained later.',
+    ('host', 'pool', 'wave', 'down'),
+)
 
 
 def by_name():
--- a/figtray/scheduling/draining.py
+++ b/figtray/scheduling/draining.py
@@ -2,10 +2,15 @@
 
 import collections
 
+from figtray.scheduling import held
+from figtray.scheduling import placement
 from figtray.scheduling import pool_load
 from figtray.scheduling import scheduler_base
 from figtray.scheduling import state
 
+# Why a task may wait that a cordoned worker could run.
+_ROOM_REASONS = (state.HeldReason.NO_ROOM, state.HeldReason.TRIAL)
+
 
 class Draining(scheduler_base.SchedulerBase):
     """Measures the load of pools, and cordons and drains workers."""
@@ -164,6 +169,36 @@
                 for run in worker_state.runs.values()
             )
 
+    def holds_up_lasting_task(self, worker_id, waited_ms):
+        """Return whether a lasting task could start but for a cordon.
+
+        Args:
+            worker_id: id of the cordoned worker.
+            waited_ms: least time for which the task has waited for room, in
+                milliseconds.
+        """
+        with self.lock:
+            worker_state = self._find_worker(worker_id)
+            if (
+                worker_state is None
+                or not worker_state.listed
+                or not worker_state.has_reported
+                or worker_state.worker.draining
+                or worker_state.worker.zone in self._evacuated_zones
+            ):
+                return False
+            now_ms = self._clock.now_ms()
+            return any(
+                step.spec.lasting
+                and step.held_reason in _ROOM_REASONS
+                and held.waited_ms(step, now_ms) >= waited_ms
+                and placement.has_room_uncordoned(step, worker_state, now_ms)
+                for step in self._open_steps.values()
+                if step.waiting
+                and step.job.queue is not None
+                and step.job.queue.pool == worker_state.worker.pool
+            )
+
     def _can_interrupt(self, run):
         """Return whether a drain may stop a lasting task now."""
         step = run.task.step
--- a/figtray/scheduling/placement.py
+++ b/figtray/scheduling/placement.py
@@ -33,27 +33,25 @@
 
 def is_usable(worker_state, now_ms):
     """Return whether tasks may start on a worker now."""
-    return not (
-        worker_state.avoid_until_ms > now_ms
-        or worker_state.cordon_reason
-        or worker_state.unresponsive
-        or worker_state.stray_runs.unknown
-    )
+    return not worker_state.cordon_reason and _is_sound(worker_state, now_ms)
 
 
 def suits(step, worker_state, now_ms):
     """Return whether a worker that runs nothing else may run a task."""
-    return (
-        is_usable(worker_state, now_ms)
-        and step.spec.label in ('', *worker_state.worker.labels)
-        and worker_state.worker.capacity.covers(state.occupied(step.spec))
-    )
+    return is_usable(worker_state, now_ms) and _can_hold(step, worker_state)
 
 
 def has_room(step, worker_state, now_ms):
     """Return whether a worker has room for one more task of a step."""
+    return not worker_state.cordon_reason and has_room_uncordoned(
+        step, worker_state, now_ms
+    )
+
+
+def has_room_uncordoned(step, worker_state, now_ms):
+    """Return whether a worker would have room if it weren't cordoned."""
     spec = step.spec
-    if not suits(step, worker_state, now_ms):
+    if not (_is_sound(worker_state, now_ms) and _can_hold(step, worker_state)):
         return False
     if not worker_state.free_resources().covers(state.occupied(spec)):
         return False
@@ -65,6 +63,22 @@
     return True
 
 
+def _is_sound(worker_state, now_ms):
+    return not (
+        worker_state.avoid_until_ms > now_ms
+        or worker_state.unresponsive
+        or worker_state.stray_runs.unknown
+    )
+
+
+def _can_hold(step, worker_state):
+    """Return whether the capacity of a worker suffices for a task."""
+    return step.spec.label in (
+        '',
+        *worker_state.worker.labels,
+    ) and worker_state.worker.capacity.covers(state.occupied(step.spec))
+
+
 def _score(spec, worker_state):
     """Return a sort key of a worker; the lowest key is the best worker.
 
--- a/figtray/upkeep/waves.py
+++ b/figtray/upkeep/waves.py
@@ -16,6 +16,12 @@
 # Hosts that are drained in addition to max_down, so that their upkeep can
 # begin as soon as other hosts return.
 DRAIN_AHEAD_HOSTS = 2
+# A lasting task that waits this long for room ends a drain without a bound of
+# its own: of a host whose turn has not come, or of one with lasting tasks.
+MAX_LASTING_WAIT_MS = 2000
+# Such a host is not drained again for this time, and the others of its pool
+# only when it is their turn.
+POSTPONE_MS = 5000
 # The host list may lag this much behind an accepted upkeep.
 HOST_LIST_LAG_MS = 500
 UPKEEP_REASON = 'upkeep'
@@ -48,6 +54,10 @@
         cordoned_ms: local time at which a host was cordoned, by host id.
         worker_ids: ids of the workers of the hosts that are cordoned or down,
             by host id.
+        postponed_until_ms: local time until which a host is not cordoned
+            again, by host id.
+        short_until_ms: local time until which hosts of a pool are cordoned
+            only when it is their turn, by pool.
     """
 
     wave: fleet.Wave
@@ -57,6 +67,12 @@
     published: str = ''
     cordoned_ms: dict = dataclasses.field(default_factory=dict)
     worker_ids: dict = dataclasses.field(default_factory=dict)
+    postponed_until_ms: dict = dataclasses.field(default_factory=dict)
+    short_until_ms: dict = dataclasses.field(default_factory=dict)
+
+    def turns_left(self):
+        """Return how many upkeeps may begin now."""
+        return max(0, self.wave.max_down - len(self.down))
 
 
 class WaveRunner:
@@ -170,6 +186,7 @@
         self._scheduler.set_upkeep_due(
             {host.worker_id for host in pending if host.worker_id}
         )
+        self._release_for_lasting_tasks(state, pending, now_ms)
         self._cordon_next(state, pending, now_ms)
         if not pending and not state.down:
             self._publish_status(state, completed=True)
@@ -184,7 +201,7 @@
             if host.host_id in state.cordoned_ms
             and self._drain_host(state, host, now_ms)
         ]
-        ready = ready[: max(0, state.wave.max_down - len(state.down))]
+        ready = ready[: state.turns_left()]
         if ready and self._orders.record([h.host_id for h in ready]):
             for host in ready:
                 self._begin_upkeep(state, host, now_ms)
@@ -205,22 +222,22 @@
         for host_id in list(state.cordoned_ms):
             if host_id not in pending_ids:
                 del state.cordoned_ms[host_id]
-        count = (
-            state.wave.max_down
-            + DRAIN_AHEAD_HOSTS
-            - len(state.down)
-            - len(state.cordoned_ms)
-        )
+        turns = state.wave.max_down - len(state.down) - len(state.cordoned_ms)
         candidates = sorted(
             (
                 host
                 for host in pending
                 if host.host_id not in state.cordoned_ms
                 and host.state == fleet.HostState.UP
+                and state.postponed_until_ms.get(host.host_id, 0) <= now_ms
             ),
             key=lambda host: self._scheduler.drain_cost(host.worker_id),
         )
-        for host in candidates[: max(0, count)]:
+        for host in candidates:
+            is_short = state.short_until_ms.get(host.pool, 0) > now_ms
+            if turns + (0 if is_short else DRAIN_AHEAD_HOSTS) <= 0:
+                continue
+            turns -= 1
             state.cordoned_ms[host.host_id] = now_ms
             log.emit(
                 catalogue.HOST_DRAINING,
@@ -234,6 +251,39 @@
                 state.worker_ids[host.host_id] = host.worker_id
         self._prune_worker_ids(state)
 
+    def _release_for_lasting_tasks(self, state, pending, now_ms):
+        """Uncordon a host that a lasting task waits for; see _is_bounded()."""
+        hosts = {host.host_id: host for host in pending}
+        for host_id in reversed(list(state.cordoned_ms)):
+            host = hosts.get(host_id)
+            if (
+                host is None
+                or self._is_bounded(state, host)
+                or not self._scheduler.holds_up_lasting_task(
+                    host.worker_id, MAX_LASTING_WAIT_MS
+                )
+            ):
+                continue
+            del state.cordoned_ms[host_id]
+            state.postponed_until_ms[host_id] = now_ms + POSTPONE_MS
+            state.short_until_ms[host.pool] = now_ms + POSTPONE_MS
+            log.emit(
+                catalogue.DRAIN_POSTPONED,
+                host=host_id,
+                pool=host.pool,
+                wave=state.wave.number,
+                down=len(state.down),
+            )
+            return
+
+    def _is_bounded(self, state, host):
+        """Return whether the drain of a cordoned host ends in MAX_DRAIN_MS."""
+        on_turn = list(state.cordoned_ms)[: state.turns_left()]
+        return (
+            host.host_id in on_turn
+            and not self._scheduler.has_lasting_tasks(host.worker_id)
+        )
+
     def _prune_worker_ids(self, state):
         for host_id in list(state.worker_ids):
             if host_id not in state.cordoned_ms and host_id not in state.down:
