Write full batches of records without a pause before each

Callers saw: nothing by itself; the start of a lasting task waits for the record of its placement, and this wait grew with the number of records that were queued before it, such as those of a takeover or of removed jobs.

Cause: the writer waited for 25 ms before each batch, so that more records share it, although those of a whole batch or of many were queued.

Change: no pause if a whole batch is queued.

HangingStore is for tests: it answers no call that is sent into an outage, as the platform's store does.

--- a/figtray/scheduling/tests/harness.py
+++ b/figtray/scheduling/tests/harness.py
@@ -110,9 +110,9 @@
 class Fleet:
     """Store, workers and clock, which outlive a leader."""
 
-    def __init__(self, workers=3, cfg=None, rate=1.0):
-        self.clock = clock_lib.ManualClock()
-        self.store = store_memory.MemoryStore(self.clock)
+    def __init__(self, workers=3, cfg=None, rate=1.0, store=None):
+        self.clock = store.clock if store else clock_lib.ManualClock()
+        self.store = store or store_memory.MemoryStore(self.clock)
         self.capacities = CapacityObserver()
         self.client = fleet_memory.MemoryWorkers(self.clock, self.capacities)
         self.intake = intakes.Intake(self.store, self.clock)
--- a/figtray/scheduling/tests/test_writer.py
+++ b/figtray/scheduling/tests/test_writer.py
@@ -3,9 +3,11 @@
 import pytest
 
 from figtray.leadership import term as terms
+from figtray.platform import store as platform_store
 from figtray.scheduling.tests import harness
 from figtray.scheduling import writer as writers
 from figtray.store import base
+from figtray.store.tests import outages
 
 
 @pytest.fixture
@@ -96,3 +98,60 @@
         writer.enqueue('k', lambda: b'v')
         writer.flush()
         assert value(fleet, 'k') is None
+
+
+class TestWaitForARecord:
+    """Time until a record is stored for which a start waits."""
+
+    # Time of a call of the store.
+    CALL_MS = 5
+    # Most records that a leader queues at a time, as it takes over.
+    QUEUED = 40 * writers.KEYS_PER_TXN
+
+    @pytest.fixture
+    def store(self):
+        return outages.HangingStore()
+
+    @pytest.fixture
+    def writer(self, store):
+        return harness.Fleet(0, store=store).elect_leader().writer
+
+    def write(self, writer, sequence):
+        """Run the writer until a record is stored."""
+        writer._term.ended = outages.Condition(
+            lambda: writer.is_written(sequence)
+        )
+        writer.run()
+
+    # The writer waited for more records before each batch, although those of
+    # many batches were queued, and the start of a task waited for them all.
+    def test_start_waits_for_a_pause_before_each_batch(self, store, writer):
+        def txn(*args, **kwargs):
+            store.clock.advance(self.CALL_MS)
+            return write(*args, **kwargs)
+
+        write, store.txn = store.txn, txn
+        for number in range(self.QUEUED):
+            writer.enqueue(f'k{number}', lambda: b'v')
+        sequence = writer.enqueue('placement', lambda: b'v')
+        began_ms = store.clock.now_ms()
+        self.write(writer, sequence)
+        calls = self.QUEUED // writers.KEYS_PER_TXN + 1
+        assert store.clock.now_ms() - began_ms <= (
+            calls * self.CALL_MS + writers.BATCH_DELAY_MS
+        )
+
+    # A call that hangs, or is repeated too late, holds the start for longer
+    # than the outage.
+    @pytest.mark.parametrize('outage_ms', range(100, 3000, 100))
+    def test_record_is_stored_long_after_an_outage(
+        self, store, writer, outage_ms
+    ):
+        sequence = writer.enqueue('placement', lambda: b'v')
+        store.fail_for(outage_ms)
+        self.write(writer, sequence)
+        assert store.since_back_ms() <= (
+            platform_store.CALL_TIMEOUT_MS
+            + writers.RETRY_MS
+            + writers.BATCH_DELAY_MS
+        )
--- a/figtray/scheduling/writer.py
+++ b/figtray/scheduling/writer.py
@@ -105,7 +105,9 @@
                 )
                 if not self._pending:
                     continue
-            self._clock.wait(self._term.ended, BATCH_DELAY_MS)
+                is_full = len(self._pending) >= KEYS_PER_TXN
+            if not is_full:
+                self._clock.wait(self._term.ended, BATCH_DELAY_MS)
             self.flush()
 
     def has_pending(self):
