Check the waits for an election and for the documents of the operators

W3 of the table of waits had no check, and W7 none for its bound. The tests play the elector and the watch of the documents on a clock that waits let pass, against a store that answers no call which is sent into an outage, for many lengths of the outage and moments at which it begins.

No fault was found.

--- a/figtray/leadership/tests/test_elector.py
+++ b/figtray/leadership/tests/test_elector.py
@@ -10,7 +10,9 @@
 from figtray.events import catalogue
 from figtray.leadership import elector
 from figtray.leadership import term as terms
+from figtray.platform import store as platform_store
 from figtray.store import memory
+from figtray.store.tests import outages
 
 WAIT_S = 10
 
@@ -197,3 +199,81 @@
             for record in handler.records
             if record.extra['event'] is catalogue.LEADER_VACANT
         ] == [{'leader': 'node-1', 'unconfirmed_ms': 4900}]
+
+
+class TestWaitAfterAnOutage:
+    """Time from the end of an outage, on a clock that waits let pass."""
+
+    DELAY_MS = 200
+    NEVER = outages.Condition(lambda: False)
+
+    @pytest.fixture
+    def store(self):
+        return outages.HangingStore()
+
+    def first_term_ms(self, store):
+        """Return the time from the end of the outage to the election."""
+        leader_elector = elector.LeaderElector(
+            store,
+            store.clock,
+            terms.LeaderRecord('node-1', 'a', 'node-1:1'),
+            lambda term: None,
+            self.DELAY_MS,
+        )
+        won = []
+        leader_elector._watcher.run = lambda stop: None
+        leader_elector._vacant.set()
+        leader_elector._run_term = lambda term, stop: won.append(
+            store.since_back_ms()
+        )
+        leader_elector.run(outages.Condition(lambda: bool(won)))
+        return won[0]
+
+    # A call that hangs, or an attempt that is repeated too late, keeps all
+    # tasks waiting for a leader.
+    @pytest.mark.parametrize('outage_ms', range(100, 5000, 100))
+    @pytest.mark.parametrize('call', ['grant_lease', 'txn'])
+    def test_nobody_leads_long_after_an_outage(self, store, outage_ms, call):
+        function = getattr(store, call)
+
+        def begin_outage(*args, **kwargs):
+            if not store.back_ms:
+                store.fail_for(outage_ms)
+            return function(*args, **kwargs)
+
+        setattr(store, call, begin_outage)
+        assert self.first_term_ms(store) <= (
+            platform_store.CALL_TIMEOUT_MS
+            + elector.RETRY_MS
+            + self.DELAY_MS
+            + elector.MAX_JITTER_MS
+        )
+
+    def test_election_without_an_outage_is_late(self, store):
+        store.back_ms = store.clock.now_ms()
+        assert self.first_term_ms(store) <= (
+            self.DELAY_MS + elector.MAX_JITTER_MS
+        )
+
+    # A leader whose lease is left after an outage starts nothing until it is
+    # renewed.
+    @pytest.mark.parametrize('outage_ms', range(2000, 5000, 100))
+    def test_lease_that_is_left_is_renewed_late(self, store, outage_ms):
+        leader_elector = make_elector(store, store.clock)
+        term = leader_elector._try_acquire()
+        store.fail_for(outage_ms)
+        renewed = []
+        record_renewal = term.record_renewal
+
+        def note_renewal(requested_ms, ttl_ms):
+            record_renewal(requested_ms, ttl_ms)
+            renewed.append(store.since_back_ms())
+
+        term.record_renewal = note_renewal
+        term.ended = outages.Condition(lambda: bool(renewed))
+        leader_elector._renew_lease(term)
+        assert renewed[0] <= (
+            platform_store.CALL_TIMEOUT_MS + terms.RENEW_INTERVAL_MS
+        )
+        term.ended = self.NEVER
+        assert term.valid()
--- a/figtray/store/tests/outages.py
+++ b/figtray/store/tests/outages.py
@@ -46,13 +46,18 @@
         super().__init__(self.clock)
         self.down_from_ms = self.back_ms = 0
 
-    def fail_for(self, ms):
-        """Begin an outage, during which no lease expires."""
+    def fail_for(self, ms, delay_ms=0):
+        """Begin an outage, during which no lease expires.
+
+        Args:
+            ms: its length in milliseconds.
+            delay_ms: time until it begins.
+        """
         self._leases = {
             lease_id: (ttl_ms, end_ms + ms)
             for lease_id, (ttl_ms, end_ms) in self._leases.items()
         }
-        self.down_from_ms = self.clock.now_ms()
+        self.down_from_ms = self.clock.now_ms() + delay_ms
         self.back_ms = self.down_from_ms + ms
 
     def is_down(self):
