Let no suspect pass a trial before its crash would count as late

What callers saw: in a test, a task that crashes its worker 0.30 to 0.36 s after its start was started without end, and its job never ended.

Cause: a run that had gone on for 0.3 s (TRIAL_MS) cleared its task. A crash up to 0.4 s after a start (SETTLED_MS) counts as soon after it, so it was the first one each time, and none was late.

Evidence: TestGivingUp.test_crash_soon_after_a_trial_is_counted failed before with a delay of 300 and 340 ms (144 crashes in 60 s); 260, 380, 420 and 500 ms passed.

Change: a trial lasts until a run counts as settled. A run that has passed one and crashes its worker then is counted as late, and is tried for 3 s after three such crashes.

Result: the test passes with all delays.

--- a/figtray/scheduling/crashes.py
+++ b/figtray/scheduling/crashes.py
@@ -14,8 +14,9 @@
 # It is tried all the same once so many workers crashed under it.
 LATE_CRASHES_TO_TRY = 3
 # Length of a trial, and of that of a task whose runs had gone on for a while
-# when their workers crashed.
-TRIAL_MS = 300
+# when their workers crashed. A run that has passed a trial is a settled one:
+# otherwise each crash between the two would count as the first.
+TRIAL_MS = SETTLED_MS
 LONG_TRIAL_MS = 3000
 # A run that has gone on for this long was not the cause of earlier crashes.
 CLEARED_MS = 10_000
--- a/figtray/scheduling/tests/deadly.py
+++ b/figtray/scheduling/tests/deadly.py
@@ -48,10 +48,10 @@
         takeovers.set_down(fleet, number)
         self._back_at_ms[number] = fleet.clock.now_ms() + BACK_MS
 
-    def play(self, leader, ms):
+    def play(self, leader, ms, cycle_ms=takeovers.CYCLE_MS):
         """Let a leader work for a while; no task may run twice at a time."""
-        for _ in range(ms // takeovers.CYCLE_MS):
-            leader.advance(takeovers.CYCLE_MS)
+        for _ in range(ms // cycle_ms):
+            leader.advance(cycle_ms)
             self._bring_back()
             leader.sync_workers()
             leader.run_cycle()
--- a/figtray/scheduling/tests/test_deadly_tasks.py
+++ b/figtray/scheduling/tests/test_deadly_tasks.py
@@ -75,6 +75,19 @@
         assert site.crashes[task] <= deadly.MOST_CRASHES
         assert leader.state(job_id) == records.State.FAILED
 
+    # A trial was passed before the end of the time within which a crash is
+    # put down to a start, so each crash after it was the first one again.
+    @pytest.mark.parametrize('delay_ms', [260, 300, 340, 380, 420, 500])
+    def test_crash_soon_after_a_trial_is_counted(
+        self, fleet, leader, delay_ms
+    ):
+        site = deadly.Site(fleet, delay_ms=delay_ms)
+        job_id, [task] = deadly.submit(fleet)
+        site.deadly = {task}
+        site.play(leader, LONG_MS, cycle_ms=20)
+        assert site.crashes[task] <= deadly.MOST_CRASHES
+        assert leader.state(job_id) == records.State.FAILED
+
     # With one worker, nobody is left to try the task on.
     def test_pool_of_one_worker(self):
         fleet = harness.Fleet(workers=1)
