Order the stand-in site and the in-memory store, and explain their state

In both, public methods stood between private ones, so that the list of what a test may call was spread over the whole class: expire_leases(), expire_entries(), and _restart_host() and _end_worker() among the public ones. The store documented two of its three public attributes, and history, leases and compaction had no word on their content or unit; one comment of the site described two constants at once.

Methods are moved as they were and doc comments added. No behaviour changes.

--- a/figtray/platform/standin_config.py
+++ b/figtray/platform/standin_config.py
@@ -9,8 +9,10 @@
 PATH_PREFIX = '/jobs/'
 ZONES = ('zone-a', 'zone-b')
 LOOPBACK = '127.0.0.1'
+# Range from which the ports of nodes are taken.
 FIRST_PORT, LAST_PORT = 10_000, 32_000
-# Two for listeners, and a range whose third port serves the metrics.
+# Ports that must be free for a node: two for listeners, and the internal ones,
+# of which the third serves the metrics.
 PORTS_PER_NODE = 8
 
 
@@ -89,7 +91,6 @@
             'front': f'{LOOPBACK}:{ports[0]}',
             'ready': f'{LOOPBACK}:{ports[1]}',
         },
-        # The metrics port is the third of this range.
         'internal_ports': [ports[2], ports[2] + 3],
         'platform': {'address': store_address},
         'cloud': {'address': hosts_address},
--- a/figtray/platform/standin_site.py
+++ b/figtray/platform/standin_site.py
@@ -26,9 +26,9 @@
 
 HEARTBEAT_INTERVAL_S = 0.5
 RUN_TIME_RANGE_MS = (200, 600)
-# A crashed worker is back after this time, and its entry is removed after
-# three heartbeats.
+# Time after which a worker that a run has crashed is back.
 CRASH_S = 2.0
+# Time after its crash in which the entry of a worker is still there.
 ENTRY_MS = int(3 * HEARTBEAT_INTERVAL_S * 1000)
 
 
@@ -161,13 +161,6 @@
         timer.daemon = True
         timer.start()
 
-    def _restart_host(self, host_id):
-        host = self.hosts.hosts[host_id]
-        if host.state is fleet.HostState.DOWN and not self._stop.is_set():
-            self._start_worker(
-                dataclasses.replace(host, state=fleet.HostState.UP)
-            )
-
     def worker_on(self, host_id):
         """Return the fleet Worker of a host, or None if it has none."""
         return self._workers_by_host.get(host_id)
@@ -210,20 +203,6 @@
             self._add_host(worker.pool)
         return worker
 
-    def _end_worker(self, host_id, entry_ms):
-        """Crash the worker of a host, which is down from then on."""
-        worker = self._workers_by_host.pop(host_id, None)
-        if worker is None:
-            return None
-        self.workers.crash(worker.address)
-        self._end_entry(worker, entry_ms)
-        self.hosts.hosts[host_id] = dataclasses.replace(
-            self.hosts.hosts[host_id],
-            state=fleet.HostState.DOWN,
-            worker_id='',
-        )
-        return worker
-
     def stop_server(self, worker):
         """Stop the server of a worker that has ended."""
         self._servers_by_worker_id[worker.worker_id].stop()
@@ -238,6 +217,15 @@
             and self.store.peek(f'servers/{worker.worker_id}')
         ]
 
+    def expire_entries(self):
+        """Delete the entries of ended workers, also while the store is down.
+
+        The platform's store does so at times, as the entries have leases.
+        """
+        self.store.remove(
+            [f'servers/{worker_id}' for worker_id in self._ended_worker_ids()]
+        )
+
     def worker_host_ids(self):
         """Return the ids of the hosts with a worker."""
         return sorted(self._workers_by_host)
@@ -298,6 +286,27 @@
             host, worker_id=worker.worker_id
         )
 
+    def _end_worker(self, host_id, entry_ms):
+        """Crash the worker of a host, which is down from then on."""
+        worker = self._workers_by_host.pop(host_id, None)
+        if worker is None:
+            return None
+        self.workers.crash(worker.address)
+        self._end_entry(worker, entry_ms)
+        self.hosts.hosts[host_id] = dataclasses.replace(
+            self.hosts.hosts[host_id],
+            state=fleet.HostState.DOWN,
+            worker_id='',
+        )
+        return worker
+
+    def _restart_host(self, host_id):
+        host = self.hosts.hosts[host_id]
+        if host.state is fleet.HostState.DOWN and not self._stop.is_set():
+            self._start_worker(
+                dataclasses.replace(host, state=fleet.HostState.UP)
+            )
+
     def _run_heartbeats(self):
         sequence = 0
         while not self._stop.is_set():
@@ -312,18 +321,11 @@
             self._stop.wait(HEARTBEAT_INTERVAL_S)
 
     def _end_entry(self, worker, after_ms=0):
+        """Let a heartbeat after a time delete the entry of a worker."""
         self._entry_ends_ms[worker.worker_id] = self.clock.now_ms() + after_ms
 
-    def expire_entries(self):
-        """Delete the entries of ended workers, also while the store is down.
-
-        The platform's store does so at times, as the entries have leases.
-        """
-        self.store.remove(
-            [f'servers/{worker_id}' for worker_id in self._ended_worker_ids()]
-        )
-
     def _ended_worker_ids(self):
+        """Return the ids of the ended workers whose entries are overdue."""
         now_ms = self.clock.now_ms()
         return [
             worker_id
@@ -332,6 +334,7 @@
         ]
 
     def _write_entries(self, sequence):
+        """Write and delete entries of workers, as their heartbeats do."""
         ended_worker_ids = self._ended_worker_ids()
         self.store.txn(
             [],
--- a/figtray/store/memory.py
+++ b/figtray/store/memory.py
@@ -33,21 +33,31 @@
 class MemoryStore(base.Store):
     """Key-value service in memory.
 
-    Attributes that inject faults:
-        down: whether all calls fail; set_down() also wakes the watches.
+    Attributes:
+        revision: revision of the last change.
+        down: whether all calls fail, as in an outage; set_down() also wakes
+            the watches.
         replies_to_lose: number of transactions that are still to be
             executed without a reply.
+
+    Args:
+        clock: the Clock of the leases; None = that of the system.
     """
 
     def __init__(self, clock=None):
         self._clock = clock or clock_lib.SystemClock()
         self._cond = threading.Condition()
+        # KeyValues by key.
         self._items = {}
+        # KeyValues of the last changes, oldest first.
         self._history = []
+        # Last revision whose changes are no longer kept.
         self._compacted_revision = 1
+        # (time to live, local time of the end) in ms, by lease id.
         self._leases = {}
         self._next_lease = 1
         self.revision = 1
+        # Changed by restore(), so that the watches before it break.
         self._history_id = 0
         self.down = False
         self.replies_to_lose = 0
@@ -253,16 +263,16 @@
             self._history_id += 1
             self._cond.notify_all()
 
-    def _begin_call(self):
-        if self.down:
-            raise errors.StoreUnavailable(detail='injected outage')
-        self._end_expired_leases()
-
     def expire_leases(self):
         """End the leases whose time is over, as any other call does."""
         with self._cond:
             self._end_expired_leases()
 
+    def _begin_call(self):
+        if self.down:
+            raise errors.StoreUnavailable(detail='injected outage')
+        self._end_expired_leases()
+
     def _end_expired_leases(self):
         now_ms = self._clock.now_ms()
         for lease_id, (_, end_ms) in list(self._leases.items()):
