Separate the need for hosts from their moves in the rebalancer

PoolRebalancer.reconcile() computed in 39 lines how many hosts each pool lacks and then added, drained and moved hosts; that a negative number is a surplus stood in a comment in the middle.

The numbers come from _missing_hosts(), whose doc comment says so, and two private functions got theirs. No behaviour changes.

--- a/figtray/upkeep/rebalancer.py
+++ b/figtray/upkeep/rebalancer.py
@@ -90,11 +90,32 @@
         self._set_cordoned()
         if spare_pool is None:
             return
+        pools = sorted(set(cfg.pools) - cfg.spare_pools())
+        missing = self._missing_hosts(pools, cfg, listed, now_ms)
+        for pool in sorted(missing, key=missing.get, reverse=True):
+            if missing[pool] > 0:
+                missing[pool] -= self._add_hosts(
+                    pool, missing[pool], listed, spare_pool, evacuated_zones
+                )
+        shortage = any(count > 0 for count in missing.values())
+        for pool in pools:
+            surplus = -missing.get(pool, 0)
+            self._drain_surplus(pool, surplus, listed, now_ms, shortage)
+        self._set_cordoned()
+        self._move_drained(listed, spare_pool, missing, evacuated_zones)
+        self._scheduler.set_workers_expected(
+            any(move.pool != spare_pool for move in self._moving.values())
+        )
+
+    def _missing_hosts(self, pools, cfg, listed, now_ms):
+        """Return the number of hosts that each pool lacks.
+
+        A negative number is a surplus. Pools without work or workers are left
+        out.
+        """
         loads = self._scheduler.pool_loads()
         capacity = host_needs.usual_capacity(listed.values())
-        pools = sorted(set(cfg.pools) - cfg.spare_pools())
         base = host_needs.base_workers(len(listed), cfg)
-        # Hosts that each pool lacks; a negative number is a surplus.
         missing = {}
         for pool in pools:
             load = loads.get(pool)
@@ -108,20 +129,7 @@
                 - host_needs.usual_workers(load, capacity),
             )
             missing[pool] = lacking - self._count_incoming(pool)
-        for pool in sorted(missing, key=missing.get, reverse=True):
-            if missing[pool] > 0:
-                missing[pool] -= self._add_hosts(
-                    pool, missing[pool], listed, spare_pool, evacuated_zones
-                )
-        shortage = any(count > 0 for count in missing.values())
-        for pool in pools:
-            surplus = -missing.get(pool, 0)
-            self._drain_surplus(pool, surplus, listed, now_ms, shortage)
-        self._set_cordoned()
-        self._move_drained(listed, spare_pool, missing, evacuated_zones)
-        self._scheduler.set_workers_expected(
-            any(move.pool != spare_pool for move in self._moving.values())
-        )
+        return missing
 
     def _set_cordoned(self):
         """Cordon the workers that are drained or whose hosts are moving.
@@ -137,6 +145,7 @@
         )
 
     def _count_incoming(self, pool):
+        """Return the number of hosts that are moving to a pool."""
         return sum(1 for move in self._moving.values() if move.pool == pool)
 
     def _prune_hosts(self, listed, spare_pool, now_ms):
@@ -294,6 +303,7 @@
         return list(self._executor.map(lambda move: self._move(*move), moves))
 
     def _move(self, host, pool):
+        """Move a host to a pool; return whether the move is under way."""
         if not self._term.valid():
             return False
         try:
