--- a/figtray/api/main.py
+++ b/figtray/api/main.py
@@ -14,6 +14,7 @@
 from figtray import program
 from figtray.settings import loader
 from figtray.settings import types
+from figtray.store import instrumented
 
 # Long polls occupy at most half of the threads. The others serve reads and
 # changes, of which one at a time accesses the store.
@@ -34,7 +35,7 @@
     credential_hash = loader.read_credential_hash(cfg)
     clock = clock_lib.SystemClock()
     metrics = metrics_lib.Metrics('figtray-api', cfg.listen, cfg.metrics)
-    store = metrics_lib.InstrumentedStore(
+    store = instrumented.InstrumentedStore(
         stores.PlatformStore(
             cfg.store.address, clock, call_ms=cfg.store.timeout_ms
         ),
--- a/figtray/platform/main.py
+++ b/figtray/platform/main.py
@@ -24,6 +24,7 @@
 from figtray.platform import workers
 from figtray import program
 from figtray.scheduling import service
+from figtray.store import instrumented
 from figtray.upkeep import controller
 
 PROGRAM = 'figtray-node'
@@ -100,7 +101,7 @@
         self._settings = settings
         self._clock = clock_lib.SystemClock()
         self._metrics = metrics_lib.Metrics(PROGRAM, settings.node_name)
-        self._store = metrics_lib.InstrumentedStore(
+        self._store = instrumented.InstrumentedStore(
             stores.PlatformStore(settings.platform.address, self._clock),
             self._metrics,
         )
--- a/figtray/tests/test_metrics.py
+++ b/figtray/tests/test_metrics.py
@@ -4,12 +4,9 @@
 import threading
 
 from opentelemetry.proto.collector.metrics.v1 import metrics_service_pb2
-import pytest
 
-from figtray import errors
 from figtray import metrics
 from figtray.settings import types
-from figtray.store import memory
 
 
 class TestMetrics:
@@ -109,44 +106,3 @@
         (metric,) = message.resource_metrics[0].scope_metrics[0].metrics
         assert metric.name == 'figtray_refused_starts'
         assert metric.sum.data_points[0].as_int == 1
-
-
-class TestInstrumentedStore:
-    # Guards against store calls that are not counted.
-    def test_counts_by_kind_and_outcome(self):
-        meter = metrics.Metrics('test')
-        store = metrics.InstrumentedStore(memory.MemoryStore(), meter)
-        store.get('a')
-        store.grant_lease(1000)
-        stop = threading.Event()
-        stop.set()
-        list(store.watch('a', 1, stop))
-        lines = meter.page().splitlines()
-        for kind, outcome in (
-            ('get', 'ok'),
-            ('grant_lease', 'ok'),
-            ('watch', 'started'),
-        ):
-            assert (
-                f'figtray_store_calls_total{{kind="{kind}",'
-                f'outcome="{outcome}"}} 1'
-            ) in lines
-
-    # Guards against failed store calls that are counted as successful.
-    @pytest.mark.parametrize(
-        'error, outcome',
-        [
-            (errors.StoreUnavailable, 'unavailable'),
-            (errors.WriteUncertain, 'uncertain'),
-            (KeyError, 'error'),
-        ],
-    )
-    def test_counts_failures(self, error, outcome):
-        class Failing(memory.MemoryStore):
-            def txn(self, compares, puts=(), deletes=()):
-                raise error('x')
-
-        meter = metrics.Metrics('test')
-        with pytest.raises(error):
-            metrics.InstrumentedStore(Failing(), meter).txn(())
-        assert f'{{kind="txn",outcome="{outcome}"}} 1' in meter.page()
