Document the state that the parts of the scheduler share

SchedulerBase is where a newcomer looks up what the parts share, and its central mappings (jobs, open steps, states of workers), one wait and six private functions that all parts call had no word on them.

Comments and doc comments only; no behaviour changes.

--- a/figtray/scheduling/scheduler_base.py
+++ b/figtray/scheduling/scheduler_base.py
@@ -21,6 +21,8 @@
 
 # Run numbers that a task can use up in one term; the next term starts above.
 RUNS_PER_TERM = 1 << 16
+# Time for which a worker is avoided after a failed start or the end of its
+# lease.
 UNHEALTHY_BACKOFF_MS = 1000
 # A worker's entry stays in the store for three heartbeats after its end.
 ENDED_INCARNATION_TTL_MS = 5000
@@ -59,14 +61,19 @@
         self._metrics = metrics
         # Parts of the takeover of this term that are over.
         self._takeover_phases = set()
+        # The queues.Config; None before the first.
         self._cfg = None
         self._evacuated_zones = frozenset()
+        # JobStates by id.
         self._jobs = {}
+        # Open StepStates by name.
         self._open_steps = {}
+        # WorkerStates by incarnation.
         self._worker_states = {}
         # Ended incarnations. Their entries stay in the store for a while and
         # are ignored until the local time given here.
         self._ended_incarnations = {}
+        # Ids of the jobs that open occurrences at set times.
         self._timed_jobs = set()
         self._quota = quota.Quota()
         self._arrival_meter = arrivals.ArrivalMeter()
@@ -92,6 +99,7 @@
         self._early_cancellations = {}
 
     def _note_capacity(self, capacity):
+        """Record the capacity of a worker or a host."""
         self._largest_capacity = self._largest_capacity.at_least(capacity)
 
     def worker_state(self, incarnation):
@@ -118,6 +126,7 @@
         return tasks[task_id.index] if task_id.index < len(tasks) else None
 
     def _find_worker(self, worker_id):
+        """Return the WorkerState with a worker id, or None."""
         for worker_state in self._worker_states.values():
             if (
                 worker_state.worker.worker_id == worker_id
@@ -137,6 +146,7 @@
         return min(self._lease_ms, self.lease_horizon.remaining_ms(now_ms))
 
     def _attach(self, run):
+        """Record that a run may exist on its worker."""
         task, spec = run.task, run.task.step.spec
         task.run = run
         task.last_run = max(task.last_run, run.number)
@@ -220,6 +230,7 @@
         self.loaded.set()
 
     def _record_takeover(self, phase):
+        """Measure a part of the takeover; only the first time counts."""
         if self._metrics is None or phase in self._takeover_phases:
             return
         self._takeover_phases.add(phase)
@@ -228,6 +239,7 @@
         )
 
     def _is_adopting(self, now_ms):
+        """Return whether runs of earlier terms may still be unknown."""
         return bool(self._unresolved) and now_ms < self._adoption_until_ms
 
     def _record_placement(self, run):
@@ -258,6 +270,7 @@
         run.worker_state.wake.set()
 
     def _requeue(self, task):
+        """Let a task without a run wait again if it is still needed."""
         if task.done or task.step.job.ended:
             return
         task.ready_ms = self._clock.now_ms()
