Name the size of a pool in hosts, and document three steps of loops

host_needs.usual_workers() returned hosts, not workers, and nothing usual but their size; MIN_WORKERS served two rules, of which the comment had one. HostController._reconcile(), LeaderElector._try_acquire() and _run_term() are called by tests step by step and had no doc comments.

The function is equivalent_hosts(); the rest is comments. No behaviour changes.

--- a/figtray/leadership/elector.py
+++ b/figtray/leadership/elector.py
@@ -143,6 +143,7 @@
             )
 
     def _try_acquire(self):
+        """Return the Term if this node has become the leader, else None."""
         requested_ms = self._clock.now_ms()
         try:
             lease_id = self._store.grant_lease(terms.LEASE_TTL_MS)
@@ -201,6 +202,7 @@
             )
 
     def _run_term(self, term, stop):
+        """Lead for a term, and give the lease back at its end."""
         log.emit(
             catalogue.LEADER_WON,
             epoch=term.epoch,
--- a/figtray/upkeep/controller.py
+++ b/figtray/upkeep/controller.py
@@ -12,6 +12,7 @@
 from figtray.upkeep import rebalancer
 from figtray.upkeep import waves
 
+# Wait after a failed call to the host service or the store.
 RETRY_DELAY_MS = 300
 RECONCILE_INTERVAL_MS = 120
 # Concurrent calls that move hosts.
@@ -94,6 +95,15 @@
             self._clock.wait(term.ended, RECONCILE_INTERVAL_MS)
 
     def _reconcile(self, scheduler, parts):
+        """Read the host list and act on it once.
+
+        Args:
+            scheduler: the Scheduler.
+            parts: the _TermParts.
+
+        Raises:
+            HostListUnavailable: the list could not be read.
+        """
         cfg = self._view.config()
         if cfg is None:
             return
@@ -114,6 +124,7 @@
         )
 
     def _log_loads(self, scheduler):
+        """Log the load of each pool each LOAD_LOG_INTERVAL_MS."""
         now_ms = self._clock.now_ms()
         if now_ms - self._loads_logged_ms < LOAD_LOG_INTERVAL_MS:
             return
--- a/figtray/upkeep/host_needs.py
+++ b/figtray/upkeep/host_needs.py
@@ -9,6 +9,7 @@
 # Each pool keeps this share of an equal split of all hosts among all pools,
 # but no fewer than MIN_WORKERS, to absorb a peak until spare hosts arrive.
 BASE_SHARE = 0.55
+# A pool also gets so many that can be reached.
 MIN_WORKERS = 2
 # Share of the needs of waiting tasks for which a pool gets hosts. The other
 # waiting tasks start on the same hosts within seconds.
@@ -102,8 +103,10 @@
     return max(MIN_WORKERS, math.ceil(hosts), spread)
 
 
-def usual_workers(load, capacity):
-    """Return how many hosts of the usual size the workers of a pool replace.
+def equivalent_hosts(load, capacity):
+    """Return how many hosts of the usual size the workers of a pool stand for.
+
+    Workers that have shrunk count for less than a host each.
 
     Args:
         load: its PoolLoad.
--- a/figtray/upkeep/rebalancer.py
+++ b/figtray/upkeep/rebalancer.py
@@ -126,7 +126,7 @@
                 base - load.workers,
                 host_needs.MIN_WORKERS - load.reachable,
                 host_needs.wanted_workers(load, rise, capacity)
-                - host_needs.usual_workers(load, capacity),
+                - host_needs.equivalent_hosts(load, capacity),
             )
             missing[pool] = lacking - self._count_incoming(pool)
         return missing
