--- a/figtray/scheduling/crashes.py
+++ b/figtray/scheduling/crashes.py
@@ -137,35 +137,19 @@
     return run.sent_ms is not None and asked_ms - run.sent_ms >= CLEARED_MS
 
 
-def log_suspected(task, number, worker_id, after_ms):
-    """Log that a task is suspected of one more crash.
-
-    Args:
-        task: its TaskState.
-        number: number of its run; 0 if it is unknown.
-        worker_id: id of the worker that crashed.
-        after_ms: age_ms() of the run; None if it is unknown.
-    """
+def log_suspected(run):
+    """Log that the task of a run is suspected of one more crash."""
     log.emit(
         catalogue.TASK_SUSPECTED,
-        task=task.name,
-        run=number,
-        worker=worker_id,
-        crashes=task.crashes.count,
-        alone=task.crashes.alone,
-        after_ms=after_ms,
+        task=run.task.name,
+        run=run.number,
+        worker=run.worker_state.worker.worker_id,
+        crashes=run.task.crashes.count,
+        alone=run.task.crashes.alone,
+        after_ms=_age_ms(run),
     )
 
 
-def age_ms(run):
-    """Return how long a run went on before its worker fell silent.
-
-    That is None if its worker has answered all requests.
-    """
-    silent_ms = run.worker_state.silent_since_ms
-    return None if silent_ms is None else silent_ms - run.sent_ms
-
-
 def _sent_runs(worker_state):
     """Return the runs on a worker that it may have started."""
     return [
@@ -174,5 +158,11 @@
 
 
 def _is_settled(run):
-    run_ms = age_ms(run)
-    return run_ms is not None and run_ms >= SETTLED_MS
+    age_ms = _age_ms(run)
+    return age_ms is not None and age_ms >= SETTLED_MS
+
+
+def _age_ms(run):
+    """Return how long a run went on before its worker fell silent."""
+    silent_ms = run.worker_state.silent_since_ms
+    return None if silent_ms is None else silent_ms - run.sent_ms
--- a/figtray/scheduling/worker_ends.py
+++ b/figtray/scheduling/worker_ends.py
@@ -85,12 +85,7 @@
                 for number in task.late_crashes:
                     task.crashes = task.crashes.add(number, False)
             task.crashes = task.crashes.add(run.number, alone)
-            crashes.log_suspected(
-                task,
-                run.number,
-                worker_state.worker.worker_id,
-                crashes.age_ms(run),
-            )
+            crashes.log_suspected(run)
             if not task.step.job.ended:
                 self._store_progress(task.step.job)
         return [run.task for run in runs]
@@ -124,7 +119,15 @@
             task.crashes = task.crashes.add(number, alone)
             task.placement = None
             self._store_progress(task.step.job)
-            crashes.log_suspected(task, 0, incarnation.worker_id, None)
+            log.emit(
+                catalogue.TASK_SUSPECTED,
+                task=task.name,
+                run=0,
+                worker=incarnation.worker_id,
+                crashes=task.crashes.count,
+                alone=task.crashes.alone,
+                after_ms=None,
+            )
             self._give_up_if_guilty(task)
 
     def _unfinished_tasks(self):
