--- a/figtray/upkeep/rebalancer.py
+++ b/figtray/upkeep/rebalancer.py
@@ -90,24 +90,8 @@
         self._set_cordoned()
         if spare_pool is None:
             return
-        loads = self._scheduler.pool_loads()
-        capacity = host_needs.usual_capacity(listed.values())
         pools = sorted(set(cfg.pools) - cfg.spare_pools())
-        base = host_needs.base_workers(len(listed), cfg)
-        # Hosts that each pool lacks; a negative number is a surplus.
-        missing = {}
-        for pool in pools:
-            load = loads.get(pool)
-            if load is None:
-                continue
-            rise = self._trends[pool].forecast_rise(load, now_ms)
-            lacking = max(
-                base - load.workers,
-                host_needs.MIN_WORKERS - load.reachable,
-                host_needs.wanted_workers(load, rise, capacity)
-                - host_needs.usual_workers(load, capacity),
-            )
-            missing[pool] = lacking - self._count_incoming(pool)
+        missing = self._missing_hosts(pools, cfg, listed, now_ms)
         for pool in sorted(missing, key=missing.get, reverse=True):
             if missing[pool] > 0:
                 missing[pool] -= self._add_hosts(
@@ -123,6 +107,30 @@
             any(move.pool != spare_pool for move in self._moving.values())
         )
 
+    def _missing_hosts(self, pools, cfg, listed, now_ms):
+        """Return the number of hosts that each pool lacks.
+
+        A negative number is a surplus. Pools without work or workers are left
+        out.
+        """
+        loads = self._scheduler.pool_loads()
+        capacity = host_needs.usual_capacity(listed.values())
+        base = host_needs.base_workers(len(listed), cfg)
+        missing = {}
+        for pool in pools:
+            load = loads.get(pool)
+            if load is None:
+                continue
+            rise = self._trends[pool].forecast_rise(load, now_ms)
+            lacking = max(
+                base - load.workers,
+                host_needs.MIN_WORKERS - load.reachable,
+                host_needs.wanted_workers(load, rise, capacity)
+                - host_needs.equivalent_hosts(load, capacity),
+            )
+            missing[pool] = lacking - self._count_incoming(pool)
+        return missing
+
     def _set_cordoned(self):
         """Cordon the workers that are drained or whose hosts are moving.
 
@@ -137,6 +145,7 @@
         )
 
     def _count_incoming(self, pool):
+        """Return the number of hosts that are moving to a pool."""
         return sum(1 for move in self._moving.values() if move.pool == pool)
 
     def _prune_hosts(self, listed, spare_pool, now_ms):
@@ -294,6 +303,7 @@
         return list(self._executor.map(lambda move: self._move(*move), moves))
 
     def _move(self, host, pool):
+        """Move a host to a pool; return whether the move is under way."""
         if not self._term.valid():
             return False
         try:
