Keep a vacancy that is seen before the start of the term

Callers see that nothing starts any more, until the process is restarted, if the only node that is left is suspended for 2 s right after it has written the leader's key.

Cause: the node clears what it knows of a vacancy when it begins to lead. If its watch has reported by then that the key is written and that it has expired, the vacancy that is cleared is the present one, and no event follows. With other nodes one of them leads, and its key is an event.

Evidence: found by reading; the test fails before this change.

Change: only what the watch reports, in its order, changes the knowledge of a vacancy. A node whose watch is behind tries to acquire the key in vain, as nodes do that lose an election.

--- a/figtray/leadership/elector.py
+++ b/figtray/leadership/elector.py
@@ -209,7 +209,6 @@
             epoch=term.epoch,
             vacant_ms=self._clock.now_ms() - self._vacant_ms,
         )
-        self._vacant.clear()
         for target, name in (
             (lambda: self._renew_lease(term), 'renewal'),
             (lambda: self._end_term_at_stop(term, stop), 'hand-over'),
--- a/figtray/leadership/tests/test_elector.py
+++ b/figtray/leadership/tests/test_elector.py
@@ -166,6 +166,21 @@
         leader_elector._resign(term)
         assert store.get(terms.LEADER_KEY).mod_revision == later_term.epoch
 
+    # A process that was suspended right after it had written the key saw its
+    # lease expire before it began to lead. If it was the only node left, it
+    # never stood for election again.
+    def test_vacancy_before_the_start_of_the_term_is_forgotten(
+        self, store, clock
+    ):
+        leader_elector = make_elector(store, clock)
+        term = leader_elector._try_acquire()
+        leader_elector._watcher.load()
+        clock.advance(terms.LEASE_TTL_MS + 1)
+        store.expire_leases()
+        leader_elector._watcher.load()
+        leader_elector._run_term(term, threading.Event())
+        assert leader_elector._vacant.is_set()
+
     def test_exception_ends_the_term(self, store, clock):
         def lead(term):
             raise errors.FigtrayError('broken')
