--- a/figtray/store/tests/outages.py
+++ b/figtray/store/tests/outages.py
@@ -8,10 +8,21 @@
 from figtray.store import base
 from figtray.store import memory
 
+# No wait in a test goes on for so long.
+ENDLESS_MS = 100_000
+
 
 class PassingClock(clock_lib.ManualClock):
     """Clock of a test in one thread; a wait lets its time pass."""
 
+    def __init__(self):
+        super().__init__()
+        self._end_ms = self.now_ms() + ENDLESS_MS
+
+    def advance(self, ms):
+        super().advance(ms)
+        assert self.now_ms() < self._end_ms, 'the wait has no end'
+
     def wait(self, event, timeout_ms):
         if not event.is_set():
             self.advance(max(0, math.ceil(timeout_ms)))
