Check the waits for a first report and for orders before another

The tests run the session with one worker on a clock that waits let pass, against a worker that is silent for a while.

Starts don't add up, as the worker is avoided after two without an answer.

No fault was found. Trials in which the code was broken, and the tests that failed: four times the time between reports and three times the grace of a report (test_worker_is_asked_late_for_its_first_report); four times the time after a stop (test_stop_occupies_a_thread_for_long); a worker that is avoided after six starts only (test_each_start_waits_for_the_one_before).

--- a/figtray/scheduling/tests/test_session.py
+++ b/figtray/scheduling/tests/test_session.py
@@ -5,9 +5,13 @@
 
 import pytest
 
+from figtray import errors
 from figtray.fleet import messages
+from figtray.scheduling import outcomes
 from figtray.scheduling import reports
+from figtray.scheduling import session as sessions
 from figtray.scheduling.tests import harness
+from figtray.store.tests import outages
 
 WAIT_S = 10
 
@@ -122,3 +126,114 @@
         for thread in session._threads:
             thread.join(WAIT_S)
             assert not thread.is_alive()
+
+
+class SilentClient:
+    """Client of a worker that answers nothing until a time.
+
+    Args:
+        clock: the PassingClock.
+        client: the WorkerClient that is called afterwards.
+        silent_ms: time until then.
+
+    Attributes:
+        back_ms: local time at which the worker answers again.
+        sent: names of the calls that got no answer.
+    """
+
+    def __init__(self, clock, client, silent_ms):
+        self.back_ms = clock.now_ms() + silent_ms
+        self.sent = []
+        self._clock = clock
+        self._client = client
+
+    def report(self, *args):
+        return self._call('report', *args)
+
+    def start(self, *args):
+        return self._call('start', *args)
+
+    def stop(self, *args):
+        return self._call('stop', *args)
+
+    def disconnect(self, worker):
+        self._client.disconnect(worker)
+
+    def _call(self, name, worker, *args):
+        if self._clock.now_ms() < self.back_ms:
+            self.sent.append(name)
+            self._clock.advance(args[-1])
+            raise errors.ReplyLost(address=worker.address, detail='injected')
+        return getattr(self._client, name)(worker, *args)
+
+
+class TestWaitForAWorker:
+    """Time until a worker that was silent is used, or its tasks are free.
+
+    The clock is one that waits let pass, in the thread of the test.
+    """
+
+    @pytest.fixture
+    def fleet(self):
+        return harness.Fleet(1, store=outages.HangingStore())
+
+    def make_session(self, fleet, leader, silent_ms):
+        """Return the session with a worker that is silent from now on."""
+        # The leader renews its lease meanwhile.
+        leader.term.valid = lambda: True
+        [session] = leader._sessions.values()
+        session._client = SilentClient(fleet.clock, fleet.client, silent_ms)
+        return session
+
+    # No task starts on a worker before its first report in a term.
+    @pytest.mark.parametrize('silent_ms', range(50, 3000, 150))
+    def test_worker_is_asked_late_for_its_first_report(self, fleet, silent_ms):
+        leader = fleet.elect_leader()
+        session = self.make_session(fleet, leader, silent_ms)
+        worker_state = leader.worker_state(0)
+        leader.term.ended = outages.Condition(
+            lambda: worker_state.has_reported
+        )
+        session._run_reports()
+        assert fleet.clock.now_ms() - session._client.back_ms <= (
+            sessions.REPORT_GRACE_MS + sessions.RETRY_MS
+        )
+
+    # The tasks that were to start on a silent worker waited for their turns,
+    # each as long as a call.
+    def test_each_start_waits_for_the_one_before(self, fleet):
+        leader = fleet.elect_leader()
+        leader.report_all()
+        job_id = fleet.submit(harness.make_step(8, lasting=True))
+        session = self.make_session(fleet, leader, outages.ENDLESS_MS)
+        leader.sync_intake()
+        leader.scheduler.plan()
+        leader.flush()
+        worker_state = leader.worker_state(0)
+        orders = worker_state.orders.qsize()
+        assert orders == 8
+        began_ms = fleet.clock.now_ms()
+        leader.deliver_orders(0, orders)
+        calls = outcomes.UNANSWERED_STARTS_TO_AVOID
+        assert session._client.sent == ['start'] * calls
+        assert fleet.clock.now_ms() - began_ms <= (
+            calls * sessions.START_TIMEOUT_MS
+        )
+        step = leader.scheduler.find_task(f'{job_id}.0.0.0').step
+        assert len(step.waiting) == orders - calls
+
+    # A start waits behind an order to stop that gets no answer.
+    @pytest.mark.parametrize('silent_ms', range(50, 3000, 150))
+    def test_stop_occupies_a_thread_for_long(self, fleet, silent_ms):
+        leader = fleet.elect_leader()
+        leader.report_all()
+        job_id = fleet.submit(harness.make_step(lasting=True))
+        leader.run_cycle()
+        run = leader.scheduler.find_task(f'{job_id}.0.0.0').run
+        session = self.make_session(fleet, leader, silent_ms)
+        leader.scheduler.stop(run, 'test')
+        while run.confirmed_ms is None:
+            leader.deliver_orders(0, 1)
+        assert fleet.clock.now_ms() - session._client.back_ms <= (
+            sessions.STOP_TIMEOUT_MS + sessions.RETRY_MS
+        )
