Check the wait for the needs of held tasks in a team's limit

After a takeover with two silent workers, the team has its whole limit at work elsewhere once the longest lease and the time to start are over, for lasting and other tasks, listed workers or not.

No fault was found.

--- a/figtray/scheduling/tests/test_adoption.py
+++ b/figtray/scheduling/tests/test_adoption.py
@@ -8,6 +8,7 @@
 from figtray.jobs import records
 from figtray.scheduling import roster as rosters
 from figtray.scheduling.tests import harness
+from figtray.scheduling.tests import takeovers
 
 
 class TestTakeover:
@@ -222,3 +223,35 @@
             'worker-1',
             'worker-2',
         ]
+
+
+class TestWaitForTheTeamsLimit:
+    LIMIT = 4
+
+    # The needs of tasks that were held counted for longer than their leases
+    # could last, or for good.
+    @pytest.mark.parametrize('lasting', [True, False])
+    @pytest.mark.parametrize('listed', [True, False])
+    def test_needs_of_held_tasks_stay_counted(self, lasting, listed):
+        fleet = harness.Fleet(
+            4, harness.make_config(limit_milli=self.LIMIT * 1000)
+        )
+        leader = fleet.elect_leader()
+        leader.report_all()
+        fleet.submit(harness.make_step(2, lasting=lasting, max_per_worker=1))
+        takeovers.play(leader, 2 * takeovers.CYCLE_MS)
+        silent = {number for number in range(4) if fleet.sim(number).runs}
+        assert len(silent) == 2
+        takeovers.silence(fleet, *silent, listed=listed)
+        fleet.submit(harness.make_step(self.LIMIT, lasting=True))
+        leader = fleet.elect_leader()
+        takeovers.play(leader, takeovers.LONGEST_LEASE_MS + takeovers.START_MS)
+        places = [
+            place
+            for places in takeovers.running(fleet).values()
+            for place in places
+        ]
+        assert len(places) == self.LIMIT
+        assert not {worker_id for worker_id, _ in places} & {
+            f'worker-{number}' for number in silent
+        }
