Count no late crash on trial as one that shows a task's guilt

What callers saw: in tests, jobs without a deadly task were shown as failed after three or four chance crashes of workers.

Cause: if no run on a crashed worker is young, all become suspects, and one that had gone on for more than 0.4 s is then tried for 3 s. A crash by chance is far likelier to hit such a trial than one of 0.4 s, and counted as much. Two of them, or one after three late crashes beside deadly tasks, were enough.

Evidence: TestInnocentTasks.test_chance_crashes_of_a_long_run_fail_no_job failed before (a task whose workers crash 2 s after each start is given up after three crashes).

Change: only a crash on trial that comes within 0.4 s after the start counts as one on trial. A task that crashes its workers later is given up after five crashes, which is what may be started.

--- a/figtray/events/catalogue.py
+++ b/figtray/events/catalogue.py
@@ -444,8 +444,8 @@
     logbook.INFO,
     'A worker has crashed under a run, so its task may have caused the crash. '
     'crashes counts those of the task that nothing has cleared it of, alone '
-    'those on a worker of its own; after_ms is the time from the order to '
-    'start until the worker fell silent.',
+    'those soon after its start on a worker of its own; after_ms is the time '
+    'from the order to start until the worker fell silent.',
     ('task', 'run', 'worker', 'crashes', 'alone', 'after_ms'),
 )
 TRIAL_STARTED = Event(
--- a/figtray/jobs/records.py
+++ b/figtray/jobs/records.py
@@ -65,7 +65,8 @@
 
     Attributes:
         runs: numbers of the runs under which workers crashed.
-        alone: how many of them were on trial, on a worker of their own.
+        alone: how many of them were on trial, on a worker of their own, and
+            soon after the start.
     """
 
     runs: tuple[int, ...] = ()
@@ -81,7 +82,7 @@
 
         Args:
             number: number of the run.
-            alone: whether it was on trial.
+            alone: whether it was on trial and soon after the start.
         """
         if number in self.runs:
             return self
--- a/figtray/scheduling/crashes.py
+++ b/figtray/scheduling/crashes.py
@@ -20,9 +20,9 @@
 LONG_TRIAL_MS = 3000
 # A run that has gone on for this long was not the cause of earlier crashes.
 CLEARED_MS = 10_000
-# Crashes after which a task is given up, by the number of those on trial. One
-# crash on trial may be chance. After a change of the leader it may be unknown
-# that a crash was on trial.
+# Crashes after which a task is given up, by the number of those on trial and
+# soon after the start. One of these may be chance. After a change of the
+# leader it may be unknown that a crash was on trial.
 CRASHES_TO_GIVE_UP = {0: 5, 1: 4, 2: 3}
 # A task that crashed fewer workers starts without a trial if it has waited
 # for one for so long, and later also beside other suspects.
@@ -43,7 +43,7 @@
     tried = tried_run(worker_state)
     if tried in sent:
         return [tried]
-    settled = [run for run in sent if _is_settled(run)]
+    settled = [run for run in sent if is_late(run)]
     for run in settled:
         run.task.late_crashes += (run.number,)
     return [run for run in sent if run not in settled] or sent
@@ -111,6 +111,12 @@
     return run.sent_ms is not None and asked_ms - run.sent_ms >= CLEARED_MS
 
 
+def is_late(run):
+    """Return whether a run had gone on for a while when its worker ended."""
+    age_ms = _age_ms(run)
+    return age_ms is not None and age_ms >= SETTLED_MS
+
+
 def log_suspected(run):
     """Log that the task of a run is suspected of one more crash."""
     log.emit(
@@ -124,11 +130,6 @@
     )
 
 
-def _is_settled(run):
-    age_ms = _age_ms(run)
-    return age_ms is not None and age_ms >= SETTLED_MS
-
-
 def _age_ms(run):
     """Return how long a run went on before its worker fell silent."""
     silent_ms = run.worker_state.silent_since_ms
--- a/figtray/scheduling/suspicion.py
+++ b/figtray/scheduling/suspicion.py
@@ -76,7 +76,10 @@
             if alone:
                 for number in task.late_crashes:
                     task.crashes = task.crashes.add(number, False)
-            task.crashes = task.crashes.add(run.number, alone)
+            # Long trials are more often hit by a crash that is chance.
+            task.crashes = task.crashes.add(
+                run.number, alone and not crashes.is_late(run)
+            )
             crashes.log_suspected(run)
             if not task.step.job.ended:
                 self._store_progress(task.step.job)
--- a/figtray/scheduling/tests/test_deadly_tasks.py
+++ b/figtray/scheduling/tests/test_deadly_tasks.py
@@ -178,6 +178,21 @@
         site.play(leader, 10_000)
         assert leader.state(job_id) == records.State.COMPLETED
 
+    # A task that had gone on for longer than deadly ones do was taken for one
+    # after three crashes, two of them during its longer trials.
+    def test_chance_crashes_of_a_long_run_fail_no_job(self, fleet, leader):
+        site = deadly.Site(fleet, run_ms=None)
+        job_id, [task] = deadly.submit(fleet)
+        site.play(leader, 2000)
+        for _ in range(4):
+            [(worker_id, _)] = deadly.takeovers.running(fleet)[task]
+            site.crash(int(worker_id.split('-')[1]))
+            site.play(leader, 2000)
+            assert leader.state(job_id) == records.State.RUNNING
+        site.run_ms = 800
+        site.play(leader, 10_000)
+        assert leader.state(job_id) == records.State.COMPLETED
+
     # A move, an upkeep, a drain or a lost host is not the task's doing.
     @pytest.mark.parametrize('how', ['moved', 'lost', 'drained'])
     def test_other_ends_are_not_counted(self, fleet, leader, how):
