Count a crash on trial for all of a gang that share the worker

What callers saw: in a random play of the fakes with gangs and a new leader about each 5 s, a member of a gang was started a sixth time after it had crashed five workers.

Cause: where no other worker has room, a gang is placed beside its member on trial. A crash there was put down to this member alone, though any of those beside it may have caused it, so the guilty one kept its count.

Evidence: TestTrialWorker.test_crash_counts_for_all_of_a_gang_on_a_worker failed before (the other member had 0 crashes instead of 1).

Change: all members of the gang on the worker are suspected, as on trial: nothing else has started there, and they share one job.

--- a/figtray/scheduling/crashes.py
+++ b/figtray/scheduling/crashes.py
@@ -42,7 +42,7 @@
     ]
     tried = tried_run(worker_state)
     if tried in sent:
-        return [tried]
+        return [run for run in sent if run is tried or _is_mate(run, tried)]
     settled = [run for run in sent if is_late(run)]
     for run in settled:
         run.task.late_crashes += (run.number,)
@@ -130,6 +130,12 @@
     )
 
 
+def _is_mate(run, other):
+    """Return whether two runs are of the same gang."""
+    step = run.task.step
+    return step.spec.gang and step is other.task.step
+
+
 def _age_ms(run):
     """Return how long a run went on before its worker fell silent."""
     silent_ms = run.worker_state.silent_since_ms
--- a/figtray/scheduling/suspicion.py
+++ b/figtray/scheduling/suspicion.py
@@ -70,7 +70,7 @@
     def _suspect_runs(self, worker_state):
         """Suspect the runs of a crashed worker; return their tasks."""
         runs = crashes.suspects(worker_state)
-        alone = runs == [crashes.tried_run(worker_state)]
+        alone = crashes.tried_run(worker_state) in runs
         for run in runs:
             task = run.task
             if alone:
--- a/figtray/scheduling/tests/test_trials.py
+++ b/figtray/scheduling/tests/test_trials.py
@@ -47,6 +47,23 @@
         assert leader.state(gang) == records.State.COMPLETED
         assert leader.state(other) == records.State.COMPLETED
 
+    # Only the member on trial was counted, though the crash may be the doing
+    # of the others that share its worker.
+    def test_crash_counts_for_all_of_a_gang_on_a_worker(self):
+        fleet = harness.Fleet(workers=1)
+        leader = fleet.elect_leader()
+        leader.report_all()
+        site = deadly.Site(fleet)
+        _, tasks = deadly.submit(fleet, 2, gang=True)
+        site.gang = tasks
+        site.deadly = {tasks[1]}
+        leader.sync_intake()
+        members = [leader.scheduler.find_task(name) for name in tasks]
+        members[0].crashes = records.Crashes((1,))
+        site.play_to_crash(leader, tasks[1])
+        site.play(leader, 200)
+        assert [task.crashes.count for task in members] == [2, 1]
+
     # A gang without room for all members keeps no worker from others.
     def test_trial_of_a_gang_without_room_keeps_a_worker(self):
         fleet = harness.Fleet(workers=2)
