--- a/figtray/scheduling/crashes.py
+++ b/figtray/scheduling/crashes.py
@@ -21,8 +21,9 @@
 # A run that has gone on for this long was not the cause of earlier crashes.
 CLEARED_MS = 10_000
 # Number of crashes after which a task is given up, by how many of them were on
-# trial. One crash on trial may be chance.
-CRASHES_TO_GIVE_UP = {1: 4, 2: 3}
+# trial and soon after the start. One of these may be chance. After a change of
+# the leader it may be unknown that a crash was on trial.
+CRASHES_TO_GIVE_UP = {0: 5, 1: 4, 2: 3}
 # From this number of crashes on, a task starts on trial only.
 CRASHES_TO_REQUIRE_TRIAL = 3
 # With fewer, it starts without a trial after the first of these waits, and
@@ -43,14 +44,15 @@
     sent = _sent_runs(worker_state)
     tried = tried_run(worker_state)
     if tried in sent:
-        return [tried]
-    return [run for run in sent if not _is_settled(run)] or sent
+        return [run for run in sent if run is tried or _is_mate(run, tried)]
+    return [run for run in sent if not is_late(run)] or sent
 
 
 def settled_runs(worker_state):
     """Return the runs that had gone on for SETTLED_MS before a crash.
 
-    A run on trial is the only suspect, so then there are none.
+    If one is on trial, only that one and its gang are suspected, so then
+    there are none.
 
     Args:
         worker_state: WorkerState of the crashed worker.
@@ -58,7 +60,7 @@
     sent = _sent_runs(worker_state)
     if tried_run(worker_state) in sent:
         return []
-    return [run for run in sent if _is_settled(run)]
+    return [run for run in sent if is_late(run)]
 
 
 def has_fresh_suspect(worker_state, now_ms):
@@ -85,7 +87,7 @@
     """Return whether a task certainly crashes its workers."""
     crashes = task.crashes
     alone = min(crashes.alone, max(CRASHES_TO_GIVE_UP))
-    return alone > 0 and crashes.count >= CRASHES_TO_GIVE_UP[alone]
+    return crashes.count >= CRASHES_TO_GIVE_UP[alone]
 
 
 def is_suspect(task):
@@ -138,6 +140,12 @@
     return run.sent_ms is not None and asked_ms - run.sent_ms >= CLEARED_MS
 
 
+def is_late(run):
+    """Return whether a run had gone on for a while when its worker ended."""
+    age_ms = _age_ms(run)
+    return age_ms is not None and age_ms >= SETTLED_MS
+
+
 def log_suspected(run):
     """Log that the task of a run is suspected of one more crash."""
     log.emit(
@@ -158,9 +166,10 @@
     ]
 
 
-def _is_settled(run):
-    age_ms = _age_ms(run)
-    return age_ms is not None and age_ms >= SETTLED_MS
+def _is_mate(run, other):
+    """Return whether two runs are of the same gang."""
+    step = run.task.step
+    return step.spec.gang and step is other.task.step
 
 
 def _age_ms(run):
--- a/figtray/scheduling/worker_ends.py
+++ b/figtray/scheduling/worker_ends.py
@@ -78,13 +78,16 @@
         for run in crashes.settled_runs(worker_state):
             run.task.late_crashes += (run.number,)
         runs = crashes.suspects(worker_state)
-        alone = runs == [crashes.tried_run(worker_state)]
+        alone = crashes.tried_run(worker_state) in runs
         for run in runs:
             task = run.task
             if alone:
                 for number in task.late_crashes:
                     task.crashes = task.crashes.add(number, False)
-            task.crashes = task.crashes.add(run.number, alone)
+            # Long trials are more often hit by a crash that is chance.
+            task.crashes = task.crashes.add(
+                run.number, alone and not crashes.is_late(run)
+            )
             crashes.log_suspected(run)
             if not task.step.job.ended:
                 self._store_progress(task.step.job)
