Begin no trial beside a run that may still crash the worker

Callers saw: a job whose tasks crash nothing was shown as failed, and a deadly task was started once too often, where deadly tasks crash their worker 0.3 to 0.4 s after their start.

Cause: a trial began on a worker whose other runs had gone on for QUIET_MS (300), while a run may be the cause of a crash up to SETTLED_MS (400) after its start. If the worker crashed in between, the task on trial was taken for guilty (a crash on trial), and the run that did it was not suspected. Of the remaining constants in crashes and trials none bounds this time.

Change: a worker is quiet once its other runs are no longer suspected.

--- a/figtray/scheduling/tests/test_deadly_tasks.py
+++ b/figtray/scheduling/tests/test_deadly_tasks.py
@@ -131,6 +131,26 @@
         assert states(fleet, good) == {records.State.COMPLETED}
         assert states(fleet, [job for job, _ in bad]) == {records.State.FAILED}
 
+    # A trial began beside a run that crashed the worker only 0.35 s after its
+    # start, and the task on trial was blamed for it.
+    @pytest.mark.parametrize('delay_ms', [350, 375])
+    def test_trial_beside_a_run_that_may_still_crash_the_worker(
+        self, delay_ms
+    ):
+        fleet = harness.Fleet(workers=3)
+        leader = fleet.elect_leader()
+        leader.report_all()
+        site = deadly.Site(fleet, delay_ms)
+        good = []
+        for turn in range(30):
+            good.append(deadly.submit(fleet, 3)[0])
+            if turn % 4 == 0:
+                site.deadly.update(deadly.submit(fleet)[1])
+            site.play(leader, 500, cycle_ms=20)
+        site.play(leader, 10_000, cycle_ms=20)
+        assert max(site.crashes.values()) <= deadly.MOST_CRASHES
+        assert records.State.FAILED not in states(fleet, good)
+
     # A lasting task was counted for each crash of its workers, though it had
     # gone on for seconds, and its job was shown as failed.
     def test_lasting_job_beside_many_deadly_tasks_goes_on(
--- a/figtray/scheduling/trials.py
+++ b/figtray/scheduling/trials.py
@@ -13,8 +13,9 @@
 # one if the next trial is on a worker with runs, the second if it has none.
 BUSY_SHARE = 0.34
 IDLE_SHARE = 0.75
-# Least age of the other runs on a worker as a trial starts there.
-QUIET_MS = 300
+# Least age of the other runs on a worker as a trial starts there. A younger
+# one may still crash it, and the task on trial would be blamed.
+QUIET_MS = crashes.SETTLED_MS
 # Longest time for which a task on trial awaits that its worker has no other
 # runs that end.
 EMPTY_WAIT_MS = 300
