Record in the soak that a run has started before ending expired ones

Trace: the order for run was sent to host-1 at 29.3 s past the minute (22:57) and got no answer in 0.4 s; all requests to all workers timed out from then until 37.3 (load average 39 on 8 cores; the stand-in is one process). The leader took its lease for over at 36.16 (1716) and started run on host-0, which was executed at 37.78. The report of host-1 at 37.95 lists run as lapsed. Its lease was granted on the clock that host-1 reported at 29.27 and ended by 36.16 at the latest, so the run did not go on at 37.78.

Cause, in the checker: run_started() ended expired runs first, and recorded the new run then. If the lease expired between the worker's look at it and that of the checker, the run was ended first and recorded as running afterwards, for good. The race itself is shown by test_lease_expires_as_the_run_starts, which fails on the code before with `one run at a time`.

Change: the start is recorded first, so that the end of an expired lease takes it away again. Nothing is checked less: a run that goes on is recorded as before.

--- a/figtray/soak/invariants.py
+++ b/figtray/soak/invariants.py
@@ -130,13 +130,14 @@
     # Events of workers.
 
     def run_started(self, sim, task, run):
+        with self._lock:
+            self._running_by_task[task][sim.worker.incarnation] = run
         # A run ends when its lease expires by the worker's clock, but the
         # simulated workers record that only when they are called.
         self.workers.expire()
         with self._lock:
             now_ms = self.now_ms()
             self.start_times_ms.append(now_ms)
-            self._running_by_task[task][sim.worker.incarnation] = run
             if len(self._running_by_task[task]) > 1:
                 self._record_violation('one run at a time', f'{task} {run}')
             if task in self._acknowledged_tasks:
--- a/figtray/soak/tests/test_invariants.py
+++ b/figtray/soak/tests/test_invariants.py
@@ -162,6 +162,19 @@
         harness.start(1, f'{JOB}.0.0.0', 2)
         assert not harness.violated_invariants()
 
+    # The checker took a run for one that goes on if its lease expired between
+    # the worker's look at it and that of the checker.
+    def test_lease_expires_as_the_run_starts(self, harness, monkeypatch):
+        def expire(original=harness.workers.expire):
+            harness.clock.advance(5001)
+            original()
+
+        with monkeypatch.context() as context:
+            context.setattr(harness.workers, 'expire', expire)
+            harness.start(0, f'{JOB}.0.0.0', 1)
+        harness.start(1, f'{JOB}.0.0.0', 2)
+        assert not harness.violated_invariants()
+
     def test_start_after_acknowledged_end(self, harness):
         task = f'{JOB}.0.0.0'
         harness.start(0, task)
