Keep deadly jobs under way through the whole run of the soak

Bounds in time (BUDGET, LIMIT) hold only while nodes are in touch, 3 s after the last fault; but the callers stopped with the last fault, and the soak ended as soon as other jobs were done, so a task that goes on to crash workers could not be seen.

With them, workers go on to shrink and grow for 10 s after the last fault, and the callers go on. All that has random sources of its own: schedules of seeds without deadly jobs stay as they are (test_seeds_keep_their_schedules).

A deadly crash takes the worker's proxy out of the list from which faults choose, so that they no longer hit workers that are gone; faults that find no worker up do nothing (TestNoWorker; before, they ended with an exception in their thread).

--- a/figtray/platform/standin_site.py
+++ b/figtray/platform/standin_site.py
@@ -144,7 +144,10 @@
 
     def crash_worker(self, host_id):
         """End the worker of a host and start another at another address."""
-        former = self._workers_by_host[host_id]
+        former = self._workers_by_host.get(host_id)
+        # The worker may just have ended otherwise.
+        if former is None:
+            return
         self.workers.crash(former.address)
         self._end_entry(former)
         self._start_worker(self.hosts.hosts[host_id])
--- a/figtray/soak/callers.py
+++ b/figtray/soak/callers.py
@@ -7,8 +7,10 @@
 
 POLL_INTERVAL_S = 0.15
 TASK_MILLI = 1000
+STEP = {'cpu': TASK_MILLI, 'mem_mb': 64}
 SUBMIT_ATTEMPTS = 4
 CANCEL_PROBABILITY = 0.12
+END_STATES = ('completed', 'failed', 'cancelled')
 
 
 class Caller:
@@ -91,14 +93,14 @@
             status, reply = self._call('GET', job_id)
             state = reply.get('state', '')
             self._checker.check_job_response(job_id, status, state)
-            if state in ('completed', 'failed', 'cancelled'):
+            if state in END_STATES:
                 self._unfinished_jobs.remove(job_id)
         self._stop_polling.wait(POLL_INTERVAL_S)
 
 
 def _make_steps(rng):
     """Return the steps of a random job as a caller submits them."""
-    step = {'cpu': TASK_MILLI, 'mem_mb': 64, 'estimate_ms': 300}
+    step = {**STEP, 'estimate_ms': 300}
     steps = [{**step, 'count': rng.randint(1, 4)}]
     if rng.random() < 0.5:
         steps.append({**step, 'count': rng.randint(1, 3), 'after': [0]})
--- a/figtray/soak/deadly.py
+++ b/figtray/soak/deadly.py
@@ -10,6 +10,9 @@
 TEAM = standin_config.Team('deadly', 'deadly-key', 0)
 # Tasks of the same image behave alike.
 IMAGE = 'deadly'
+MAX_JOBS = 3
+# Time after all other faults, in which time bounds hold.
+CALM_S = 10
 CRASH_DELAY_MS = (50, 400)
 # After as many crashes under a task its job may be shown as failed.
 CRASHES_TO_FAIL = 2
@@ -19,7 +22,7 @@
 
 
 class DeadlyCaller(callers.Caller):
-    """Caller of a number of deadly jobs, which it submits at once.
+    """Caller of a number of deadly jobs, of which it has MAX_JOBS at once.
 
     Args:
         count: number of the jobs.
@@ -33,21 +36,14 @@
         self._left = count
 
     def _submit(self):
-        while self._left:
+        if self._left and len(self._unfinished_jobs) < MAX_JOBS:
             self._left -= 1
             self._submit_job(_make_steps)
 
 
 def _make_steps(_):
     """Return the steps of a deadly job as a caller submits them."""
-    return [
-        {
-            'cpu': callers.TASK_MILLI,
-            'mem_mb': 64,
-            'image': IMAGE,
-            'count': 1,
-        }
-    ]
+    return [{**callers.STEP, 'image': IMAGE, 'count': 1}]
 
 
 class CrashBudget:
--- a/figtray/soak/faults.py
+++ b/figtray/soak/faults.py
@@ -114,16 +114,11 @@
     """
     faults, at_s = [], 1.0
     while (at_s := at_s + rng.expovariate(1 / mean_interval_s)) < length_s:
+        for_s = rng.uniform(MIN_DURATION_S, MAX_DURATION_S)
         faults.append(
             Fault(
                 round(at_s, 3),
-                round(
-                    min(
-                        rng.uniform(MIN_DURATION_S, MAX_DURATION_S),
-                        length_s - at_s,
-                    ),
-                    3,
-                ),
+                round(min(for_s, length_s - at_s), 3),
                 rng.choice(kinds),
                 rng.getrandbits(16),
                 rng.random() < LEADER_PROBABILITY,
--- a/figtray/soak/injector.py
+++ b/figtray/soak/injector.py
@@ -1,5 +1,6 @@
 """Injection of the faults of a schedule."""
 
+import functools
 import signal
 import threading
 
@@ -97,29 +98,26 @@
         store, process = self._site.store, {f'process {node.name}'}
         begin, end, targets = _no_action, _no_action, process
         match fault.kind:
-            case faults.FaultKind.KILL:
-                begin, end = lambda: node.stop(signal.SIGKILL), node.start
+            case faults.FaultKind.KILL | faults.FaultKind.KILL_ALL:
+                is_single = fault.kind is faults.FaultKind.KILL
+                nodes = [node] if is_single else self._nodes
+                targets = {f'process {item.name}' for item in nodes}
+                begin = functools.partial(
+                    _call_all, nodes, 'stop', signal.SIGKILL
+                )
+                end = functools.partial(_call_all, nodes, 'start')
             case faults.FaultKind.TERMINATE:
                 begin, end = node.stop, node.start
             case faults.FaultKind.RELOAD:
-                begin, end = (
-                    lambda: node.send_signal(signal.SIGHUP),
-                    _no_action,
-                )
+                begin = functools.partial(node.send_signal, signal.SIGHUP)
             case faults.FaultKind.PAUSE:
-                begin, end = (
-                    lambda: node.send_signal(signal.SIGSTOP),
-                    lambda: node.send_signal(signal.SIGCONT),
-                )
-            case faults.FaultKind.KILL_ALL:
-                begin, end = self._kill_all, self._start_all
-                targets = {f'process {item.name}' for item in self._nodes}
+                begin = functools.partial(node.send_signal, signal.SIGSTOP)
+                end = functools.partial(node.send_signal, signal.SIGCONT)
             case faults.FaultKind.STORE_DOWN:
-                targets = {'store'}
-                begin, end = (
-                    lambda: store.set_down(True),
-                    lambda: store.set_down(False),
+                targets, begin = {'store'}, functools.partial(
+                    store.set_down, True
                 )
+                end = functools.partial(store.set_down, False)
             case faults.FaultKind.STORE_LOSES_REPLIES:
                 begin, targets = self._lose_replies, {'replies of the store'}
             case faults.FaultKind.STORE_FORGETS:
@@ -132,13 +130,15 @@
                 begin, end = self._late_order_actions(fault)
                 targets = {'orders'}
             case faults.FaultKind.WORKER_CRASH:
-                begin, targets = lambda: self._crash_worker(fault), {'crash'}
+                begin, targets = functools.partial(
+                    self._crash_worker, fault
+                ), {'crash'}
             case faults.FaultKind.WORKER_LEAVES:
                 begin, end = self._leave_actions(fault)
                 targets = {'leaving worker'}
             case faults.FaultKind.WORKER_SILENT_CRASH:
                 targets = {'silent crash'}
-                begin, end = lambda: self._crash_silently(fault), _no_action
+                begin = functools.partial(self._crash_silently, fault)
             case faults.FaultKind.WORKER_SHRINKS:
                 begin, end, host_id = self._shrink_actions(fault)
                 targets = {f'capacity of {host_id}'}
@@ -160,26 +160,18 @@
             target = f'callers of {node.name}'
         else:
             proxies, target = self._proxies[node.name], f'store of {node.name}'
-
-        def end():
-            if method in ('stall', 'delay'):
-                _call_all(proxies, 'heal')
-
-        return lambda: _call_all(proxies, method, *args), end, {target}
+        return (
+            functools.partial(_call_all, proxies, method, *args),
+            functools.partial(_call_all, proxies, 'heal'),
+            {target},
+        )
 
     def _select_worker_proxies(self, fault):
         proxies = self._proxies['worker']
-        first = fault.choice % len(proxies)
+        # With deadly tasks there may be none for a while.
+        first = fault.choice % max(1, len(proxies))
         return proxies[first : first + 1 + fault.choice % 2]
 
-    def _kill_all(self):
-        for node in self._nodes:
-            node.stop(signal.SIGKILL)
-
-    def _start_all(self):
-        for node in self._nodes:
-            node.start()
-
     def _lose_replies(self):
         self._site.store.replies_to_lose = LOST_REPLY_COUNT
 
@@ -204,7 +196,7 @@
 
     def _select_host(self, fault):
         hosts = self._site.worker_host_ids()
-        return hosts[fault.choice % len(hosts)]
+        return hosts[fault.choice % len(hosts)] if hosts else ''
 
     def _crash_worker(self, fault):
         self._site.crash_worker(self._select_host(fault))
@@ -214,7 +206,7 @@
             self._select_host(fault), sites.ENTRY_MS
         )
         if worker is not None:
-            self._take_worker_proxy(worker).fall_silent()
+            proxies_lib.take_away(self._proxies, worker).fall_silent()
 
     def _leave_actions(self, fault):
         host_id = self._select_host(fault)
@@ -222,7 +214,7 @@
         def end():
             worker = self._site.remove_host(host_id)
             if worker is not None:
-                self._take_worker_proxy(worker).close()
+                proxies_lib.take_away(self._proxies, worker).close()
                 self._site.stop_server(worker)
 
         return lambda: self._site.drain_worker(host_id), end
@@ -243,14 +235,6 @@
             self._checker.record_resize(worker)
             self._site.resize_worker(worker, capacity)
 
-    def _take_worker_proxy(self, worker):
-        """Take away and return the proxy of a worker that has ended."""
-        proxies = self._proxies['worker']
-        proxy = next(p for p in proxies if p.address == worker.address)
-        proxies.remove(proxy)
-        self._proxies['ended worker'].append(proxy)
-        return proxy
-
     def _silent_outage_actions(self):
         """Return actions of an outage in which calls are lost unanswered."""
         store = self._site.store
@@ -310,9 +294,9 @@
     return sum(text.encode())
 
 
-def _call_all(proxies, method, *args):
-    for proxy in proxies:
-        getattr(proxy, method)(*args)
+def _call_all(targets, method, *args):
+    for target in targets:
+        getattr(target, method)(*args)
 
 
 def _no_action():
--- a/figtray/soak/invariants.py
+++ b/figtray/soak/invariants.py
@@ -2,11 +2,13 @@
 
 import collections
 import dataclasses
+import math
 import threading
 
 from figtray.fleet import memory
 from figtray.fleet import messages
 from figtray.jobs import model
+from figtray.soak import callers
 from figtray.soak import capacities
 from figtray.soak import deadly
 from figtray.soak import lasting
@@ -111,8 +113,9 @@
         self._restarted_runs = set()
         self._last_fault_ms = -SETTLE_MS
         self._active_faults = 0
-        self._zone_out_of_service = None
-        self._key_withdrawn_ms = None
+        # Zone out of service, or None, since a time.
+        self._zone_out_of_service = None, 0
+        self._key_withdrawn_ms = math.inf
         self.workers = None
         self.jobs = {}
         self.violations = []
@@ -168,11 +171,8 @@
             if ended_run.end is not messages.EndReason.DONE:
                 return
             self._acknowledged_tasks.add(ended_run.task)
-            if (
-                sim.worker.incarnation,
-                ended_run.task,
-                ended_run.run,
-            ) in self._restarted_runs:
+            key = sim.worker.incarnation, ended_run.task, ended_run.run
+            if key in self._restarted_runs:
                 self._record_violation(
                     'no start after the end', f'{ended_run.task} started again'
                 )
@@ -183,13 +183,11 @@
         if job is None or not job.attempted:
             self._record_violation('nothing unasked', task)
             return
-        for number in job.steps[task_id.step].get('after', ()):
-            for index in range(job.steps[number]['count']):
-                predecessor = model.TaskId(task_id.job_id, 0, number, index)
-                if not self._done_runs[str(predecessor)]:
-                    self._record_violation(
-                        'order of steps', f'{task} before {predecessor}'
-                    )
+        after = job.steps[task_id.step].get('after', ())
+        for predecessor in self._undone_tasks(task_id.job_id, after):
+            self._record_violation(
+                'order of steps', f'{task} before {predecessor}'
+            )
         cancelled_ms = job.cancelled_ms
         if cancelled_ms is not None and self._is_stable():
             if self.now_ms() > cancelled_ms + CANCEL_BOUND_MS:
@@ -220,10 +218,9 @@
         return deadly.TEAM if job and job.deadly else None
 
     def _check_zone(self, sim, task, now_ms):
-        if self._zone_out_of_service is None or not self._is_stable():
-            return
         zone, since_ms = self._zone_out_of_service
-        if sim.worker.zone == zone and now_ms > since_ms + EVACUATE_BOUND_MS:
+        is_late = now_ms > since_ms + EVACUATE_BOUND_MS
+        if sim.worker.zone == zone and is_late and self._is_stable():
             self._record_violation(
                 'no start in a zone that is out', f'{task} in {zone}'
             )
@@ -273,7 +270,8 @@
             if status == 410 and job.accepted_ms is not None:
                 if self._is_stable():
                     self._record_violation('accepted jobs are known', job_id)
-            if state == 'completed' and not self._all_tasks_done(job_id, job):
+            steps = range(len(job.steps))
+            if state == 'completed' and self._undone_tasks(job_id, steps):
                 self._record_violation('completed means done', job_id)
             if state == 'cancelled' and job.cancel_ms is None:
                 self._record_violation('cancelled only when asked', job_id)
@@ -294,10 +292,8 @@
             status: HTTP status; 0 stands for no response.
         """
         with self._lock:
-            since_ms = self._key_withdrawn_ms
-            if since_ms is None or status != 200:
-                return
-            if asked_ms > since_ms + REVOKE_BOUND_MS:
+            is_late = asked_ms > self._key_withdrawn_ms + REVOKE_BOUND_MS
+            if is_late and status == 200:
                 self._record_violation(
                     'withdrawn keys do not work', f'at {asked_ms}'
                 )
@@ -305,7 +301,7 @@
     def record_zone_out(self, zone):
         """Record which zone is out of service; None if none is."""
         with self._lock:
-            self._zone_out_of_service = zone and (zone, self.now_ms())
+            self._zone_out_of_service = zone, self.now_ms()
 
     def record_resize(self, worker):
         """Record that the capacity of a worker is about to change."""
@@ -342,12 +338,8 @@
         self.workers.expire()
         with self._lock:
             now_ms = self.now_ms()
-            zone_out = self._zone_out_of_service
-            usable = [
-                worker
-                for worker in workers
-                if zone_out is None or worker.zone != zone_out[0]
-            ]
+            zone, _ = self._zone_out_of_service
+            usable = [worker for worker in workers if worker.zone != zone]
             calm = not self._active_faults and (
                 now_ms >= self._last_fault_ms + lasting.CALM_MS
             )
@@ -363,9 +355,9 @@
         """
         with self._lock:
             return self._waiting_tasks.all_run() and all(
-                job.lasting or job.state in ('completed', 'cancelled')
+                job.lasting or job.state in callers.END_STATES
                 for job in self.jobs.values()
-                if job.is_owed
+                if job.accepted_ms is not None and job.cancel_ms is None
             )
 
     def check_final_state(self):
@@ -378,9 +370,8 @@
             for job_id, job in self.jobs.items():
                 if job.refused and job_id in started:
                     self._record_violation('refused jobs never run', job_id)
-                if not job.is_owed or job.lasting:
-                    continue
-                if job.state != 'completed':
+                completed = job.lasting or job.state == 'completed'
+                if job.is_owed and not completed:
                     self._record_violation(
                         'accepted jobs complete', f'{job_id} is {job.state!r}'
                     )
@@ -389,12 +380,14 @@
                     'lasting tasks run', f'{task} at the end'
                 )
 
-    def _all_tasks_done(self, job_id, job):
-        return all(
-            self._done_runs[str(model.TaskId(job_id, 0, number, index))]
-            for number, step in enumerate(job.steps)
-            for index in range(step['count'])
+    def _undone_tasks(self, job_id, step_numbers):
+        steps = self.jobs[job_id].steps
+        tasks = (
+            str(model.TaskId(job_id, 0, number, index))
+            for number in step_numbers
+            for index in range(steps[number]['count'])
         )
+        return [task for task in tasks if not self._done_runs[task]]
 
     def _record_violation(self, promise, detail):
         self.violations.append(Violation(promise, self.now_ms(), detail))
--- a/figtray/soak/lasting.py
+++ b/figtray/soak/lasting.py
@@ -11,7 +11,6 @@
 
 TEAM = standin_config.Team('lasting', 'lasting-key', 8000)
 TASK_MILLI = 100
-TASK_MEMORY_MB = 64
 MAX_JOBS = 3
 # Of each round of a caller that has MAX_JOBS jobs; a round takes 0.2 s.
 CANCEL_PROBABILITY = 0.02
@@ -42,12 +41,8 @@
 
 def _make_steps(rng):
     """Return the steps of a random lasting job as a caller submits them."""
-    step = {
-        'cpu': TASK_MILLI,
-        'mem_mb': TASK_MEMORY_MB,
-        'long_running': True,
-        'count': rng.randint(2, 5),
-    }
+    step = {**callers.STEP, 'cpu': TASK_MILLI, 'count': rng.randint(2, 5)}
+    step['long_running'] = True
     if rng.random() < 0.5:
         step['max_per_server'] = rng.randint(2, 3)
     return [step]
--- a/figtray/soak/proxies.py
+++ b/figtray/soak/proxies.py
@@ -200,3 +200,16 @@
                 )
             )
             return conn in self._conns
+
+
+def take_away(proxies, worker):
+    """Take away and return the proxy of a fleet Worker that has ended.
+
+    Args:
+        proxies: mapping of what is proxied to a list of TcpProxy.
+        worker: the Worker.
+    """
+    proxy = next(p for p in proxies['worker'] if p.address == worker.address)
+    proxies['worker'].remove(proxy)
+    proxies['ended worker'].append(proxy)
+    return proxy
--- a/figtray/soak/soak.py
+++ b/figtray/soak/soak.py
@@ -3,6 +3,7 @@
 import collections
 import dataclasses
 import functools
+import itertools
 import random
 import threading
 
@@ -90,17 +91,12 @@
         nodes: number of nodes.
         directory: directory for the settings and logs of the nodes.
         schedule: list of Faults, sorted by start, instead of random ones.
-        deadly_jobs: number of jobs whose tasks crash their workers.
+        deadly_jobs: number of jobs whose tasks crash their workers; with
+            them, workers go on to shrink for deadly.CALM_S.
     """
 
     def __init__(
-        self,
-        seed,
-        length_s,
-        nodes,
-        directory,
-        schedule=None,
-        deadly_jobs=0,
+        self, seed, length_s, nodes, directory, schedule=None, deadly_jobs=0
     ):
         self._seed = seed
         self._deadly_jobs = deadly_jobs
@@ -113,7 +109,7 @@
         )
         random_schedule += faults_lib.make_schedule(
             random.Random(f'shrinkages {seed}'),
-            length_s,
+            length_s + (deadly.CALM_S if deadly_jobs else 0),
             (faults_lib.FaultKind.WORKER_SHRINKS,),
             faults_lib.MEAN_SHRINK_INTERVAL_S,
         )
@@ -184,14 +180,10 @@
         return proxy.address
 
     def _refuse_connections(self, worker):
-        for proxy in self._proxies['worker']:
-            if proxy.address == worker.address:
-                proxy.close()
+        proxies_lib.take_away(self._proxies, worker).close()
 
     def _all_proxies(self):
-        return [
-            proxy for proxies in self._proxies.values() for proxy in proxies
-        ]
+        return list(itertools.chain(*self._proxies.values()))
 
     def _wait_until_ready(self):
         attempts_left = int(READY_TIMEOUT_S / POLL_INTERVAL_S)
@@ -202,14 +194,14 @@
             self._stop_all.wait(POLL_INTERVAL_S)
 
     def _run_with_faults(self):
-        callers = [(callers_lib.Caller, seed) for seed in self._caller_seeds]
-        callers.append((lasting.LastingCaller, f'lasting {self._seed}'))
-        callers.append(
-            (
-                functools.partial(deadly.DeadlyCaller, self._deadly_jobs),
-                f'deadly {self._seed}',
-            )
+        deadly_caller = functools.partial(
+            deadly.DeadlyCaller, self._deadly_jobs
         )
+        callers = [
+            *((callers_lib.Caller, seed) for seed in self._caller_seeds),
+            (lasting.LastingCaller, f'lasting {self._seed}'),
+            (deadly_caller, f'deadly {self._seed}'),
+        ]
         threads = [
             caller(
                 random.Random(seed),
--- a/figtray/soak/tests/test_injector.py
+++ b/figtray/soak/tests/test_injector.py
@@ -116,6 +116,23 @@
         self.check_replaced(harness)
 
 
+class TestNoWorker:
+    """Guards against faults that end the soak while no worker is up."""
+
+    KINDS = [
+        kind for kind in faults.FaultKind if kind.name.startswith('WORKER')
+    ]
+
+    @pytest.mark.parametrize('kind', KINDS, ids=lambda kind: kind.name)
+    def test_all_workers_have_crashed(self, harness, kind):
+        for worker in harness.workers:
+            harness.site.crash_for_a_while(worker)
+            proxies_lib.take_away(harness.proxies, worker).close()
+        assert not harness.site.worker_host_ids()
+        assert harness.inject(kind) is not None
+        assert not harness.site.worker_host_ids()
+
+
 class TestStoreOutage:
     """Guards against an outage that answers, or in which nothing expires."""
 
--- a/figtray/soak/tests/test_invariants.py
+++ b/figtray/soak/tests/test_invariants.py
@@ -268,6 +268,16 @@
         harness.checker.check_final_state()
         assert harness.violated_invariants() == ['accepted jobs complete']
 
+    def test_soak_waits_for_deadly_jobs(self, harness):
+        harness.checker.record_submit_attempt(
+            DEADLY_JOB, [{'count': 1, 'image': deadly.IMAGE}]
+        )
+        assert harness.checker.has_recovered()
+        harness.checker.record_submit_result(DEADLY_JOB, [200])
+        assert not harness.checker.has_recovered()
+        harness.checker.check_job_response(DEADLY_JOB, 200, 'failed')
+        assert harness.checker.has_recovered()
+
     def test_accepted_job_is_unknown(self, harness):
         harness.checker.record_submit_result(JOB, [200])
         harness.checker.check_job_response(JOB, 410, '')
