Check in the soak that only a kill cuts off an open request

Change: the proxies in front of the nodes report a connection that the node ends while a request is open whose last byte it got over loss_slack_ms (200) before; only a node whose process was killed may do so. A client that leaves first and resets by the proxy don't count. A response that breaks off in the middle is not found. This is stricter than the rule, which excuses cuts near other faults.

Evidence: TestCutRequests has each case with a server of its own.

--- a/figtray/soak/invariants.py
+++ b/figtray/soak/invariants.py
@@ -298,6 +298,11 @@
                     'withdrawn keys do not work', f'at {asked_ms}'
                 )
 
+    def record_cut(self, name):
+        """Record that a node has cut off a request without being killed."""
+        with self._lock:
+            self._record_violation('requests are answered', name)
+
     def record_zone_out(self, zone):
         """Record which zone is out of service; None if none is."""
         with self._lock:
--- a/figtray/soak/proxies.py
+++ b/figtray/soak/proxies.py
@@ -5,11 +5,14 @@
 import socket
 import struct
 import threading
+import time
 
 from figtray import connections
 
 CHUNK_BYTES = 65_536
 CONNECT_TIMEOUT_S = 2.0
+# A request that is cut off so soon may not have been read; loss_slack_ms.
+CUT_SLACK_S = 0.2
 # SO_LINGER with a time of zero makes close() send a reset.
 LINGER_RESET = struct.pack('ii', 1, 0)
 
@@ -27,6 +30,8 @@
     def __init__(self, client_sock, server_sock):
         self.client_sock = client_sock
         self.server_sock = server_sock
+        # When bytes of a request without a response were last forwarded.
+        self.asked_s = None
         self.blackholed = {
             Direction.UPSTREAM: False,
             Direction.DOWNSTREAM: False,
@@ -51,10 +56,13 @@
 
     Args:
         upstream: address of the server, as `host:port`.
+        on_cut: called without arguments when the server ends a connection
+            whose client awaits a response.
     """
 
-    def __init__(self, upstream):
+    def __init__(self, upstream, on_cut=lambda: None):
         self._upstream = connections.parse_address(upstream)
+        self._on_cut = on_cut
         self._cond = threading.Condition()
         self._conns = set()
         self._stalled_directions = set()
@@ -164,21 +172,29 @@
         self._forward(conn, client_sock, server_sock, Direction.UPSTREAM)
 
     def _forward(self, conn, source, target, direction):
+        is_request = direction is Direction.UPSTREAM
         with contextlib.suppress(OSError):
             while chunk := source.recv(CHUNK_BYTES):
                 if not self._wait_to_forward(conn, direction):
                     return
+                conn.asked_s = time.monotonic() if is_request else None
                 target.sendall(chunk)
             with self._cond:
                 if conn not in self._conns:
                     return  # a FIN would reach the peer before the reset
                 # The server may still respond on a half-closed connection.
+                if is_request:
+                    conn.asked_s = None
                 target.shutdown(socket.SHUT_WR)
-            if direction is Direction.UPSTREAM:
+            if is_request:
                 return
         with self._cond:
+            is_open = conn in self._conns
             self._conns.discard(conn)
         conn.close()
+        if is_open and not is_request and conn.asked_s is not None:
+            if time.monotonic() > conn.asked_s + CUT_SLACK_S:
+                self._on_cut()
 
     def _wait_to_forward(self, conn, direction):
         """Wait until a chunk may be forwarded.
--- a/figtray/soak/soak.py
+++ b/figtray/soak/soak.py
@@ -1,10 +1,12 @@
 """One run of the soak: site, nodes, load, faults and invariant checker."""
 
 import collections
+import contextlib
 import dataclasses
 import functools
 import itertools
 import random
+import subprocess
 import threading
 
 from figtray import clock as clock_lib
@@ -36,6 +38,8 @@
 RECOVERY_TIMEOUT_S = 30
 POLL_INTERVAL_S = 0.1
 READY_TIMEOUT_S = 30
+# A killed process has exited so soon after its connections have ended.
+EXIT_TIMEOUT_S = 1
 
 
 @dataclasses.dataclass(frozen=True)
@@ -147,7 +151,11 @@
             for number in range(nodes)
         ]
         self._front_addresses = [
-            self._start_proxy(f'front {node.name}', node.front_address)
+            self._start_proxy(
+                f'front {node.name}',
+                node.front_address,
+                functools.partial(self._check_cut, node),
+            )
             for node in self._nodes
         ]
         self._stop_load = threading.Event()
@@ -174,14 +182,21 @@
                 proxy.close()
             self._site.close()
 
-    def _start_proxy(self, kind, address):
-        proxy = proxies_lib.TcpProxy(address)
+    def _start_proxy(self, kind, address, on_cut=lambda: None):
+        proxy = proxies_lib.TcpProxy(address, on_cut)
         self._proxies[kind].append(proxy)
         return proxy.address
 
     def _refuse_connections(self, worker):
         proxies_lib.take_away(self._proxies, worker).close()
 
+    def _check_cut(self, node):
+        """Check that a node that has cut off a request was killed."""
+        with contextlib.suppress(subprocess.TimeoutExpired):
+            if node.process.wait(EXIT_TIMEOUT_S) == -standin_nodes.KILL:
+                return
+        self._checker.record_cut(node.name)
+
     def _all_proxies(self):
         return list(itertools.chain(*self._proxies.values()))
 
--- a/figtray/soak/tests/test_invariants.py
+++ b/figtray/soak/tests/test_invariants.py
@@ -278,6 +278,10 @@
         harness.checker.check_job_response(DEADLY_JOB, 200, 'failed')
         assert harness.checker.has_recovered()
 
+    def test_request_is_cut_off(self, harness):
+        harness.checker.record_cut('node-0')
+        assert harness.violated_invariants() == ['requests are answered']
+
     def test_accepted_job_is_unknown(self, harness):
         harness.checker.record_submit_result(JOB, [200])
         harness.checker.check_job_response(JOB, 410, '')
--- a/figtray/soak/tests/test_proxies.py
+++ b/figtray/soak/tests/test_proxies.py
@@ -3,6 +3,7 @@
 import contextlib
 import socket
 import threading
+import time
 
 import pytest
 
@@ -132,3 +133,86 @@
                         connections.parse_address(proxy.address), TIMEOUT_S
                     ) as sock:
                         sock.recv(1)
+
+
+class TestCutRequests:
+    """Guards against missed and false reports of requests that are cut off."""
+
+    @pytest.fixture
+    def cut(self):
+        return threading.Event()
+
+    @pytest.fixture
+    def proxy(self, cut):
+        """Proxy of a listening socket, its attribute `server`."""
+        with socket.create_server(('127.0.0.1', 0)) as server:
+            server.settimeout(TIMEOUT_S)
+            address = '%s:%d' % server.getsockname()
+            with contextlib.closing(
+                proxies.TcpProxy(address, cut.set)
+            ) as proxy:
+                proxy.server = server
+                yield proxy
+
+    @pytest.fixture
+    def client(self, connect):
+        return connect()
+
+    @pytest.fixture
+    def conn(self, proxy, client):
+        """Connection of the server, which has received a request."""
+        client.sendall(b'x')
+        conn, _ = proxy.server.accept()
+        with conn:
+            assert conn.recv(1) == b'x'
+            yield conn
+
+    @staticmethod
+    def pass_slack():
+        time.sleep(proxies.CUT_SLACK_S + 0.1)
+
+    def test_server_ends_a_connection_without_a_response(self, conn, cut):
+        self.pass_slack()
+        conn.close()
+        assert cut.wait(TIMEOUT_S)
+
+    def test_server_resets_a_connection_without_a_response(self, conn, cut):
+        self.pass_slack()
+        conn.setsockopt(
+            socket.SOL_SOCKET, socket.SO_LINGER, proxies.LINGER_RESET
+        )
+        conn.close()
+        assert cut.wait(TIMEOUT_S)
+
+    def test_second_request_is_cut_off(self, client, conn, cut):
+        conn.sendall(b'y')
+        assert client.recv(1) == b'y'
+        client.sendall(b'x')
+        assert conn.recv(1) == b'x'
+        self.pass_slack()
+        conn.close()
+        assert cut.wait(TIMEOUT_S)
+
+    # The server may not have read the request when it ended the connection.
+    def test_connection_ends_within_the_slack(self, conn, cut):
+        conn.close()
+        assert not cut.wait(STALL_TIMEOUT_S)
+
+    def test_request_is_answered(self, client, conn, cut):
+        conn.sendall(b'y')
+        assert client.recv(1) == b'y'
+        self.pass_slack()
+        conn.close()
+        assert not cut.wait(STALL_TIMEOUT_S)
+
+    def test_client_closes_first(self, client, conn, cut):
+        self.pass_slack()
+        client.close()
+        assert conn.recv(1) == b''
+        conn.close()
+        assert not cut.wait(STALL_TIMEOUT_S)
+
+    def test_proxy_resets_the_connection(self, proxy, conn, cut):
+        self.pass_slack()
+        proxy.reset()
+        assert not cut.wait(STALL_TIMEOUT_S)
