Give the nodes of a soak two minutes to become ready

Trace, one start of 40 nodes without faults at a load average of 42 to 47 on 8 cores (other work): 6 s for the forks; the nodes log their start (100) between 10 and 20 s after that of the first fork, an interpreter needs about 0.4 s of processor time for its imports; most are ready 14 to 17 s after the last fork, the last two after 21 s. These two wait for the stand-in's store: calls took longer than their 1.2 to 1.5 s (200, timed out), since store, workers and all proxies are one Python process, which got 1.6 s of processor time in 21 s. No port was taken, 627 of 20,000 descriptors and 620 threads were open, and 0.5 GiB of memory in use. So it is the start of the interpreters and the stand-in on a busy machine, not a fault of the nodes.

Change: the limit is 120 s; it guards only against nodes that never start.

--- a/figtray/soak/soak.py
+++ b/figtray/soak/soak.py
@@ -37,7 +37,7 @@
 # elected and the backlog of jobs is worked off.
 RECOVERY_TIMEOUT_S = 30
 POLL_INTERVAL_S = 0.1
-READY_TIMEOUT_S = 30
+READY_TIMEOUT_S = 120
 # A killed process has exited so soon after its connections have ended.
 EXIT_TIMEOUT_S = 1
 
