--- a/figtray/soak/soak.py
+++ b/figtray/soak/soak.py
@@ -1,9 +1,12 @@
 """One run of the soak: site, nodes, load, faults and invariant checker."""
 
 import collections
+import contextlib
 import dataclasses
 import functools
+import itertools
 import random
+import subprocess
 import threading
 
 from figtray import clock as clock_lib
@@ -34,7 +37,9 @@
 # elected and the backlog of jobs is worked off.
 RECOVERY_TIMEOUT_S = 30
 POLL_INTERVAL_S = 0.1
-READY_TIMEOUT_S = 30
+READY_TIMEOUT_S = 120
+# A killed process has exited so soon after its connections have ended.
+EXIT_TIMEOUT_S = 1
 
 
 @dataclasses.dataclass(frozen=True)
@@ -90,17 +95,12 @@
         nodes: number of nodes.
         directory: directory for the settings and logs of the nodes.
         schedule: list of Faults, sorted by start, instead of random ones.
-        deadly_jobs: number of jobs whose tasks crash their workers.
+        deadly_jobs: number of jobs whose tasks crash their workers; with
+            them, workers go on to shrink for deadly.CALM_S.
     """
 
     def __init__(
-        self,
-        seed,
-        length_s,
-        nodes,
-        directory,
-        schedule=None,
-        deadly_jobs=0,
+        self, seed, length_s, nodes, directory, schedule=None, deadly_jobs=0
     ):
         self._seed = seed
         self._deadly_jobs = deadly_jobs
@@ -113,7 +113,7 @@
         )
         random_schedule += faults_lib.make_schedule(
             random.Random(f'shrinkages {seed}'),
-            length_s,
+            length_s + (deadly.CALM_S if deadly_jobs else 0),
             (faults_lib.FaultKind.WORKER_SHRINKS,),
             faults_lib.MEAN_SHRINK_INTERVAL_S,
         )
@@ -151,7 +151,11 @@
             for number in range(nodes)
         ]
         self._front_addresses = [
-            self._start_proxy(f'front {node.name}', node.front_address)
+            self._start_proxy(
+                f'front {node.name}',
+                node.front_address,
+                functools.partial(self._check_cut, node),
+            )
             for node in self._nodes
         ]
         self._stop_load = threading.Event()
@@ -178,20 +182,23 @@
                 proxy.close()
             self._site.close()
 
-    def _start_proxy(self, kind, address):
-        proxy = proxies_lib.TcpProxy(address)
+    def _start_proxy(self, kind, address, on_cut=lambda: None):
+        proxy = proxies_lib.TcpProxy(address, on_cut)
         self._proxies[kind].append(proxy)
         return proxy.address
 
     def _refuse_connections(self, worker):
-        for proxy in self._proxies['worker']:
-            if proxy.address == worker.address:
-                proxy.close()
+        proxies_lib.take_away(self._proxies, worker).close()
+
+    def _check_cut(self, node):
+        """Check that a node that has cut off a request was killed."""
+        with contextlib.suppress(subprocess.TimeoutExpired):
+            if node.process.wait(EXIT_TIMEOUT_S) == -standin_nodes.KILL:
+                return
+        self._checker.record_cut(node.name)
 
     def _all_proxies(self):
-        return [
-            proxy for proxies in self._proxies.values() for proxy in proxies
-        ]
+        return list(itertools.chain(*self._proxies.values()))
 
     def _wait_until_ready(self):
         attempts_left = int(READY_TIMEOUT_S / POLL_INTERVAL_S)
@@ -202,14 +209,14 @@
             self._stop_all.wait(POLL_INTERVAL_S)
 
     def _run_with_faults(self):
-        callers = [(callers_lib.Caller, seed) for seed in self._caller_seeds]
-        callers.append((lasting.LastingCaller, f'lasting {self._seed}'))
-        callers.append(
-            (
-                functools.partial(deadly.DeadlyCaller, self._deadly_jobs),
-                f'deadly {self._seed}',
-            )
+        deadly_caller = functools.partial(
+            deadly.DeadlyCaller, self._deadly_jobs
         )
+        callers = [
+            *((callers_lib.Caller, seed) for seed in self._caller_seeds),
+            (lasting.LastingCaller, f'lasting {self._seed}'),
+            (deadly_caller, f'deadly {self._seed}'),
+        ]
         threads = [
             caller(
                 random.Random(seed),
--- a/figtray/soak/tests/test_invariants.py
+++ b/figtray/soak/tests/test_invariants.py
@@ -162,6 +162,19 @@
         harness.start(1, f'{JOB}.0.0.0', 2)
         assert not harness.violated_invariants()
 
+    # The checker took a run for one that goes on if its lease expired between
+    # the worker's look at it and that of the checker.
+    def test_lease_expires_as_the_run_starts(self, harness, monkeypatch):
+        def expire(original=harness.workers.expire):
+            harness.clock.advance(5001)
+            original()
+
+        with monkeypatch.context() as context:
+            context.setattr(harness.workers, 'expire', expire)
+            harness.start(0, f'{JOB}.0.0.0', 1)
+        harness.start(1, f'{JOB}.0.0.0', 2)
+        assert not harness.violated_invariants()
+
     def test_start_after_acknowledged_end(self, harness):
         task = f'{JOB}.0.0.0'
         harness.start(0, task)
@@ -255,6 +268,20 @@
         harness.checker.check_final_state()
         assert harness.violated_invariants() == ['accepted jobs complete']
 
+    def test_soak_waits_for_deadly_jobs(self, harness):
+        harness.checker.record_submit_attempt(
+            DEADLY_JOB, [{'count': 1, 'image': deadly.IMAGE}]
+        )
+        assert harness.checker.has_recovered()
+        harness.checker.record_submit_result(DEADLY_JOB, [200])
+        assert not harness.checker.has_recovered()
+        harness.checker.check_job_response(DEADLY_JOB, 200, 'failed')
+        assert harness.checker.has_recovered()
+
+    def test_request_is_cut_off(self, harness):
+        harness.checker.record_cut('node-0')
+        assert harness.violated_invariants() == ['requests are answered']
+
     def test_accepted_job_is_unknown(self, harness):
         harness.checker.record_submit_result(JOB, [200])
         harness.checker.check_job_response(JOB, 410, '')
