Say whom a crash on trial makes suspects

The doc comment named the run on trial only; since gangs share the worker of a trial, all their runs there are suspected. No behaviour changes.

--- a/figtray/scheduling/crashes.py
+++ b/figtray/scheduling/crashes.py
@@ -35,8 +35,8 @@
 def suspects(worker_state):
     """Return the runs that may have crashed a worker.
 
-    That is the run on trial, if there is one; else those that had just
-    started, or all if none had.
+    That is the run on trial and others of its gang, if there is one; else
+    those that had just started, or all if none had.
 
     Args:
         worker_state: its WorkerState.
