Give hosts to lasting tasks that lack them before those of a backlog

Callers see that lasting tasks whose step allows few tasks a worker don't run for 14 s after many workers were lost, though hosts move meanwhile.

Cause: hosts go to the pool that lacks the most. A pool with a backlog of tasks that end lacks dozens, so it got all spare and drained hosts, while another pool lacked six workers for its lasting tasks.

Both tests fail before this change.

Change: the hosts that lasting tasks lack are added first, and drained hosts go to such pools first.

--- a/figtray/upkeep/rebalancer.py
+++ b/figtray/upkeep/rebalancer.py
@@ -90,13 +90,41 @@
         self._set_cordoned()
         if spare_pool is None:
             return
+        pools = sorted(set(cfg.pools) - cfg.spare_pools())
+        missing, missing_lasting = self._count_missing(cfg, listed, now_ms)
+        # A backlog would take all hosts, and lasting tasks wait for its end.
+        for counts in (missing_lasting, missing):
+            for pool in sorted(counts, key=counts.get, reverse=True):
+                if counts[pool] > 0:
+                    added = self._add_hosts(
+                        pool, counts[pool], listed, spare_pool, evacuated_zones
+                    )
+                    missing[pool] -= added
+                    missing_lasting[pool] -= added
+        shortage = any(count > 0 for count in missing.values())
+        for pool in pools:
+            surplus = -missing.get(pool, 0)
+            self._drain_surplus(pool, surplus, listed, now_ms, shortage)
+        self._set_cordoned()
+        self._move_drained(
+            listed, spare_pool, missing, missing_lasting, evacuated_zones
+        )
+        self._scheduler.set_workers_expected(
+            any(move.pool != spare_pool for move in self._moving.values())
+        )
+
+    def _count_missing(self, cfg, listed, now_ms):
+        """Count the hosts that each pool with a load lacks.
+
+        Returns:
+            Two mappings of pool to the number: for all its tasks, and for its
+            lasting tasks alone. A negative number is a surplus.
+        """
         loads = self._scheduler.pool_loads()
         capacity = host_needs.usual_capacity(listed.values())
-        pools = sorted(set(cfg.pools) - cfg.spare_pools())
         base = host_needs.base_workers(len(listed), cfg)
-        # Hosts that each pool lacks; a negative number is a surplus.
-        missing = {}
-        for pool in pools:
+        missing, missing_lasting = {}, {}
+        for pool in sorted(set(cfg.pools) - cfg.spare_pools()):
             load = loads.get(pool)
             if load is None:
                 continue
@@ -107,21 +135,10 @@
                 host_needs.wanted_workers(load, rise, capacity)
                 - host_needs.usual_workers(load, capacity),
             )
-            missing[pool] = lacking - self._count_incoming(pool)
-        for pool in sorted(missing, key=missing.get, reverse=True):
-            if missing[pool] > 0:
-                missing[pool] -= self._add_hosts(
-                    pool, missing[pool], listed, spare_pool, evacuated_zones
-                )
-        shortage = any(count > 0 for count in missing.values())
-        for pool in pools:
-            surplus = -missing.get(pool, 0)
-            self._drain_surplus(pool, surplus, listed, now_ms, shortage)
-        self._set_cordoned()
-        self._move_drained(listed, spare_pool, missing, evacuated_zones)
-        self._scheduler.set_workers_expected(
-            any(move.pool != spare_pool for move in self._moving.values())
-        )
+            incoming = self._count_incoming(pool)
+            missing[pool] = lacking - incoming
+            missing_lasting[pool] = load.spread - load.workers - incoming
+        return missing, missing_lasting
 
     def _set_cordoned(self):
         """Cordon the workers that are drained or whose hosts are moving.
@@ -250,11 +267,13 @@
         for host in candidates[:surplus]:
             self._draining[host.host_id] = host.worker_id
 
-    def _move_drained(self, listed, spare_pool, missing, evacuated_zones):
+    def _move_drained(
+        self, listed, spare_pool, missing, missing_lasting, evacuated_zones
+    ):
         """Move drained hosts to the pool that lacks the most hosts.
 
-        If no pool lacks any, or the zone of the host is evacuated, the host
-        moves to the spare pool.
+        Pools whose lasting tasks lack hosts come first. If no pool lacks any,
+        or the zone of the host is evacuated, the host moves to the spare pool.
         """
         chosen = []
         for host_id, worker_id in list(self._draining.items()):
@@ -268,11 +287,16 @@
                 continue
             if not self._scheduler.drain_worker(worker_id):
                 continue
-            target = max(missing, key=missing.get, default=spare_pool)
+            target = max(
+                missing,
+                key=lambda pool: (missing_lasting[pool] > 0, missing[pool]),
+                default=spare_pool,
+            )
             if missing.get(target, 0) <= 0 or host.zone in evacuated_zones:
                 target = spare_pool
             else:
                 missing[target] -= 1
+                missing_lasting[target] -= 1
             chosen.append((host, target))
         for (host, _), accepted in zip(chosen, self._move_all(chosen)):
             if accepted:
--- a/figtray/upkeep/tests/test_rebalancer.py
+++ b/figtray/upkeep/tests/test_rebalancer.py
@@ -66,6 +66,47 @@
         assert sorted(site.moves()) == [('host-8', 'main'), ('host-9', 'main')]
 
 
+class TestLastingTasks:
+    def route(self, site, **pools):
+        """Let queues send their tasks to pools.
+
+        Args:
+            site: the Site.
+            pools: mapping of queue to the name of its pool.
+        """
+        cfg = harness.make_config(2)
+        names = {*cfg.pools, *pools.values()}
+        site.fleet.cfg = queues.Config(
+            2,
+            [
+                dataclasses.replace(cfg.queues[name], pool=pool)
+                for name, pool in pools.items()
+            ],
+            [cfg.pools.get(name, queues.Pool(name)) for name in names],
+            cfg.teams.values(),
+        )
+        site.leader.scheduler.configure(site.fleet.cfg, frozenset())
+
+    # Lasting tasks without a worker waited until the backlog of another pool
+    # had got all the hosts that it lacked.
+    def test_backlog_gets_all_spare_hosts(self, site):
+        self.route(site, q='main', other='second')
+        site.fleet.submit(harness.make_step(5, lasting=True, max_per_worker=1))
+        site.fleet.submit(harness.make_step(60, 4000), queue='other')
+        site.reconcile()
+        assert {pool for _, pool in site.moves()} == {'main', 'second'}
+
+    def test_backlog_gets_all_drained_hosts(self, site):
+        for host_id in ('host-8', 'host-9'):
+            del site.hosts.hosts[host_id]
+        self.route(site, q='third', other='second')
+        site.fleet.submit(harness.make_step(1, lasting=True, max_per_worker=1))
+        site.fleet.submit(harness.make_step(60, 4000), queue='other')
+        site.reconcile()
+        site.reconcile()
+        assert [pool for _, pool in site.moves()] == ['third', 'second']
+
+
 class TestUnresponsiveWorkers:
     def silence(self, site, numbers):
         ids = {f'worker-{number}' for number in numbers}
