Drain no surplus host whose lasting tasks have room nowhere else

Callers saw: a lasting task was stopped because its host was needed, and waited for good, while the spare pool had hosts.

Cause: the surplus of a pool is a figure of its whole processor time and memory. Tasks that need more than half a worker don't fit into what several others have left, and those of a step that is spread need workers without a task of it.

Change: a host is drained as surplus only if the other workers of its pool have room for its lasting tasks and for those of the hosts that are drained already. Hosts without lasting tasks are chosen as before.

Evidence: test_lasting_task_finds_no_room_after_a_move fails without the change in both cases (one task of 3 or 4 was not running after 20 s) and passes with it.

--- a/figtray/scheduling/draining.py
+++ b/figtray/scheduling/draining.py
@@ -160,6 +160,42 @@
                     )
             return False
 
+    def can_lasting_tasks_leave(self, worker_ids):
+        """Return whether the lasting tasks of workers have room elsewhere.
+
+        Args:
+            worker_ids: ids of workers of one pool.
+        """
+        with self.lock:
+            now_ms = self._clock.now_ms()
+            steps, others = [], []
+            pools = {
+                worker_state.worker.pool
+                for worker_state in self._worker_states.values()
+                if worker_state.worker.worker_id in worker_ids
+            }
+            for worker_state in self._worker_states.values():
+                if worker_state.worker.worker_id in worker_ids:
+                    steps += [
+                        run.task.step
+                        for run in worker_state.runs.values()
+                        if run.task.step.spec.lasting
+                    ]
+                elif worker_state.worker.pool in pools and (
+                    self._is_in_use(worker_state)
+                ):
+                    others.append(worker_state)
+            return _have_room(others, steps, now_ms)
+
+    def _is_in_use(self, worker_state):
+        """Return whether tasks can start on a worker, but for a cordon."""
+        return (
+            worker_state.listed
+            and worker_state.has_reported
+            and not worker_state.worker.draining
+            and worker_state.worker.zone not in self._evacuated_zones
+        )
+
     def has_lasting_tasks(self, worker_id):
         """Return whether lasting tasks run on a worker."""
         with self.lock:
@@ -179,13 +215,7 @@
         """
         with self.lock:
             worker_state = self._find_worker(worker_id)
-            if (
-                worker_state is None
-                or not worker_state.listed
-                or not worker_state.has_reported
-                or worker_state.worker.draining
-                or worker_state.worker.zone in self._evacuated_zones
-            ):
+            if worker_state is None or not self._is_in_use(worker_state):
                 return False
             now_ms = self._clock.now_ms()
             return any(
@@ -234,6 +264,36 @@
                 entry['spread'] = max(entry['spread'], workers)
 
 
+def _have_room(worker_states, steps, now_ms):
+    """Return whether workers have room for one more task of each step.
+
+    Args:
+        worker_states: the WorkerStates.
+        steps: StepStates, one entry for each task.
+        now_ms: local time.
+    """
+    free = {
+        worker_state: worker_state.free_resources()
+        for worker_state in worker_states
+    }
+    placed = collections.Counter()
+    for step in sorted(
+        steps, key=lambda step: step.spec.needs.cpu_milli, reverse=True
+    ):
+        needs = state.occupied(step.spec)
+        for worker_state in worker_states:
+            more = placed[worker_state, step]
+            if free[worker_state].covers(needs) and placement.has_room(
+                step, worker_state, now_ms, more
+            ):
+                free[worker_state] -= needs
+                placed[worker_state, step] += 1
+                break
+        else:
+            return False
+    return True
+
+
 def _is_available(run):
     """Return whether a lasting task works at full speed and is reachable."""
     return (
--- a/figtray/scheduling/placement.py
+++ b/figtray/scheduling/placement.py
@@ -41,15 +41,23 @@
     return is_usable(worker_state, now_ms) and _can_hold(step, worker_state)
 
 
-def has_room(step, worker_state, now_ms):
-    """Return whether a worker has room for one more task of a step."""
+def has_room(step, worker_state, now_ms, planned=0):
+    """Return whether a worker has room for one more task of a step.
+
+    Args:
+        step: the StepState.
+        worker_state: the WorkerState.
+        now_ms: local time in milliseconds.
+        planned: number of tasks of the step that are to start there besides
+            those that run.
+    """
     return not worker_state.cordon_reason and has_room_uncordoned(
-        step, worker_state, now_ms
+        step, worker_state, now_ms, planned
     )
 
 
-def has_room_uncordoned(step, worker_state, now_ms):
-    """Return whether a worker would have room if it weren't cordoned."""
+def has_room_uncordoned(step, worker_state, now_ms, planned=0):
+    """Return what has_room() would return if the worker weren't cordoned."""
     spec = step.spec
     if not (_is_sound(worker_state, now_ms) and _can_hold(step, worker_state)):
         return False
@@ -59,7 +67,7 @@
         running_here = sum(
             1 for run in worker_state.runs.values() if run.task.step is step
         )
-        return running_here < spec.max_per_worker
+        return running_here + planned < spec.max_per_worker
     return True
 
 
--- a/figtray/upkeep/rebalancer.py
+++ b/figtray/upkeep/rebalancer.py
@@ -247,8 +247,20 @@
                 h.host_id,
             )
         )
-        for host in candidates[:surplus]:
-            self._draining[host.host_id] = host.worker_id
+        drained_ids = {
+            worker_id
+            for host_id, worker_id in self._draining.items()
+            if listed[host_id].pool == pool
+        }
+        for host in candidates:
+            if surplus <= 0:
+                return
+            # Otherwise they wait until the pool gets another host.
+            worker_ids = drained_ids | {host.worker_id}
+            if self._scheduler.can_lasting_tasks_leave(worker_ids):
+                self._draining[host.host_id] = host.worker_id
+                drained_ids = worker_ids
+                surplus -= 1
 
     def _move_drained(self, listed, spare_pool, missing, evacuated_zones):
         """Move drained hosts to the pool that lacks the most hosts.
--- a/figtray/upkeep/tests/test_rebalancer.py
+++ b/figtray/upkeep/tests/test_rebalancer.py
@@ -8,6 +8,7 @@
 from figtray.jobs import model
 from figtray.jobs import queues
 from figtray.scheduling.tests import harness
+from figtray.scheduling.tests import takeovers
 from figtray.upkeep import host_needs
 from figtray.upkeep import rebalancer
 from figtray.upkeep.tests import support
@@ -187,6 +188,19 @@
         moved = [host for host, pool in site.moves() if pool == 'spare']
         assert moved
 
+    # A host whose lasting task had room nowhere else counted as surplus, as
+    # the pool had processor time enough in all, and the task waited for good.
+    @pytest.mark.parametrize('count', [3, 4])
+    def test_lasting_task_finds_no_room_after_a_move(self, site, count):
+        site.fleet.submit(harness.make_step(count, 5000, lasting=True))
+        for _ in range(40):
+            site.leader.advance(500)
+            site.leader.sync_workers()
+            site.reconcile()
+        running = takeovers.running(site.fleet)
+        assert len(running) == count
+        assert len(site.moves()) == 4 - count
+
 
 def refuse(*_):
     return False
