Insist on a trial after four crashes, with those that were seen late

Cause: a crash more than 0.4 s after the start is not put down to a run if its worker has a younger one.

Evidence: TestWaitingSuspects. test_task_with_late_crashes_starts_beside_others_once_more failed before with two counted crashes and two late ones, and with one and three: the task started beside another suspect.

Change: a task that has one counted crash, and four with the late ones, starts on trial only. A crash there makes the late ones count, which are five then.

Result: the test passes, and the tests of the scheduler.

--- a/figtray/scheduling/crashes.py
+++ b/figtray/scheduling/crashes.py
@@ -27,6 +27,8 @@
 # A task that crashed fewer workers starts without a trial if it has waited
 # for one for so long, and later also beside other suspects.
 CRASHES_TO_INSIST = 3
+# The same with the late crashes, if it is suspected of another one.
+ALL_CRASHES_TO_INSIST = 4
 MAX_TRIAL_WAIT_MS = 1500
 MAX_APART_WAIT_MS = 2500
 
@@ -87,6 +89,9 @@
     """Return whether a task may start only on a worker of its own."""
     if task.crashes.count >= CRASHES_TO_INSIST:
         return True
+    all_runs = {*task.crashes.runs, *task.late_crashes}
+    if task.crashes.count and len(all_runs) >= ALL_CRASHES_TO_INSIST:
+        return True
     return is_suspect(task) and now_ms - task.ready_ms < MAX_TRIAL_WAIT_MS
 
 
--- a/figtray/scheduling/tests/test_deadly_tasks.py
+++ b/figtray/scheduling/tests/test_deadly_tasks.py
@@ -217,17 +217,39 @@
         ],
     )
     def test_suspect_waits_only_so_long_for_others(self, waited_ms, starts):
+        assert self._starts_beside_another(waited_ms, (1,), ()) == starts
+
+    # A crash that a slow leader sees late was no reason to insist on a trial,
+    # so a task could crash five workers before its first trial.
+    @pytest.mark.parametrize(
+        'runs, late, starts',
+        [
+            ((1, 2), (), True),
+            ((1, 2), (2,), True),
+            ((1,), (1, 2, 3), True),
+            ((1, 2), (3, 4), False),
+            ((1,), (2, 3, 4), False),
+        ],
+    )
+    def test_task_with_late_crashes_starts_beside_others_once_more(
+        self, runs, late, starts
+    ):
+        waited_ms = crashes.MAX_APART_WAIT_MS
+        assert self._starts_beside_another(waited_ms, runs, late) == starts
+
+    def _starts_beside_another(self, waited_ms, runs, late):
         fleet = harness.Fleet(workers=1)
         leader = fleet.elect_leader()
         leader.report_all()
         tasks = []
-        for _ in range(2):
+        for numbers, late_numbers in (((1,), ()), (runs, late)):
             _, [name] = deadly.submit(fleet)
             leader.sync_intake()
             task = leader.scheduler.find_task(name)
             task.ready_ms = fleet.clock.now_ms() - waited_ms
-            task.crashes = records.Crashes((1,), 0)
+            task.crashes = records.Crashes(numbers, 0)
+            task.late_crashes = late_numbers
             leader.run_cycle()
             tasks.append(name)
         assert tasks[0] in harness.running(fleet)
-        assert (tasks[1] in harness.running(fleet)) == starts
+        return tasks[1] in harness.running(fleet)
