--- a/figtray/scheduling/crashes.py
+++ b/figtray/scheduling/crashes.py
@@ -24,8 +24,10 @@
 # trial and soon after the start. One of these may be chance. After a change of
 # the leader it may be unknown that a crash was on trial.
 CRASHES_TO_GIVE_UP = {0: 5, 1: 4, 2: 3}
-# From this number of crashes on, a task starts on trial only.
+# From this number of crashes on, a task starts on trial only; if it is a
+# suspect, also from the second number on, of these and late crashes together.
 CRASHES_TO_REQUIRE_TRIAL = 3
+ALL_CRASHES_TO_REQUIRE_TRIAL = 4
 # With fewer, it starts without a trial after the first of these waits, and
 # beside other suspects after the second.
 MAX_TRIAL_WAIT_MS = 1500
@@ -106,6 +108,9 @@
     """
     if task.crashes.count >= CRASHES_TO_REQUIRE_TRIAL:
         return True
+    all_runs = {*task.crashes.runs, *task.late_crashes}
+    if task.crashes.count and len(all_runs) >= ALL_CRASHES_TO_REQUIRE_TRIAL:
+        return True
     return is_suspect(task) and now_ms - task.ready_ms < MAX_TRIAL_WAIT_MS
 
 
