--- a/figtray/scheduling/tests/test_deadly_tasks.py
+++ b/figtray/scheduling/tests/test_deadly_tasks.py
@@ -88,6 +88,15 @@
         assert site.crashes[task] <= deadly.MOST_CRASHES
         assert leader.state(job_id) == records.State.FAILED
 
+    # A trial of 3 s cleared a task that crashes its workers after that.
+    def test_task_that_outlasts_trials_is_given_up(self, fleet, leader):
+        site = deadly.Site(fleet, delay_ms=3100)
+        job_id, [task] = deadly.submit(fleet)
+        site.deadly = {task}
+        site.play(leader, LONG_MS)
+        assert site.crashes[task] <= deadly.MOST_CRASHES
+        assert leader.state(job_id) == records.State.FAILED
+
     # With one worker, nobody is left to try the task on.
     def test_pool_of_one_worker(self):
         fleet = harness.Fleet(workers=1)
