Clear a task only by a run that outlasts its earlier crashes

What callers saw: in a test, a task that crashes its workers 3.1 s after each start was started without end (17 crashes in 60 s), and its job never ended (BUDGET).

Cause: a run that passes a trial of 3 s cleared its task of all crashes, though the crashes so far had come later than that. Class of fault: a proof of innocence that the guilty task gives as well.

Change: the longest time for which a run of the task had gone on as its worker crashed is kept, and a run clears the task only when it has gone on 0.4 s longer, or 10 s. The length of trials, for which a worker is kept from other starts, stays. It is not stored, so a new leader clears such a task as before once.

Result: the tests of scheduling, upkeep and jobs pass. Tasks that crash their worker after more than 10 s are still cleared each time: open.

--- a/figtray/scheduling/crashes.py
+++ b/figtray/scheduling/crashes.py
@@ -18,7 +18,8 @@
 # otherwise each crash between the two would count as the first.
 TRIAL_MS = SETTLED_MS
 LONG_TRIAL_MS = 3000
-# A run that has gone on for this long was not the cause of earlier crashes.
+# A run that has outlasted those under which workers crashed, or has gone on
+# for this long, shows that its task was not the cause.
 CLEARED_MS = 10_000
 # Number of crashes after which a task is given up, by how many of them were on
 # trial and soon after the start. One of these may be chance. After a change of
@@ -136,13 +137,16 @@
 
 
 def is_cleared(run, asked_ms):
-    """Return whether a run has gone on long enough to clear its task.
+    """Return whether a run that has passed a trial clears its task.
+
+    A task that crashes its workers late goes on until then each time.
 
     Args:
         run: the Run.
         asked_ms: local time at which it certainly went on.
     """
-    return run.sent_ms is not None and asked_ms - run.sent_ms >= CLEARED_MS
+    cleared_ms = min(run.task.crash_age_ms + SETTLED_MS, CLEARED_MS)
+    return run.sent_ms is not None and asked_ms - run.sent_ms >= cleared_ms
 
 
 def is_late(run):
@@ -151,6 +155,12 @@
     return age_ms is not None and age_ms >= SETTLED_MS
 
 
+def note_crash_age(run):
+    """Record for how long a run had gone on when its worker crashed."""
+    task = run.task
+    task.crash_age_ms = max(task.crash_age_ms, _age_ms(run) or 0)
+
+
 def log_suspected(run):
     """Log that the task of a run is suspected of one more crash."""
     log.emit(
--- a/figtray/scheduling/reports.py
+++ b/figtray/scheduling/reports.py
@@ -288,7 +288,6 @@
         if item.checkpoint and not task.done:
             task.checkpoint = item.checkpoint
         if item.end in (messages.EndReason.DONE, messages.EndReason.FAILED):
-            task.late_crashes = ()
             self._clear(task, 'its worker reports its end')
         spec = task.step.spec
         if item.end == messages.EndReason.DONE and not spec.lasting:
--- a/figtray/scheduling/state.py
+++ b/figtray/scheduling/state.py
@@ -105,6 +105,8 @@
         crashes: the records.Crashes that it is suspected of.
         late_crashes: numbers of the runs that had gone on for a while when
             their workers crashed.
+        crash_age_ms: longest time for which such a run, or a suspected one,
+            had gone on, since the task was cleared.
         run: its Run; None if it has none.
         ready_ms: local time since which it is ready to start.
     """
@@ -120,6 +122,7 @@
         'placement',
         'crashes',
         'late_crashes',
+        'crash_age_ms',
         'run',
         'ready_ms',
     )
@@ -139,6 +142,7 @@
         self.placement = None
         self.crashes = records.NO_CRASHES
         self.late_crashes = ()
+        self.crash_age_ms = 0
         self.run = None
         self.ready_ms = 0
 
--- a/figtray/scheduling/tests/test_deadly_tasks.py
+++ b/figtray/scheduling/tests/test_deadly_tasks.py
@@ -95,8 +95,11 @@
         assert leader.state(job_id) == records.State.FAILED
 
     # A trial of 3 s cleared a task that crashes its workers after that.
-    def test_task_that_outlasts_trials_is_given_up(self, fleet, leader):
-        site = deadly.Site(fleet, delay_ms=3100)
+    @pytest.mark.parametrize('delay_ms', [3100, 6000])
+    def test_task_that_outlasts_trials_is_given_up(
+        self, fleet, leader, delay_ms
+    ):
+        site = deadly.Site(fleet, delay_ms=delay_ms)
         job_id, [task] = deadly.submit(fleet)
         site.deadly = {task}
         site.play(leader, LONG_MS)
--- a/figtray/scheduling/worker_ends.py
+++ b/figtray/scheduling/worker_ends.py
@@ -77,10 +77,12 @@
         """Suspect the runs of a crashed worker; return their tasks."""
         for run in crashes.settled_runs(worker_state):
             run.task.late_crashes += (run.number,)
+            crashes.note_crash_age(run)
         runs = crashes.suspects(worker_state)
         alone = crashes.tried_run(worker_state) in runs
         for run in runs:
             task = run.task
+            crashes.note_crash_age(run)
             if alone:
                 for number in task.late_crashes:
                     task.crashes = task.crashes.add(number, False)
@@ -156,7 +158,6 @@
             return
         if crashes.tried_run(worker_state) is run:
             worker_state.trial = None
-            task.late_crashes = ()
             log.emit(
                 catalogue.TRIAL_PASSED,
                 task=task.name,
@@ -165,11 +166,12 @@
             )
             self.changed.set()
         if crashes.is_cleared(run, asked_ms):
-            task.late_crashes = ()
-        self._clear(task, 'it goes on')
+            self._clear(task, 'it goes on')
 
     def _clear(self, task, reason):
         """Record that a task did not cause the crashes so far."""
+        task.late_crashes = ()
+        task.crash_age_ms = 0
         if not task.crashes.count:
             return
         log.emit(
