--- a/figtray/scheduling/tests/test_service.py
+++ b/figtray/scheduling/tests/test_service.py
@@ -180,6 +180,21 @@
         site.poll_until(lambda: worker_state.listed)
         assert site.clock.now_ms() - back_ms <= service.WORKERS_POLL_MS
 
+    # The host list could not resolve an incarnation of an earlier term.
+    def test_worker_without_an_entry_is_listed_in_a_new_term(self, site):
+        worker = site.fleet.workers.pop('worker-0')
+        site.store.txn(
+            (),
+            [
+                base.Put(
+                    rosters.ROSTER_KEY,
+                    rosters.encode(rosters.Roster((worker.incarnation,))),
+                )
+            ],
+        )
+        assert site.leader._load()
+        assert not site.worker_state(0).listed
+
     # An entry expires in an outage although its worker goes on.
     def test_worker_without_an_entry_is_unlisted_at_once(self, site):
         assert site.leader._load()
--- a/figtray/upkeep/tests/test_drains.py
+++ b/figtray/upkeep/tests/test_drains.py
@@ -14,11 +14,14 @@
 class DrainSite(test_waves.WaveSite):
     """A leader with three workers, and a wave over their hosts.
 
-    The first host whose upkeep begins doesn't return.
+    Attributes:
+        returns: whether a host returns after its upkeep.
     """
 
     def __init__(self):
         super().__init__()
+        self.returns = False
+        self._down_since_ms = {}
         takeovers.leave(self.fleet, 3)
         del self.hosts.hosts['host-3']
         self.leader.sync_workers()
@@ -39,6 +42,8 @@
             self.fleet.client.expire()
             self.leader.sync_workers()
             self.run_cycle()
+            if self.returns:
+                self._end_upkeeps()
             running = takeovers.running(self.fleet)
             assert all(len(runs) == 1 for runs in running.values()), running
             for task in [*waits, *running]:
@@ -48,6 +53,15 @@
                 longest[task] = max(longest.get(task, 0), waits[task])
         return longest
 
+    def _end_upkeeps(self):
+        """Finish all upkeeps once one has had its time."""
+        now_ms = self.fleet.clock.now_ms()
+        for host_id in self.hosts_in_upkeep():
+            since_ms = self._down_since_ms.setdefault(host_id, now_ms)
+            if now_ms - since_ms >= harness.BOUNDS.upkeep_s * 1000:
+                self.finish_upkeeps()
+                self._down_since_ms.clear()
+
 
 @pytest.fixture
 def site():
@@ -76,6 +90,21 @@
         assert len(longest) == 2
         assert max(longest.values()) < RESTART_MS, longest
 
+    # A lasting task was stopped when the drain began, and waited for the short
+    # tasks on the only host with room, then for the upkeep.
+    def test_short_tasks_prolong_the_wait_for_the_upkeep(self, site):
+        for number in (1, 2):
+            takeovers.leave(site.fleet, number)
+            del site.hosts.hosts[f'host-{number}']
+        site.leader.sync_workers()
+        site.returns = True
+        site.fleet.submit(harness.make_step(1))
+        job_id = site.fleet.submit(harness.make_step(1, lasting=True))
+        site.leader.run_cycle()
+        longest = site.play(PLAY_MS)
+        assert len(site.hosts.accepted_orders) == 1
+        assert longest[f'{job_id}.0.0.0'] < RESTART_MS, longest
+
     # Two tasks of a step ran on the host whose turn it was. One was stopped
     # and found no room elsewhere, and the other could not be stopped then.
     def test_drain_waits_for_a_task_that_waits_for_the_drain(self, site):
