Begin an upkeep at once if a lasting task waits for its host

Cause: the drain of a host on its turn lasts until its short tasks have ended, 6 s at most, and its upkeep comes after that. Each of the two is bounded, their sum is over the promise.

Change: once a lasting task has waited for 2 s for room that only the cordon keeps from it, the drain of such a host ends and its upkeep begins. Short tasks that go on there then are lost and start again; most take no longer than that wait.

--- a/figtray/upkeep/waves.py
+++ b/figtray/upkeep/waves.py
@@ -293,14 +293,21 @@
         """Drain a cordoned host and return whether its upkeep may begin.
 
         Lasting tasks are awaited without a time limit, others for at most
-        MAX_DRAIN_MS.
+        MAX_DRAIN_MS, or until a lasting task has waited too long for the room
+        of this host.
         """
         if host.state != fleet.HostState.UP:
             return False
         waited_ms = now_ms - state.cordoned_ms[host.host_id]
-        return self._scheduler.drain_worker(host.worker_id) or (
+        if self._scheduler.drain_worker(host.worker_id):
+            return True
+        if self._scheduler.has_lasting_tasks(host.worker_id):
+            return False
+        return (
             waited_ms >= MAX_DRAIN_MS
-            and not self._scheduler.has_lasting_tasks(host.worker_id)
+            or self._scheduler.holds_up_lasting_task(
+                host.worker_id, MAX_LASTING_WAIT_MS
+            )
         )
 
     def _begin_upkeep(self, state, host, now_ms):
