Count a crash as soon after a start from its confirmation on

Cause: the age of a run was counted from the moment at which its start was sent, so the time that the worker took to execute and confirm it was added. A trial could also be over before the run had begun. Class of fault: a lower bound was wanted, and the upper bound of the age was used.

Change: a run has gone on for a time only if it has done so since the worker confirmed the start or reported the run (started_ms).

--- a/figtray/scheduling/crashes.py
+++ b/figtray/scheduling/crashes.py
@@ -74,8 +74,7 @@
         now_ms: local time.
     """
     return any(
-        is_suspect(run.task)
-        and (run.sent_ms is None or now_ms - run.sent_ms < SETTLED_MS)
+        is_suspect(run.task) and not has_gone_on(run, SETTLED_MS, now_ms)
         for run in worker_state.runs.values()
     )
 
@@ -133,7 +132,7 @@
         asked_ms: local time at which it certainly went on.
     """
     trial_ms = LONG_TRIAL_MS if run.task.late_crashes else TRIAL_MS
-    return run.sent_ms is not None and asked_ms - run.sent_ms >= trial_ms
+    return has_gone_on(run, trial_ms, asked_ms)
 
 
 def is_cleared(run, asked_ms):
@@ -146,17 +145,30 @@
         asked_ms: local time at which it certainly went on.
     """
     cleared_ms = min(run.task.crash_age_ms + SETTLED_MS, CLEARED_MS)
-    return run.sent_ms is not None and asked_ms - run.sent_ms >= cleared_ms
+    return has_gone_on(run, cleared_ms, asked_ms)
 
 
 def is_late(run):
     """Return whether a run had gone on for a while when its worker ended."""
-    age_ms = _age_ms(run)
-    return age_ms is not None and age_ms >= SETTLED_MS
+    silent_ms = run.worker_state.silent_since_ms
+    return silent_ms is not None and has_gone_on(run, SETTLED_MS, silent_ms)
+
+
+def has_gone_on(run, for_ms, at_ms):
+    """Return whether a run had certainly gone on for a time.
+
+    A worker may need a while to execute and confirm a start.
+
+    Args:
+        run: the Run.
+        for_ms: the time in milliseconds.
+        at_ms: local time at which it went on.
+    """
+    return run.started_ms is not None and at_ms - run.started_ms >= for_ms
 
 
 def note_crash_age(run):
-    """Record for how long a run had gone on when its worker crashed."""
+    """Record for how long at most a run had gone on in a crash."""
     task = run.task
     task.crash_age_ms = max(task.crash_age_ms, _age_ms(run) or 0)
 
@@ -188,6 +200,6 @@
 
 
 def _age_ms(run):
-    """Return how long a run went on before its worker fell silent."""
+    """Return how long at most a run went on before its worker fell silent."""
     silent_ms = run.worker_state.silent_since_ms
     return None if silent_ms is None else silent_ms - run.sent_ms
--- a/figtray/scheduling/outcomes.py
+++ b/figtray/scheduling/outcomes.py
@@ -70,6 +70,8 @@
         with self.lock:
             now_ms = self._clock.now_ms()
             run.confirmed_ms = now_ms
+            if run.started_ms is None:
+                run.started_ms = now_ms
             run.worker_state.refused_connections = 0
             run.worker_state.unanswered_starts = 0
             run.worker_state.room_refusals = 0
--- a/figtray/scheduling/reports.py
+++ b/figtray/scheduling/reports.py
@@ -177,6 +177,8 @@
         if run is None or run.number != item.run:
             self._handle_stray(worker_state, item, now_ms)
             return
+        if run.started_ms is None:
+            run.started_ms = now_ms
         run.percent = item.percent
         run.load = item.load
         if item.checkpoint:
@@ -205,7 +207,7 @@
         run = state.Run(task, worker_state, item.run, now_ms)
         run.phase = state.Phase.RUNNING
         run.confirmed_ms = now_ms
-        run.sent_ms = now_ms
+        run.sent_ms = run.started_ms = now_ms
         self._attach(run)
         job = task.step.job
         from_earlier_term = (
--- a/figtray/scheduling/state.py
+++ b/figtray/scheduling/state.py
@@ -57,6 +57,8 @@
             none.
         sent_ms: local time from which the worker may have run it; None if
             its start was not sent.
+        started_ms: local time by which it had certainly started; None while
+            the worker has not confirmed it.
     """
 
     __slots__ = (
@@ -72,6 +74,7 @@
         'full_speed_since_ms',
         'ticket',
         'sent_ms',
+        'started_ms',
     )
 
     def __init__(self, task, worker_state, number, ordered_ms, ticket=''):
@@ -87,6 +90,7 @@
         self.full_speed_since_ms = None
         self.ticket = ticket
         self.sent_ms = None
+        self.started_ms = None
 
 
 class TaskState:
--- a/figtray/scheduling/tests/deadly.py
+++ b/figtray/scheduling/tests/deadly.py
@@ -143,6 +143,17 @@
     return job_id, [f'{job_id}.0.0.{index}' for index in range(count)]
 
 
+def delay_starts(fleet, monkeypatch, ms):
+    """Let each start take a time in milliseconds until it is executed."""
+    start = fleet.client.start
+
+    def start_later(*args):
+        fleet.clock.advance(ms)
+        return start(*args)
+
+    monkeypatch.setattr(fleet.client, 'start', start_later)
+
+
 def end_otherwise(fleet, site, worker_id, how):
     """End a worker by an order or with its host; it is back later.
 
--- a/figtray/scheduling/tests/test_deadly_tasks.py
+++ b/figtray/scheduling/tests/test_deadly_tasks.py
@@ -10,6 +10,8 @@
 LONG_MS = 60_000
 # The leader knows of a crash after this time.
 FOUND_MS = 200
+# A worker needs this long to execute and confirm a start.
+START_MS = 400
 
 
 @pytest.fixture
@@ -106,6 +108,24 @@
         assert site.crashes[task] <= deadly.MOST_CRASHES
         assert leader.state(job_id) == records.State.FAILED
 
+    # A crash soon after a start that was confirmed late counted as a late one,
+    # so none showed the guilt of the task.
+    @pytest.mark.parametrize('delay_ms', [0, 100, 200, 300])
+    def test_crash_soon_after_a_start_that_is_confirmed_late(
+        self, fleet, leader, monkeypatch, delay_ms
+    ):
+        site = deadly.Site(fleet, delay_ms=delay_ms)
+        deadly.delay_starts(fleet, monkeypatch, START_MS)
+        job_id, [task] = deadly.submit(fleet)
+        site.deadly = {task}
+        # The first crash is not counted, as its leader is gone.
+        site.play_to_crash(leader, task)
+        leader = fleet.elect_leader()
+        leader.report_all()
+        site.play(leader, LONG_MS, cycle_ms=20)
+        assert site.crashes[task] <= deadly.MOST_CRASHES
+        assert leader.state(job_id) == records.State.FAILED
+
     # With one worker, nobody is left to try the task on.
     def test_pool_of_one_worker(self):
         fleet = harness.Fleet(workers=1)
--- a/figtray/scheduling/trials.py
+++ b/figtray/scheduling/trials.py
@@ -167,10 +167,7 @@
     runs = worker_state.runs.values()
     if now_ms - task.ready_ms < EMPTY_WAIT_MS:
         return all(run.task.step.spec.lasting for run in runs)
-    return all(
-        run.sent_ms is not None and now_ms - run.sent_ms >= QUIET_MS
-        for run in runs
-    )
+    return all(crashes.has_gone_on(run, QUIET_MS, now_ms) for run in runs)
 
 
 def _run_counts(worker_state):
