Let signals and changes of the configuration come in series in the soak

Series had outages, workers that leave or crash, and kills only. A node had one signal at a time, as each target has one fault at a time, and a key was withdrawn once for good; SIGTERM, SIGHUP, pauses and zones came as single faults.

Change: a second source of series with a random source of its own, so that the schedules of seeds stay (test_seeds_keep_their_schedules). The leader gets two to six of SIGHUP, SIGSTOP, SIGCONT, SIGTERM and SIGKILL up to 0.5 s apart and restarts; a key is withdrawn, given back and withdrawn three times, and the last withdrawal counts; restarts, pauses and reloads of other nodes and a zone that goes out come within the same second. Nothing is checked less.

test_signals_and_changes_come_in_series, test_node_restarts_after_signals and test_key_is_withdrawn_in_the_end are new and pass, as do the other tests of the soak but for TestSoak, which was not run here.

--- a/figtray/soak/faults.py
+++ b/figtray/soak/faults.py
@@ -45,6 +45,9 @@
     STORE_SILENT_OUTAGE = 'the store gives no answer and then runs on'
     WORKER_LEAVES = 'a worker drains and leaves for good'
     WORKER_SILENT_CRASH = 'a worker crashes and its address falls silent'
+    # These come only in series of changes.
+    SIGNALS = 'a node gets signals one right after the other, and restarts'
+    KEY_CHANGES = 'a key is withdrawn, given back and withdrawn'
     # These come beside the others.
     WORKER_SHRINKS = 'the capacity of a worker shrinks and grows again'
 
@@ -54,12 +57,10 @@
     FaultKind.WORKER_LEAVES,
     FaultKind.WORKER_SILENT_CRASH,
 )
+CHANGE_KINDS = (FaultKind.SIGNALS, FaultKind.KEY_CHANGES)
+OTHER_KINDS = (*SERIES_KINDS, *CHANGE_KINDS, FaultKind.WORKER_SHRINKS)
 # A kind that is added here changes the schedule of each seed.
-SINGLE_KINDS = tuple(
-    kind
-    for kind in FaultKind
-    if kind not in (*SERIES_KINDS, FaultKind.WORKER_SHRINKS)
-)
+SINGLE_KINDS = tuple(kind for kind in FaultKind if kind not in OTHER_KINDS)
 
 _DIRECTIONS = tuple(proxies_lib.Direction)
 # The peer of the proxied connections, and the call of their proxies.
--- a/figtray/soak/injector.py
+++ b/figtray/soak/injector.py
@@ -1,6 +1,7 @@
 """Injection of the faults of a schedule."""
 
 import functools
+import random
 import signal
 import threading
 
@@ -20,7 +21,18 @@
     model.Resources(3000, 32_000),
     model.Resources(8000, 200),
 )
+WITHDRAWN_KEY = 'extra-key'
 OPERATOR_RETRY_DELAY_S = 0.05
+SERIES_SIGNALS = (
+    signal.SIGHUP,
+    signal.SIGSTOP,
+    signal.SIGCONT,
+    signal.SIGTERM,
+    signal.SIGKILL,
+)
+MIN_SIGNALS, MAX_SIGNALS = 2, 6
+MAX_CHANGE_GAP_S = 0.5
+KEY_CHANGE_COUNT = 3
 
 
 class Injector:
@@ -110,6 +122,8 @@
                 begin, end = node.stop, node.start
             case faults.FaultKind.RELOAD:
                 begin = functools.partial(node.send_signal, signal.SIGHUP)
+            case faults.FaultKind.SIGNALS:
+                begin, end = self._signal_actions(fault, node)
             case faults.FaultKind.PAUSE:
                 begin = functools.partial(node.send_signal, signal.SIGSTOP)
                 end = functools.partial(node.send_signal, signal.SIGCONT)
@@ -130,9 +144,8 @@
                 begin, end = self._late_order_actions(fault)
                 targets = {'orders'}
             case faults.FaultKind.WORKER_CRASH:
-                begin, targets = functools.partial(
-                    self._crash_worker, fault
-                ), {'crash'}
+                targets, host_id = {'crash'}, self._select_host(fault)
+                begin = functools.partial(self._site.crash_worker, host_id)
             case faults.FaultKind.WORKER_LEAVES:
                 begin, end = self._leave_actions(fault)
                 targets = {'leaving worker'}
@@ -144,6 +157,9 @@
                 targets = {f'capacity of {host_id}'}
             case faults.FaultKind.KEY_WITHDRAWN:
                 begin, targets = self._withdraw_key, {'keys'}
+            case faults.FaultKind.KEY_CHANGES:
+                begin = functools.partial(self._change_keys, fault)
+                targets = {'keys'}
             case faults.FaultKind.ZONE_OUT:
                 begin, end = self._zone_out_actions()
                 targets = {'zone'}
@@ -198,9 +214,6 @@
         hosts = self._site.worker_host_ids()
         return hosts[fault.choice % len(hosts)] if hosts else ''
 
-    def _crash_worker(self, fault):
-        self._site.crash_worker(self._select_host(fault))
-
     def _crash_silently(self, fault):
         worker = self._site.remove_host(
             self._select_host(fault), sites.ENTRY_MS
@@ -265,15 +278,38 @@
 
         return begin, end
 
-    def _withdraw_key(self):
+    def _signal_actions(self, fault, node):
+        rng = random.Random(fault.choice)
+        count = rng.randint(MIN_SIGNALS, MAX_SIGNALS)
+
+        def begin():
+            for signum in rng.choices(SERIES_SIGNALS, k=count):
+                node.send_signal(signum)
+                self._stop.wait(rng.uniform(0, MAX_CHANGE_GAP_S))
+
+        def end():
+            node.send_signal(signal.SIGCONT)
+            node.stop()
+            node.start()
+
+        return begin, end
+
+    def _write_keys(self, *keys):
         self._config_version += 1
-        self._retry_change(
-            self._site.write_config,
-            self._config_version,
-            (standin_config.API_KEY,),
-        )
+        self._retry_change(self._site.write_config, self._config_version, keys)
+
+    def _withdraw_key(self):
+        self._write_keys(standin_config.API_KEY)
         self._checker.record_key_withdrawn()
 
+    def _change_keys(self, fault):
+        rng = random.Random(fault.choice)
+        for _ in range(KEY_CHANGE_COUNT):
+            self._checker.record_key_given()
+            self._write_keys(standin_config.API_KEY, WITHDRAWN_KEY)
+            self._stop.wait(rng.uniform(0, MAX_CHANGE_GAP_S))
+            self._withdraw_key()
+
     def _retry_change(self, change, *args):
         """Retry a change of an operator until it succeeds or all faults end.
 
--- a/figtray/soak/invariants.py
+++ b/figtray/soak/invariants.py
@@ -278,6 +278,11 @@
             if state == 'failed' and not self._crash_budget.may_fail(job_id):
                 self._record_violation('failed only with a cause', job_id)
 
+    def record_key_given(self):
+        """Record that the key is about to be given to the team again."""
+        with self._lock:
+            self._key_withdrawn_ms = math.inf
+
     def record_key_withdrawn(self):
         """Record that a key of the team was withdrawn."""
         with self._lock:
--- a/figtray/soak/soak.py
+++ b/figtray/soak/soak.py
@@ -30,7 +30,7 @@
 RUN_DURATION_MS = (150, 500)
 # Rate of all workers' clocks; the slowest that scheduling.leases allows for.
 SLOWEST_CLOCK_RATE = 0.98
-WITHDRAWN_KEY = 'extra-key'
+WITHDRAWN_KEY = injectors.WITHDRAWN_KEY
 PROBE_INTERVAL_S = 0.1
 CHECK_INTERVAL_S = 0.1
 # Limit of the time after the last fault in which leases expire, a leader is
@@ -81,10 +81,6 @@
     hits: tuple
 
 
-class _SetupError(Exception):
-    """The soak could not be set up."""
-
-
 class Soak:
     """One run of the soak.
 
@@ -111,6 +107,9 @@
         random_schedule += series.make_series(
             random.Random(f'series {seed}'), length_s
         )
+        random_schedule += series.make_series(
+            random.Random(f'changes {seed}'), length_s, series.CHANGE_KINDS
+        )
         random_schedule += faults_lib.make_schedule(
             random.Random(f'shrinkages {seed}'),
             length_s + (deadly.CALM_S if deadly_jobs else 0),
@@ -205,7 +204,7 @@
         while not all(node.ready_status() == 200 for node in self._nodes):
             attempts_left -= 1
             if not attempts_left:
-                raise _SetupError('the nodes did not become ready in time')
+                raise TimeoutError('the nodes did not become ready in time')
             self._stop_all.wait(POLL_INTERVAL_S)
 
     def _run_with_faults(self):
--- a/figtray/soak/tests/test_injector.py
+++ b/figtray/soak/tests/test_injector.py
@@ -1,8 +1,10 @@
 """Tests of the faults that end a worker for good or hide the store."""
 
 import collections
+import json
+import math
+import signal
 import socket
-import types
 
 import pytest
 
@@ -34,6 +36,27 @@
     def wait(self, for_s):
         self.action()
 
+    def is_set(self):
+        return False
+
+
+class Node:
+    """Stands in for a NodeProcess; records what is done with it."""
+
+    name = 'node-0'
+
+    def __init__(self):
+        self.actions = []
+
+    def send_signal(self, signum):
+        self.actions.append(signum)
+
+    def stop(self):
+        self.actions.append('stop')
+
+    def start(self):
+        self.actions.append('start')
+
 
 class Harness:
     """Site with two workers, proxies, and an Injector that does not wait."""
@@ -48,9 +71,10 @@
         settings = self.site.node_settings('node-0')
         self.store_address = settings['platform']['address']
         self.pause = Pause()
+        self.node = Node()
         self.injector = injector.Injector(
             self.site,
-            [types.SimpleNamespace(name='node-0')],
+            [self.node],
             self.proxies,
             self.checker,
             self.pause,
@@ -187,3 +211,36 @@
         assert (
             seen == [injector.SHRUNK_CAPACITIES[0]] * 2 + [worker.capacity] * 2
         )
+
+
+class TestSeriesOfChanges:
+    """Guards against nodes that stay paused and keys that stay given."""
+
+    def test_node_restarts_after_signals(self, harness):
+        assert harness.inject(faults.FaultKind.SIGNALS)
+        *signals, resumed, stopped, started = harness.node.actions
+        assert len(signals) >= injector.MIN_SIGNALS
+        assert set(signals) <= set(injector.SERIES_SIGNALS)
+        assert resumed == signal.SIGCONT
+        assert (stopped, started) == ('stop', 'start')
+
+    def test_key_is_withdrawn_in_the_end(self, harness):
+        seen = []
+
+        def note():
+            seen.append(json.loads(harness.site.store.peek('op/config').value))
+            harness.checker.check_key_response(math.inf, 200)
+
+        harness.pause.action = note
+        assert harness.inject(faults.FaultKind.KEY_CHANGES)
+        note()
+        given = [
+            injector.WITHDRAWN_KEY in config['tenants'][0]['api_keys']
+            for config in seen
+        ]
+        assert given == [True] * injector.KEY_CHANGE_COUNT + [False, False]
+        versions = [config['version'] for config in seen]
+        assert versions == sorted(versions)
+        # Only after the last change is a response with the key a violation.
+        promises = [item.promise for item in harness.checker.violations]
+        assert promises == ['withdrawn keys do not work'] * 2
--- a/figtray/soak/tests/test_soak.py
+++ b/figtray/soak/tests/test_soak.py
@@ -61,9 +61,10 @@
             for fault in first
         )
 
-    def test_seed_determines_series(self):
+    @pytest.mark.parametrize('kinds', [series.KINDS, series.CHANGE_KINDS])
+    def test_seed_determines_series(self, kinds):
         first, again = (
-            series.make_series(random.Random(5), 30) for _ in range(2)
+            series.make_series(random.Random(5), 30, kinds) for _ in range(2)
         )
         assert first == again
         assert all(
@@ -93,6 +94,26 @@
             for first in schedule
         )
 
+    # Signals to one node came one at a time, and no change came in a series.
+    def test_signals_and_changes_come_in_series(self):
+        schedule = series.make_series(
+            random.Random(5), 300, series.CHANGE_KINDS
+        )
+        kinds = {
+            faults.FaultKind.SIGNALS,
+            faults.FaultKind.KEY_CHANGES,
+            faults.FaultKind.TERMINATE,
+        }
+        assert any(
+            kinds
+            <= {
+                fault.kind
+                for fault in schedule
+                if 0 <= fault.at_s - first.at_s <= 1
+            }
+            for first in schedule
+        )
+
     # A kind that is added to the single faults would change the schedule of
     # each seed, also of those that guard against a former fault.
     def test_seeds_keep_their_schedules(self):
@@ -103,7 +124,8 @@
 
     def test_all_kinds_occur(self):
         schedule = faults.make_schedule(random.Random(5), 300)
-        schedule += series.make_series(random.Random(5), 300)
+        for kinds in (series.KINDS, series.CHANGE_KINDS):
+            schedule += series.make_series(random.Random(5), 300, kinds)
         schedule += faults.make_schedule(
             random.Random(5), 300, (faults.FaultKind.WORKER_SHRINKS,)
         )
