Store the crashes of workers that came late under a task

The first crash came 411 ms after the confirmed start, beside younger runs, so these were suspected and the crash was only noted as a late one; the next leader knew nothing of it.

Cause: late crashes were kept in the leader's memory. The class of fault is the one of the first count of crashes (test_count_of_crashes_survives_leaders).

Change: records.Crashes has the late ones as well, and they are stored with the progress of the job as the others are. Older records, without that field, are read as before. The age that a task has to outlast is still forgotten with the leader.

test_late_crashes_beside_younger_runs_survive_leaders failed before with 20 crashes and passes now. test_task_with_late_crashes_starts_beside_others_once_more sets the same numbers in the new place. figtray/scheduling and figtray/jobs: 514 passed.

--- a/figtray/jobs/records.py
+++ b/figtray/jobs/records.py
@@ -67,10 +67,13 @@
         runs: numbers of the runs under which workers crashed.
         alone: how many of them were on trial, on a worker of their own, and
             soon after the start.
+        late: numbers of the runs that had gone on for a while when their
+            workers crashed; such a run may be in runs as well.
     """
 
     runs: tuple[int, ...] = ()
     alone: int = 0
+    late: tuple[int, ...] = ()
 
     @property
     def count(self):
@@ -86,7 +89,11 @@
         """
         if number in self.runs:
             return self
-        return Crashes((*self.runs, number), self.alone + alone)
+        return Crashes((*self.runs, number), self.alone + alone, self.late)
+
+    def add_late(self, number):
+        """Return the Crashes with one more that came late."""
+        return Crashes(self.runs, self.alone, (*self.late, number))
 
 
 NO_CRASHES = Crashes()
--- a/figtray/scheduling/crashes.py
+++ b/figtray/scheduling/crashes.py
@@ -94,9 +94,8 @@
 
 def is_suspect(task):
     """Return whether a task may have crashed workers."""
-    return (
-        task.crashes.count > 0 or len(task.late_crashes) >= LATE_CRASHES_TO_TRY
-    )
+    crashes = task.crashes
+    return crashes.count > 0 or len(crashes.late) >= LATE_CRASHES_TO_TRY
 
 
 def is_trial_needed(task, now_ms):
@@ -108,7 +107,7 @@
     """
     if task.crashes.count >= CRASHES_TO_REQUIRE_TRIAL:
         return True
-    all_runs = {*task.crashes.runs, *task.late_crashes}
+    all_runs = {*task.crashes.runs, *task.crashes.late}
     if task.crashes.count and len(all_runs) >= ALL_CRASHES_TO_REQUIRE_TRIAL:
         return True
     return is_suspect(task) and now_ms - task.ready_ms < MAX_TRIAL_WAIT_MS
@@ -131,7 +130,7 @@
         run: the Run.
         asked_ms: local time at which it certainly went on.
     """
-    trial_ms = LONG_TRIAL_MS if run.task.late_crashes else TRIAL_MS
+    trial_ms = LONG_TRIAL_MS if run.task.crashes.late else TRIAL_MS
     return has_gone_on(run, trial_ms, asked_ms)
 
 
--- a/figtray/scheduling/tests/test_deadly_tasks.py
+++ b/figtray/scheduling/tests/test_deadly_tasks.py
@@ -83,6 +83,24 @@
         assert site.crashes[task] <= deadly.MOST_CRASHES
         assert leader.state(job_id) == records.State.FAILED
 
+    # Crashes that came late, beside younger runs, were only in the leader's
+    # memory, so a task could crash workers without end.
+    def test_late_crashes_beside_younger_runs_survive_leaders(self, fleet):
+        site = deadly.Site(fleet, delay_ms=800)
+        job_id, [task] = deadly.submit(fleet)
+        site.deadly = {task}
+        leader = fleet.elect_leader()
+        leader.report_all()
+        for turn in range(150):
+            deadly.submit(fleet, 16)
+            site.play(leader, 200)
+            if turn % 10 == 9:
+                leader = fleet.elect_leader()
+                leader.report_all()
+        site.play(leader, LONG_MS)
+        assert site.crashes[task] <= deadly.MOST_CRASHES
+        assert leader.state(job_id) == records.State.FAILED
+
     # A trial was passed before the end of the time within which a crash is
     # put down to a start, so each crash after it was the first one again.
     @pytest.mark.parametrize('delay_ms', [260, 300, 340, 380, 420, 500])
@@ -299,8 +317,7 @@
             leader.sync_intake()
             task = leader.scheduler.find_task(name)
             task.ready_ms = fleet.clock.now_ms() - waited_ms
-            task.crashes = records.Crashes(numbers, 0)
-            task.late_crashes = late_numbers
+            task.crashes = records.Crashes(numbers, 0, late_numbers)
             leader.run_cycle()
             tasks.append(name)
         assert tasks[0] in harness.running(fleet)
--- a/figtray/scheduling/worker_ends.py
+++ b/figtray/scheduling/worker_ends.py
@@ -76,23 +76,23 @@
     def _suspect_runs(self, worker_state):
         """Suspect the runs of a crashed worker; return their tasks."""
         for run in crashes.settled_runs(worker_state):
-            run.task.late_crashes += (run.number,)
+            run.task.crashes = run.task.crashes.add_late(run.number)
             crashes.note_crash_age(run)
+            self._store_crashes(run.task)
         runs = crashes.suspects(worker_state)
         alone = crashes.tried_run(worker_state) in runs
         for run in runs:
             task = run.task
             crashes.note_crash_age(run)
             if alone:
-                for number in task.late_crashes:
+                for number in task.crashes.late:
                     task.crashes = task.crashes.add(number, False)
             # Long trials are more often hit by a crash that is chance.
             task.crashes = task.crashes.add(
                 run.number, alone and not crashes.is_late(run)
             )
             crashes.log_suspected(run)
-            if not task.step.job.ended:
-                self._store_progress(task.step.job)
+            self._store_crashes(task)
         return [run.task for run in runs]
 
     def _suspect_placed(self, incarnation, kind):
@@ -152,7 +152,7 @@
             asked_ms: local time at which it certainly went on.
         """
         task, worker_state = run.task, run.worker_state
-        if not task.crashes.count and not task.late_crashes:
+        if task.crashes == records.NO_CRASHES:
             return
         if not crashes.is_trial_over(run, asked_ms):
             return
@@ -170,16 +170,19 @@
 
     def _clear(self, task, reason):
         """Record that a task did not cause the crashes so far."""
-        task.late_crashes = ()
         task.crash_age_ms = 0
-        if not task.crashes.count:
+        if task.crashes == records.NO_CRASHES:
             return
-        log.emit(
-            catalogue.TASK_CLEARED,
-            task=task.name,
-            crashes=task.crashes.count,
-            reason=reason,
-        )
+        if task.crashes.count:
+            log.emit(
+                catalogue.TASK_CLEARED,
+                task=task.name,
+                crashes=task.crashes.count,
+                reason=reason,
+            )
         task.crashes = records.NO_CRASHES
+        self._store_crashes(task)
+
+    def _store_crashes(self, task):
         if not task.step.job.ended:
             self._store_progress(task.step.job)
