--- a/figtray/scheduling/tests/test_deadly_tasks.py
+++ b/figtray/scheduling/tests/test_deadly_tasks.py
@@ -10,6 +10,8 @@
 LONG_MS = 60_000
 # The leader knows of a crash after this time.
 FOUND_MS = 200
+# A worker needs this long to execute and confirm a start.
+START_MS = 400
 
 
 @pytest.fixture
@@ -81,6 +83,24 @@
         assert site.crashes[task] <= deadly.MOST_CRASHES
         assert leader.state(job_id) == records.State.FAILED
 
+    # Crashes that came late, beside younger runs, were only in the leader's
+    # memory, so a task could crash workers without end.
+    def test_late_crashes_beside_younger_runs_survive_leaders(self, fleet):
+        site = deadly.Site(fleet, delay_ms=800)
+        job_id, [task] = deadly.submit(fleet)
+        site.deadly = {task}
+        leader = fleet.elect_leader()
+        leader.report_all()
+        for turn in range(150):
+            deadly.submit(fleet, 16)
+            site.play(leader, 200)
+            if turn % 10 == 9:
+                leader = fleet.elect_leader()
+                leader.report_all()
+        site.play(leader, LONG_MS)
+        assert site.crashes[task] <= deadly.MOST_CRASHES
+        assert leader.state(job_id) == records.State.FAILED
+
     # A trial was passed before the end of the time within which a crash is
     # put down to a start, so each crash after it was the first one again.
     @pytest.mark.parametrize('delay_ms', [260, 300, 340, 380, 420, 500])
@@ -106,6 +126,24 @@
         assert site.crashes[task] <= deadly.MOST_CRASHES
         assert leader.state(job_id) == records.State.FAILED
 
+    # A crash soon after a start that was confirmed late counted as a late one,
+    # so none showed the guilt of the task.
+    @pytest.mark.parametrize('delay_ms', [0, 100, 200, 300])
+    def test_crash_soon_after_a_start_that_is_confirmed_late(
+        self, fleet, leader, monkeypatch, delay_ms
+    ):
+        site = deadly.Site(fleet, delay_ms=delay_ms)
+        deadly.delay_starts(fleet, monkeypatch, START_MS)
+        job_id, [task] = deadly.submit(fleet)
+        site.deadly = {task}
+        # The first crash is not counted, as its leader is gone.
+        site.play_to_crash(leader, task)
+        leader = fleet.elect_leader()
+        leader.report_all()
+        site.play(leader, LONG_MS, cycle_ms=20)
+        assert site.crashes[task] <= deadly.MOST_CRASHES
+        assert leader.state(job_id) == records.State.FAILED
+
     # With one worker, nobody is left to try the task on.
     def test_pool_of_one_worker(self):
         fleet = harness.Fleet(workers=1)
@@ -279,8 +317,7 @@
             leader.sync_intake()
             task = leader.scheduler.find_task(name)
             task.ready_ms = fleet.clock.now_ms() - waited_ms
-            task.crashes = records.Crashes(numbers, 0)
-            task.late_crashes = late_numbers
+            task.crashes = records.Crashes(numbers, 0, late_numbers)
             leader.run_cycle()
             tasks.append(name)
         assert tasks[0] in harness.running(fleet)
