Split the catalogue of log events by area

The catalogue had 582 lines, so an event had to be searched for among those of all other slices. The package holds one module for each area, and its __init__ gathers them, so that other code goes on naming an event as catalogue.NAME. The wildcard imports of the gathering module are marked for the linter: a list of all names would stand a second time beside the definitions.

--- /dev/null
+++ b/figtray/events/catalogue/process.py
@@ -0,0 +1,106 @@
+"""Events of each process, of the store and of the configuration."""
+
+import logbook
+
+from figtray.events import base
+
+PROCESS_STARTED = base.Event(
+    100, logbook.NOTICE, 'The process has started.', ('version', 'pid', 'zone')
+)
+PROCESS_STOPPING = base.Event(
+    101,
+    logbook.NOTICE,
+    'The process received a stop signal; it finishes open work and exits.',
+    ('signal',),
+)
+PROCESS_STOPPED = base.Event(
+    102,
+    logbook.NOTICE,
+    'The process exits. Status 0: stopped, 1: unexpected exception, 2: '
+    'invalid settings, 3: cannot listen.',
+    ('status',),
+)
+SETTINGS_INVALID = base.Event(
+    103,
+    logbook.ERROR,
+    'The settings are invalid. On start the process exits; on a reload it '
+    'keeps the settings it started with.',
+    ('detail',),
+)
+LISTEN_FAILED = base.Event(
+    104,
+    logbook.ERROR,
+    'The process cannot listen on an address of its settings and exits.',
+    ('address', 'detail'),
+)
+UNEXPECTED_EXCEPTION = base.Event(
+    105,
+    logbook.ERROR,
+    'An unexpected exception was raised; where names the work that failed.',
+    ('where', 'error', 'detail', 'traceback'),
+)
+LIBRARY_MESSAGE = base.Event(
+    106,
+    logbook.WARNING,
+    'A library logged a warning or an error.',
+    ('library', 'severity', 'detail', 'error'),
+)
+SETTINGS_RELOADED = base.Event(
+    107,
+    logbook.NOTICE,
+    'The settings file was read again and is valid; the process keeps the '
+    'settings it started with.',
+    ('node',),
+)
+LOG_LINES_DROPPED = base.Event(
+    108,
+    logbook.WARNING,
+    'Log lines were dropped: there were more than the limit, or their '
+    'reader is too slow.',
+    ('lines',),
+)
+
+STORE_UNAVAILABLE = base.Event(
+    200,
+    logbook.WARNING,
+    'The store does not answer; what was last read below the prefix stays '
+    'in use, and reading is retried.',
+    ('prefix', 'detail'),
+)
+STORE_BACK = base.Event(
+    201,
+    logbook.NOTICE,
+    'The store answers again; what is known below the prefix is current.',
+    ('prefix', 'outage_ms'),
+)
+RECORD_UNREADABLE = base.Event(
+    205,
+    logbook.ERROR,
+    'A record in the store cannot be decoded; it is not used until it is '
+    'written again.',
+    ('record', 'detail'),
+)
+WRITES_FAIL = base.Event(
+    206,
+    logbook.WARNING,
+    'The leader cannot write its records to the store; it retries while its '
+    'term lasts.',
+    ('records', 'detail'),
+)
+WRITES_SUCCEED = base.Event(
+    207, logbook.NOTICE, 'The leader can write its records to the store again.'
+)
+
+CONFIG_APPLIED = base.Event(
+    302,
+    logbook.INFO,
+    'A configuration was read from the store and is in use.',
+    ('version', 'revision', 'queues', 'pools', 'teams'),
+)
+ZONES_OUT_OF_SERVICE = base.Event(
+    303,
+    logbook.NOTICE,
+    'The set of zones out of service has changed; no task starts in the '
+    'listed zones.',
+    ('zones',),
+)
--- /dev/null
+++ b/figtray/events/catalogue/requests.py
@@ -0,0 +1,75 @@
+"""Events of operators' and callers' requests and of jobs."""
+
+import logbook
+
+from figtray.events import base
+
+OPERATOR_CHANGE = base.Event(
+    1100,
+    logbook.INFO,
+    'A change by an operator was written to the store.',
+    ('change_id', 'generation', 'resources'),
+)
+OPERATOR_CHANGE_FAILED = base.Event(
+    1101,
+    logbook.WARNING,
+    'A change by an operator failed; the outcome says whether it may have '
+    'reached the store.',
+    ('change_id', 'resources', 'outcome', 'detail'),
+)
+
+CALL_ANSWERED = base.Event(
+    1500,
+    logbook.INFO,
+    "A caller's request was answered.",
+    (
+        'job_id',
+        'queue',
+        'method',
+        'status',
+        'reason',
+        'config',
+        'proof_age_ms',
+        'duration_ms',
+    ),
+)
+FRONT_CLOSED = base.Event(
+    1501,
+    logbook.NOTICE,
+    "The listener for callers' requests was closed; cut_off counts the "
+    'requests that were aborted.',
+    ('cut_off',),
+)
+JOB_SEEN = base.Event(
+    1502,
+    logbook.INFO,
+    'The leader has read an accepted job from the store and schedules its '
+    'tasks.',
+    ('job_id', 'queue', 'team', 'tasks', 'created', 'age_ms'),
+)
+JOB_CANCELLED = base.Event(
+    1503,
+    logbook.INFO,
+    'A job was cancelled; its runs are stopped.',
+    ('job_id', 'runs', 'age_ms'),
+)
+JOB_COMPLETED = base.Event(
+    1504,
+    logbook.INFO,
+    'A job is complete; all its tasks are done.',
+    ('job_id', 'age_ms', 'objective_ms'),
+)
+JOB_FAILED = base.Event(
+    1505,
+    logbook.INFO,
+    'A job has failed because one of its tasks failed as often as its queue '
+    'allows; its runs are stopped.',
+    ('job_id', 'task', 'failures'),
+)
+JOBS_REMOVED = base.Event(
+    1506,
+    logbook.INFO,
+    'Jobs that ended longer ago than the retention time were removed from '
+    'the store.',
+    ('jobs',),
+)
--- a/figtray/events/tests/test_log.py
+++ b/figtray/events/tests/test_log.py
@@ -6,6 +6,7 @@
 import logbook
 import pytest
 
+from figtray.events import base
 from figtray.events import catalogue
 from figtray.events import document
 from figtray.events import log
@@ -51,7 +52,7 @@
 
     # Guards against a log level that has no effect.
     def test_lower_level_is_dropped(self, read):
-        event = catalogue.Event(1, logbook.DEBUG, 'Detail.', ('team',))
+        event = base.Event(1, logbook.DEBUG, 'Detail.', ('team',))
         log.emit(event, team='a')
         assert read() == []
 
