Use the shared fixtures of the scheduling tests

Seven test modules defined the fixture leader, and one the fixture fleet, with the text of conftest.py; a module that defines only its own fleet gets the same leader from there. Two modules had the same fixture handler, which conftest.py holds now. The fixtures do what they did, and no test is changed.

--- a/figtray/scheduling/tests/conftest.py
+++ b/figtray/scheduling/tests/conftest.py
@@ -1,5 +1,6 @@
-"""Fixtures of a fleet and its leader."""
+"""Fixtures of a fleet, its leader and the log lines of a test."""
 
+import logbook
 import pytest
 
 from figtray.scheduling.tests import harness
@@ -15,3 +16,9 @@
     leader = fleet.elect_leader()
     leader.report_all()
     return leader
+
+
+@pytest.fixture
+def handler():
+    with logbook.TestHandler() as handler:
+        yield handler
--- a/figtray/scheduling/tests/test_awaited.py
+++ b/figtray/scheduling/tests/test_awaited.py
@@ -1,6 +1,5 @@
 """Tests of the log of the incarnations that a takeover awaits."""
 
-import logbook
 import pytest
 
 from figtray.events import catalogue
@@ -10,17 +9,6 @@
 from figtray.scheduling.tests import harness
 
 
-@pytest.fixture
-def fleet():
-    return harness.Fleet()
-
-
-@pytest.fixture
-def handler():
-    with logbook.TestHandler() as handler:
-        yield handler
-
-
 def take_over(fleet):
     """Return the leader after one whose roster has all workers."""
     former = fleet.elect_leader()
--- a/figtray/scheduling/tests/test_capacity.py
+++ b/figtray/scheduling/tests/test_capacity.py
@@ -19,13 +19,6 @@
     assert not fleet.capacities.overloads
 
 
-@pytest.fixture
-def leader(fleet):
-    leader = fleet.elect_leader()
-    leader.report_all()
-    return leader
-
-
 def plan(fleet, leader, *steps):
     """Plan a job, without sending the orders; returns its id."""
     job_id = fleet.submit(*steps)
--- a/figtray/scheduling/tests/test_draining.py
+++ b/figtray/scheduling/tests/test_draining.py
@@ -10,13 +10,6 @@
     return harness.Fleet(2)
 
 
-@pytest.fixture
-def leader(fleet):
-    leader = fleet.elect_leader()
-    leader.report_all()
-    return leader
-
-
 def cordoned(leader):
     """Return the cordon_reason of each cordoned worker, by worker id."""
     return {
--- a/figtray/scheduling/tests/test_held.py
+++ b/figtray/scheduling/tests/test_held.py
@@ -1,6 +1,5 @@
 """Tests of the log of the steps whose ready tasks are held."""
 
-import logbook
 import pytest
 
 from figtray.events import catalogue
@@ -17,19 +16,6 @@
     return harness.Fleet(1)
 
 
-@pytest.fixture
-def leader(fleet):
-    leader = fleet.elect_leader()
-    leader.report_all()
-    return leader
-
-
-@pytest.fixture
-def handler():
-    with logbook.TestHandler() as handler:
-        yield handler
-
-
 def submit_large(fleet, **fields):
     """Store a job for whose task no worker has room; returns its id."""
     return fleet.submit(harness.make_step(1, TOO_MUCH_CPU_MILLI, **fields))
--- a/figtray/scheduling/tests/test_host_list.py
+++ b/figtray/scheduling/tests/test_host_list.py
@@ -17,13 +17,6 @@
     return harness.Fleet(4, rate=leases.SLOWEST_CLOCK_RATE)
 
 
-@pytest.fixture
-def leader(fleet):
-    leader = fleet.elect_leader()
-    leader.report_all()
-    return leader
-
-
 class TestHostList:
     # A link that is cut may refuse connections while the runs go on.
     @pytest.mark.parametrize('new_leader', [True, False])
--- a/figtray/scheduling/tests/test_lease_horizon.py
+++ b/figtray/scheduling/tests/test_lease_horizon.py
@@ -18,13 +18,6 @@
     return harness.Fleet(2)
 
 
-@pytest.fixture
-def leader(fleet):
-    leader = fleet.elect_leader()
-    leader.report_all()
-    return leader
-
-
 def lease_left_ms(fleet, number=0):
     """Return how long the lease on a worker still lasts."""
     sim = fleet.sim(number)
--- a/figtray/scheduling/tests/test_silent_worker.py
+++ b/figtray/scheduling/tests/test_silent_worker.py
@@ -16,13 +16,6 @@
     return harness.Fleet(2, rate=leases.SLOWEST_CLOCK_RATE)
 
 
-@pytest.fixture
-def leader(fleet):
-    leader = fleet.elect_leader()
-    leader.report_all()
-    return leader
-
-
 def start_lasting_task(fleet, leader):
     """Start a lasting task; returns its name."""
     job_id = fleet.submit(harness.make_step(lasting=True))
--- a/figtray/scheduling/tests/test_takeover.py
+++ b/figtray/scheduling/tests/test_takeover.py
@@ -17,13 +17,6 @@
     return harness.Fleet(4, rate=leases.SLOWEST_CLOCK_RATE)
 
 
-@pytest.fixture
-def leader(fleet):
-    leader = fleet.elect_leader()
-    leader.report_all()
-    return leader
-
-
 class TestWorkerThatLeft:
     # Only the longest lease ended the wait for a worker without an entry.
     @pytest.mark.parametrize('lasting', [True, False])
