Move the leader of the tests out of the fleet's harness

The Leader, its View and its FlushingWriter move to leaders.py unchanged; the five modules that name them import it.

--- a/figtray/scheduling/tests/test_lease_horizon.py
+++ b/figtray/scheduling/tests/test_lease_horizon.py
@@ -9,6 +9,7 @@
 from figtray.scheduling import service
 from figtray.scheduling import session
 from figtray.scheduling.tests import harness
+from figtray.scheduling.tests import leaders
 
 BOUNDS = harness.BOUNDS
 
@@ -34,7 +35,7 @@
         service.LeaderService(
             fleet.store,
             fleet.clock,
-            harness.View(fleet),
+            leaders.View(fleet),
             list_workers,
             fleet.client,
             None,
@@ -95,7 +96,7 @@
     # leave leases that nobody knows of.
     def test_lease_is_extended_before_the_first_record(self, fleet):
         horizon = lease_horizon.LeaseHorizon(
-            harness.FlushingWriter(fleet.elect_leader()), fleet.clock, BOUNDS
+            leaders.FlushingWriter(fleet.elect_leader()), fleet.clock, BOUNDS
         )
         assert horizon.remaining_ms(fleet.clock.now_ms()) == 0
 
--- a/figtray/scheduling/tests/test_service.py
+++ b/figtray/scheduling/tests/test_service.py
@@ -9,6 +9,7 @@
 from figtray.scheduling import service
 from figtray.scheduling import session
 from figtray.scheduling.tests import harness
+from figtray.scheduling.tests import leaders
 from figtray.store import base
 from figtray.store.tests import outages
 
@@ -44,7 +45,7 @@
             service.LeaderService(
                 self.store,
                 self.clock,
-                harness.View(self.fleet),
+                leaders.View(self.fleet),
                 self._list_workers,
                 self.fleet.client,
                 None,
--- a/figtray/scheduling/tests/test_sum_of_waits.py
+++ b/figtray/scheduling/tests/test_sum_of_waits.py
@@ -14,6 +14,7 @@
 from figtray.scheduling import service
 from figtray.scheduling import session
 from figtray.scheduling.tests import harness
+from figtray.scheduling.tests import leaders
 from figtray.scheduling.tests import takeovers
 from figtray.scheduling import writer as writers
 from figtray.store import base
@@ -51,7 +52,7 @@
 
     def lead(self):
         """Become the leader; returns the Leader."""
-        return harness.Leader(self._fleet, self._elector._try_acquire())
+        return leaders.Leader(self._fleet, self._elector._try_acquire())
 
 
 @pytest.fixture
--- a/figtray/upkeep/tests/support.py
+++ b/figtray/upkeep/tests/support.py
@@ -4,6 +4,7 @@
 from figtray.fleet import model as fleet_model
 from figtray.jobs import model
 from figtray.scheduling.tests import harness
+from figtray.scheduling.tests import leaders
 from figtray.upkeep import host_orders
 from figtray.upkeep import rebalancer
 
@@ -58,7 +59,7 @@
     def orders(self, former_host_ids=()):
         """Return HostOrders of the leader's term."""
         return host_orders.HostOrders(
-            harness.FlushingWriter(self.leader),
+            leaders.FlushingWriter(self.leader),
             self.leader.term,
             self.fleet.clock,
             harness.BOUNDS.lease_ms,
--- a/figtray/upkeep/tests/test_controller.py
+++ b/figtray/upkeep/tests/test_controller.py
@@ -4,6 +4,7 @@
 import pytest
 
 from figtray.scheduling.tests import harness
+from figtray.scheduling.tests import leaders
 from figtray.store import base
 from figtray.upkeep import controller
 from figtray.upkeep import host_orders
@@ -53,7 +54,7 @@
 def build_parts(site, host_controller):
     return host_controller._build_parts(
         site.leader.scheduler,
-        harness.FlushingWriter(site.leader),
+        leaders.FlushingWriter(site.leader),
         site.leader.term,
         harness.InlineExecutor(),
     )
