--- a/figtray/platform/status.py
+++ b/figtray/platform/status.py
@@ -16,7 +16,7 @@
 from figtray.platform import store as stores
 from figtray.platform import view as views
 from figtray.scheduling import roster as rosters
-from figtray.upkeep import waves
+from figtray.upkeep import wave_state
 
 EXIT_INVALID = 2
 EXIT_UNAVAILABLE = 1
@@ -146,10 +146,10 @@
 
 
 def _read_waves(store):
-    for item in store.range(waves.RECORD_PREFIX).items:
-        record = msgspec.json.decode(item.value, type=waves.WaveRecord)
+    for item in store.range(wave_state.RECORD_PREFIX).items:
+        record = msgspec.json.decode(item.value, type=wave_state.WaveRecord)
         yield WaveProgress(
-            int(item.key.removeprefix(waves.RECORD_PREFIX)),
+            int(item.key.removeprefix(wave_state.RECORD_PREFIX)),
             'completed' if record.completed else 'running',
             len(record.begun),
         )
--- a/figtray/upkeep/controller.py
+++ b/figtray/upkeep/controller.py
@@ -10,6 +10,7 @@
 from figtray.events import log
 from figtray.upkeep import host_orders
 from figtray.upkeep import rebalancer
+from figtray.upkeep import wave_state
 from figtray.upkeep import waves
 
 # Wait after a failed call to the host service or the store.
@@ -164,11 +165,11 @@
 
     def _build_wave_runner(self, scheduler, writer, term, orders):
         records = {}
-        for item in self._store.range(waves.RECORD_PREFIX).items:
+        for item in self._store.range(wave_state.RECORD_PREFIX).items:
             writer.set_revision(item.key, item.mod_revision)
-            number = int(item.key.removeprefix(waves.RECORD_PREFIX))
+            number = int(item.key.removeprefix(wave_state.RECORD_PREFIX))
             records[number] = msgspec.json.decode(
-                item.value, type=waves.WaveRecord
+                item.value, type=wave_state.WaveRecord
             )
         for wave in self._view.waves().values():
             key, _ = self._encode_wave_status(wave.number, False)
--- a/figtray/upkeep/waves.py
+++ b/figtray/upkeep/waves.py
@@ -1,15 +1,13 @@
 """Maintenance waves: draining of hosts and the start of their upkeep."""
 
-import dataclasses
-
 import msgspec
 
 from figtray import errors
 from figtray.events import catalogue
 from figtray.events import log
 from figtray.fleet import model as fleet
+from figtray.upkeep import wave_state
 
-RECORD_PREFIX = 'wave/'
 # After this time the upkeep of a host may begin although tasks other than
 # lasting ones still run there.
 MAX_DRAIN_MS = 6000
@@ -27,54 +25,6 @@
 UPKEEP_REASON = 'upkeep'
 
 
-class WaveRecord(msgspec.Struct, frozen=True, omit_defaults=True):
-    """Stored state of a wave.
-
-    Attributes:
-        begun: ids of the hosts whose upkeep has begun.
-        completed: whether the status shown to operators is `completed`.
-    """
-
-    begun: tuple[str, ...] = ()
-    completed: bool = False
-
-
-@dataclasses.dataclass
-class _WaveState:
-    """Progress of a wave during one term.
-
-    Attributes:
-        wave: the Wave.
-        first_seen_ms: local time at which this leader first saw the wave.
-        begun: local time of the start of the upkeep, by host id; 0 if an
-            earlier leader has begun it.
-        down: local time since which a host counts towards max_down, by
-            host id.
-        published: the status last shown to operators; empty before the first.
-        cordoned_ms: local time at which a host was cordoned, by host id.
-        worker_ids: ids of the workers of the hosts that are cordoned or down,
-            by host id.
-        postponed_until_ms: local time until which a host is not cordoned
-            again, by host id.
-        short_until_ms: local time until which hosts of a pool are cordoned
-            only when it is their turn, by pool.
-    """
-
-    wave: fleet.Wave
-    first_seen_ms: int
-    begun: dict
-    down: dict
-    published: str = ''
-    cordoned_ms: dict = dataclasses.field(default_factory=dict)
-    worker_ids: dict = dataclasses.field(default_factory=dict)
-    postponed_until_ms: dict = dataclasses.field(default_factory=dict)
-    short_until_ms: dict = dataclasses.field(default_factory=dict)
-
-    def turns_left(self):
-        """Return how many upkeeps may begin now."""
-        return max(0, self.wave.max_down - len(self.down))
-
-
 class WaveRunner:
     """Carries out all waves during one term.
 
@@ -126,7 +76,7 @@
         """
         pending = {}
         for wave in waves:
-            record = self._records.get(wave.number, WaveRecord())
+            record = self._records.get(wave.number, wave_state.WaveRecord())
             if not record.completed:
                 state = self._get_state(wave, record)
                 pending[wave.number] = self._cordon_hosts(state, listed)
@@ -152,7 +102,7 @@
     def _get_state(self, wave, record):
         state = self._states.get(wave.number)
         if state is None:
-            state = _WaveState(
+            state = wave_state.WaveState(
                 wave, self._clock.now_ms(), dict.fromkeys(record.begun, 0), {}
             )
             # Upkeeps that an earlier leader has begun may still go on.
@@ -358,10 +308,10 @@
         return False
 
     def _store_record(self, state, completed=False):
-        record = WaveRecord(tuple(sorted(state.begun)), completed)
+        record = wave_state.WaveRecord(tuple(sorted(state.begun)), completed)
         self._records[state.wave.number] = record
         self._writer.enqueue(
-            f'{RECORD_PREFIX}{state.wave.number}',
+            f'{wave_state.RECORD_PREFIX}{state.wave.number}',
             lambda: msgspec.json.encode(self._records[state.wave.number]),
         )
 
