Move the starts of tasks and gangs out of the planner

planner.py had 366 lines: the order in which steps get workers, and how a single task or a gang is started on the workers.

--- a/figtray/scheduling/planner.py
+++ b/figtray/scheduling/planner.py
@@ -1,13 +1,12 @@
 """Planner, which chooses the tasks to start and their workers."""
 
-import collections
 import enum
 
 from figtray.events import catalogue
 from figtray.events import log
 from figtray.scheduling import crashes
 from figtray.scheduling import placement
-from figtray.scheduling import scheduler_base
+from figtray.scheduling import starts
 from figtray.scheduling import state
 from figtray.scheduling import trials
 from figtray.scheduling import worker_orders
@@ -32,7 +31,7 @@
     TOO_LATE = 2
 
 
-class Planner(trials.Trials):
+class Planner(starts.Starts):
     """Chooses the tasks to start and their workers."""
 
     def plan(self):
@@ -204,100 +203,6 @@
         self._start(task, worker_state, self._next_run_number(task), now_ms)
         return True
 
-    def _start_gang(self, step, worker_states, team, now_ms):
-        """Start all members of a gang together, on one rack if possible.
-
-        Returns:
-            The HeldReason of the gang, or None if it starts.
-        """
-        if len(step.waiting) < step.spec.count:
-            return state.HeldReason.GANG_INCOMPLETE
-        if not self._quota.allows(
-            team, step.spec.needs.times(step.spec.count)
-        ):
-            return state.HeldReason.TEAM_LIMIT
-        suspect = trials.most_suspected(step.tasks, now_ms)
-        trial_worker = None
-        if suspect is not None:
-            trial_worker = self._trial_worker(suspect, worker_states, now_ms)
-            if trial_worker is None:
-                return state.HeldReason.TRIAL
-        groups = [
-            (group, False)
-            for group in (
-                *placement.by_rack(step, worker_states),
-                worker_states,
-            )
-        ]
-        if trial_worker is not None:
-            groups.append((worker_states, True))
-        for group, beside in groups:
-            assigned = self._assign_gang(
-                step, group, now_ms, suspect, trial_worker, beside
-            )
-            if assigned is not None:
-                self._start_members(step, assigned, now_ms)
-                return None
-        if trial_worker is not None:
-            trial_worker.trial = None
-        return state.HeldReason.NO_ROOM
-
-    def _start_members(self, step, assigned, now_ms):
-        """Start the members of a gang on the WorkerStates assigned to them.
-
-        They get the same run number and resume from the same checkpoint.
-        """
-        number = max(self._next_run_number(task) for task in step.tasks)
-        checkpoint = max(task.checkpoint for task in step.tasks)
-        step.waiting.clear()
-        for task, worker_state in zip(step.tasks, assigned):
-            task.checkpoint = checkpoint
-            self._start(task, worker_state, number, now_ms)
-
-    def _assign_gang(
-        self, step, worker_states, now_ms, suspect, trial_worker, beside
-    ):
-        """Return a WorkerState for each member of a gang.
-
-        Args:
-            step: the StepState.
-            worker_states: candidate WorkerStates.
-            now_ms: local time.
-            suspect: the member to try on a worker of its own, or None.
-            trial_worker: the WorkerState for it, or None.
-            beside: whether other members may start there as well. Whichever
-                of them crashes it, their job is given up.
-
-        Returns:
-            A list, or None if the workers have no room for all members.
-        """
-        assigned, counts = [], collections.Counter()
-        if trial_worker is not None:
-            counts[trial_worker.worker.incarnation] = 1
-        for task in step.tasks:
-            if task is suspect:
-                assigned.append(trial_worker)
-                continue
-            chosen = next(
-                (
-                    worker_state
-                    for worker_state in worker_states
-                    if placement.fits_member(
-                        step,
-                        worker_state,
-                        counts[worker_state.worker.incarnation],
-                        now_ms,
-                        beside and worker_state is trial_worker,
-                    )
-                ),
-                None,
-            )
-            if chosen is None:
-                return None
-            counts[chosen.worker.incarnation] += 1
-            assigned.append(chosen)
-        return assigned
-
     def next_advice_request(self):
         """Return a step to ask the adviser about.
 
@@ -343,24 +248,3 @@
         if step.advice is None:
             step.advice = worker_orders.StepAdvice()
         return step.advice.choose(step, worker_states, now_ms, apart)
-
-    def _next_run_number(self, task):
-        return (
-            max(task.last_run, self._term.epoch * scheduler_base.RUNS_PER_TERM)
-            + 1
-        )
-
-    def _start(self, task, worker_state, number, now_ms):
-        step = task.step
-        ticket = ''
-        if step.advice is not None:
-            ticket = step.advice.ticket(worker_state.worker.worker_id)
-        run = state.Run(task, worker_state, number, now_ms, ticket)
-        self._attach(run)
-        if crashes.tried_run(worker_state) is run:
-            self._log_trial(run)
-        if step.spec.lasting or task.crashes.count:
-            sequence = self._record_placement(run)
-            self._unrecorded_runs.append((sequence, run))
-        else:
-            self._order_start(run)
