Remove two parameters that nothing reads

_revert_start() took a reason and _candidates_by_pool() the time; neither used it. Found by a script that compares the parameters of each function with the names in its body.

--- a/figtray/scheduling/outcomes.py
+++ b/figtray/scheduling/outcomes.py
@@ -46,7 +46,7 @@
                 or worker_clock is None
                 or task.step.job.ended
             ):
-                self._revert_start(run, 'not sent')
+                self._revert_start(run)
                 return None
             # A start extends the lease only if reports don't: a worker that
             # has fallen silent would be awaited for longer.
@@ -138,7 +138,7 @@
                     worker_state.avoid_until_ms = (
                         now_ms + scheduler_base.UNHEALTHY_BACKOFF_MS
                     )
-            self._revert_start(run, outcome.reason.value)
+            self._revert_start(run)
         self.changed.set()
 
     def handle_start_uncertain(self, run, detail):
--- a/figtray/scheduling/planner.py
+++ b/figtray/scheduling/planner.py
@@ -55,7 +55,7 @@
                 )
                 if start_ms is not None:
                     next_ms = min(next_ms, start_ms)
-            pools = self._candidates_by_pool(now_ms)
+            pools = self._candidates_by_pool()
             self._release_trials()
             if self._is_adopting(now_ms):
                 next_ms = min(next_ms, now_ms + ADOPTION_RETRY_MS)
@@ -86,7 +86,7 @@
             else:
                 step.held_reason = state.HeldReason.NO_WORKERS
 
-    def _candidates_by_pool(self, now_ms):
+    def _candidates_by_pool(self):
         """Return the candidate WorkerStates of each pool.
 
         placement.fits() decides for each step which of them can be used.
--- a/figtray/scheduling/scheduler_base.py
+++ b/figtray/scheduling/scheduler_base.py
@@ -193,7 +193,7 @@
         run.worker_state.orders.put(worker_orders.Stop(run))
         run.worker_state.wake.set()
 
-    def _revert_start(self, run, reason):
+    def _revert_start(self, run):
         """Remove a run that never started; its task waits again."""
         if run.task.run is run:
             self._detach(run)
