Explain a few terms where they are used

The horizon of leases was in no glossary; the comments on HORIZON_SLACK_MS and MIN_WORKERS and the doc comments of ends.of_process() and Crashes.add() left open what they count; two functions had none.

--- a/figtray/jobs/records.py
+++ b/figtray/jobs/records.py
@@ -78,7 +78,7 @@
         return len(self.runs)
 
     def add(self, number, alone):
-        """Return the Crashes with one more.
+        """Return the Crashes with one more, or the same if it is counted.
 
         Args:
             number: number of the run.
--- a/figtray/leadership/elector.py
+++ b/figtray/leadership/elector.py
@@ -95,6 +95,7 @@
             self._note_leases(item)
 
     def _note_leases(self, item):
+        """Record when this node first saw this record of leases."""
         seen = self._leases_seen
         if seen is not None and seen.revision == item.mod_revision:
             return
--- a/figtray/scheduling/ends.py
+++ b/figtray/scheduling/ends.py
@@ -30,7 +30,7 @@
 
 
 def of_process(worker_state, reason, answered=False):
-    """Return the End of an incarnation that another one has followed.
+    """Return the End of an incarnation whose process has ended.
 
     A process that crashes closes its connections, so that its address
     refuses or another incarnation answers there. A worker that was silent
--- a/figtray/scheduling/leases.py
+++ b/figtray/scheduling/leases.py
@@ -6,7 +6,7 @@
 # Longer leases survive longer outages; shorter ones free the tasks of an
 # unresponsive worker earlier. This one outlasts a change of the leader.
 TARGET_LEASE_MS = 7000
-# Interval of the records of leases, and time to store one.
+# The interval of the records of leases and the time to store one, together.
 HORIZON_SLACK_MS = 2500
 
 
--- a/figtray/scheduling/starts.py
+++ b/figtray/scheduling/starts.py
@@ -107,6 +107,7 @@
         return assigned
 
     def _next_run_number(self, task):
+        """Return the number of the next run; later terms have higher ones."""
         return (
             max(task.last_run, self._term.epoch * scheduler_base.RUNS_PER_TERM)
             + 1
--- a/figtray/upkeep/host_needs.py
+++ b/figtray/upkeep/host_needs.py
@@ -9,7 +9,7 @@
 # Each pool keeps this share of an equal split of all hosts among all pools,
 # but no fewer than MIN_WORKERS, to absorb a peak until spare hosts arrive.
 BASE_SHARE = 0.55
-# A pool also gets so many that can be reached.
+# A pool also has at least this number of workers that can be reached.
 MIN_WORKERS = 2
 # Share of the needs of waiting tasks for which a pool gets hosts. The other
 # waiting tasks start on the same hosts within seconds.
