Check how long an elector's watch hides the end of an outage

W1 of the waits (docs/design.md, 5.1) had tests of the length of a watch, and none of the pause before the next one: with four times RETRY_MS there, the tests that the row named passed. The new one plays the watch of the leader's key through outages of 2 to 9 s and bounds the time until the key is seen to be gone.

--- a/figtray/leadership/tests/test_elector.py
+++ b/figtray/leadership/tests/test_elector.py
@@ -13,6 +13,7 @@
 from figtray.platform import store as platform_store
 from figtray.store import base
 from figtray.store import memory
+from figtray.store import prefix_watcher
 from figtray.store.tests import outages
 
 WAIT_S = 10
@@ -281,6 +282,38 @@
             + elector.MAX_JITTER_MS
         )
 
+    # A watch that hangs, or is repeated too late, hides that the key is gone.
+    @pytest.mark.parametrize('outage_ms', range(2000, 9000, 130))
+    @pytest.mark.parametrize(
+        'delay_ms', [0, 300, 1200, elector.WATCH_WAIT_MS - 1]
+    )
+    def test_vacancy_is_seen_long_after_an_outage(
+        self, store, outage_ms, delay_ms
+    ):
+        term = make_elector(store, store.clock)._try_acquire()
+        other = make_elector(store, store.clock, 'node-2')
+
+        def is_over():
+            if not other._watcher.loaded.is_set():
+                return False
+            if not store.back_ms:
+                store.fail_for(outage_ms, delay_ms)
+            if store.since_back_ms() >= 0:
+                store.revoke(term.lease_id)
+            return other._vacant.is_set()
+
+        other._watcher.run(outages.Condition(is_over))
+        hanging_ms = max(
+            prefix_watcher.CONFIRM_WAIT_MS,
+            elector.WATCH_WAIT_MS - terms.LEASE_TTL_MS,
+        )
+        assert store.since_back_ms() <= (
+            hanging_ms
+            + platform_store.WATCH_TIMEOUT_MARGIN_MS
+            + prefix_watcher.RETRY_MS
+            + prefix_watcher.RETRY_JITTER_MS
+        )
+
     def test_election_without_an_outage_is_late(self, store):
         store.back_ms = store.clock.now_ms()
         assert self.first_term_ms(store) <= (
