Check how long a worker is avoided

TestBackoff fails with a doubling without an end and with three times the back-off of an unhealthy worker, and passes on.

--- a/figtray/scheduling/tests/test_worker_faults.py
+++ b/figtray/scheduling/tests/test_worker_faults.py
@@ -4,8 +4,10 @@
 
 from figtray.fleet import memory
 from figtray.fleet import messages
+from figtray.scheduling import outcomes
 from figtray.scheduling import scheduler_base
 from figtray.scheduling.tests import harness
+from figtray import verdict
 
 
 class TestUncertainStart:
@@ -59,6 +61,68 @@
         assert worker_state.avoid_until_ms > fleet.clock.now_ms()
 
 
+class TestBackoff:
+    """Time until a worker is used again that has refused starts."""
+
+    CYCLE_MS = 50
+
+    def refuse(self, leader, task, reason):
+        """Let the worker refuse the next start of a task."""
+        leader.scheduler.plan()
+        leader.flush()
+        run = leader.scheduler.find_task(task).run
+        leader.scheduler.handle_refused(run, verdict.NotRun(reason, 'test'))
+
+    def wait_for_start(self, leader, task):
+        """Return the time until a task runs."""
+        began_ms = leader.fleet.clock.now_ms()
+        while not leader.fleet.sim(0).runs:
+            leader.advance(self.CYCLE_MS)
+            leader.sync_workers()
+            leader.run_cycle()
+            assert leader.fleet.clock.now_ms() - began_ms < 60_000
+        return leader.fleet.clock.now_ms() - began_ms
+
+    # A worker got no task for long after a single fault.
+    @pytest.mark.parametrize(
+        'reason',
+        [
+            verdict.RefusalReason.UNHEALTHY,
+            verdict.RefusalReason.CONNECT_FAILED,
+            verdict.RefusalReason.BAD_REQUEST,
+        ],
+    )
+    @pytest.mark.parametrize('lasting', [True, False])
+    def test_worker_is_avoided_for_long(self, reason, lasting):
+        fleet = harness.Fleet(1)
+        leader = fleet.elect_leader()
+        leader.report_all()
+        task = f'{fleet.submit(harness.make_step(lasting=lasting))}.0.0.0'
+        leader.sync_intake()
+        self.refuse(leader, task, reason)
+        assert self.wait_for_start(leader, task) <= (
+            scheduler_base.UNHEALTHY_BACKOFF_MS + self.CYCLE_MS
+        )
+
+    # The time doubles with each refusal, and had no end.
+    @pytest.mark.parametrize('refusals', range(1, 9))
+    def test_worker_without_room_is_avoided_for_long(self, refusals):
+        fleet = harness.Fleet(1)
+        leader = fleet.elect_leader()
+        leader.report_all()
+        task = f'{fleet.submit(harness.make_step(lasting=True))}.0.0.0'
+        leader.sync_intake()
+        for _ in range(refusals):
+            self.refuse(leader, task, verdict.RefusalReason.NO_CAPACITY)
+            worker_state = leader.worker_state(0)
+            left_ms = worker_state.avoid_until_ms - fleet.clock.now_ms()
+            assert 0 < left_ms <= outcomes.MAX_NO_CAPACITY_BACKOFF_MS
+            leader.advance(left_ms)
+        assert self.wait_for_start(leader, task) <= (
+            outcomes.MAX_NO_CAPACITY_BACKOFF_MS + self.CYCLE_MS
+        )
+
+
 class TestReports:
     # Replies on different connections may arrive in any order: a report that
     # was requested before a start lacks the run, which is not lost.
