--- a/figtray/scheduling/tests/test_service.py
+++ b/figtray/scheduling/tests/test_service.py
@@ -1,10 +1,17 @@
 """Tests of the leader's threads on a clock that waits let pass."""
 
+import dataclasses
+import math
+
 import pytest
 
+from figtray import errors
+from figtray.fleet import messages
+from figtray.jobs import queues
 from figtray.leadership import term as terms
 from figtray.platform import documents
 from figtray.platform import store as platform_store
+from figtray.scheduling import planner
 from figtray.scheduling import roster as rosters
 from figtray.scheduling import service
 from figtray.scheduling import session
@@ -96,6 +103,15 @@
         )
         return found
 
+    def report(self, number):
+        """Let a worker report."""
+        report = self.fleet.sim(number).report(
+            self.leader._term.epoch, 0, None
+        )
+        self.leader._scheduler.handle_report(
+            self.worker_state(number), report, self.clock.now_ms()
+        )
+
 
 @pytest.fixture
 def site(monkeypatch):
@@ -103,6 +119,169 @@
     return Site()
 
 
+class Signal:
+    """Takes the place of a threading.Event; a wait lets its time pass.
+
+    Args:
+        clock: the PassingClock.
+    """
+
+    def __init__(self, clock):
+        self._clock = clock
+        self._is_set = False
+
+    def is_set(self):
+        return self._is_set
+
+    def set(self):
+        self._is_set = True
+
+    def clear(self):
+        self._is_set = False
+
+    def wait(self, timeout_s):
+        if not self._is_set:
+            self._clock.advance(math.ceil(timeout_s * 1000))
+        return self._is_set
+
+
+class TestPlan:
+    @pytest.fixture
+    def scheduler(self, site):
+        """Scheduler of a leader that has taken over."""
+        scheduler = site.leader._scheduler
+        assert site.leader._load()
+        scheduler.changed = Signal(site.clock)
+        # The leader renews its lease meanwhile.
+        site.leader._term.valid = lambda: True
+        return scheduler
+
+    # Nothing tells the planner that the leases of earlier terms have ended.
+    @pytest.mark.parametrize('left_ms', range(50, 3000, 130))
+    def test_held_task_waits_long_after_the_leases(
+        self, site, scheduler, left_ms
+    ):
+        site.report(0)
+        gone = site.fleet.workers['worker-1'].incarnation
+        until_ms = site.clock.now_ms() + left_ms
+        scheduler.begin_adoption(
+            rosters.Roster((gone,), placements_recorded=True), until_ms
+        )
+        task = scheduler.find_task(f'{1:016x}.0.0.0')
+        site.leader._term.ended = outages.Condition(
+            lambda: task.run is not None
+        )
+        site.leader._plan()
+        late_ms = task.run.ordered_ms - until_ms
+        assert (
+            0 <= late_ms <= planner.ADOPTION_RETRY_MS + service.PLAN_DELAY_MS
+        )
+
+    # Nothing tells the planner that the documents are fresh, or the term valid
+    # again.
+    @pytest.mark.parametrize('left_ms', range(50, 3000, 130))
+    @pytest.mark.parametrize('cause', ['documents', 'term'])
+    def test_task_waits_long_after_a_suspension(
+        self, site, scheduler, left_ms, cause
+    ):
+        site.report(0)
+        until_ms = site.clock.now_ms() + left_ms
+
+        def is_over():
+            return site.clock.now_ms() >= until_ms
+
+        if cause == 'documents':
+            scheduler._is_config_fresh = is_over
+        else:
+            site.leader._term.valid = is_over
+        task = scheduler.find_task(f'{1:016x}.0.0.0')
+        site.leader._term.ended = outages.Condition(
+            lambda: task.run is not None
+        )
+        site.leader._plan()
+        late_ms = task.run.ordered_ms - until_ms
+        assert (
+            0
+            <= late_ms
+            <= (planner.SUSPENDED_RETRY_MS + service.PLAN_DELAY_MS)
+        )
+
+    # A task that may start waited for the next plan, up to a second.
+    @pytest.mark.parametrize(
+        'change', ['report', 'workers', 'hosts', 'roster', 'end']
+    )
+    def test_change_begins_no_plan(self, site, scheduler, change):
+        worker_state = site.worker_state(0)
+        scheduler.changed.clear()
+        match change:
+            case 'report':
+                site.report(0)
+            case 'workers':
+                scheduler.sync_workers(site.fleet.workers.values(), True)
+            case 'hosts':
+                scheduler.reconcile_hosts(site.fleet.hosts)
+            case 'roster':
+                scheduler.allow_starts(scheduler.roster())
+            case 'end':
+                scheduler.end_superseded(worker_state, 'test')
+        assert scheduler.changed.is_set()
+
+
+class SilentAdviser:
+    """Adviser that answers nothing until a time, and then approves all.
+
+    Args:
+        clock: the PassingClock.
+        silent_ms: time until then.
+
+    Attributes:
+        back_ms: local time at which it answers again.
+    """
+
+    def __init__(self, clock, silent_ms):
+        self.back_ms = clock.now_ms() + silent_ms
+        self._clock = clock
+
+    def advise(self, step, worker_ids, timeout_ms):
+        if self._clock.now_ms() < self.back_ms:
+            self._clock.advance(timeout_ms)
+            raise errors.ReplyLost(address='adviser', detail='injected')
+        return messages.Advice(dict.fromkeys(worker_ids, 'ticket'), 60_000)
+
+
+class TestAdvice:
+    # A call that hangs, or is repeated too late, keeps the tasks of queues
+    # with advice waiting.
+    @pytest.mark.parametrize('silent_ms', range(50, 6000, 250))
+    def test_adviser_is_asked_late(self, site, silent_ms):
+        cfg = site.fleet.cfg
+        advised = dataclasses.replace(
+            cfg.queues['q'], advice=queues.AdvicePolicy(10, 1, 60_000)
+        )
+        site.fleet.cfg = queues.Config(
+            2, [advised], cfg.pools.values(), cfg.teams.values()
+        )
+        assert site.leader._load()
+        scheduler = site.leader._scheduler
+        site.leader._term.valid = lambda: True
+        site.report(0)
+        adviser = SilentAdviser(site.clock, silent_ms)
+        site.leader._service.adviser = adviser
+        task = scheduler.find_task(f'{1:016x}.0.0.0')
+
+        def is_over():
+            scheduler.plan()
+            return task.run is not None
+
+        site.leader._term.ended = outages.Condition(is_over)
+        site.leader._ask_advice()
+        assert task.run.ordered_ms - adviser.back_ms <= (
+            service.ADVICE_TIMEOUT_MS
+            + service.RETRY_MS
+            + 2 * service.ADVICE_POLL_MS
+        )
+
+
 class TestLoad:
     # Calls of a takeover; each further page of a list costs one more.
     CALLS = 6
