--- a/figtray/platform/standin_site.py
+++ b/figtray/platform/standin_site.py
@@ -18,6 +18,7 @@
 from figtray.fleet import model as fleet
 from figtray.jobs import model
 from figtray.platform import standin_config
+from figtray.platform import standin_entries
 from figtray.platform import standin_runs
 from figtray.platform import standin_server
 from figtray.platform import standin_services
@@ -94,9 +95,7 @@
         self._host_numbers = itertools.count()
         self._workers_by_host = {}
         self._servers_by_worker_id = {}
-        # Ids of ended workers and the time in milliseconds from which the
-        # next heartbeat deletes their entries.
-        self._entry_ends_ms = {}
+        self._entries = standin_entries.WorkerEntries(self.store, self.clock)
         self._store_server = standin_services.start_store_server(
             f'{standin_config.LOOPBACK}:0', self.store
         )
@@ -149,7 +148,7 @@
         if former is None:
             return
         self.workers.crash(former.address)
-        self._end_entry(former)
+        self._entries.end(former)
         self._start_worker(self.hosts.hosts[host_id])
 
     def crash_for_a_while(self, worker):
@@ -217,7 +216,7 @@
             for worker in list(self._workers_by_host.values())
             if not worker.draining
             and self.workers.sims[worker.address].up
-            and self.store.peek(f'servers/{worker.worker_id}')
+            and self.store.peek(standin_entries.PREFIX + worker.worker_id)
         ]
 
     def expire_entries(self):
@@ -225,9 +224,7 @@
 
         The platform's store does so at times, as the entries have leases.
         """
-        self.store.remove(
-            [f'servers/{worker_id}' for worker_id in self._ended_worker_ids()]
-        )
+        self._entries.expire()
 
     def worker_host_ids(self):
         """Return the ids of the hosts with a worker."""
@@ -295,7 +292,7 @@
         if worker is None:
             return None
         self.workers.crash(worker.address)
-        self._end_entry(worker, entry_ms)
+        self._entries.end(worker, entry_ms)
         self.hosts.hosts[host_id] = dataclasses.replace(
             self.hosts.hosts[host_id],
             state=fleet.HostState.DOWN,
@@ -319,40 +316,10 @@
             with contextlib.suppress(
                 errors.StoreUnavailable, errors.WriteUncertain
             ):
-                self._write_entries(sequence)
+                self._entries.write(self._workers_by_host.values(), sequence)
             self.workers.expire()
             self._stop.wait(HEARTBEAT_INTERVAL_S)
 
-    def _end_entry(self, worker, after_ms=0):
-        """Let a heartbeat after a time delete the entry of a worker."""
-        self._entry_ends_ms[worker.worker_id] = self.clock.now_ms() + after_ms
-
-    def _ended_worker_ids(self):
-        """Return the ids of the ended workers whose entries are overdue."""
-        now_ms = self.clock.now_ms()
-        return [
-            worker_id
-            for worker_id, end_ms in list(self._entry_ends_ms.items())
-            if end_ms <= now_ms
-        ]
-
-    def _write_entries(self, sequence):
-        """Write and delete entries of workers, as their heartbeats do."""
-        ended_worker_ids = self._ended_worker_ids()
-        self.store.txn(
-            [],
-            [
-                base.Put(
-                    f'servers/{worker.worker_id}',
-                    standin_services.encode_worker_entry(worker, sequence),
-                )
-                for worker in list(self._workers_by_host.values())
-            ],
-            [f'servers/{worker_id}' for worker_id in ended_worker_ids],
-        )
-        for worker_id in ended_worker_ids:
-            del self._entry_ends_ms[worker_id]
-
     def _finish_orders(self):
         """Finish accepted moves and upkeeps, with new workers on the hosts."""
         orders, self.hosts.accepted_orders = self.hosts.accepted_orders, []
@@ -360,7 +327,7 @@
             former = self._workers_by_host.pop(host_id, None)
             if former is not None:
                 self.workers.crash(former.address)
-                self._end_entry(former)
+                self._entries.end(former)
             pool = argument if kind == 'move' else None
             self.hosts.finish(host_id, pool)
             if self.hosts.hosts[host_id].pool != 'spare':
