Move the orders for hosts out of the rebalancer

rebalancer.py had 372 lines: which hosts go to which pool, and the orders with their replies and the moves under way. The second part moves to host_moves.py; the expressions stay the same. test_worker_of_a_lost_move_stays_cordoned reads WORKER_ENTRY_MS from there. The tests of upkeep pass.

--- a/figtray/upkeep/rebalancer.py
+++ b/figtray/upkeep/rebalancer.py
@@ -1,37 +1,15 @@
 """Rebalancing of hosts between pools as their load changes."""
 
 import collections
-import dataclasses
 
-from figtray import errors
-from figtray.events import catalogue
-from figtray.events import log
 from figtray.fleet import model as fleet
+from figtray.upkeep import host_moves
 from figtray.upkeep import host_needs
 
 # A pool keeps surplus hosts for this time, as a move costs about as much as a
 # host costs in a second.
 SURPLUS_DELAY_MS = 2000
-# Time allowed from the end of a move until the entry of the new worker appears
-# in the store and the worker reports.
-WORKER_ENTRY_MS = 3000
 MOVE_REASON = 'move'
-MOVED_DETAIL = 'its host has moved'
-
-
-@dataclasses.dataclass(frozen=True)
-class _Move:
-    """A move under way.
-
-    Attributes:
-        pool: its target pool.
-        since_ms: local time of its order.
-        worker_id: id of the worker that the host had; empty if it had none.
-    """
-
-    pool: str
-    since_ms: int
-    worker_id: str
 
 
 class PoolRebalancer:
@@ -60,15 +38,18 @@
         orders,
     ):
         self._scheduler = scheduler
-        self._term = term
         self._clock = clock
-        self._host_client = host_client
-        self._node_name = node_name
-        self._executor = executor
         self._orders = orders
-        self._arrival_timeout_ms = int(bounds.move_s * 1000) + WORKER_ENTRY_MS
-        # The _Move of each host that is being moved, by host id.
-        self._moving = {}
+        self._moves = host_moves.HostMoves(
+            scheduler,
+            term,
+            clock,
+            host_client,
+            node_name,
+            bounds,
+            executor,
+            orders,
+        )
         # Local time since which a pool has had a surplus, by pool.
         self._surplus_since_ms = {}
         # The DemandTrend of each pool.
@@ -112,7 +93,7 @@
             listed, spare_pool, missing, missing_lasting, evacuated_zones
         )
         self._scheduler.set_workers_expected(
-            any(move.pool != spare_pool for move in self._moving.values())
+            self._moves.is_any_to_another(spare_pool)
         )
 
     def _count_missing(self, pools, cfg, listed, now_ms):
@@ -139,7 +120,7 @@
                 host_needs.wanted_workers(load, rise, capacity)
                 - host_needs.equivalent_hosts(load, capacity),
             )
-            incoming = self._count_incoming(pool)
+            incoming = self._moves.count_incoming(pool)
             missing[pool] = lacking - incoming
             missing_lasting[pool] = load.spread - load.workers - incoming
         return missing, missing_lasting
@@ -153,37 +134,16 @@
             MOVE_REASON,
             {
                 *self._draining.values(),
-                *(move.worker_id for move in self._moving.values()),
+                *self._moves.worker_ids(),
             },
         )
 
-    def _count_incoming(self, pool):
-        """Return the number of hosts that are moving to a pool."""
-        return sum(1 for move in self._moving.values() if move.pool == pool)
-
     def _prune_hosts(self, listed, spare_pool, now_ms):
         """Remove ended and overdue moves, and unlisted draining hosts.
 
         Without a spare pool no host is drained.
         """
-        for host_id, move in list(self._moving.items()):
-            host = listed.get(host_id)
-            arrived = (
-                host is not None
-                and host.pool == move.pool
-                and host.state == fleet.HostState.UP
-                and (
-                    move.pool == spare_pool
-                    or self._scheduler.has_worker_reported(host.worker_id)
-                )
-            )
-            if arrived and host.worker_id != move.worker_id:
-                # Its former worker has ended, even if no reply said so.
-                self._scheduler.retire_idle_worker(
-                    move.worker_id, MOVED_DETAIL
-                )
-            if arrived or now_ms - move.since_ms > self._arrival_timeout_ms:
-                del self._moving[host_id]
+        self._moves.prune(listed, spare_pool, now_ms)
         for host_id in list(self._draining):
             if host_id not in listed or spare_pool is None:
                 del self._draining[host_id]
@@ -224,7 +184,7 @@
                 candidates.remove(host)
                 zone_counts[host.zone] += 1
                 chosen.append((host, pool))
-            added += sum(self._move_all(chosen))
+            added += sum(self._moves.order_all(chosen))
         return added
 
     def _count_by_zone(self, pool, listed):
@@ -237,7 +197,7 @@
         """Return whether a host is up, not moving, and may get an order."""
         return (
             host.state == fleet.HostState.UP
-            and host.host_id not in self._moving
+            and not self._moves.is_moving(host.host_id)
             and self._orders.is_order_allowed(host.host_id)
         )
 
@@ -315,58 +275,6 @@
                 missing[target] -= 1
                 missing_lasting[target] -= 1
             chosen.append((host, target))
-        for (host, _), accepted in zip(chosen, self._move_all(chosen)):
+        for (host, _), accepted in zip(chosen, self._moves.order_all(chosen)):
             if accepted:
                 del self._draining[host.host_id]
-
-    def _move_all(self, moves):
-        """Record and move hosts; the calls are made concurrently.
-
-        Args:
-            moves: pairs of Host and name of its new pool.
-
-        Returns:
-            For each move, whether it is under way.
-        """
-        if not moves:
-            return []
-        if not self._orders.record([host.host_id for host, _ in moves]):
-            return [False] * len(moves)
-        return list(self._executor.map(lambda move: self._move(*move), moves))
-
-    def _move(self, host, pool):
-        """Move a host to a pool; return whether the move is under way."""
-        if not self._term.valid():
-            return False
-        try:
-            accepted = self._host_client.move(
-                host.host_id, pool, self._node_name, self._term.epoch
-            )
-            detail = MOVED_DETAIL if accepted else 'refused by the platform'
-        except errors.CallNotSent as exc:
-            accepted, detail = False, str(exc)
-        except errors.ReplyLost as exc:
-            # The move counts as under way until the list shows the host in
-            # its new pool, or for at most _arrival_timeout_ms.
-            accepted, detail = True, str(exc)
-        if not accepted:
-            log.emit(
-                catalogue.MOVE_REFUSED,
-                host=host.host_id,
-                pool=pool,
-                detail=detail,
-            )
-            return False
-        self._moving[host.host_id] = _Move(
-            pool, self._clock.now_ms(), host.worker_id
-        )
-        if detail == MOVED_DETAIL:
-            self._scheduler.retire_idle_worker(host.worker_id, detail)
-        log.emit(
-            catalogue.HOST_MOVED,
-            host=host.host_id,
-            from_pool=host.pool,
-            pool=pool,
-            zone=host.zone,
-        )
-        return True
--- a/figtray/upkeep/tests/test_rebalancer.py
+++ b/figtray/upkeep/tests/test_rebalancer.py
@@ -9,8 +9,8 @@
 from figtray.jobs import queues
 from figtray.scheduling.tests import harness
 from figtray.scheduling.tests import takeovers
+from figtray.upkeep import host_moves
 from figtray.upkeep import host_needs
-from figtray.upkeep import rebalancer
 from figtray.upkeep.tests import support
 
 
@@ -262,7 +262,7 @@
         site.leader.advance(int(harness.BOUNDS.move_s * 1000))
         site.reconcile()
         assert site.cordoned() == worker_ids
-        site.leader.advance(rebalancer.WORKER_ENTRY_MS + 1)
+        site.leader.advance(host_moves.WORKER_ENTRY_MS + 1)
         site.reconcile()
         assert not site.cordoned()
         site.reconcile()
