Record the tasks that may have crashed a worker before its end is proven

Trace: its first worker refused connections at 16:17.781, its leader was killed at 16:17.86 before the host list had shown the end of the worker; the second refused from 16:24.777 on, with the leader cut off from the store, which was killed at 16:25.43. The next leaders knew nothing of either run, as only starts of lasting tasks and of suspects are recorded.

Cause: a leader recorded whom a crash makes suspects only once the end of the worker was proven, 0.2 to 0.7 s after it had seen the refused connection.

Change: when a worker refuses connections, the placements of those that would be suspects are stored, once. If this leader does not see the end, the next one counts the crash, as it does for suspects. A run that is over takes its placement along, as before, and nothing is counted unless the incarnation has crashed or ended in an unknown way. A leader that can't reach the store, or ends within 0.2 s of the crash, still leaves no record.

--- a/figtray/jobs/records.py
+++ b/figtray/jobs/records.py
@@ -110,7 +110,8 @@
         checkpoints: by `OCCURRENCE.STEP.INDEX`, the checkpoint from which the
             next run resumes.
         placements: by `OCCURRENCE.STEP.INDEX`, the Placement of the run of a
-            lasting task or of one with crashes, stored before the run starts.
+            lasting task or of one with crashes, stored before the run starts,
+            and of one that may have crashed a worker that refuses connections.
             A lasting task without one has no run.
         crashes: by `OCCURRENCE.STEP.INDEX`, the Crashes that a task is
             suspected of, stored before its next run starts.
--- a/figtray/scheduling/reports.py
+++ b/figtray/scheduling/reports.py
@@ -127,6 +127,8 @@
                 worker_state.silent_since_ms = self._clock.now_ms()
             if worker_state.gone or not worker_state.runs:
                 return
+            if worker_state.refused_connections:
+                self._record_suspects(worker_state)
             if worker_state.is_lease_over(
                 self._clock.now_ms(),
                 leases.SLOWEST_CLOCK_RATE,
--- a/figtray/scheduling/state.py
+++ b/figtray/scheduling/state.py
@@ -104,8 +104,9 @@
         failed_runs: numbers of the runs that have failed.
         checkpoint: where its next run resumes; empty = at the start.
         last_run: highest number of a run so far.
-        placement: of a lasting task or a suspect, the records.Placement of
-            the run that may go on; None if there is none.
+        placement: of a lasting task, a suspect, or one whose worker refuses
+            connections, the records.Placement of the run that may go on; None
+            if there is none.
         crashes: the records.Crashes that it is suspected of.
         crash_age_ms: longest time for which a run had gone on when its worker
             crashed, since the task was cleared.
--- a/figtray/scheduling/tests/test_deadly_tasks.py
+++ b/figtray/scheduling/tests/test_deadly_tasks.py
@@ -74,6 +74,25 @@
         assert site.crashes[task] <= deadly.MOST_CRASHES
         assert leader.state(job_id) == records.State.FAILED
 
+    # A leader that ended before it had proven the end of a worker left no
+    # record, so each such crash came on top.
+    @pytest.mark.parametrize('is_back', [False, True])
+    def test_crash_that_its_leader_has_not_proven_is_counted(
+        self, fleet, site, leader, is_back
+    ):
+        job_id, [task] = deadly.submit(fleet)
+        site.deadly = {task}
+        for _ in range(3):
+            site.play_to_crash(leader, task)
+            leader.report_all()
+            if is_back:
+                site.wait_until_back()
+            leader = fleet.elect_leader()
+            leader.report_all()
+        site.play(leader, LONG_MS)
+        assert site.crashes[task] <= deadly.MOST_CRASHES
+        assert leader.state(job_id) == records.State.FAILED
+
     # A task that crashes its worker only after some time was cleared by it.
     def test_late_crashes_are_counted(self, fleet, leader):
         site = deadly.Site(fleet, delay_ms=2000)
--- a/figtray/scheduling/worker_ends.py
+++ b/figtray/scheduling/worker_ends.py
@@ -95,11 +95,25 @@
             self._store_crashes(task)
         return [run.task for run in runs]
 
+    def _record_suspects(self, worker_state):
+        """Record the tasks that may have crashed a worker.
+
+        It refuses connections. If this leader does not see its end, the next
+        one counts the crash.
+
+        Args:
+            worker_state: its WorkerState.
+        """
+        for run in crashes.suspects(worker_state):
+            task = run.task
+            if task.placement is None and not task.step.job.ended:
+                self._record_placement(run)
+
     def _suspect_placed(self, incarnation, kind):
         """Suspect the tasks that were placed on a crashed worker.
 
-        It crashed, or ended in an unknown way, while nobody led. Only the
-        starts of lasting tasks and of suspects are recorded.
+        It crashed, or ended in an unknown way, while nobody led. Recorded are
+        only lasting tasks, suspects, and what _record_suspects() found.
 
         Args:
             incarnation: its Incarnation.
@@ -112,7 +126,7 @@
             if (
                 task.placement != placement
                 or task.run is not None
-                or not task.crashes.count
+                or (task.step.spec.lasting and not task.crashes.count)
             ):
                 continue
             # The number of the run is unknown; no run has this one.
