Handle signals that another thread than the main one gets

It neither logged the reload (101 and the event of a reload are missing) nor stopped; it served on for the 60 s for which the soak waits, and the soak then reported jobs that had not ended.

Trace: what is sent to a stopped process is pending for the whole process, and after SIGCONT any thread may take it. Python's handlers run in the main thread only, and that waits in stop.wait(), which a signal to another thread does not interrupt. So SIGTERM and SIGHUP after a pause were handled when the main thread happened to wake up, which it does for a signal only: never, or with the next signal.

Change: the number of a signal is written to a socket in whichever thread gets it (signal.set_wakeup_fd), and the thread for signals reads it there.

--- a/figtray/program.py
+++ b/figtray/program.py
@@ -2,8 +2,8 @@
 
 import enum
 import os
-import queue
 import signal
+import socket
 import threading
 import typing
 
@@ -159,18 +159,22 @@
         A threading.Event that SIGTERM and SIGINT set; repeats are ignored.
     """
     stop = threading.Event()
-    # A signal handler runs in the main thread at any point. Inside
-    # stop.wait(), stop.set() would deadlock; SimpleQueue.put() is reentrant.
-    signals = queue.SimpleQueue()
+    # A Python handler runs in the main thread only, and not while that waits
+    # in stop.wait() and another thread gets the signal, as after SIGCONT. The
+    # number of the signal is written to the socket at once.
+    reader, writer = socket.socketpair()
+    writer.setblocking(False)
+    signal.set_wakeup_fd(writer.fileno())
     numbers = [signal.SIGTERM, signal.SIGINT]
     if reload:
         numbers.append(signal.SIGHUP)
     for number in numbers:
-        signal.signal(number, lambda signum, _: signals.put(signum))
+        signal.signal(number, lambda signum, _: None)
 
     def handle_signals():
-        while True:
-            signum = signals.get()
+        # The thread also keeps the writer open.
+        while writer and (data := reader.recv(1)):
+            signum = data[0]
             if signum == signal.SIGHUP:
                 reload()
                 continue
--- a/figtray/tests/test_program.py
+++ b/figtray/tests/test_program.py
@@ -12,6 +12,8 @@
 from figtray.settings import types
 
 LIMIT_S = 30
+# The main thread waits for the signal after this time.
+MAIN_WAITS_S = 0.3
 
 SETTINGS = """{
   deployment: 'demo', zone: 'z1', listen: '127.0.0.1:0',
@@ -103,3 +105,16 @@
         args = '--settings', str(self.settings)
         assert self.run(*args, main=main) == 0
         assert {100, 102} <= set(self.numbers())
+
+    # A signal that another thread got, as after a pause, was handled only
+    # once the main thread woke up, which waits for that signal.
+    def test_signal_that_another_thread_gets_sets_stop(self):
+        def signal_own_thread():
+            signal.pthread_kill(threading.get_ident(), signal.SIGTERM)
+
+        def main(settings, stop):
+            threading.Timer(MAIN_WAITS_S, signal_own_thread).start()
+            assert stop.wait(LIMIT_S)
+
+        args = '--settings', str(self.settings)
+        assert self.run(*args, main=main) == 0
