State and check the wait for the host list after an outage of it

W11 of the waits left out the list itself: a call that is sent into an outage of the host service hangs for its 2 s, so the list is read up to 2.42 s after the service is back. Found by reading. The test fails with four times RETRY_DELAY_MS, and passes on.

--- a/figtray/scheduling/tests/test_sum_of_waits.py
+++ b/figtray/scheduling/tests/test_sum_of_waits.py
@@ -4,6 +4,7 @@
 
 from figtray.leadership import elector
 from figtray.leadership import term as terms
+from figtray.platform import hosts as platform_hosts
 from figtray.platform import main as node_main
 from figtray.platform import settings
 from figtray.platform import store as platform_store
@@ -179,6 +180,12 @@
             membership.HOST_LOST_TO_END_MS + controller.RECONCILE_INTERVAL_MS,
             620,
         ),
+        'W11 after a failed call': (
+            platform_hosts.CALL_TIMEOUT_MS
+            + controller.RETRY_DELAY_MS
+            + controller.RECONCILE_INTERVAL_MS,
+            2420,
+        ),
         'W13': (W13_MS, 112),
         'W13 without an awaited worker': (service.PLAN_DELAY_MS, 12),
         'W13 after a suspension': (
--- a/figtray/upkeep/tests/test_controller.py
+++ b/figtray/upkeep/tests/test_controller.py
@@ -3,8 +3,11 @@
 import msgspec
 import pytest
 
+from figtray import errors
+from figtray.platform import hosts as platform_hosts
 from figtray.scheduling.tests import harness
 from figtray.store import base
+from figtray.store.tests import outages
 from figtray.upkeep import controller
 from figtray.upkeep import host_orders
 from figtray.upkeep.tests import support
@@ -162,3 +165,57 @@
         site.cordon_surplus(lambda *_: False)
         reconcile(site, make_controller(site))
         assert not site.cordoned()
+
+
+class SilentHosts:
+    """Host service whose calls hang until a time; then it lists no host.
+
+    Args:
+        clock: the PassingClock.
+        silent_ms: time until then.
+
+    Attributes:
+        back_ms: local time at which it answers again.
+    """
+
+    def __init__(self, clock, silent_ms):
+        self.back_ms = clock.now_ms() + silent_ms
+        self._clock = clock
+
+    def list_hosts(self):
+        if self._clock.now_ms() < self.back_ms:
+            self._clock.advance(platform_hosts.CALL_TIMEOUT_MS)
+            raise errors.HostListUnavailable(detail='injected')
+        return ()
+
+
+class TestWaitForTheHostList:
+    # A call that hangs, or is repeated too late, keeps the tasks of workers
+    # waiting that only the host list shows to be gone.
+    @pytest.mark.parametrize('silent_ms', range(100, 9000, 190))
+    def test_list_is_read_long_after_an_outage(self, silent_ms):
+        fleet = harness.Fleet(1, store=outages.HangingStore())
+        leader = fleet.elect_leader()
+        leader.term.valid = lambda: True
+        read = []
+        leader.scheduler.reconcile_hosts = lambda listed: read.append(
+            fleet.clock.now_ms()
+        )
+        leader.term.ended = outages.Condition(lambda: bool(read))
+        hosts = SilentHosts(fleet.clock, silent_ms)
+        controller.HostController(
+            fleet.store,
+            fleet.clock,
+            View(fleet),
+            hosts,
+            'node',
+            harness.BOUNDS,
+            lambda number, completed: ('status', b''),
+        )._reconcile_until_end(
+            leader.scheduler, leader.writer, leader.term, None
+        )
+        assert read[0] - hosts.back_ms <= (
+            platform_hosts.CALL_TIMEOUT_MS
+            + controller.RETRY_DELAY_MS
+            + controller.RECONCILE_INTERVAL_MS
+        )
