Store late crashes, and for how long runs had gone on

Cause: the runs that had gone on for a while when their workers crashed, and the longest time for which one had, were known to one leader only. The next one cleared the task of the stored crashes as soon as a run had gone on for 0.4 s, and began to count its late crashes anew. Class of fault: a proof of innocence that rests on what one process remembers.

Evidence: test_late_crashes_survive_leaders (0.6, 1 and 5 s: 8 crashes each, 5 are allowed) and test_crashes_beside_younger_runs_survive_leaders (18 and 21 crashes, the job never ended) failed before on.

Change: both are part of the stored record `crashes`, which is written with each crash. Records without them are read as before.

--- a/figtray/jobs/records.py
+++ b/figtray/jobs/records.py
@@ -61,20 +61,25 @@
 
 
 class Crashes(msgspec.Struct, frozen=True, array_like=True):
-    """Crashes of workers that a task is suspected of.
+    """Crashes of workers that a task may have caused.
 
     Attributes:
-        runs: numbers of the runs under which workers crashed.
+        runs: numbers of the runs that are suspected of a crash.
         alone: how many of them were on trial, on a worker of their own, and
             soon after the start.
+        late: numbers of the runs that had gone on for a while when their
+            workers crashed.
+        longest_ms: longest time for which one of all these runs had gone on.
     """
 
     runs: tuple[int, ...] = ()
     alone: int = 0
+    late: tuple[int, ...] = ()
+    longest_ms: int = 0
 
     @property
     def count(self):
-        """Number of the crashes."""
+        """Number of the crashes that the task is suspected of."""
         return len(self.runs)
 
     def add(self, number, alone):
@@ -86,7 +91,19 @@
         """
         if number in self.runs:
             return self
-        return Crashes((*self.runs, number), self.alone + alone)
+        return msgspec.structs.replace(
+            self, runs=(*self.runs, number), alone=self.alone + alone
+        )
+
+    def add_late(self, number):
+        """Return the Crashes with one more late run."""
+        return msgspec.structs.replace(self, late=(*self.late, number))
+
+    def note_age(self, age_ms):
+        """Return the Crashes with the time for which a run had gone on."""
+        return msgspec.structs.replace(
+            self, longest_ms=max(self.longest_ms, age_ms)
+        )
 
 
 NO_CRASHES = Crashes()
@@ -105,8 +122,8 @@
         placements: by `OCCURRENCE.STEP.INDEX`, the Placement of the run of a
             lasting task or of one with crashes, stored before the run starts.
             A lasting task without one has no run.
-        crashes: by `OCCURRENCE.STEP.INDEX`, the Crashes that a task is
-            suspected of, stored before its next run starts.
+        crashes: by `OCCURRENCE.STEP.INDEX`, the Crashes that a task may have
+            caused; those of a suspect are stored before its next run starts.
         ended_ms: Unix time in milliseconds of the end; 0 = not ended.
     """
 
--- a/figtray/scheduling/crashes.py
+++ b/figtray/scheduling/crashes.py
@@ -96,7 +96,7 @@
 def is_suspect(task):
     """Return whether a task may have crashed workers."""
     return (
-        task.crashes.count > 0 or len(task.late_crashes) >= LATE_CRASHES_TO_TRY
+        task.crashes.count > 0 or len(task.crashes.late) >= LATE_CRASHES_TO_TRY
     )
 
 
@@ -109,7 +109,7 @@
     """
     if task.crashes.count >= CRASHES_TO_REQUIRE_TRIAL:
         return True
-    all_runs = {*task.crashes.runs, *task.late_crashes}
+    all_runs = {*task.crashes.runs, *task.crashes.late}
     if task.crashes.count and len(all_runs) >= ALL_CRASHES_TO_REQUIRE_TRIAL:
         return True
     return is_suspect(task) and now_ms - task.ready_ms < MAX_TRIAL_WAIT_MS
@@ -132,7 +132,7 @@
         run: the Run.
         asked_ms: local time at which it certainly went on.
     """
-    trial_ms = LONG_TRIAL_MS if run.task.late_crashes else TRIAL_MS
+    trial_ms = LONG_TRIAL_MS if run.task.crashes.late else TRIAL_MS
     return run.sent_ms is not None and asked_ms - run.sent_ms >= trial_ms
 
 
@@ -145,7 +145,7 @@
         run: the Run.
         asked_ms: local time at which it certainly went on.
     """
-    cleared_ms = min(run.task.crash_age_ms + SETTLED_MS, CLEARED_MS)
+    cleared_ms = min(run.task.crashes.longest_ms + SETTLED_MS, CLEARED_MS)
     return run.sent_ms is not None and asked_ms - run.sent_ms >= cleared_ms
 
 
@@ -155,10 +155,9 @@
     return age_ms is not None and age_ms >= SETTLED_MS
 
 
-def note_crash_age(run):
+def note_age(run):
     """Record for how long a run had gone on when its worker crashed."""
-    task = run.task
-    task.crash_age_ms = max(task.crash_age_ms, _age_ms(run) or 0)
+    run.task.crashes = run.task.crashes.note_age(_age_ms(run) or 0)
 
 
 def log_suspected(run):
--- a/figtray/scheduling/state.py
+++ b/figtray/scheduling/state.py
@@ -102,11 +102,7 @@
         last_run: highest number of a run so far.
         placement: of a lasting task or a suspect, the records.Placement of
             the run that may go on; None if there is none.
-        crashes: the records.Crashes that it is suspected of.
-        late_crashes: numbers of the runs that had gone on for a while when
-            their workers crashed.
-        crash_age_ms: longest time for which such a run, or a suspected one,
-            had gone on, since the task was cleared.
+        crashes: the records.Crashes since it was cleared.
         run: its Run; None if it has none.
         ready_ms: local time since which it is ready to start.
     """
@@ -121,8 +117,6 @@
         'last_run',
         'placement',
         'crashes',
-        'late_crashes',
-        'crash_age_ms',
         'run',
         'ready_ms',
     )
@@ -141,8 +135,6 @@
         self.last_run = 0
         self.placement = None
         self.crashes = records.NO_CRASHES
-        self.late_crashes = ()
-        self.crash_age_ms = 0
         self.run = None
         self.ready_ms = 0
 
@@ -280,7 +272,7 @@
                         checkpoints[key] = task.checkpoint
                     if task.placement:
                         placements[key] = task.placement
-                    if task.crashes.count:
+                    if task.crashes != records.NO_CRASHES:
                         crashes[key] = task.crashes
                 if mask:
                     done[f'{number}.{step.number}'] = mask
--- a/figtray/scheduling/tests/test_deadly_tasks.py
+++ b/figtray/scheduling/tests/test_deadly_tasks.py
@@ -106,6 +106,42 @@
         assert site.crashes[task] <= deadly.MOST_CRASHES
         assert leader.state(job_id) == records.State.FAILED
 
+    # For how long a task goes on before it crashes its worker was known to one
+    # leader only, so the next one cleared it too soon.
+    @pytest.mark.parametrize('delay_ms', [600, 1000, 5000])
+    def test_late_crashes_survive_leaders(self, fleet, leader, delay_ms):
+        site = deadly.Site(fleet, delay_ms=delay_ms)
+        job_id, [task] = deadly.submit(fleet)
+        site.deadly = {task}
+        for _ in range(8):
+            site.play_to_crash(leader, task)
+            site.play(leader, FOUND_MS)
+            leader = fleet.elect_leader()
+            leader.report_all()
+        assert site.crashes[task] <= deadly.MOST_CRASHES
+        assert leader.state(job_id) == records.State.FAILED
+
+    # Crashes beside younger runs were known to one leader only.
+    @pytest.mark.parametrize('workers', [3, 6])
+    def test_crashes_beside_younger_runs_survive_leaders(self, workers):
+        fleet = harness.Fleet(workers)
+        leader = fleet.elect_leader()
+        leader.report_all()
+        site = deadly.Site(fleet, delay_ms=1000, run_ms=200)
+        job_id, [task] = deadly.submit(fleet)
+        site.deadly = {task}
+        crashes_so_far = 0
+        for _ in range(100):
+            deadly.submit(fleet, workers)
+            site.play(leader, 300)
+            if site.crashes[task] > crashes_so_far:
+                crashes_so_far = site.crashes[task]
+                site.play(leader, FOUND_MS)
+                leader = fleet.elect_leader()
+                leader.report_all()
+        assert site.crashes[task] <= deadly.MOST_CRASHES
+        assert leader.state(job_id) == records.State.FAILED
+
     # With one worker, nobody is left to try the task on.
     def test_pool_of_one_worker(self):
         fleet = harness.Fleet(workers=1)
@@ -279,8 +315,7 @@
             leader.sync_intake()
             task = leader.scheduler.find_task(name)
             task.ready_ms = fleet.clock.now_ms() - waited_ms
-            task.crashes = records.Crashes(numbers, 0)
-            task.late_crashes = late_numbers
+            task.crashes = records.Crashes(numbers, 0, late_numbers)
             leader.run_cycle()
             tasks.append(name)
         assert tasks[0] in harness.running(fleet)
--- a/figtray/scheduling/worker_ends.py
+++ b/figtray/scheduling/worker_ends.py
@@ -75,24 +75,25 @@
 
     def _suspect_runs(self, worker_state):
         """Suspect the runs of a crashed worker; return their tasks."""
-        for run in crashes.settled_runs(worker_state):
-            run.task.late_crashes += (run.number,)
-            crashes.note_crash_age(run)
+        settled_runs = crashes.settled_runs(worker_state)
+        for run in settled_runs:
+            run.task.crashes = run.task.crashes.add_late(run.number)
         runs = crashes.suspects(worker_state)
         alone = crashes.tried_run(worker_state) in runs
         for run in runs:
             task = run.task
-            crashes.note_crash_age(run)
             if alone:
-                for number in task.late_crashes:
+                for number in task.crashes.late:
                     task.crashes = task.crashes.add(number, False)
             # Long trials are more often hit by a crash that is chance.
             task.crashes = task.crashes.add(
                 run.number, alone and not crashes.is_late(run)
             )
             crashes.log_suspected(run)
-            if not task.step.job.ended:
-                self._store_progress(task.step.job)
+        for run in {*settled_runs, *runs}:
+            crashes.note_age(run)
+            if not run.task.step.job.ended:
+                self._store_progress(run.task.step.job)
         return [run.task for run in runs]
 
     def _suspect_placed(self, incarnation, kind):
@@ -152,7 +153,7 @@
             asked_ms: local time at which it certainly went on.
         """
         task, worker_state = run.task, run.worker_state
-        if not task.crashes.count and not task.late_crashes:
+        if task.crashes == records.NO_CRASHES:
             return
         if not crashes.is_trial_over(run, asked_ms):
             return
@@ -170,16 +171,15 @@
 
     def _clear(self, task, reason):
         """Record that a task did not cause the crashes so far."""
-        task.late_crashes = ()
-        task.crash_age_ms = 0
-        if not task.crashes.count:
+        if task.crashes == records.NO_CRASHES:
             return
-        log.emit(
-            catalogue.TASK_CLEARED,
-            task=task.name,
-            crashes=task.crashes.count,
-            reason=reason,
-        )
+        if task.crashes.count:
+            log.emit(
+                catalogue.TASK_CLEARED,
+                task=task.name,
+                crashes=task.crashes.count,
+                reason=reason,
+            )
         task.crashes = records.NO_CRASHES
         if not task.step.job.ended:
             self._store_progress(task.step.job)
