Take a run for lost only by a report that is certainly later

Cause: a run that is missing from a report is lost if the worker had confirmed its start before the report was asked for. Both times are in whole milliseconds, and equal ones counted as "before". Between hosts of one zone a request and its answer take less than a millisecond, so a report can reach the worker before the start, and both answers the leader in the millisecond in which the report was asked for.

Change: the report must have been asked for in a later millisecond. If it was not, the next report decides.

test_task_starts_again_after_the_stop[late] let a stop and a report happen in the same millisecond, in a clock that stood still; it now lets 1 ms pass in each cycle, and checks the same.

--- a/figtray/scheduling/reports.py
+++ b/figtray/scheduling/reports.py
@@ -169,7 +169,8 @@
         for run in list(worker_state.runs.values()):
             if (run.task.name, run.number) in reported:
                 self._note_running(run, asked_ms)
-            elif run.confirmed_ms is not None and run.confirmed_ms <= asked_ms:
+            # Equal times tell nothing about the order of the two.
+            elif run.confirmed_ms is not None and run.confirmed_ms < asked_ms:
                 self._mark_lost(run, 'absent from a report')
 
     def _handle_running(self, worker_state, item, now_ms):
--- a/figtray/scheduling/tests/test_worker_faults.py
+++ b/figtray/scheduling/tests/test_worker_faults.py
@@ -26,6 +26,7 @@
         fleet.client.choose_fault = lambda kind, _: 'ok'
         leader.advance(scheduler_base.UNHEALTHY_BACKOFF_MS)
         for _ in range(4):
+            leader.advance(1)
             leader.run_cycle()
         fleet.client.execute_late_orders()
         assert list(harness.running(fleet)) == [f'{job_id}.0.0.0']
@@ -61,8 +62,10 @@
 
 class TestReports:
     # Replies on different connections may arrive in any order: a report that
-    # was requested before a start lacks the run, which is not lost.
-    def test_earlier_report_does_not_end_a_run(self, fleet, leader):
+    # was requested before a start lacks the run, which is not lost. Both may
+    # be in the same millisecond.
+    @pytest.mark.parametrize('passed_ms', [0, 5])
+    def test_earlier_report_does_not_end_a_run(self, fleet, leader, passed_ms):
         job_id = fleet.submit(harness.make_step())
         leader.sync_intake()
         leader.scheduler.plan()
@@ -72,7 +75,7 @@
         )
         number = int(worker_state.worker.worker_id.removeprefix('worker-'))
         before = fleet.sim(number).report(leader.term.epoch, 0, None)
-        fleet.clock.advance(5)
+        fleet.clock.advance(passed_ms)
         leader.deliver_orders(number)
         leader.scheduler.handle_report(worker_state, before, asked_ms)
         assert f'{job_id}.0.0.0' in worker_state.runs
