--- a/figtray/scheduling/crashes.py
+++ b/figtray/scheduling/crashes.py
@@ -143,7 +143,7 @@
         run: the Run.
         asked_ms: local time at which it certainly went on.
     """
-    cleared_ms = min(run.task.crash_age_ms + SETTLED_MS, CLEARED_MS)
+    cleared_ms = min(run.task.crashes.longest_ms + SETTLED_MS, CLEARED_MS)
     return has_gone_on(run, cleared_ms, asked_ms)
 
 
@@ -166,10 +166,9 @@
     return run.started_ms is not None and at_ms - run.started_ms >= for_ms
 
 
-def note_crash_age(run):
+def note_age(run):
     """Record for how long at most a run had gone on in a crash."""
-    task = run.task
-    task.crash_age_ms = max(task.crash_age_ms, _age_ms(run) or 0)
+    run.task.crashes = run.task.crashes.note_age(_age_ms(run) or 0)
 
 
 def log_suspected(run):
--- a/figtray/scheduling/state.py
+++ b/figtray/scheduling/state.py
@@ -107,9 +107,7 @@
         placement: of a lasting task, a suspect, or one whose worker refuses
             connections, the records.Placement of the run that may go on; None
             if there is none.
-        crashes: the records.Crashes that it is suspected of.
-        crash_age_ms: longest time for which a run had gone on when its worker
-            crashed, since the task was cleared.
+        crashes: the records.Crashes since it was cleared.
         run: its Run; None if it has none.
         ready_ms: local time since which it is ready to start.
     """
@@ -124,7 +122,6 @@
         'last_run',
         'placement',
         'crashes',
-        'crash_age_ms',
         'run',
         'ready_ms',
     )
@@ -143,7 +140,6 @@
         self.last_run = 0
         self.placement = None
         self.crashes = records.NO_CRASHES
-        self.crash_age_ms = 0
         self.run = None
         self.ready_ms = 0
 
--- a/figtray/scheduling/worker_ends.py
+++ b/figtray/scheduling/worker_ends.py
@@ -75,15 +75,13 @@
 
     def _suspect_runs(self, worker_state):
         """Suspect the runs of a crashed worker; return their tasks."""
-        for run in crashes.settled_runs(worker_state):
+        settled_runs = crashes.settled_runs(worker_state)
+        for run in settled_runs:
             run.task.crashes = run.task.crashes.add_late(run.number)
-            crashes.note_crash_age(run)
-            self._store_crashes(run.task)
         runs = crashes.suspects(worker_state)
         alone = crashes.tried_run(worker_state) in runs
         for run in runs:
             task = run.task
-            crashes.note_crash_age(run)
             if alone:
                 for number in task.crashes.late:
                     task.crashes = task.crashes.add(number, False)
@@ -92,7 +90,9 @@
                 run.number, alone and not crashes.is_late(run)
             )
             crashes.log_suspected(run)
-            self._store_crashes(task)
+        for run in {*settled_runs, *runs}:
+            crashes.note_age(run)
+            self._store_crashes(run.task)
         return [run.task for run in runs]
 
     def _record_suspects(self, worker_state):
@@ -184,7 +184,6 @@
 
     def _clear(self, task, reason):
         """Record that a task did not cause the crashes so far."""
-        task.crash_age_ms = 0
         if task.crashes == records.NO_CRASHES:
             return
         if task.crashes.count:
