Count a crash on trial unless a report showed that it came late

Its fourth run was confirmed at 40:23.47, its worker was found silent 671 ms later; the last one 499 ms after its confirmation. Both counted as late crashes, so as none that shows guilt.

Cause: a crash counted as late if the leader noticed it late. A trial is passed only when a report that was asked 400 ms after the start shows the run; that a crash on trial is late was taken for granted without such a report.

Change: the latest request for a report that showed a run is kept (seen_ms), and a crash on trial counts unless that is 400 ms after the start. Workers with a trial are asked each 200 ms, so in long trials a crash up to 0.2 s later than before may count, also one by chance.

--- a/figtray/scheduling/crashes.py
+++ b/figtray/scheduling/crashes.py
@@ -153,6 +153,16 @@
     return silent_ms is not None and has_gone_on(run, SETTLED_MS, silent_ms)
 
 
+def was_seen_late(run):
+    """Return whether a report has shown that a run had gone on for a while.
+
+    A crash may be noticed late, but those on trial are asked often.
+    """
+    return run.seen_ms is not None and has_gone_on(
+        run, SETTLED_MS, run.seen_ms
+    )
+
+
 def has_gone_on(run, for_ms, at_ms):
     """Return whether a run had certainly gone on for a time.
 
--- a/figtray/scheduling/state.py
+++ b/figtray/scheduling/state.py
@@ -59,6 +59,8 @@
             its start was not sent.
         started_ms: local time by which it had certainly started; None while
             the worker has not confirmed it.
+        seen_ms: local time of the latest request for a report that showed it;
+            None if none did.
     """
 
     __slots__ = (
@@ -75,6 +77,7 @@
         'ticket',
         'sent_ms',
         'started_ms',
+        'seen_ms',
     )
 
     def __init__(self, task, worker_state, number, ordered_ms, ticket=''):
@@ -91,6 +94,7 @@
         self.ticket = ticket
         self.sent_ms = None
         self.started_ms = None
+        self.seen_ms = None
 
 
 class TaskState:
--- a/figtray/scheduling/tests/deadly.py
+++ b/figtray/scheduling/tests/deadly.py
@@ -59,6 +59,15 @@
             assert all(len(runs) == 1 for runs in found.values()), found
             self.act()
 
+    def play_unnoticed(self, leader, ms, cycle_ms):
+        """Let a leader work that notices a crash only with its next cycle."""
+        for _ in range(ms // cycle_ms):
+            leader.advance(cycle_ms)
+            self._bring_back()
+            self.act()
+            leader.sync_workers()
+            leader.run_cycle()
+
     def play_to_crash(self, leader, task):
         """Let a leader work for 10 s, or until a task crashes a worker."""
         before = self.crashes[task]
--- a/figtray/scheduling/tests/test_deadly_tasks.py
+++ b/figtray/scheduling/tests/test_deadly_tasks.py
@@ -199,6 +199,19 @@
         assert site.crashes[task] <= deadly.MOST_CRASHES
         assert leader.state(job_id) == records.State.FAILED
 
+    # A crash on trial that a slow leader noticed late counted as a late one.
+    def test_crash_on_trial_that_is_noticed_late(self, fleet, leader):
+        site = deadly.Site(fleet, delay_ms=380)
+        job_id, [task] = deadly.submit(fleet)
+        site.deadly = {task}
+        # The first crash is not counted, as its leader is gone.
+        site.play_to_crash(leader, task)
+        leader = fleet.elect_leader()
+        leader.report_all()
+        site.play_unnoticed(leader, LONG_MS, cycle_ms=300)
+        assert site.crashes[task] <= deadly.MOST_CRASHES
+        assert leader.state(job_id) == records.State.FAILED
+
     # With one worker, nobody is left to try the task on.
     def test_pool_of_one_worker(self):
         fleet = harness.Fleet(workers=1)
--- a/figtray/scheduling/worker_ends.py
+++ b/figtray/scheduling/worker_ends.py
@@ -87,7 +87,7 @@
                     task.crashes = task.crashes.add(number, False)
             # Long trials are more often hit by a crash that is chance.
             task.crashes = task.crashes.add(
-                run.number, alone and not crashes.is_late(run)
+                run.number, alone and not crashes.was_seen_late(run)
             )
             crashes.log_suspected(run)
         for run in {*settled_runs, *runs}:
@@ -165,6 +165,7 @@
             run: the Run.
             asked_ms: local time at which it certainly went on.
         """
+        run.seen_ms = asked_ms
         task, worker_state = run.task, run.worker_state
         if task.crashes == records.NO_CRASHES:
             return
