Count the upkeeps ahead of all waves, not of the last one

What callers saw: with two waves at once, a lasting task that was stopped for the upkeep of its host was placed on a host of the earlier wave and stopped again when that host came next. A pool whose widest step needs one more worker before an upkeep did not ask for it. After a withdrawn wave, the pool kept asking for it.

Cause: the wave runner called `set_upkeep_due`, which replaces all workers with an upkeep ahead, once for each wave, so that only the hosts of the last wave in the list counted; without waves it did not call it at all.

Ruled out: the cordons and drains. `set_cordoned` already gets the hosts of all waves in one call, and the progress of a wave is kept by wave.

Change: one call for the hosts of all waves, after the loop over the waves.

The three tests of `TestWavesAtOnce` failed on: a task had three runs instead of two at most; 0 instead of 5 workers had an upkeep ahead; 5 instead of 0 after the wave was withdrawn. They pass now, as do all tests of figtray/upkeep and figtray/scheduling (`pytest -n 2 figtray/upkeep figtray/scheduling`).

--- a/figtray/upkeep/tests/test_waves.py
+++ b/figtray/upkeep/tests/test_waves.py
@@ -1,5 +1,6 @@
 """Tests of maintenance waves."""
 
+import collections
 import dataclasses
 
 import pytest
@@ -7,6 +8,7 @@
 from figtray.fleet import messages
 from figtray.fleet import model as fleet_model
 from figtray.scheduling.tests import harness
+from figtray.scheduling.tests import takeovers
 from figtray.upkeep.tests import support
 from figtray.upkeep import waves
 
@@ -24,6 +26,7 @@
         self.wave = fleet_model.Wave(
             1, tuple(f'host-{n}' for n in range(4)), 20_000, max_down
         )
+        self.other_waves = []
         self.wave_runner = self.make_wave_runner()
 
     def make_wave_runner(self):
@@ -42,7 +45,9 @@
 
     def run_cycle(self):
         self.leader.run_cycle()
-        self.wave_runner.reconcile([self.wave], dict(self.hosts.hosts))
+        self.wave_runner.reconcile(
+            [self.wave, *self.other_waves], dict(self.hosts.hosts)
+        )
 
     def cordoned(self):
         """Return the ids of the workers that are cordoned."""
@@ -139,6 +144,62 @@
         assert count_before and len(site.hosts.accepted_orders) == 4
 
 
+class TestWavesAtOnce:
+    @pytest.fixture
+    def site(self):
+        """A site with six workers and waves over five hosts and a spare one.
+
+        The spare host is down, so that its wave goes on.
+        """
+        site = WaveSite()
+        for number in (4, 5):
+            site.fleet.add_worker(number)
+            site.hosts.hosts[f'host-{number}'] = support.make_host(number)
+        site.leader.sync_workers()
+        site.leader.report_all()
+        site.wave = dataclasses.replace(
+            site.wave, host_ids=tuple(f'host-{n}' for n in range(5))
+        )
+        site.hosts.hosts['host-9'] = dataclasses.replace(
+            site.hosts.hosts['host-9'], state=fleet_model.HostState.DOWN
+        )
+        site.other_waves = [
+            dataclasses.replace(site.wave, number=2, host_ids=('host-9',))
+        ]
+        return site
+
+    # Only the hosts of the last wave counted as having an upkeep ahead. Tasks
+    # were moved to hosts that came next, and stopped again.
+    def test_lasting_tasks_move_to_hosts_of_an_earlier_wave(self, site):
+        site.fleet.submit(harness.make_step(6, lasting=True))
+        runs = collections.defaultdict(set)
+        for _ in range(120):
+            site.run_cycle()
+            for task, places in takeovers.running(site.fleet).items():
+                runs[task].update(run for _, run in places)
+            site.leader.advance(500)
+            site.finish_upkeeps()
+        assert len(site.hosts.accepted_orders) == 5
+        assert site.records[1].completed
+        assert len(runs) == 6
+        assert max(len(numbers) for numbers in runs.values()) == 2, runs
+
+    # Pools whose widest step needs a free worker before an upkeep got none.
+    def test_upkeeps_of_an_earlier_wave_are_not_seen(self, site):
+        site.hosts.begin_upkeep = lambda *_: False
+        site.run_cycle()
+        assert site.leader.scheduler.pool_loads()['main'].due == 5
+
+    # The pool kept a host more than it needs.
+    def test_withdrawn_wave_leaves_upkeeps_ahead(self, site):
+        site.hosts.begin_upkeep = lambda *_: False
+        site.other_waves = []
+        site.run_cycle()
+        assert site.leader.scheduler.pool_loads()['main'].due == 5
+        site.wave_runner.reconcile([], dict(site.hosts.hosts))
+        assert site.leader.scheduler.pool_loads()['main'].due == 0
+
+
 class TestCordons:
     @pytest.fixture
     def site(self):
--- a/figtray/upkeep/waves.py
+++ b/figtray/upkeep/waves.py
@@ -82,6 +82,14 @@
                 pending[wave.number] = self._cordon_hosts(state, listed)
         for number in self._states.keys() - pending.keys():
             self._release_hosts(self._states[number], listed)
+        self._scheduler.set_upkeep_due(
+            {
+                host.worker_id
+                for hosts in pending.values()
+                for host in hosts
+                if host.worker_id
+            }
+        )
         self._scheduler.set_cordoned(
             UPKEEP_REASON,
             {
@@ -133,9 +141,6 @@
             for host_id in state.wave.host_ids
             if host_id in listed and host_id not in state.begun
         ]
-        self._scheduler.set_upkeep_due(
-            {host.worker_id for host in pending if host.worker_id}
-        )
         self._release_for_lasting_tasks(state, pending, now_ms)
         self._cordon_next(state, pending, now_ms)
         if not pending and not state.down:
