Wake the planner when its term ends

Callers see that nothing starts for up to a second longer than necessary after a stop of the leader, on a site where little happens.

Cause: the key of the leader is deleted once the planner has returned, and the planner sleeps until something changes, for a second at most. Nothing told it that the term has ended; reports that were under way mostly did so by chance.

The test, where the term ends 300 ms into the wait, saw the planner return 700 ms later on, with both reasons.

Change: the end of a term calls on_end, by which the service wakes the planner.

--- a/figtray/leadership/term.py
+++ b/figtray/leadership/term.py
@@ -64,6 +64,7 @@
         ended: threading.Event that is set when the term ends.
         reason: why the term has ended; empty before.
         began_ms: local time at which the term began.
+        on_end: called without arguments when the term has ended.
     """
 
     def __init__(self, epoch, lease_id, clock, requested_ms, leases_seen=None):
@@ -71,6 +72,7 @@
         self.lease_id = lease_id
         self.leases_seen = leases_seen
         self.ended = threading.Event()
+        self.on_end = lambda: None
         self.reason = ''
         self.began_ms = clock.now_ms()
         self._clock = clock
@@ -99,3 +101,4 @@
         if not self.ended.is_set():
             self.reason = reason
             self.ended.set()
+            self.on_end()
--- a/figtray/scheduling/service.py
+++ b/figtray/scheduling/service.py
@@ -99,6 +99,8 @@
             service.view.is_fresh,
             service.metrics,
         )
+        # Otherwise the planner sleeps on, and the leader keeps its key.
+        term.on_end = lambda: self._scheduler.changed.set()
         self._pacer = pacers.Pacer(self._scheduler, self._clock)
         self._sessions = {}
         self._roster = rosters.Roster()
--- a/figtray/scheduling/tests/test_service.py
+++ b/figtray/scheduling/tests/test_service.py
@@ -206,6 +206,30 @@
             <= (planner.SUSPENDED_RETRY_MS + service.PLAN_DELAY_MS)
         )
 
+    # The planner slept for up to a second after a stop, and the key of the
+    # leader stayed meanwhile.
+    @pytest.mark.parametrize('reason', ['a stop', 'the lease has expired'])
+    def test_planner_sleeps_after_the_end_of_the_term(
+        self, site, scheduler, reason
+    ):
+        term = site.leader._term
+        until_ms = site.clock.now_ms() + 300
+        wait = scheduler.changed.wait
+
+        def end_term_while_waiting(timeout_s):
+            # Nothing else happens on a site without runs.
+            scheduler.changed.clear()
+            left_ms = until_ms - site.clock.now_ms()
+            if timeout_s * 1000 < left_ms:
+                return wait(timeout_s)
+            site.clock.advance(max(0, left_ms))
+            term.end(reason)
+            return wait(timeout_s - left_ms / 1000)
+
+        scheduler.changed.wait = end_term_while_waiting
+        site.leader._plan()
+        assert site.clock.now_ms() - until_ms <= service.PLAN_DELAY_MS
+
     # A task that may start waited for the next plan, up to a second.
     @pytest.mark.parametrize(
         'change', ['report', 'workers', 'hosts', 'roster', 'end']
