--- a/figtray/scheduling/tests/deadly.py
+++ b/figtray/scheduling/tests/deadly.py
@@ -24,10 +24,13 @@
     Attributes:
         deadly: names of the tasks that crash their workers.
         delay_ms: time from their start to the crash.
+        delays: by task, the same if it differs.
+        keeps_ids: whether a worker is back with the same id.
         run_ms: time after which the other tasks are done; None: they go on.
         gang: tasks that run all or not at all, and are never done.
         lasting: tasks that are never done.
-        crashes: by task, the number of workers that crashed under it.
+        crashes: by task, the number of workers that it crashed.
+        crashed_ms: by task, the times of these crashes.
     """
 
     def __init__(self, fleet, delay_ms=0, run_ms=800):
@@ -36,8 +39,11 @@
         self.gang = ()
         self.lasting = ()
         self.delay_ms = delay_ms
+        self.delays = {}
+        self.keeps_ids = False
         self.run_ms = run_ms
         self.crashes = collections.Counter()
+        self.crashed_ms = collections.defaultdict(list)
         self._back_at_ms = {}
         self._number = len(fleet.workers)
 
@@ -52,6 +58,7 @@
         """Let a leader work for a while; no task may run twice at a time."""
         for _ in range(ms // cycle_ms):
             leader.advance(cycle_ms)
+            self.fleet.client.expire()
             self._bring_back()
             leader.sync_workers()
             leader.run_cycle()
@@ -73,7 +80,8 @@
         self._bring_back()
 
     def act(self):
-        """Crash the workers of deadly tasks, and end other tasks."""
+        """Bring workers back, crash those of deadly tasks, end other tasks."""
+        self._bring_back()
         for number, sim in self._up():
             ages = {
                 run.task: sim.clock_ms() - run.started_ms
@@ -82,16 +90,19 @@
             due = [
                 task
                 for task, age_ms in ages.items()
-                if task in self.deadly and age_ms >= self.delay_ms
+                if task in self.deadly
+                and age_ms >= self.delays.get(task, self.delay_ms)
             ]
             if due:
                 self.crashes.update(due)
+                for task in due:
+                    self.crashed_ms[task].append(self.fleet.clock.now_ms())
                 self.crash(number)
                 continue
             for task, age_ms in ages.items():
                 if self.run_ms is not None and age_ms >= self.run_ms:
                     if task not in (*self.deadly, *self.gang, *self.lasting):
-                        harness.finish(self.fleet, task)
+                        sim.end(task, messages.EndReason.DONE)
         self._end_incomplete_gang()
 
     def _end_incomplete_gang(self):
@@ -121,9 +132,10 @@
         old = fleet.client.sims[f'10.0.0.{number}:80'].worker
         fleet.workers.pop(old.worker_id, None)
         self._number += 1
+        worker_id = f'worker-{number}-{self._number}'
         worker = dataclasses.replace(
             fleet_memory.make_worker(number),
-            worker_id=f'worker-{number}-{self._number}',
+            worker_id=old.worker_id if self.keeps_ids else worker_id,
             born_ms=now_ms + 1,
         )
         fleet.workers[worker.worker_id] = worker
--- a/figtray/scheduling/tests/test_deadly_tasks.py
+++ b/figtray/scheduling/tests/test_deadly_tasks.py
@@ -106,6 +106,17 @@
         assert site.crashes[task] <= deadly.MOST_CRASHES
         assert leader.state(job_id) == records.State.FAILED
 
+    # A run of 10 s clears its task, whatever came before.
+    def test_task_that_crashes_workers_after_15_s_is_given_up(
+        self, fleet, leader
+    ):
+        site = deadly.Site(fleet, delay_ms=15_000)
+        job_id, [task] = deadly.submit(fleet)
+        site.deadly = {task}
+        site.play(leader, 2 * LONG_MS)
+        assert site.crashes[task] <= deadly.MOST_CRASHES
+        assert leader.state(job_id) == records.State.FAILED
+
     # For how long a task goes on before it crashes its worker was known to one
     # leader only, so the next one cleared it too soon.
     @pytest.mark.parametrize('delay_ms', [600, 1000, 5000])
