Test GPUs, gangs and starts without an answer on workers that shrink

The state machine of capacities had processor time and memory only; it has GPUs and best-effort tasks now. New tests: planned tasks whose worker loses GPUs before the order, a gang whose worker shrinks before the order, a start that got no answer, and a new leader before the first report of the worker.

--- a/figtray/scheduling/tests/test_capacity.py
+++ b/figtray/scheduling/tests/test_capacity.py
@@ -122,6 +122,38 @@
         settle(leader)
         assert count_runs(fleet) == started
 
+    @pytest.mark.parametrize('fills', [False, True])
+    def test_planned_tasks_start_within_the_gpus(self, fleet, leader, fills):
+        fleet.resize(0, gpus=3)
+        leader.sync_workers()
+        needs = model.Resources(1000, 100, 1)
+        plan(fleet, leader, model.Step(count=3, needs=needs, fills=fills))
+        fleet.resize(0, gpus=2)
+        leader.sync_workers()
+        leader.deliver_orders(0)
+        assert count_runs(fleet) == 2
+
+    # A start without an answer may go on, so it counts until a later report.
+    def test_start_without_an_answer_counts(self, fleet, leader):
+        plan(fleet, leader, harness.make_step(1, 6000))
+        fleet.client.choose_fault = lambda kind, _: (
+            {'start': 'lost', 'stop': 'not sent'}.get(kind, 'ok')
+        )
+        leader.deliver_orders(0)
+        fleet.resize(0, cpu_milli=6000)
+        leader.sync_workers()
+        fleet.submit(harness.make_step(1, 1000))
+        settle(leader)
+        assert count_runs(fleet) == 1
+
+    def test_gang_does_not_start_in_part(self, fleet, leader):
+        plan(fleet, leader, harness.make_step(4, 1000, gang=True))
+        fleet.resize(0, cpu_milli=3000)
+        leader.sync_workers()
+        leader.deliver_orders(0)
+        settle(leader)
+        assert not count_runs(fleet)
+
     # The start of a lasting task waits until its placement is stored.
     def test_shrink_while_a_placement_is_written(self, fleet, leader):
         plan(fleet, leader, harness.make_step(1, 1000, lasting=True))
@@ -235,6 +267,19 @@
         settle(second)
         assert count_runs(fleet) == 4
 
+    # What an earlier leader has started is known from the first report on.
+    def test_no_start_before_the_first_report(self, fleet, leader):
+        fleet.submit(harness.make_step(4, 1000))
+        settle(leader)
+        fleet.resize(0, cpu_milli=4000)
+        fleet.client.choose_fault = lambda kind, _: (
+            'not sent' if kind == 'report' else 'ok'
+        )
+        second = fleet.elect_leader()
+        job_id = fleet.submit(harness.make_step(1, 1000))
+        settle(second)
+        assert f'{job_id}.0.0.0' not in takeovers.running(fleet)
+
     # The worker is known from the roster only; its capacity is not.
     def test_worker_without_entry_gets_no_tasks(self, fleet, leader):
         fleet.submit(harness.make_step(2, 1000))
--- a/figtray/scheduling/tests/test_capacity_machine.py
+++ b/figtray/scheduling/tests/test_capacity_machine.py
@@ -4,11 +4,13 @@
 from hypothesis import stateful
 from hypothesis import strategies as st
 
+from figtray.jobs import model
 from figtray.scheduling.tests import test_scheduler_machine as machine
 
 WORKERS = machine.WORKERS
 FULL_MILLI = 8000
 FULL_MB = 64_000
+FULL_GPUS = 4
 
 
 class CapacityMachine(machine.SchedulerMachine):
@@ -16,6 +18,25 @@
 
     # Rules.
 
+    @stateful.rule(
+        count=st.integers(1, 3),
+        gpus=st.integers(0, 2),
+        fills=st.booleans(),
+    )
+    @stateful.precondition(lambda self: len(self.jobs) < 8)
+    def submit_with_gpus(self, count, gpus, fills):
+        needs = model.Resources(1500, 100, gpus)
+        step = model.Step(count=count, needs=needs, fills=fills)
+        self.jobs[self.fleet.submit(step)] = (step,)
+        self.leader.sync_intake()
+
+    @stateful.rule(
+        number=st.integers(0, WORKERS - 1), gpus=st.integers(0, FULL_GPUS)
+    )
+    def resize_gpus(self, number, gpus):
+        self.fleet.resize(number, gpus=gpus)
+        self.leader.sync_workers()
+
     @stateful.rule(
         number=st.integers(0, WORKERS - 1),
         cpu_milli=st.sampled_from([0, 1500, 3000, 4000, FULL_MILLI]),
@@ -48,7 +69,12 @@
     def cease_faults(self):
         super().cease_faults()
         for number in range(WORKERS):
-            self.fleet.resize(number, cpu_milli=FULL_MILLI, memory_mb=FULL_MB)
+            self.fleet.resize(
+                number,
+                cpu_milli=FULL_MILLI,
+                memory_mb=FULL_MB,
+                gpus=FULL_GPUS,
+            )
 
 
 TestCapacityMachine = CapacityMachine.TestCase
