Let the state machines of the scheduler start tasks

What was seen: 67 random cases of SchedulerMachine had 4 starts before their teardown, and 60 of CapacityMachine none, so that their invariants held for want of runs. The latter passed, with 300 cases too, on code without the look at the capacity before the order.

Cause: the machines let time pass without listing the workers, so the record of leases was not renewed and no start was sent; and a new leader rarely got the reports that it needs. A real leader lists the workers each half second and asks them all the time.

Change: the leader lists the workers as time passes, and a new rule lets it plan, order and ask once. CapacityMachine has a rule that shrinks a worker between the plan and the orders. Nothing is checked less.

The machines of scheduling pass, and did with FIGTRAY_FUZZ=400 before the last rule. On the code without that look the default cases of CapacityMachine now fail.

--- a/figtray/scheduling/tests/test_capacity_machine.py
+++ b/figtray/scheduling/tests/test_capacity_machine.py
@@ -53,6 +53,16 @@
         self.fleet.resize(number, memory_mb=memory_mb)
         self.leader.sync_workers()
 
+    @stateful.rule(
+        number=st.integers(0, WORKERS - 1),
+        cpu_milli=st.sampled_from([0, 1500, 3000]),
+    )
+    def shrink_between_plan_and_orders(self, number, cpu_milli):
+        self.leader.report_all()
+        self.leader.scheduler.plan()
+        self.resize_worker(number, cpu_milli)
+        self.leader.deliver_orders(number)
+
     @stateful.rule()
     def execute_late_orders(self):
         # The worker may have shrunk since the order was sent.
--- a/figtray/scheduling/tests/test_scheduler_machine.py
+++ b/figtray/scheduling/tests/test_scheduler_machine.py
@@ -12,6 +12,7 @@
 from figtray.scheduling.tests import harness
 
 WORKERS = 3
+LIST_MS = 500
 LIMIT_MILLI = 6000
 ATTEMPTS = 2
 FAULTS = st.sampled_from(['ok', 'ok', 'ok', 'not sent', 'lost', 'late'])
@@ -64,6 +65,12 @@
     def plan(self):
         self.leader.scheduler.plan()
 
+    @stateful.rule()
+    def start_what_can_start(self):
+        self.leader.sync_workers()
+        self.leader.report_all()
+        self.leader.run_cycle()
+
     @stateful.rule(number=st.integers(0, WORKERS - 1), fault=FAULTS)
     def order(self, number, fault):
         self.inject(fault)
@@ -109,7 +116,11 @@
 
     @stateful.rule(ms=st.sampled_from([50, 400, 1500, 2500, 7000]))
     def advance(self, ms):
-        self.leader.advance(ms)
+        # A leader lists the workers, and so renews the record of its leases,
+        # all the while.
+        for passed_ms in range(0, ms, LIST_MS):
+            self.leader.advance(min(LIST_MS, ms - passed_ms))
+            self.leader.sync_workers()
         for number in range(WORKERS):
             self.fleet.sim(number).expire()
 
