--- a/figtray/platform/tests/test_store.py
+++ b/figtray/platform/tests/test_store.py
@@ -12,7 +12,6 @@
 from figtray.store import memory
 from figtray.store.tests import contract
 
-
 # The store answers from the process of the tests, which may be held up.
 WATCH_TIMEOUT_MARGIN_MS = 60_000
 
