Name the run on trial and the late runs in one way

The run on trial was called tried_run, and runs that had gone on for a while before a crash settled_runs, with is_late() for the same condition. The comments of the limits of trials named numbers without saying of what. No change of behaviour.

--- a/figtray/scheduling/crashes.py
+++ b/figtray/scheduling/crashes.py
@@ -22,16 +22,18 @@
 # for this long, shows that its task was not the cause.
 CLEARED_MS = 10_000
 # Number of crashes after which a task is given up, by how many of them were on
-# trial and soon after the start. One of these may be chance. After a change of
-# the leader it may be unknown that a crash was on trial.
+# trial and soon after the start. One of these may be chance: a worker may crash
+# by itself during a trial. After a change of the leader it may be unknown that
+# a crash was on trial.
 CRASHES_TO_GIVE_UP = {0: 5, 1: 4, 2: 3}
-# From this number of crashes on, a task starts on trial only; if it is a
-# suspect, also from the second number on, of these and late crashes together.
+# A task that is suspected of this many crashes starts on trial only.
 CRASHES_TO_REQUIRE_TRIAL = 3
+# So does a suspect with this many crashes if the late ones are included.
 ALL_CRASHES_TO_REQUIRE_TRIAL = 4
-# With fewer, it starts without a trial after the first of these waits, and
-# beside other suspects after the second.
+# A suspect with fewer crashes starts without a trial after this wait.
 MAX_TRIAL_WAIT_MS = 1500
+# After this one, it also starts on a worker where another suspect has just
+# started.
 MAX_APART_WAIT_MS = 2500
 
 
@@ -45,14 +47,16 @@
         worker_state: its WorkerState.
     """
     sent = _sent_runs(worker_state)
-    tried = tried_run(worker_state)
+    tried = run_on_trial(worker_state)
     if tried in sent:
-        return [run for run in sent if run is tried or _is_mate(run, tried)]
+        return [
+            run for run in sent if run is tried or _is_of_same_gang(run, tried)
+        ]
     return [run for run in sent if not is_late(run)] or sent
 
 
-def settled_runs(worker_state):
-    """Return the runs that had gone on for SETTLED_MS before a crash.
+def late_runs(worker_state):
+    """Return the runs that had gone on for a while before a crash.
 
     If one is on trial, only that one and its gang are suspected, so then
     there are none.
@@ -61,7 +65,7 @@
         worker_state: WorkerState of the crashed worker.
     """
     sent = _sent_runs(worker_state)
-    if tried_run(worker_state) in sent:
+    if run_on_trial(worker_state) in sent:
         return []
     return [run for run in sent if is_late(run)]
 
@@ -79,7 +83,7 @@
     )
 
 
-def tried_run(worker_state):
+def run_on_trial(worker_state):
     """Return the run on trial on a worker; None if there is none."""
     trial = worker_state.trial
     return trial and worker_state.runs.get(trial.task.name)
@@ -201,7 +205,7 @@
     ]
 
 
-def _is_mate(run, other):
+def _is_of_same_gang(run, other):
     """Return whether two runs are of the same gang."""
     step = run.task.step
     return step.spec.gang and step is other.task.step
--- a/figtray/scheduling/starts.py
+++ b/figtray/scheduling/starts.py
@@ -124,7 +124,7 @@
             ticket = step.advice.ticket(worker_state.worker.worker_id)
         run = state.Run(task, worker_state, number, now_ms, ticket)
         self._attach(run)
-        if crashes.tried_run(worker_state) is run:
+        if crashes.run_on_trial(worker_state) is run:
             self._log_trial(run)
         if step.spec.lasting or task.crashes.count:
             sequence = self._record_placement(run)
--- a/figtray/scheduling/trials.py
+++ b/figtray/scheduling/trials.py
@@ -66,7 +66,7 @@
 
         A worker is kept free of other starts for it until it is quiet.
         """
-        worker_state = self._reserved(task, worker_states)
+        worker_state = self._find_reserved(task, worker_states)
         if worker_state is not None and not placement.has_room(
             task.step, worker_state, now_ms
         ):
@@ -83,7 +83,7 @@
             return None
         return worker_state
 
-    def _reserved(self, task, worker_states):
+    def _find_reserved(self, task, worker_states):
         """Return the WorkerState that is kept free for a task, or None."""
         for worker_state in worker_states:
             trial = worker_state.trial
@@ -131,6 +131,7 @@
         )
 
     def _log_trial(self, run):
+        """Log that a run on trial is about to start."""
         log.emit(
             catalogue.TRIAL_STARTED,
             task=run.task.name,
--- a/figtray/scheduling/worker_ends.py
+++ b/figtray/scheduling/worker_ends.py
@@ -75,11 +75,11 @@
 
     def _suspect_runs(self, worker_state):
         """Suspect the runs of a crashed worker; return their tasks."""
-        settled_runs = crashes.settled_runs(worker_state)
-        for run in settled_runs:
+        late_runs = crashes.late_runs(worker_state)
+        for run in late_runs:
             run.task.crashes = run.task.crashes.add_late(run.number)
         runs = crashes.suspects(worker_state)
-        alone = crashes.tried_run(worker_state) in runs
+        alone = crashes.run_on_trial(worker_state) in runs
         for run in runs:
             task = run.task
             if alone:
@@ -90,7 +90,7 @@
                 run.number, alone and not crashes.was_seen_late(run)
             )
             crashes.log_suspected(run)
-        for run in {*settled_runs, *runs}:
+        for run in {*late_runs, *runs}:
             crashes.note_age(run)
             self._store_crashes(run.task)
         return [run.task for run in runs]
@@ -171,7 +171,7 @@
             return
         if not crashes.is_trial_over(run, asked_ms):
             return
-        if crashes.tried_run(worker_state) is run:
+        if crashes.run_on_trial(worker_state) is run:
             worker_state.trial = None
             log.emit(
                 catalogue.TRIAL_PASSED,
--- a/figtray/soak/injector.py
+++ b/figtray/soak/injector.py
@@ -75,7 +75,7 @@
             if self._active_targets & targets:
                 return None
             self._active_targets |= targets
-        # A worker that shrinks is no excuse for anything.
+        # All promises hold while a worker shrinks.
         disrupts = fault.kind is not faults.FaultKind.WORKER_SHRINKS
         if disrupts:
             self._checker.record_fault_begin()
@@ -336,4 +336,4 @@
 
 
 def _no_action():
-    """End a fault that needs no action to end."""
+    """Begin or end a fault that needs no action for that."""
