--- a/figtray/scheduling/crashes.py
+++ b/figtray/scheduling/crashes.py
@@ -22,9 +22,9 @@
 # for this long, shows that its task was not the cause.
 CLEARED_MS = 10_000
 # Number of crashes after which a task is given up, by how many of them were on
-# trial and soon after the start. One of these may be chance: a worker may crash
-# by itself during a trial. After a change of the leader it may be unknown that
-# a crash was on trial.
+# trial and soon after the start. One of these may be chance: a worker may
+# crash by itself during a trial. After a change of the leader it may be
+# unknown that a crash was on trial.
 CRASHES_TO_GIVE_UP = {0: 5, 1: 4, 2: 3}
 # A task that is suspected of this many crashes starts on trial only.
 CRASHES_TO_REQUIRE_TRIAL = 3
