Close the connection of a reply that the stand-ins lose

What was seen: the stand-in services call handler.drop() to lose a reply, a method that the server's handler lacks. The AttributeError closed the connection, and the server ignored all errors, so a lost reply worked by accident and any fault of a stand-in went unnoticed.

Change: the handler has drop(), and the server reports errors that are none of a connection.

--- a/figtray/platform/standin_server.py
+++ b/figtray/platform/standin_server.py
@@ -67,6 +67,10 @@
             (('Content-Type', 'application/json'),),
         )
 
+    def drop(self):
+        """Close the connection without a response, as if it were lost."""
+        self.close_connection = True
+
     def log_message(self, *args):
         """Write no access log."""
 
@@ -111,7 +115,12 @@
         super().shutdown_request(request)
 
     def handle_error(self, request, client_address):
-        """Ignore errors of connections, as clients may close them any time."""
+        """Report an error, but for those of connections.
+
+        Clients may close them at any time.
+        """
+        if not isinstance(sys.exc_info()[1], OSError):
+            super().handle_error(request, client_address)
 
     def connections(self):
         """Return the sockets of the open connections."""
