--- a/figtray/soak/capacities.py
+++ b/figtray/soak/capacities.py
@@ -14,7 +14,7 @@
     """Tells whether the runs on a worker are within its capacity.
 
     Args:
-        jobs: mapping of job id to invariants.Job.
+        jobs: mapping of job id to observations.Job.
     """
 
     def __init__(self, jobs):
--- a/figtray/soak/deadly.py
+++ b/figtray/soak/deadly.py
@@ -50,7 +50,7 @@
     """Counts the crashes of workers under each task.
 
     Args:
-        jobs: mapping of job id to invariants.Job.
+        jobs: mapping of job id to observations.Job.
     """
 
     def __init__(self, jobs):
--- a/figtray/soak/invariants.py
+++ b/figtray/soak/invariants.py
@@ -1,7 +1,6 @@
 """Invariants of figtray, checked on the events of workers and callers."""
 
 import collections
-import dataclasses
 import math
 import threading
 
@@ -12,6 +11,7 @@
 from figtray.soak import capacities
 from figtray.soak import deadly
 from figtray.soak import lasting
+from figtray.soak import observations
 
 # Time allowed after a fault for all nodes to reach all services again.
 SETTLE_MS = 3000
@@ -23,63 +23,6 @@
 LIMIT_OVERRUN_FRACTION = 0.1
 
 
-@dataclasses.dataclass(frozen=True)
-class Violation:
-    """Violation of an invariant.
-
-    Attributes:
-        promise: name of the invariant.
-        at_ms: time since the start of the soak in milliseconds.
-        detail: task, job or value that violated it.
-    """
-
-    promise: str
-    at_ms: int
-    detail: str
-
-
-@dataclasses.dataclass
-class Job:
-    """A job as its caller knows it.
-
-    Attributes:
-        steps: the submitted steps.
-        attempted: whether a submission may have arrived.
-        refused: whether all submissions were rejected.
-        accepted_ms: time of the acceptance, or None.
-        cancel_ms: time of the first request to cancel the job, or None.
-        cancelled_ms: time at which that was acknowledged, or None.
-        state: state in the last response.
-    """
-
-    steps: list
-    attempted: bool = False
-    refused: bool = False
-    accepted_ms: int | None = None
-    cancel_ms: int | None = None
-    cancelled_ms: int | None = None
-    state: str = ''
-
-    @property
-    def lasting(self):
-        """Whether its tasks run until it is cancelled."""
-        return any(step.get('long_running') for step in self.steps)
-
-    @property
-    def deadly(self):
-        """Whether its tasks crash their workers."""
-        return any(step.get('image') == deadly.IMAGE for step in self.steps)
-
-    @property
-    def is_owed(self):
-        """Whether it was accepted, can be done and isn't to be cancelled."""
-        return (
-            self.accepted_ms is not None
-            and self.cancel_ms is None
-            and not self.deadly
-        )
-
-
 class InvariantChecker(memory.RunObserver):
     """Checks invariants on events of workers, callers and operators.
 
@@ -87,8 +30,8 @@
 
     Attributes:
         workers: MemoryWorkers to observe; set before the first run starts.
-        jobs: mapping of job id to Job.
-        violations: list of Violation.
+        jobs: mapping of job id to observations.Job.
+        violations: list of observations.Violation.
         start_times_ms: times of the starts of runs since the start of the
             soak.
 
@@ -230,7 +173,9 @@
     def record_submit_attempt(self, job_id, steps):
         """Record that a caller is about to submit a job."""
         with self._lock:
-            self.jobs.setdefault(job_id, Job(steps)).attempted = True
+            self.jobs.setdefault(job_id, observations.Job(steps)).attempted = (
+                True
+            )
 
     def record_submit_result(self, job_id, statuses):
         """Record the HTTP statuses of all submissions of a job.
@@ -400,4 +345,6 @@
         return [task for task in tasks if not self._done_runs[task]]
 
     def _record_violation(self, promise, detail):
-        self.violations.append(Violation(promise, self.now_ms(), detail))
+        self.violations.append(
+            observations.Violation(promise, self.now_ms(), detail)
+        )
--- a/figtray/soak/lasting.py
+++ b/figtray/soak/lasting.py
@@ -56,7 +56,7 @@
     Args:
         rng: random.Random to use.
         run_ms: (shortest, longest) time of runs of jobs that do not last.
-        jobs: mapping of job id to invariants.Job.
+        jobs: mapping of job id to observations.Job.
         task: name of the task; if it lasts, its runs may only fail.
     """
     job = jobs.get(model.parse_task_id(task).job_id)
@@ -72,7 +72,7 @@
     """Finds lasting tasks that do not run although there is room for them.
 
     Args:
-        jobs: mapping of job id to invariants.Job.
+        jobs: mapping of job id to observations.Job.
         running_by_task: mapping of task name to its runs by incarnation.
     """
 
--- a/figtray/soak/tests/test_lasting.py
+++ b/figtray/soak/tests/test_lasting.py
@@ -9,6 +9,7 @@
 from figtray.fleet import messages
 from figtray.soak import invariants
 from figtray.soak import lasting
+from figtray.soak import observations
 
 JOB = 'c' * 16
 TASKS = (f'{JOB}.0.0.0', f'{JOB}.0.0.1')
@@ -312,8 +313,8 @@
     def test_only_lasting_tasks_fail(self):
         rng = random.Random(1)
         jobs = {
-            JOB: invariants.Job(STEPS),
-            'd' * 16: invariants.Job([{'count': 1}]),
+            JOB: observations.Job(STEPS),
+            'd' * 16: observations.Job([{'count': 1}]),
         }
         for _ in range(100):
             _, reason = lasting.choose_end(rng, (150, 500), jobs, TASKS[0])
@@ -325,7 +326,7 @@
             assert 150 <= delay_ms <= 500
 
     def test_seed_determines_ends(self):
-        jobs = {JOB: invariants.Job(STEPS)}
+        jobs = {JOB: observations.Job(STEPS)}
         first, again = (
             lasting.choose_end(random.Random(1), (1, 2), jobs, TASKS[0])
             for _ in range(2)
