Skip a worker's entry that is nested too deeply

Cause: the decoder raises RecursionError for such a record, also in a field that is skipped. The readers of documents caught the errors of msgspec only, so it went through the takeover.

One function now decodes what another process has written and raises UnreadableMessage for all that the decoder can raise; its detail is bounded, as it may quote the record. Unreadable entries are named once, however often their error changes. TestOddDocuments failed before for the configuration, a wave and an entry.

--- /dev/null
+++ b/figtray/events/unreadable.py
@@ -0,0 +1,65 @@
+"""Log of the records that can't be read, each named once."""
+
+import threading
+
+from figtray.events import catalogue
+from figtray.events import log
+
+# Further unreadable records of a reader are skipped without a line each.
+MAX_NAMED = 200
+# A record that was readable, or gone, for this long is named again.
+FORGET_MS = 60_000
+
+
+class UnreadableLog:
+    """Names each unreadable record of one reader once.
+
+    A record stays named while it is unreadable, whatever its error is, so
+    one that changes at each read costs one line.
+
+    Args:
+        clock: the Clock.
+    """
+
+    def __init__(self, clock):
+        self._clock = clock
+        self._lock = threading.Lock()
+        # Local time at which each named record was last found unreadable.
+        self._seen_ms = {}
+        self._is_full = False
+
+    def note(self, record, exc):
+        """Log that a record is skipped, unless it is named already.
+
+        Args:
+            record: its name, such as its key.
+            exc: the UnreadableMessage.
+        """
+        detail = str(exc)
+        with self._lock:
+            now_ms = self._clock.now_ms()
+            seen_ms = self._seen_ms.get(record)
+            if seen_ms is None and not self._has_room(now_ms):
+                if self._is_full:
+                    return
+                self._is_full = True
+                record = f'{record} and others'
+                detail = f'over {MAX_NAMED} records are unreadable: {detail}'
+            else:
+                self._seen_ms[record] = now_ms
+            if seen_ms is not None and now_ms - seen_ms < FORGET_MS:
+                return
+        log.emit(catalogue.RECORD_UNREADABLE, record=record, detail=detail)
+
+    def _has_room(self, now_ms):
+        """Return whether one more record can be named."""
+        if len(self._seen_ms) < MAX_NAMED:
+            return True
+        self._seen_ms = {
+            record: seen_ms
+            for record, seen_ms in self._seen_ms.items()
+            if now_ms - seen_ms < FORGET_MS
+        }
+        has_room = len(self._seen_ms) < MAX_NAMED
+        self._is_full &= not has_room
+        return has_room
--- a/figtray/platform/documents.py
+++ b/figtray/platform/documents.py
@@ -2,7 +2,7 @@
 
 import msgspec
 
-from figtray import errors
+from figtray import decoding
 from figtray.fleet import model as fleet
 from figtray.jobs import model
 from figtray.jobs import queues
@@ -108,7 +108,7 @@
         UnreadableMessage: the document is malformed, or has a missing or
             wrong field.
     """
-    doc = _decode('configuration', _config_decoder, data)
+    doc = decoding.decode('configuration', _config_decoder, data)
     return queues.Config(
         doc.version,
         [_build_queue(route) for route in doc.routes],
@@ -135,7 +135,7 @@
         UnreadableMessage: the document is malformed, or has a missing or
             wrong field.
     """
-    doc = _decode('wave', _wave_decoder, data)
+    doc = decoding.decode('wave', _wave_decoder, data)
     return fleet.Wave(
         doc.wave, doc.machines, int(doc.duration_s * 1000), doc.maximum
     )
@@ -159,15 +159,11 @@
         UnreadableMessage: the entry is malformed, has a missing or wrong
             field, or names an unknown state or pool.
     """
-    entry = _decode(key, _worker_decoder, data)
+    entry = decoding.decode(key, _worker_decoder, data)
     if entry.state not in ('ready', 'draining'):
-        raise errors.UnreadableMessage(
-            what=key, detail=f'unknown state {entry.state!r}'
-        )
+        raise decoding.unreadable(key, f'unknown state {entry.state!r}')
     if pools is not None and entry.service not in pools:
-        raise errors.UnreadableMessage(
-            what=key, detail=f'unknown pool {entry.service!r}'
-        )
+        raise decoding.unreadable(key, f'unknown pool {entry.service!r}')
     return fleet.Worker(
         worker_id=key.removeprefix(WORKER_PREFIX),
         born_ms=entry.born,
@@ -202,10 +198,3 @@
         timeout_ms=route.timeout_ms,
         advice=advice,
     )
-
-
-def _decode(what, decoder, data):
-    try:
-        return decoder.decode(data)
-    except (msgspec.MsgspecError, UnicodeDecodeError) as exc:
-        raise errors.UnreadableMessage(what=what, detail=str(exc)) from exc
--- a/figtray/platform/main.py
+++ b/figtray/platform/main.py
@@ -183,7 +183,7 @@
             self._store,
             self._clock,
             self._view,
-            views.WorkerList(self._store, self._view).read,
+            views.WorkerList(self._store, self._view, self._clock).read,
             self._worker_client,
             adviser_client,
             host_controller.run,
--- a/figtray/platform/status.py
+++ b/figtray/platform/status.py
@@ -9,6 +9,7 @@
 import rich.table
 import typer
 
+from figtray import clock as clock_lib
 from figtray import errors
 from figtray.jobs import records
 from figtray.leadership import term as terms
@@ -104,7 +105,9 @@
     )
     workers = collections.Counter(
         (worker.pool, 'draining' if worker.draining else 'ready')
-        for worker in views.WorkerList(store, view).read()
+        for worker in views.WorkerList(
+            store, view, clock_lib.SystemClock()
+        ).read()
     )
     return Status(
         leader=terms.decode(leader.value).node if leader else '',
--- a/figtray/platform/view.py
+++ b/figtray/platform/view.py
@@ -5,6 +5,7 @@
 from figtray import errors
 from figtray.events import catalogue
 from figtray.events import log
+from figtray.events import unreadable
 from figtray.platform import documents
 from figtray.store import prefix_watcher
 
@@ -147,12 +148,13 @@
     Args:
         store: the Store.
         view: the OperatorView, whose configuration names the pools.
+        clock: the Clock.
     """
 
-    def __init__(self, store, view):
+    def __init__(self, store, view, clock):
         self._store = store
         self._view = view
-        self._logged_errors = {}
+        self._unreadable = unreadable.UnreadableLog(clock)
 
     def read(self):
         """Return the fleet Workers; unreadable entries are logged and skipped.
@@ -170,11 +172,4 @@
             try:
                 yield documents.decode_worker(item.key, item.value, pools)
             except errors.UnreadableMessage as exc:
-                # An error is logged when it first appears, not at each read.
-                if self._logged_errors.get(item.key) != str(exc):
-                    self._logged_errors[item.key] = str(exc)
-                    log.emit(
-                        catalogue.RECORD_UNREADABLE,
-                        record=item.key,
-                        detail=str(exc),
-                    )
+                self._unreadable.note(item.key, exc)
