Skip a worker's entry whose address can't be called

Cause: an entry's address was any text. The session with such an entry failed in the connection with ValueError, UnicodeError or InvalidURL, without end. A host name would be looked up, and a lookup has no time limit.

The entry is unreadable now: a worker is called at a literal IP address and a port above 0. So no session begins, and the reader names the entry once.

--- a/figtray/connections.py
+++ b/figtray/connections.py
@@ -2,6 +2,7 @@
 
 import http.client
 import io
+import ipaddress
 import select
 import socket
 
@@ -30,6 +31,23 @@
     return host, int(port)
 
 
+def check_ip_address(address):
+    """Check that an address can be called without a name lookup.
+
+    A lookup has no time limit of ours, so it could hold up its caller.
+
+    Args:
+        address: text of the form `host:port`.
+
+    Raises:
+        ValueError: the host is no IP address, or the port is out of range.
+    """
+    host, port = parse_address(address)
+    ipaddress.ip_address(host)
+    if not port:
+        raise ValueError(f'{address!r} has port 0')
+
+
 def has_input(sock):
     """Return whether a socket has input, end of stream or an error now."""
     # select() fails for descriptors above 1023.
--- a/figtray/platform/documents.py
+++ b/figtray/platform/documents.py
@@ -2,6 +2,7 @@
 
 import msgspec
 
+from figtray import connections
 from figtray import decoding
 from figtray.fleet import model as fleet
 from figtray.jobs import model
@@ -157,13 +158,18 @@
 
     Raises:
         UnreadableMessage: the entry is malformed, has a missing or wrong
-            field, or names an unknown state or pool.
+            field, names an unknown state or pool, or an address that can't
+            be called.
     """
     entry = decoding.decode(key, _worker_decoder, data)
     if entry.state not in ('ready', 'draining'):
         raise decoding.unreadable(key, f'unknown state {entry.state!r}')
     if pools is not None and entry.service not in pools:
         raise decoding.unreadable(key, f'unknown pool {entry.service!r}')
+    try:
+        connections.check_ip_address(entry.address)
+    except ValueError as exc:
+        raise decoding.unreadable(key, f'address: {exc}') from exc
     return fleet.Worker(
         worker_id=key.removeprefix(WORKER_PREFIX),
         born_ms=entry.born,
