Report each odd address or id as a call that was not sent

Callers of the HTTP client saw ValueError, UnicodeError or InvalidURL for an address that can't be called. None of them is declared, so a session with such a worker failed as a whole, each 200 ms, and no refusal was counted.

Cause: only OSError was caught around the making of a connection, which parses the address.

Making and opening a connection now turns the same errors into CallNotSent as the call itself; nothing was sent by then.

--- a/figtray/platform/http_client.py
+++ b/figtray/platform/http_client.py
@@ -11,6 +11,9 @@
 # Servers close idle connections; one that was idle for longer is not reused.
 MAX_IDLE_MS = 10_000
 
+# An odd address or header raises ValueError, UnicodeError or InvalidURL.
+_CALL_ERRORS = (OSError, http.client.HTTPException, ValueError)
+
 
 @dataclasses.dataclass(frozen=True)
 class Reply:
@@ -61,7 +64,7 @@
             conn.request(method, path, body, all_headers)
             response = conn.getresponse()
             reply = Reply(response.status, response.read())
-        except (OSError, http.client.HTTPException, ValueError) as exc:
+        except _CALL_ERRORS as exc:
             was_sent = conn.sent_bytes > 0
             conn.close()
             if was_sent:
@@ -103,10 +106,10 @@
                 continue
             conn.begin_request(deadline_ms)
             return conn
-        conn = connections.Connection(self.address, self._clock)
         try:
+            conn = connections.Connection(self.address, self._clock)
             conn.open(deadline_ms)
-        except OSError as exc:
+        except _CALL_ERRORS as exc:
             raise errors.CallNotSent(
                 address=self.address,
                 detail=describe(exc),
--- a/figtray/platform/tests/test_workers.py
+++ b/figtray/platform/tests/test_workers.py
@@ -1,5 +1,7 @@
 """Tests of the clients of workers and of the host service, over HTTP."""
 
+import dataclasses
+
 import pytest
 
 from figtray import clock as clock_lib
@@ -103,6 +105,26 @@
             rig.start()
         assert info.value.refused
 
+    # A session that got an undeclared error wrote a traceback each 200 ms, and
+    # counted no failed report.
+    @pytest.mark.parametrize(
+        'address',
+        ['', ':80', '127.0.0.1', '127.0.0.1:99999', '.:80', 'a b:80', '\0:80'],
+    )
+    def test_odd_address_raises_an_undeclared_error(self, rig, address):
+        rig.worker = dataclasses.replace(rig.worker, address=address)
+        for call in (rig.start, rig.report):
+            with pytest.raises(errors.CallNotSent) as info:
+                call()
+            assert not info.value.refused
+
+    @pytest.mark.parametrize('worker_id', ['a\r\nb: c', '\u0142', '\udc80'])
+    def test_odd_id_raises_an_undeclared_error(self, rig, worker_id):
+        rig.worker = dataclasses.replace(rig.worker, worker_id=worker_id)
+        for call in (rig.start, rig.report):
+            with pytest.raises(errors.CallNotSent):
+                call()
+
     def test_pace(self, rig):
         rig.start()
         rig.client.pace(rig.worker, 'j.0.0.0', 1, 25, 1, 5000)
