Refuse entries of workers with amounts and names out of range

The amounts stand in the demand of its pool, in the limit of what held tasks may need, and in divisions by floats, which raise OverflowError for such a number. `born` stands in the roster.

Cause: amounts, `born`, labels and names had no limits, and an id could hold line ends, which no header of an order can carry.

The types of the fields state their limits now, so the decoder refuses the others: amounts from 0 to 10^9, `born` above 0 and below 2^53, names of up to 200 characters, up to 100 labels, ids of printable ASCII. An extreme entry within them is still accepted. `born` is not compared with the reader's clock, as a reader whose clock is late would refuse all workers.

--- a/figtray/platform/documents.py
+++ b/figtray/platform/documents.py
@@ -1,5 +1,7 @@
 """Documents that operators and workers write to the platform's store."""
 
+import typing
+
 import msgspec
 
 from figtray import connections
@@ -16,6 +18,19 @@
 WORKER_PREFIX = 'servers/'
 
 
+# Far above any host; sums of very many entries are still exact as floats.
+MAX_AMOUNT = 10**9
+# Unix time in ms; larger numbers are not exact in all JSON decoders. It isn't
+# compared with the reader's clock: one that is late would refuse all workers.
+MAX_BORN_MS = 2**53 - 1
+# A key has at most 200 bytes, so no name of a worker is longer.
+MAX_NAME_CHARS = 200
+MAX_LABELS = 100
+
+_Amount = typing.Annotated[int, msgspec.Meta(ge=0, le=MAX_AMOUNT)]
+_Name = typing.Annotated[str, msgspec.Meta(max_length=MAX_NAME_CHARS)]
+
+
 class Amounts(msgspec.Struct, frozen=True):
     """Amounts of resources in the platform's JSON."""
 
@@ -84,17 +99,27 @@
     maximum: int = 1  # most hosts that may be down at once
 
 
+class _Capacity(Amounts, frozen=True):
+    """Amounts that a worker says it has."""
+
+    cpu: _Amount = 0
+    mem_mb: _Amount = 0
+    gpu: _Amount = 0
+
+
 class _WorkerEntry(msgspec.Struct, frozen=True):
     """A worker's entry; `service` names its pool, `machine` its host."""
 
-    service: str
-    address: str
-    zone: str
-    state: str
-    born: int
-    capacity: Amounts
-    labels: tuple[str, ...] = ()
-    machine: str = ''
+    service: _Name
+    address: _Name
+    zone: _Name
+    state: _Name
+    born: typing.Annotated[int, msgspec.Meta(gt=0, le=MAX_BORN_MS)]
+    capacity: _Capacity
+    labels: typing.Annotated[
+        tuple[_Name, ...], msgspec.Meta(max_length=MAX_LABELS)
+    ] = ()
+    machine: _Name = ''
 
 
 _config_decoder = msgspec.json.Decoder(_Config)
@@ -158,20 +183,24 @@
 
     Raises:
         UnreadableMessage: the entry is malformed, has a missing or wrong
-            field, names an unknown state or pool, or an address that can't
-            be called.
+            field, or an id that can't be sent, or it names an unknown state
+            or pool, or an address that can't be called.
     """
     entry = decoding.decode(key, _worker_decoder, data)
     if entry.state not in ('ready', 'draining'):
         raise decoding.unreadable(key, f'unknown state {entry.state!r}')
     if pools is not None and entry.service not in pools:
         raise decoding.unreadable(key, f'unknown pool {entry.service!r}')
+    worker_id = key.removeprefix(WORKER_PREFIX)
+    # Orders carry it in a header.
+    if not (worker_id.isascii() and worker_id.isprintable() and worker_id):
+        raise decoding.unreadable(key, f'id {worker_id!r} is not ASCII text')
     try:
         connections.check_ip_address(entry.address)
     except ValueError as exc:
         raise decoding.unreadable(key, f'address: {exc}') from exc
     return fleet.Worker(
-        worker_id=key.removeprefix(WORKER_PREFIX),
+        worker_id=worker_id,
         born_ms=entry.born,
         address=entry.address,
         pool=entry.service,
--- a/figtray/platform/tests/test_documents.py
+++ b/figtray/platform/tests/test_documents.py
@@ -72,6 +72,57 @@
             decode_entry(address=address)
         assert 'servers/odd' in str(caught.value)
 
+    # Guards against sums that overflow, and limits that are negative.
+    @pytest.mark.parametrize('name', ['cpu', 'mem_mb', 'gpu'])
+    @pytest.mark.parametrize(
+        'amount', [-1, documents.MAX_AMOUNT + 1, 10**400, 0.5, '1', None]
+    )
+    def test_amount_out_of_range_is_a_capacity(self, name, amount):
+        with pytest.raises(errors.UnreadableMessage):
+            decode_entry(capacity=ENTRY['capacity'] | {name: amount})
+
+    # Guards against a roster that can't be written.
+    @pytest.mark.parametrize(
+        'born', [0, -1, documents.MAX_BORN_MS + 1, 2**63, 10**400, 1.5, True]
+    )
+    def test_start_time_out_of_range_is_a_start_time(self, born):
+        with pytest.raises(errors.UnreadableMessage):
+            decode_entry(born=born)
+
+    # Guards against records and log lines as large as the store allows.
+    @pytest.mark.parametrize(
+        'fields',
+        [
+            {name: 'x' * (documents.MAX_NAME_CHARS + 1)}
+            for name in ('zone', 'machine')
+        ]
+        + [
+            {'labels': ['x' * (documents.MAX_NAME_CHARS + 1)]},
+            {'labels': ['x'] * (documents.MAX_LABELS + 1)},
+            {'address': '0' * documents.MAX_NAME_CHARS + '10.0.0.1:80'},
+        ],
+        ids=['zone', 'machine', 'label', 'labels', 'address'],
+    )
+    def test_large_field_names_a_worker(self, fields):
+        with pytest.raises(errors.UnreadableMessage):
+            decode_entry(**fields)
+
+    # Guards against orders that can never be sent.
+    @pytest.mark.parametrize('worker_id', ['', 'a\r\nb: c', '\u0142', '\x7f'])
+    def test_id_that_cannot_be_sent_names_a_worker(self, worker_id):
+        with pytest.raises(errors.UnreadableMessage):
+            decode_entry(documents.WORKER_PREFIX + worker_id)
+
+    def test_extreme_entry_names_no_worker(self):
+        worker = decode_entry(
+            'servers/' + 'x' * documents.MAX_NAME_CHARS,
+            born=documents.MAX_BORN_MS,
+            capacity=dict.fromkeys(ENTRY['capacity'], documents.MAX_AMOUNT),
+            labels=['x'] * documents.MAX_LABELS,
+        )
+        assert worker.born_ms == documents.MAX_BORN_MS
+        assert worker.capacity.cpu_milli == documents.MAX_AMOUNT
+
     @pytest.mark.parametrize('address', ['127.0.0.1:1', '::1:65535'])
     def test_address_that_can_be_called_names_no_worker(self, address):
         assert decode_entry(address=address).address == address
