Count an unexpected error of a session as a failed report

The worker counted as one that answers, so it stayed in use, its lease was never looked at, and a run whose start failed so kept its room for ever.

Cause: the guard of a session's threads logged each error and went on.

Evidence: TestUnexpectedError failed before: 50 lines in 10 s instead of one, a worker that is not unresponsive, a run that stays in STARTING.

The guard logs one line for each type of error of a session. A start that failed so may have been executed, so the run is stopped; a stop is repeated.

--- a/figtray/scheduling/session.py
+++ b/figtray/scheduling/session.py
@@ -58,6 +58,8 @@
         self._term = term
         self._clock = clock
         self._threads = []
+        # Types of the unexpected errors that are logged.
+        self._logged_errors = set()
 
     def start(self):
         """Start the threads."""
@@ -85,11 +87,23 @@
                 target()
                 return
             except Exception as exc:
-                log.emit_exception(
-                    f'session with {self._worker_state.worker.worker_id}', exc
-                )
+                self._log_unexpected(exc)
+                if target == self._run_reports:
+                    # The request may have been sent.
+                    self._scheduler.handle_report_failure(
+                        self._worker_state, was_sent=True
+                    )
                 self._clock.wait(self._term.ended, RETRY_MS)
 
+    def _log_unexpected(self, exc):
+        """Log an unexpected error, unless one of its type was logged."""
+        if type(exc) in self._logged_errors:
+            return
+        self._logged_errors.add(type(exc))
+        log.emit_exception(
+            f'session with {self._worker_state.worker.worker_id}', exc
+        )
+
     def _is_over(self):
         return self._worker_state.gone or self._term.ended.is_set()
 
@@ -213,7 +227,22 @@
             order = self._worker_state.orders.get()
             if order is None or self._is_over():
                 return
-            self.execute(order)
+            try:
+                self.execute(order)
+            except Exception as exc:
+                self._settle_failed_order(order, exc)
+                raise
+
+    def _settle_failed_order(self, order, exc):
+        """Record that an order ended by an unexpected error.
+
+        It may have been executed, so a run that was to start is stopped.
+        """
+        match order:
+            case worker_orders.Start(run=run):
+                self._scheduler.handle_start_uncertain(run, repr(exc))
+            case worker_orders.Stop():
+                self._worker_state.orders.put(order)
 
     def execute(self, order):
         """Send one order and record its outcome."""
--- a/figtray/scheduling/tests/test_session.py
+++ b/figtray/scheduling/tests/test_session.py
@@ -6,10 +6,12 @@
 import pytest
 
 from figtray import errors
+from figtray.events import catalogue
 from figtray.fleet import messages
 from figtray.scheduling import outcomes
 from figtray.scheduling import reports
 from figtray.scheduling import session as sessions
+from figtray.scheduling import state
 from figtray.scheduling.tests import harness
 from figtray.store.tests import outages
 
@@ -128,6 +130,78 @@
             assert not thread.is_alive()
 
 
+class TestUnexpectedError:
+    """An error that no interface declares, such as one of the decoder."""
+
+    @pytest.fixture
+    def fleet(self):
+        return harness.Fleet(1, store=outages.HangingStore())
+
+    def make_session(self, fleet, leader, error):
+        """Return the session, whose client raises an error at each call."""
+        leader.term.valid = lambda: True
+        [session] = leader._sessions.values()
+
+        def choose_fault(kind, worker):
+            raise error
+
+        fleet.client.choose_fault = choose_fault
+        return session
+
+    def run(self, fleet, session, target, ms):
+        """Run a thread of a session for a while, in the thread of the test."""
+        until_ms = fleet.clock.now_ms() + ms
+        session._term.ended = outages.Condition(
+            lambda: fleet.clock.now_ms() >= until_ms
+        )
+        session._run_guarded(target)
+
+    # Each session with such a worker wrote a traceback each 200 ms.
+    def test_each_failure_is_logged(self, fleet, handler):
+        leader = fleet.elect_leader()
+        session = self.make_session(fleet, leader, RuntimeError('injected'))
+        self.run(fleet, session, session._run_reports, 10_000)
+        [line] = harness.logged(handler, catalogue.UNEXPECTED_EXCEPTION)
+        assert line['error'] == 'RuntimeError'
+
+    # The worker counted as one that answers, and got tasks.
+    def test_worker_that_only_fails_is_in_use(self, fleet):
+        leader = fleet.elect_leader()
+        leader.report_all()
+        fleet.submit(harness.make_step())
+        leader.run_cycle()
+        worker_state = leader.worker_state(0)
+        [run] = worker_state.runs.values()
+        session = self.make_session(fleet, leader, RuntimeError('injected'))
+        leader.sync_intake()
+        self.run(fleet, session, session._run_reports, 1000)
+        assert worker_state.unresponsive
+        assert worker_state.silent_since_ms is not None
+        self.run(fleet, session, session._run_reports, 10_000)
+        assert not worker_state.runs
+        assert run.task in run.task.step.waiting
+
+    # A run whose start failed so kept its room, and its task never ran.
+    def test_run_starts_for_ever(self, fleet):
+        leader = fleet.elect_leader()
+        leader.report_all()
+        fleet.submit(harness.make_step())
+        session = self.make_session(fleet, leader, RuntimeError('injected'))
+        leader.sync_intake()
+        leader.scheduler.plan()
+        worker_state = leader.worker_state(0)
+        [run] = worker_state.runs.values()
+        with pytest.raises(RuntimeError):
+            session._run_orders()
+        assert run.phase == state.Phase.STOPPING
+        fleet.client.choose_fault = lambda *_: 'ok'
+        for _ in range(3):
+            leader.run_cycle()
+            leader.advance(1)
+        assert list(harness.running(fleet)) == [run.task.name]
+        assert run.task.run is not run
+
+
 class SilentClient:
     """Client of a worker that answers nothing until a time.
 
