Log an entry that nobody answers each 10 s only

The line on a worker that has not reported in the term is written at its first failed report and then each UNREACHED_LOG_INTERVAL_MS. A worker that has reported is logged as before: its runs depend on it.

--- a/figtray/scheduling/session.py
+++ b/figtray/scheduling/session.py
@@ -30,6 +30,8 @@
 # be late by a fiftieth of it.
 MAX_CLOCK_AGE_MS = 60_000
 STORE_WAIT_MS = 500
+# A worker that was never reached is named in the log at this interval.
+UNREACHED_LOG_INTERVAL_MS = 10_000
 # Reports are suspended while the term is not certainly valid.
 SUSPENDED_POLL_MS = 50
 
@@ -60,6 +62,8 @@
         self._threads = []
         # Types of the unexpected errors that are logged.
         self._logged_errors = set()
+        # Local time of the last log line on a failed report.
+        self._failure_logged_ms = None
 
     def start(self):
         """Start the threads."""
@@ -210,16 +214,29 @@
         worker_state.report_error = str(exc)
         if getattr(exc, 'refused', False):
             worker_state.refused_connections += 1
-        log.emit(
-            catalogue.REPORT_FAILED,
-            worker=worker_state.worker.worker_id,
-            runs=len(worker_state.runs),
-            detail=str(exc),
-        )
+        if self._is_failure_logged():
+            log.emit(
+                catalogue.REPORT_FAILED,
+                worker=worker_state.worker.worker_id,
+                runs=len(worker_state.runs),
+                detail=str(exc),
+            )
         self._scheduler.handle_report_failure(
             worker_state, was_sent=isinstance(exc, errors.ReplyLost)
         )
 
+    def _is_failure_logged(self):
+        """Return whether to log a failed report; not each of an odd entry."""
+        now_ms = self._clock.now_ms()
+        if (
+            not self._worker_state.has_reported
+            and self._failure_logged_ms is not None
+            and now_ms - self._failure_logged_ms < UNREACHED_LOG_INTERVAL_MS
+        ):
+            return False
+        self._failure_logged_ms = now_ms
+        return True
+
     # Orders.
 
     def _run_orders(self):
--- a/figtray/scheduling/tests/test_session.py
+++ b/figtray/scheduling/tests/test_session.py
@@ -201,6 +201,17 @@
         assert list(harness.running(fleet)) == [run.task.name]
         assert run.task.run is not run
 
+    # The log grew with each request to each entry that nobody answers.
+    def test_each_failed_report_of_an_unreached_worker_is_logged(
+        self, fleet, handler
+    ):
+        leader = fleet.elect_leader()
+        error = errors.CallNotSent(address='a', detail='injected')
+        session = self.make_session(fleet, leader, error)
+        until_ms = 3 * sessions.UNREACHED_LOG_INTERVAL_MS - 1
+        self.run(fleet, session, session._run_reports, until_ms)
+        assert len(harness.logged(handler, catalogue.REPORT_FAILED)) == 3
+
 
 class SilentClient:
     """Client of a worker that answers nothing until a time.
