End a worker only if the later one has answered

Callers saw tasks run twice, and lasting tasks stopped as stray runs, with one odd entry in the store: an entry with a later `born` that names the id, address or host of another worker counted as its successor.

Cause: listing alone ended the earlier incarnation. While its own entry has expired (an outage), or before its first report in a new term, that freed its tasks although it went on.

A later incarnation now has to report under its start time. That proves its id and its address; the host is only in its entry, so a claim of the host ends just those that don't answer. If several incarnations have one id, the one with runs, or that has answered, stands for it in drains and moves.

TestSuccessor: ordinary restarts are found at the first report, in the same cycle as before; one whose former entry is still listed is found earlier than before. A successor that is listed but silent proves nothing any more: 421 or another start time at the address, the host list, or the lease tell.

test_later_incarnation_at_the_address_frees_tasks lets the successor report before the plan, as its session does at once; all it checks is unchanged.

--- a/figtray/scheduling/membership.py
+++ b/figtray/scheduling/membership.py
@@ -1,5 +1,7 @@
 """Configuration, zones out of service and workers of the scheduler."""
 
+import dataclasses
+
 from figtray.events import catalogue
 from figtray.events import log
 from figtray.fleet import model as fleet
@@ -109,14 +111,53 @@
         """
         with self.lock:
             self._prune_ended_incarnations()
-            listed = {worker.incarnation: worker for worker in workers}
+            listed = {
+                worker.incarnation: worker
+                for worker in self._with_known_places(workers)
+            }
             added = self._add_listed(listed)
-            self._end_superseded(listed)
+            self._end_followed()
             self._handle_missing_entries(listed, trust_absence)
             added += self._add_unlisted()
         self.changed.set()
         return added
 
+    def _with_known_places(self, workers):
+        """Yield the Workers, each at the place at which it has answered.
+
+        One life of a worker keeps its address, host and pool. An entry that
+        says otherwise has another writer; the next heartbeat replaces it.
+        """
+        known = {
+            (incarnation.worker_id, incarnation.born_ms): incarnation
+            for incarnation in self._answered_incarnations()
+        }
+        for worker in workers:
+            incarnation = known.get((worker.worker_id, worker.born_ms))
+            if incarnation in (None, worker.incarnation):
+                yield worker
+                continue
+            self._odd_entries.note(
+                f'entry of worker {worker.worker_id}',
+                f'its address, host or pool is another: {worker.incarnation}',
+            )
+            yield dataclasses.replace(
+                worker,
+                address=incarnation.address,
+                host_id=incarnation.host_id,
+                pool=incarnation.pool,
+            )
+
+    def _answered_incarnations(self):
+        """Yield the incarnations that have answered a leader."""
+        for incarnation in self._unresolved:
+            # The rosters of early releases lack the pool.
+            if incarnation.pool:
+                yield incarnation
+        for incarnation, worker_state in self._worker_states.items():
+            if worker_state.has_reported:
+                yield incarnation
+
     def _add_listed(self, listed):
         """Apply the listed workers; return the WorkerStates of new ones."""
         added = []
@@ -140,30 +181,6 @@
             worker_state.listed = True
         return added
 
-    def _end_superseded(self, listed):
-        """End the incarnations that a later listed one has followed."""
-        latest = _latest_born_ms(listed.values())
-        reason = 'a later incarnation is listed'
-        for incarnation in list(self._unresolved):
-            if _is_superseded(incarnation, latest):
-                worker_state = self._worker_states.get(incarnation)
-                self._resolve_incarnation(
-                    incarnation,
-                    reason,
-                    (
-                        ends.of_process(worker_state, reason).kind
-                        if worker_state is not None
-                        else ends.Kind.UNKNOWN
-                    ),
-                )
-        for incarnation, worker_state in list(self._worker_states.items()):
-            if incarnation not in listed and _is_superseded(
-                incarnation, latest
-            ):
-                self._end_incarnation(
-                    worker_state, ends.of_process(worker_state, reason)
-                )
-
     def _handle_missing_entries(self, listed, trust_absence):
         """Apply that workers have no entry; see sync_workers()."""
         for incarnation, worker_state in list(self._worker_states.items()):
@@ -367,21 +384,3 @@
         capacity=model.NO_RESOURCES,
         host_id=incarnation.host_id,
     )
-
-
-def _latest_born_ms(workers):
-    """Return the latest start time for each worker id, address and host."""
-    latest = {}
-    for worker in workers:
-        for key in (worker.worker_id, worker.address, worker.host_id):
-            latest[key] = max(latest.get(key, 0), worker.born_ms)
-    return latest
-
-
-def _is_superseded(incarnation, latest_born_ms):
-    """Return whether a later incarnation has its id, address or host."""
-    keys = (incarnation.worker_id, incarnation.address, incarnation.host_id)
-    return any(
-        key and latest_born_ms.get(key, 0) > incarnation.born_ms
-        for key in keys
-    )
--- a/figtray/scheduling/reports.py
+++ b/figtray/scheduling/reports.py
@@ -70,7 +70,10 @@
                     ),
                 )
                 return 0
-            self._note_answer(worker_state, report, now_ms)
+            if self._note_answer(worker_state, report, now_ms):
+                self._end_followed()
+                if worker_state.gone:
+                    return 0
             reported = {(item.task, item.run) for item in report.running}
             ended = {(item.task, item.run) for item in report.ended}
             for item in report.running:
@@ -125,6 +128,7 @@
             worker_state.unresponsive = True
             if worker_state.silent_since_ms is None:
                 worker_state.silent_since_ms = self._clock.now_ms()
+                self._end_followed()
             if worker_state.gone or not worker_state.runs:
                 return
             if worker_state.refused_connections:
@@ -142,14 +146,18 @@
                 self.changed.set()
 
     def _note_answer(self, worker_state, report, now_ms):
-        """Record that a worker answers, and what its clock shows."""
+        """Record that a worker answers, and what its clock shows.
+
+        Returns:
+            Whether this is its first report in the term.
+        """
         worker_state.settle_requested_lease(was_sent=True)
         worker_state.clock_ms = report.clock_ms
         worker_state.clock_read_ms = now_ms
         worker_state.unresponsive = False
         worker_state.silent_since_ms = None
         if worker_state.has_reported:
-            return
+            return False
         worker_state.has_reported = True
         # An earlier leader may have extended the lease this far.
         worker_state.extend_lease(report.clock_ms + self._lease_ms)
@@ -159,6 +167,7 @@
             running=len(report.running),
             ended=len(report.ended),
         )
+        return True
 
     def _check_tracked(self, worker_state, reported, asked_ms):
         """Find the lost runs of a worker, and note that the others go on.
--- a/figtray/scheduling/scheduler_base.py
+++ b/figtray/scheduling/scheduler_base.py
@@ -7,6 +7,7 @@
 
 from figtray.events import catalogue
 from figtray.events import log
+from figtray.events import unreadable
 from figtray.jobs import model
 from figtray.jobs import records
 from figtray import metrics as metrics_lib
@@ -89,6 +90,8 @@
         # yet, with the sequence numbers of the Writer to wait for, in
         # ascending order.
         self._unrecorded_runs = collections.deque()
+        # Names the entries that say other than their workers.
+        self._odd_entries = unreadable.UnreadableLog(clock)
         self._awaited_log = awaited.AwaitedLog()
         self._held_log = held.HeldLog()
         # Ids of jobs whose records were removed, with the Unix time of the
@@ -126,14 +129,25 @@
         return tasks[task_id.index] if task_id.index < len(tasks) else None
 
     def _find_worker(self, worker_id):
-        """Return the WorkerState with a worker id, or None."""
-        for worker_state in self._worker_states.values():
-            if (
-                worker_state.worker.worker_id == worker_id
+        """Return the WorkerState with a worker id, or None.
+
+        If entries name several incarnations, it is one with runs, or else
+        one that has answered.
+        """
+        return max(
+            (
+                worker_state
+                for worker_state in self._worker_states.values()
+                if worker_state.worker.worker_id == worker_id
                 and not worker_state.gone
-            ):
-                return worker_state
-        return None
+            ),
+            key=lambda found: (
+                bool(found.runs),
+                found.has_reported,
+                found.worker.born_ms,
+            ),
+            default=None,
+        )
 
     def _grantable_lease_ms(self, now_ms):
         """Return for how long a lease may be granted; 0 if it may not.
--- a/figtray/scheduling/tests/test_adoption.py
+++ b/figtray/scheduling/tests/test_adoption.py
@@ -92,6 +92,8 @@
         fleet.workers[later.worker_id] = later
         fleet.client.add(later)
         leader.sync_workers()
+        # A session asks at once for the first report.
+        leader.report_all()
         leader.run_cycle()
         assert any(
             f'{job_id}.0.0.0' in sim.runs for sim in harness.sims(fleet)
--- /dev/null
+++ b/figtray/scheduling/tests/test_odd_entries.py
@@ -0,0 +1,188 @@
+"""Tests of entries that another writer put among those of the workers."""
+
+import dataclasses
+
+import pytest
+
+from figtray.scheduling import leases
+from figtray.scheduling.tests import harness
+from figtray.scheduling.tests import takeovers
+
+ODD = 9
+
+
+@pytest.fixture
+def fleet():
+    # The slowest clocks make the leases last as long as they can.
+    return harness.Fleet(4, rate=leases.SLOWEST_CLOCK_RATE)
+
+
+def list_odd(fleet, number, *names, **fields):
+    """List an odd entry with some fields of a worker; returns its Worker.
+
+    Args:
+        fleet: the Fleet.
+        number: number of the worker.
+        names: names of the fields that it has from the worker.
+        fields: other fields.
+    """
+    worker = fleet.workers[f'worker-{number}']
+    fields |= {name: getattr(worker, name) for name in names}
+    odd = dataclasses.replace(
+        worker,
+        **{
+            'worker_id': f'worker-{ODD}',
+            'address': '10.0.1.9:80',
+            'host_id': 'host-odd',
+            'born_ms': worker.born_ms + 1000,
+        }
+        | fields,
+    )
+    fleet.workers[odd.worker_id] = odd
+    return odd
+
+
+def play(leader, ms):
+    """Let a leader work while the entries that are listed stay so."""
+    takeovers.play(leader, ms)
+
+
+class TestEntryOfAnother:
+    """An entry that names the address, host or id of another worker."""
+
+    # The worker was taken for one that has ended. Its task ran twice, or its
+    # lasting task was stopped as a stray run.
+    @pytest.mark.parametrize('name', ['address', 'host_id', 'worker_id'])
+    @pytest.mark.parametrize('lasting', [True, False])
+    @pytest.mark.parametrize('new_leader', [True, False])
+    @pytest.mark.parametrize('silent', [True, False])
+    def test_worker_that_goes_on_is_taken_for_ended(
+        self, fleet, leader, name, lasting, new_leader, silent
+    ):
+        job_id = fleet.submit(harness.make_step(lasting=lasting))
+        play(leader, 2 * takeovers.CYCLE_MS)
+        task = f'{job_id}.0.0.0'
+        before = takeovers.running(fleet)
+        number = takeovers.place(fleet, task)
+        list_odd(fleet, number, name)
+        # In an outage, the entries of workers that go on expire.
+        if name != 'worker_id':
+            del fleet.workers[f'worker-{number}']
+        if silent:
+            takeovers.silence(fleet, number, ODD)
+        else:
+            fleet.client.choose_fault = lambda _, worker: (
+                'not sent' if worker.worker_id == f'worker-{ODD}' else 'ok'
+            )
+        if new_leader:
+            leader = fleet.elect_leader()
+        # A lease that nobody extends still lasts this long.
+        play(leader, takeovers.LONGEST_LEASE_MS - takeovers.LEASE_LEFT_MS)
+        assert takeovers.running(fleet) == before
+
+    # The odd entry also ended a worker that has its own entry.
+    @pytest.mark.parametrize('name', ['address', 'host_id'])
+    @pytest.mark.parametrize('lasting', [True, False])
+    def test_listed_worker_is_taken_for_ended(
+        self, fleet, leader, name, lasting
+    ):
+        job_id = fleet.submit(harness.make_step(lasting=lasting))
+        play(leader, 2 * takeovers.CYCLE_MS)
+        before = takeovers.running(fleet)
+        number = takeovers.place(fleet, f'{job_id}.0.0.0')
+        list_odd(fleet, number, name)
+        takeovers.silence(fleet, number, ODD)
+        play(
+            fleet.elect_leader(),
+            takeovers.LONGEST_LEASE_MS - takeovers.LEASE_LEFT_MS,
+        )
+        assert takeovers.running(fleet) == before
+
+    # An entry of a worker that answers named the host of another one.
+    @pytest.mark.parametrize('lasting', [True, False])
+    @pytest.mark.parametrize('new_leader', [True, False])
+    def test_entry_with_another_host_ends_its_worker(
+        self, fleet, leader, lasting, new_leader
+    ):
+        job_id = fleet.submit(harness.make_step(lasting=lasting))
+        play(leader, 2 * takeovers.CYCLE_MS)
+        before = takeovers.running(fleet)
+        number = takeovers.place(fleet, f'{job_id}.0.0.0')
+        fleet.client.add(list_odd(fleet, number, 'host_id'))
+        if new_leader:
+            leader = fleet.elect_leader()
+            leader.report(ODD)
+        play(leader, 10 * takeovers.CYCLE_MS)
+        assert takeovers.running(fleet) == before
+
+    # The next heartbeat of the worker replaces the odd entry under its id.
+    @pytest.mark.parametrize(
+        'fields',
+        [
+            {'born_ms': 10**12},
+            {'born_ms': 0},
+            {'address': '10.0.1.9:80'},
+            {'address': '10.0.0.3:80'},
+            {'host_id': 'host-3'},
+            {'pool': 'spare'},
+        ],
+    )
+    @pytest.mark.parametrize('new_leader', [True, False])
+    def test_worker_is_lost_between_two_heartbeats(
+        self, fleet, leader, fields, new_leader
+    ):
+        tasks = takeovers.submit_pair(fleet, leader)
+        before = takeovers.running(fleet)
+        number = takeovers.place(fleet, tasks[0])
+        worker_id = f'worker-{number}'
+        worker = fleet.workers[worker_id]
+        fleet.workers[worker_id] = dataclasses.replace(worker, **fields)
+        if new_leader:
+            leader = fleet.elect_leader()
+        play(leader, 10 * takeovers.CYCLE_MS)
+        fleet.workers[worker_id] = worker
+        play(leader, 10 * takeovers.CYCLE_MS)
+        assert takeovers.running(fleet) == before
+        fleet.submit(harness.make_step(4, 7000, max_per_worker=1))
+        play(leader, 2 * takeovers.CYCLE_MS)
+        assert len(takeovers.running(fleet)) == 6
+
+    # A host was moved with the tasks of its worker, as the worker of the odd
+    # entry under its id had none.
+    def test_worker_with_runs_counts_as_drained(self, fleet, leader):
+        tasks = takeovers.submit_pair(fleet, leader)
+        number = takeovers.place(fleet, tasks[0])
+        worker_id = f'worker-{number}'
+        for born_ms in (0, 10**12):
+            list_odd(fleet, number, 'worker_id', 'host_id', born_ms=born_ms)
+            leader.sync_workers()
+        leader.scheduler.set_cordoned('test', {worker_id})
+        assert leader.scheduler.has_lasting_tasks(worker_id)
+        assert not leader.scheduler.drain_worker(worker_id)
+
+
+class TestSuccessor:
+    """A later incarnation that answers proves the end of the one before."""
+
+    # Ordinary restarts must not take longer than before.
+    @pytest.mark.parametrize('new_leader', [True, False])
+    @pytest.mark.parametrize('name', ['worker_id', 'address', 'host_id'])
+    @pytest.mark.parametrize('listed', [True, False])
+    def test_tasks_wait_for_the_lease(
+        self, fleet, leader, name, listed, new_leader
+    ):
+        first, second = takeovers.submit_pair(fleet, leader)
+        number = takeovers.place(fleet, first)
+        fleet.client.crash(f'10.0.0.{number}:80')
+        worker = list_odd(fleet, number, name, 'host_id')
+        fleet.client.add(worker)
+        host = fleet.hosts[f'host-{number}']
+        fleet.hosts[host.host_id] = dataclasses.replace(
+            host, worker_id=worker.worker_id
+        )
+        if not listed and worker.worker_id != f'worker-{number}':
+            del fleet.workers[f'worker-{number}']
+        if new_leader:
+            leader = fleet.elect_leader()
+        play(leader, 2 * takeovers.CYCLE_MS)
+        assert set(takeovers.running(fleet)) == {first, second}
--- a/figtray/scheduling/worker_ends.py
+++ b/figtray/scheduling/worker_ends.py
@@ -73,6 +73,35 @@
         if kind in (ends.Kind.CRASHED, ends.Kind.UNKNOWN):
             self._suspect_placed(incarnation, kind)
 
+    def _end_followed(self):
+        """End the incarnations that a later one has followed.
+
+        An entry alone proves nothing, as another writer may have put it
+        there: the later one must have reported under its start time.
+        """
+        latest = {}
+        for worker_state in self._worker_states.values():
+            if worker_state.has_reported:
+                worker = worker_state.worker
+                for place in _places(worker):
+                    latest[place] = max(latest.get(place, 0), worker.born_ms)
+        reason = 'a later incarnation has reported'
+        for incarnation in [*self._worker_states, *self._unresolved]:
+            worker_state = self._worker_states.get(incarnation)
+            if not any(
+                latest.get(place, 0) > incarnation.born_ms
+                for place in _places(incarnation, _may_answer(worker_state))
+            ):
+                continue
+            if worker_state is not None:
+                self._end_incarnation(
+                    worker_state, ends.of_process(worker_state, reason)
+                )
+            else:
+                self._resolve_incarnation(
+                    incarnation, reason, ends.Kind.UNKNOWN
+                )
+
     def _suspect_runs(self, worker_state):
         """Suspect the runs of a crashed worker; return their tasks."""
         late_runs = crashes.late_runs(worker_state)
@@ -200,3 +229,24 @@
     def _store_crashes(self, task):
         if not task.step.job.ended:
             self._store_progress(task.step.job)
+
+
+def _places(worker, may_answer=False):
+    """Yield what no two incarnations of workers have at the same time.
+
+    A report proves the id and the address of a worker, while its host is
+    taken from the entry. So that ends only workers that don't answer.
+
+    Args:
+        worker: a fleet Worker or Incarnation.
+        may_answer: whether no request for its report has failed since the
+            last one that was answered.
+    """
+    yield 'id', worker.worker_id
+    yield 'address', worker.address
+    if worker.host_id and not may_answer:
+        yield 'host', worker.host_id
+
+
+def _may_answer(worker_state):
+    return worker_state is not None and not worker_state.unresponsive
