Give the rebalancer, the moves and the waves one context of a term

Three constructors took the same eight objects, and two of them the name of the node and the term only to send orders with them. TermContext holds them and sends the orders. No behaviour changes; the tests of figtray/upkeep pass.

--- a/figtray/upkeep/controller.py
+++ b/figtray/upkeep/controller.py
@@ -8,6 +8,7 @@
 from figtray import errors
 from figtray.events import catalogue
 from figtray.events import log
+from figtray.upkeep import context
 from figtray.upkeep import host_orders
 from figtray.upkeep import rebalancer
 from figtray.upkeep import wave_state
@@ -137,20 +138,20 @@
 
     def _build_parts(self, scheduler, writer, term, executor):
         """Return a _TermParts with the state that earlier leaders stored."""
-        orders = self._build_orders(writer, term)
+        term_context = context.TermContext(
+            scheduler,
+            writer,
+            term,
+            self._clock,
+            self._host_client,
+            self._node_name,
+            self._bounds,
+            self._build_orders(writer, term),
+        )
         return _TermParts(
-            orders,
-            self._build_wave_runner(scheduler, writer, term, orders),
-            rebalancer.PoolRebalancer(
-                scheduler,
-                term,
-                self._clock,
-                self._host_client,
-                self._node_name,
-                self._bounds,
-                executor,
-                orders,
-            ),
+            term_context.orders,
+            self._build_wave_runner(term_context),
+            rebalancer.PoolRebalancer(term_context, executor),
         )
 
     def _build_orders(self, writer, term):
@@ -163,7 +164,8 @@
             writer, term, self._clock, self._bounds.lease_ms, former_host_ids
         )
 
-    def _build_wave_runner(self, scheduler, writer, term, orders):
+    def _build_wave_runner(self, term_context):
+        writer = term_context.writer
         records = {}
         for item in self._store.range(wave_state.RECORD_PREFIX).items:
             writer.set_revision(item.key, item.mod_revision)
@@ -181,15 +183,4 @@
             key, value = self._encode_wave_status(number, completed)
             writer.enqueue(key, lambda: value)
 
-        return waves.WaveRunner(
-            scheduler,
-            writer,
-            term,
-            self._clock,
-            self._host_client,
-            self._node_name,
-            self._bounds,
-            publish,
-            records,
-            orders,
-        )
+        return waves.WaveRunner(term_context, publish, records)
--- a/figtray/upkeep/host_moves.py
+++ b/figtray/upkeep/host_moves.py
@@ -32,35 +32,17 @@
     """Moves hosts during one term, and knows which moves are under way.
 
     Args:
-        scheduler: the Scheduler.
-        term: the Term.
-        clock: the Clock.
-        host_client: the HostClient.
-        node_name: name of this node.
-        bounds: times that the platform promises.
+        context: the TermContext.
         executor: concurrent.futures executor of the calls that move hosts.
-        orders: the HostOrders.
     """
 
-    def __init__(
-        self,
-        scheduler,
-        term,
-        clock,
-        host_client,
-        node_name,
-        bounds,
-        executor,
-        orders,
-    ):
-        self._scheduler = scheduler
-        self._term = term
-        self._clock = clock
-        self._host_client = host_client
-        self._node_name = node_name
+    def __init__(self, context, executor):
+        self._context = context
+        self._scheduler = context.scheduler
         self._executor = executor
-        self._orders = orders
-        self._arrival_timeout_ms = int(bounds.move_s * 1000) + WORKER_ENTRY_MS
+        self._arrival_timeout_ms = (
+            int(context.bounds.move_s * 1000) + WORKER_ENTRY_MS
+        )
         # The _Move of each host that is being moved, by host id.
         self._moving = {}
 
@@ -118,18 +100,18 @@
         """
         if not moves:
             return []
-        if not self._orders.record([host.host_id for host, _ in moves]):
+        if not self._context.orders.record(
+            [host.host_id for host, _ in moves]
+        ):
             return [False] * len(moves)
         return list(self._executor.map(lambda move: self._order(*move), moves))
 
     def _order(self, host, pool):
         """Move a host to a pool; return whether the move is under way."""
-        if not self._term.valid():
+        if not self._context.term.valid():
             return False
         try:
-            accepted = self._host_client.move(
-                host.host_id, pool, self._node_name, self._term.epoch
-            )
+            accepted = self._context.move(host.host_id, pool)
             detail = MOVED_DETAIL if accepted else 'refused by the platform'
         except errors.CallNotSent as exc:
             accepted, detail = False, str(exc)
@@ -146,7 +128,7 @@
             )
             return False
         self._moving[host.host_id] = _Move(
-            pool, self._clock.now_ms(), host.worker_id
+            pool, self._context.clock.now_ms(), host.worker_id
         )
         if detail == MOVED_DETAIL:
             self._scheduler.retire_idle_worker(host.worker_id, detail)
--- a/figtray/upkeep/rebalancer.py
+++ b/figtray/upkeep/rebalancer.py
@@ -16,40 +16,15 @@
     """Moves hosts between the spare pool and the others during one term.
 
     Args:
-        scheduler: the Scheduler.
-        term: the Term.
-        clock: the Clock.
-        host_client: the HostClient.
-        node_name: name of this node.
-        bounds: times that the platform promises.
+        context: the TermContext.
         executor: concurrent.futures executor of the calls that move hosts.
-        orders: the HostOrders.
     """
 
-    def __init__(
-        self,
-        scheduler,
-        term,
-        clock,
-        host_client,
-        node_name,
-        bounds,
-        executor,
-        orders,
-    ):
-        self._scheduler = scheduler
-        self._clock = clock
-        self._orders = orders
-        self._moves = host_moves.HostMoves(
-            scheduler,
-            term,
-            clock,
-            host_client,
-            node_name,
-            bounds,
-            executor,
-            orders,
-        )
+    def __init__(self, context, executor):
+        self._scheduler = context.scheduler
+        self._clock = context.clock
+        self._orders = context.orders
+        self._moves = host_moves.HostMoves(context, executor)
         # Local time since which a pool has had a surplus, by pool.
         self._surplus_since_ms = {}
         # The DemandTrend of each pool.
--- a/figtray/upkeep/tests/support.py
+++ b/figtray/upkeep/tests/support.py
@@ -5,6 +5,7 @@
 from figtray.jobs import model
 from figtray.scheduling.tests import harness
 from figtray.scheduling.tests import leaders
+from figtray.upkeep import context
 from figtray.upkeep import host_orders
 from figtray.upkeep import rebalancer
 
@@ -45,16 +46,19 @@
             + [make_host(n, 'spare') for n in (8, 9)]
         )
         self.hosts.on_worker_end = self._end_worker
-        self.rebalancer = rebalancer.PoolRebalancer(
+        self.context = context.TermContext(
             self.leader.scheduler,
+            self.leader.writer,
             self.leader.term,
             self.fleet.clock,
             self.hosts,
             'node',
             harness.BOUNDS,
-            harness.InlineExecutor(),
             self.orders(),
         )
+        self.rebalancer = rebalancer.PoolRebalancer(
+            self.context, harness.InlineExecutor()
+        )
 
     def orders(self, former_host_ids=()):
         """Return HostOrders of the leader's term."""
--- a/figtray/upkeep/tests/test_waves.py
+++ b/figtray/upkeep/tests/test_waves.py
@@ -20,7 +20,7 @@
         site = support.Site()
         self.fleet, self.leader = site.fleet, site.leader
         self.hosts = site.hosts
-        self.orders = site.orders()
+        self.context = site.context
         self.published = []
         self.records = {}
         self.wave = fleet_model.Wave(
@@ -31,16 +31,14 @@
 
     def make_wave_runner(self):
         return waves.WaveRunner(
-            self.leader.scheduler,
-            self.leader.writer,
-            self.leader.term,
-            self.fleet.clock,
-            self.hosts,
-            'node',
-            harness.BOUNDS,
+            dataclasses.replace(
+                self.context,
+                scheduler=self.leader.scheduler,
+                writer=self.leader.writer,
+                term=self.leader.term,
+            ),
             lambda number, completed: self.published.append(completed),
             self.records,
-            self.orders,
         )
 
     def run_cycle(self):
--- a/figtray/upkeep/waves.py
+++ b/figtray/upkeep/waves.py
@@ -29,42 +29,21 @@
     """Carries out all waves during one term.
 
     Args:
-        scheduler: the Scheduler.
-        writer: the Writer.
-        term: the Term.
-        clock: the Clock.
-        host_client: the HostClient.
-        node_name: name of this node.
-        bounds: times that the platform promises.
+        context: the TermContext.
         publish: called with (wave number, whether it is completed); has
             the writer store the status that operators see.
         records: mapping of wave number to its stored WaveRecord.
-        orders: the HostOrders.
     """
 
-    def __init__(
-        self,
-        scheduler,
-        writer,
-        term,
-        clock,
-        host_client,
-        node_name,
-        bounds,
-        publish,
-        records,
-        orders,
-    ):
-        self._scheduler = scheduler
-        self._writer = writer
-        self._term = term
-        self._clock = clock
-        self._host_client = host_client
-        self._node_name = node_name
-        self._bounds = bounds
+    def __init__(self, context, publish, records):
+        self._context = context
+        self._scheduler = context.scheduler
+        self._writer = context.writer
+        self._clock = context.clock
+        self._bounds = context.bounds
+        self._orders = context.orders
         self._publish = publish
         self._records = records
-        self._orders = orders
         self._states = {}
 
     def reconcile(self, waves, listed):
@@ -266,7 +245,7 @@
         )
 
     def _begin_upkeep(self, state, host, now_ms):
-        if not self._term.valid():
+        if not self._context.term.valid():
             return
         if not self._order_upkeep(state, host, now_ms):
             return
@@ -297,12 +276,7 @@
         """
         detail = 'refused by the platform'
         try:
-            if self._host_client.begin_upkeep(
-                host.host_id,
-                state.wave.number,
-                self._node_name,
-                self._term.epoch,
-            ):
+            if self._context.begin_upkeep(host.host_id, state.wave.number):
                 return True
         except errors.CallNotSent as exc:
             detail = str(exc)
