--- a/figtray/scheduling/session.py
+++ b/figtray/scheduling/session.py
@@ -30,6 +30,8 @@
 # be late by a fiftieth of it.
 MAX_CLOCK_AGE_MS = 60_000
 STORE_WAIT_MS = 500
+# A worker that was never reached is named in the log at this interval.
+UNREACHED_LOG_INTERVAL_MS = 10_000
 # Reports are suspended while the term is not certainly valid.
 SUSPENDED_POLL_MS = 50
 
@@ -58,6 +60,10 @@
         self._term = term
         self._clock = clock
         self._threads = []
+        # Types of the unexpected errors that are logged.
+        self._logged_errors = set()
+        # Local time of the last log line on a failed report.
+        self._failure_logged_ms = None
 
     def start(self):
         """Start the threads."""
@@ -85,11 +91,23 @@
                 target()
                 return
             except Exception as exc:
-                log.emit_exception(
-                    f'session with {self._worker_state.worker.worker_id}', exc
-                )
+                self._log_unexpected(exc)
+                if target == self._run_reports:
+                    # The request may have been sent.
+                    self._scheduler.handle_report_failure(
+                        self._worker_state, was_sent=True
+                    )
                 self._clock.wait(self._term.ended, RETRY_MS)
 
+    def _log_unexpected(self, exc):
+        """Log an unexpected error, unless one of its type was logged."""
+        if type(exc) in self._logged_errors:
+            return
+        self._logged_errors.add(type(exc))
+        log.emit_exception(
+            f'session with {self._worker_state.worker.worker_id}', exc
+        )
+
     def _is_over(self):
         return self._worker_state.gone or self._term.ended.is_set()
 
@@ -196,16 +214,29 @@
         worker_state.report_error = str(exc)
         if getattr(exc, 'refused', False):
             worker_state.refused_connections += 1
-        log.emit(
-            catalogue.REPORT_FAILED,
-            worker=worker_state.worker.worker_id,
-            runs=len(worker_state.runs),
-            detail=str(exc),
-        )
+        if self._is_failure_logged():
+            log.emit(
+                catalogue.REPORT_FAILED,
+                worker=worker_state.worker.worker_id,
+                runs=len(worker_state.runs),
+                detail=str(exc),
+            )
         self._scheduler.handle_report_failure(
             worker_state, was_sent=isinstance(exc, errors.ReplyLost)
         )
 
+    def _is_failure_logged(self):
+        """Return whether to log a failed report; not each of an odd entry."""
+        now_ms = self._clock.now_ms()
+        if (
+            not self._worker_state.has_reported
+            and self._failure_logged_ms is not None
+            and now_ms - self._failure_logged_ms < UNREACHED_LOG_INTERVAL_MS
+        ):
+            return False
+        self._failure_logged_ms = now_ms
+        return True
+
     # Orders.
 
     def _run_orders(self):
@@ -213,7 +244,22 @@
             order = self._worker_state.orders.get()
             if order is None or self._is_over():
                 return
-            self.execute(order)
+            try:
+                self.execute(order)
+            except Exception as exc:
+                self._settle_failed_order(order, exc)
+                raise
+
+    def _settle_failed_order(self, order, exc):
+        """Record that an order ended by an unexpected error.
+
+        It may have been executed, so a run that was to start is stopped.
+        """
+        match order:
+            case worker_orders.Start(run=run):
+                self._scheduler.handle_start_uncertain(run, repr(exc))
+            case worker_orders.Stop():
+                self._worker_state.orders.put(order)
 
     def execute(self, order):
         """Send one order and record its outcome."""
