--- a/figtray/events/catalogue/leadership.py
+++ b/figtray/events/catalogue/leadership.py
@@ -14,8 +14,9 @@
     1601,
     logbook.NOTICE,
     'This node has become the leader, vacant_ms after it saw that the store '
-    'names none; it takes over the jobs and workers.',
-    ('epoch', 'vacant_ms'),
+    'names none; it takes over the jobs and workers. sources is a digest of '
+    'its code.',
+    ('epoch', 'vacant_ms', 'sources'),
 )
 LEADER_ENDED = base.Event(
     1602,
--- a/figtray/events/catalogue/process.py
+++ b/figtray/events/catalogue/process.py
@@ -5,7 +5,10 @@
 from figtray.events import base
 
 PROCESS_STARTED = base.Event(
-    100, logbook.NOTICE, 'The process has started.', ('version', 'pid', 'zone')
+    100,
+    logbook.NOTICE,
+    'The process has started; sources is a digest of its code.',
+    ('version', 'sources', 'pid', 'zone'),
 )
 PROCESS_STOPPING = base.Event(
     101,
--- a/figtray/leadership/elector.py
+++ b/figtray/leadership/elector.py
@@ -9,6 +9,7 @@
 from figtray.events import catalogue
 from figtray.events import log
 from figtray.leadership import term as terms
+from figtray import release
 from figtray.store import base
 from figtray.store import prefix_watcher
 
@@ -211,6 +212,7 @@
             catalogue.LEADER_WON,
             epoch=term.epoch,
             vacant_ms=self._clock.now_ms() - self._vacant_ms,
+            sources=release.sources_digest(),
         )
         for target, name in (
             (lambda: self._renew_lease(term), 'renewal'),
--- a/figtray/metrics.py
+++ b/figtray/metrics.py
@@ -9,6 +9,9 @@
 from opentelemetry.sdk.metrics import export
 from opentelemetry.sdk import resources
 
+import figtray
+from figtray import release
+
 # 3700 ms is the limit for the start of urgent work (docs/design.md, 1.2).
 BUCKETS_MS = (
     1,
@@ -115,6 +118,12 @@
         self._worker_ends = self._counter(
             'worker_ends', 'Incarnations of workers that ended, by kind.'
         )
+        self._meter.create_observable_gauge(
+            'figtray_build_info',
+            [_build_info],
+            '1',
+            'Always 1; the labels name the code of the process.',
+        )
         self._waits = None
         self._waits_gauge(
             'awaited_incarnations',
@@ -274,6 +283,14 @@
             return label_value
 
 
+def _build_info(_):
+    labels = {
+        'version': figtray.__version__,
+        'sources': release.sources_digest(),
+    }
+    return [api.Observation(1, labels)]
+
+
 def _push_reader(settings):
     # Imported only if it is configured: the exporter (protobuf, requests) adds
     # about 10 MB of resident memory.
--- a/figtray/platform/tests/test_node.py
+++ b/figtray/platform/tests/test_node.py
@@ -17,6 +17,7 @@
 from figtray.platform import standin_nodes
 from figtray.platform import standin_services
 from figtray.platform import standin_site as sites
+from figtray import release
 from figtray.scheduling import session
 
 LIMIT_S = 60
@@ -130,6 +131,9 @@
             assert node.stop() == 0
             names = [event['name'] for event in node.events()]
             assert names[0] == 'process_started'
+            # A report is dated by its logs.
+            fields = node.events('process_started')[0]['fields']
+            assert fields['sources'] == release.sources_digest()
             assert names[-1] == 'process_stopped'
 
     # Guards against a leader that does not measure what it awaits, and
--- a/figtray/program.py
+++ b/figtray/program.py
@@ -13,6 +13,7 @@
 from figtray import errors
 from figtray.events import catalogue
 from figtray.events import log
+from figtray import release
 from figtray.settings import loader
 
 
@@ -61,7 +62,9 @@
         ] = False,
     ):
         if version:
-            typer.echo(f'{program} {figtray.__version__}')
+            typer.echo(
+                f'{program} {figtray.__version__} {release.sources_digest()}'
+            )
             raise typer.Exit(ExitStatus.STOPPED)
         if not settings:
             typer.echo(f'{program}: --settings FILE is missing', err=True)
@@ -102,6 +105,7 @@
     log.emit(
         catalogue.PROCESS_STARTED,
         version=figtray.__version__,
+        sources=release.sources_digest(),
         pid=os.getpid(),
         zone=settings.zone,
     )
