Answer late requests before a stopping node closes its front

Cause: a request makes up to two store calls of 1.2 s without an answer. Their limit counted from their start, and the close of the front, 5.1 s after the signal, bounded none of them.

With a real node and a stalled store the connection ends without a response (RemoteDisconnected).

Change: a node that stops tells its intake by when store calls have to end, 0.5 s before the front closes. A call gets the time that is left; if less than 0.1 s is, none is made, and the request is refused at once with 503, or answered with 504 if an earlier attempt may have been stored.

Why it works: a call under way at the signal ends within 1.2 s, each later one by the limit, so each request is answered before the close.

--- a/figtray/jobs/intake.py
+++ b/figtray/jobs/intake.py
@@ -14,6 +14,8 @@
 # A write that creates a key can be repeated safely when its reply is lost.
 # Each attempt takes up to the time limit of a store call.
 MAX_WRITE_ATTEMPTS = 2
+# A store call of a stopping node for which less time is left is not made.
+MIN_CALL_MS = 100
 
 
 class Outcome(enum.Enum):
@@ -45,6 +47,18 @@
     def __init__(self, store, clock):
         self._store = store
         self._clock = clock
+        self._calls_end_ms = None
+
+    def end_calls_by(self, end_ms):
+        """Let no store call go on for longer than until a time.
+
+        The calls that are under way keep their time limit. A request for which
+        no time is left is refused at once.
+
+        Args:
+            end_ms: local time.
+        """
+        self._calls_end_ms = end_ms
 
     def submit(self, job_id, job, timeout_ms=None):
         """Store a job once.
@@ -85,9 +99,7 @@
             stored, or the job is another team's and nothing is stored.
         """
         try:
-            job_item = self._store.get(
-                records.JOB_PREFIX + job_id, timeout_ms=timeout_ms
-            )
+            job_item = self._get(records.JOB_PREFIX + job_id, timeout_ms)
         except errors.StoreUnavailable as exc:
             return Result(Outcome.NOT_STORED, str(exc))
         if job_item is not None and team:
@@ -116,16 +128,12 @@
         Raises:
             StoreUnavailable: the store did not answer.
         """
-        item = self._store.get(
-            records.PROGRESS_PREFIX + job_id, timeout_ms=timeout_ms
-        )
+        item = self._get(records.PROGRESS_PREFIX + job_id, timeout_ms)
         if item is not None:
             return records.decode_progress(item.value).state
-        if self._store.get(records.JOB_PREFIX + job_id, timeout_ms=timeout_ms):
+        if self._get(records.JOB_PREFIX + job_id, timeout_ms):
             return records.State.QUEUED
-        if self._store.get(
-            records.CANCEL_PREFIX + job_id, timeout_ms=timeout_ms
-        ):
+        if self._get(records.CANCEL_PREFIX + job_id, timeout_ms):
             return records.State.CANCELLED
         return None
 
@@ -140,7 +148,7 @@
             StoreUnavailable: the store did not answer, or the record can't
                 be decoded.
         """
-        item = self._store.get(records.WAITING_KEY, timeout_ms=timeout_ms)
+        item = self._get(records.WAITING_KEY, timeout_ms)
         if item is None:
             return 0
         try:
@@ -164,7 +172,7 @@
         for _ in range(MAX_WRITE_ATTEMPTS):
             try:
                 result = self._store.txn(
-                    compares, [put], timeout_ms=timeout_ms
+                    compares, [put], timeout_ms=self._limit_ms(timeout_ms)
                 )
             except errors.StoreUnavailable as exc:
                 if lost_detail:
@@ -177,3 +185,19 @@
                 return Result(Outcome.STORED)
             return Result(Outcome.EXISTS)
         return Result(Outcome.UNCERTAIN, lost_detail)
+
+    def _get(self, key, timeout_ms):
+        return self._store.get(key, timeout_ms=self._limit_ms(timeout_ms))
+
+    def _limit_ms(self, timeout_ms):
+        """Return the time limit of a store call that begins now.
+
+        Raises:
+            StoreUnavailable: no time is left for a call.
+        """
+        if self._calls_end_ms is None:
+            return timeout_ms
+        left_ms = self._calls_end_ms - self._clock.now_ms()
+        if left_ms < MIN_CALL_MS:
+            raise errors.StoreUnavailable(detail='the node stops')
+        return left_ms if timeout_ms is None else min(timeout_ms, left_ms)
--- a/figtray/platform/main.py
+++ b/figtray/platform/main.py
@@ -42,6 +42,9 @@
 # per second.
 LEAVE_ROTATION_MS = 2300
 SHUTDOWN_MARGIN_MS = 900
+# The store calls of requests end this long before their connections are
+# closed, so that each request that was read is answered.
+ANSWER_MARGIN_MS = 500
 METRICS_PORT_OFFSET = 2
 # A host with fewer than two cores delays its candidacy by this time for each
 # missing core, so that a larger host is more likely to become the leader.
@@ -94,6 +97,27 @@
     return max(MIN_STALENESS_LIMIT_MS, strictest_ms - STALENESS_MARGIN_MS)
 
 
+def front_closes_ms(stopped_ms, bounds):
+    """Return when a node that stops closes its callers' connections.
+
+    Args:
+        stopped_ms: local time at which the stop began.
+        bounds: the settings' Bounds.
+
+    Returns:
+        Local time in milliseconds.
+    """
+    return stopped_ms + int(bounds.grace_s * 1000) - SHUTDOWN_MARGIN_MS
+
+
+def calls_end_ms(stopped_ms, bounds):
+    """Return by when the store calls of callers' requests end in a stop.
+
+    Args and returns: as front_closes_ms().
+    """
+    return front_closes_ms(stopped_ms, bounds) - ANSWER_MARGIN_MS
+
+
 class _Node:
     """Components of one node process."""
 
@@ -122,6 +146,7 @@
             self._leader_service.lead,
             self._candidacy_delay_ms(),
         )
+        self._intake = intakes.Intake(self._store, self._clock)
         self._listeners = self._build_listeners()
 
     def run(self, stop):
@@ -133,6 +158,9 @@
         stop.wait()
         stopped_ms = self._clock.now_ms()
         self._stopping.set()
+        self._intake.end_calls_by(
+            calls_end_ms(stopped_ms, self._settings.bounds)
+        )
         # A plain delay: the event is set only at the end of this method.
         self._clock.wait(self._ended, LEAVE_ROTATION_MS)
         self._close_front(stopped_ms)
@@ -149,9 +177,7 @@
         """
         front = self._listeners[0]
         remaining_ms = (
-            stopped_ms
-            + int(self._settings.bounds.grace_s * 1000)
-            - SHUTDOWN_MARGIN_MS
+            front_closes_ms(stopped_ms, self._settings.bounds)
             - self._clock.now_ms()
         )
         cut_off = front.close(max(0, remaining_ms), self._clock)
@@ -194,8 +220,9 @@
     def _build_listeners(self):
         """Return the listeners for callers, probes and metrics."""
         settings = self._settings
-        intake = intakes.Intake(self._store, self._clock)
-        app = job_api.JobApi(self._view, intake, self._clock, self._metrics)
+        app = job_api.JobApi(
+            self._view, self._intake, self._clock, self._metrics
+        )
         host = settings.ip
         metrics_port = settings.internal_ports[0] + METRICS_PORT_OFFSET
         return [
--- a/figtray/platform/tests/test_job_api.py
+++ b/figtray/platform/tests/test_job_api.py
@@ -11,10 +11,14 @@
 from figtray import metrics
 from figtray.platform import documents
 from figtray.platform import job_api
+from figtray.platform import main
+from figtray.platform import settings as settings_lib
 from figtray.platform import view as views
 from figtray.store import base
 from figtray.store import memory
+from figtray.store.tests import outages
 
+LONG_MS = 20_000
 ID = '5c0e7a21d94b36f8'
 CONFIG = {
     'version': 3,
@@ -45,15 +49,13 @@
 class Deployment:
     """A JobApi over an in-memory store."""
 
-    def __init__(self):
-        self.clock = clock_lib.ManualClock()
-        self.store = memory.MemoryStore(self.clock)
+    def __init__(self, store=None):
+        self.clock = store.clock if store else clock_lib.ManualClock()
+        self.store = store or memory.MemoryStore(self.clock)
         self.view = views.OperatorView(self.store, self.clock, 3500)
+        self.intake = intakes.Intake(self.store, self.clock)
         self.app = job_api.JobApi(
-            self.view,
-            intakes.Intake(self.store, self.clock),
-            self.clock,
-            metrics.Metrics('test'),
+            self.view, self.intake, self.clock, metrics.Metrics('test')
         )
 
     def write_config(self, config=CONFIG):
@@ -225,3 +227,69 @@
         assert deployment.status('POST', f'/q/{ID}', JOB) == 200
         assert deployment.store.get(records.JOB_PREFIX + ID) is None
         assert deployment.call('GET', f'/q/{ID}')[1] == {'state': 'cancelled'}
+
+
+class TestStop:
+    BOUNDS = settings_lib.Bounds()
+
+    def call_in_stop(self, method, begins_ms):
+        """Call a node that stops while its store gives no answer.
+
+        Args:
+            method: HTTP method.
+            begins_ms: time from the signal to the call.
+
+        Returns:
+            Status, headers, duration of the call in milliseconds, and the time
+            from its end to the close of the front.
+        """
+        deployment = Deployment(outages.HangingStore())
+        deployment.write_config()
+        deployment.store.fail_for(LONG_MS)
+        stopped_ms = deployment.clock.now_ms()
+        deployment.intake.end_calls_by(
+            main.calls_end_ms(stopped_ms, self.BOUNDS)
+        )
+        deployment.clock.advance(begins_ms)
+        began_ms = deployment.clock.now_ms()
+        body = JOB if method == 'POST' else None
+        status, _, headers = deployment.call(method, f'/q/open/{ID}', body)
+        now_ms = deployment.clock.now_ms()
+        left_ms = main.front_closes_ms(stopped_ms, self.BOUNDS) - now_ms
+        return status, headers, now_ms - began_ms, left_ms
+
+    # A request that came 2.8 s after the signal, or later, waited for the
+    # store until after the front had closed, and was cut off.
+    @pytest.mark.parametrize('method', ['POST', 'GET', 'DELETE'])
+    @pytest.mark.parametrize('begins_ms', range(2300, 5200, 100))
+    def test_request_is_answered_before_the_front_closes(
+        self, method, begins_ms
+    ):
+        status, _, duration_ms, left_ms = self.call_in_stop(method, begins_ms)
+        assert status in (503, 504)
+        assert not duration_ms or left_ms >= main.ANSWER_MARGIN_MS
+
+    # A request for which no time was left waited for nothing.
+    @pytest.mark.parametrize('method', ['POST', 'GET', 'DELETE'])
+    def test_request_without_time_for_a_call_is_refused_at_once(self, method):
+        begins_ms = main.calls_end_ms(0, self.BOUNDS)
+        status, headers, duration_ms, _ = self.call_in_stop(method, begins_ms)
+        assert (status, headers['Retry-After'], duration_ms) == (503, '1', 0)
+
+    # A job that may have been stored must not be answered with 503.
+    def test_write_that_may_be_stored_is_reported_as_uncertain(self):
+        late_ms = main.calls_end_ms(0, self.BOUNDS) - 300
+        for begins_ms in (0, late_ms):
+            assert self.call_in_stop('POST', begins_ms)[0] == 504
+
+    # The limit of a stop must not lengthen the caller's own.
+    def test_time_limit_of_the_caller_still_counts(self):
+        deployment = Deployment(outages.HangingStore())
+        deployment.write_config()
+        deployment.store.fail_for(LONG_MS)
+        began_ms = deployment.clock.now_ms()
+        deployment.intake.end_calls_by(began_ms + LONG_MS)
+        deployment.call(
+            'GET', f'/q/open/{ID}', HTTP_X_FIGTRAY_DEADLINE_MS='400'
+        )
+        assert deployment.clock.now_ms() - began_ms == 250
--- a/figtray/platform/tests/test_node.py
+++ b/figtray/platform/tests/test_node.py
@@ -2,6 +2,7 @@
 
 import collections
 import concurrent.futures
+import http.client
 import json
 import signal
 import socket
@@ -18,6 +19,7 @@
 from figtray.platform import standin_services
 from figtray.platform import standin_site as sites
 from figtray.scheduling import session
+from figtray.soak import proxies
 
 LIMIT_S = 60
 # An order for a start that waits for this long in the process of the tests is
@@ -163,6 +165,60 @@
         pool.close()
 
 
+class TestStopInAnOutage:
+    @pytest.fixture
+    def store_proxies(self):
+        return []
+
+    @pytest.fixture
+    def site(self, store_proxies):
+        def advertise(kind, address):
+            if kind != 'node-0':
+                return address
+            store_proxies.append(proxies.TcpProxy(address))
+            return store_proxies[-1].address
+
+        site = sites.Site(host_count=1, spare_count=0, advertise=advertise)
+        yield site
+        site.close()
+        for proxy in store_proxies:
+            proxy.close()
+
+    @pytest.fixture
+    def node(self, site, tmp_path):
+        settings = site.node_settings('node-0')
+        # The front closes 0.8 s after it has stopped accepting.
+        settings['bounds'] = {'grace_s': 4}
+        node = standin_nodes.NodeProcess(tmp_path, settings)
+        node.start()
+        wait_for(lambda: node.ready_status() == 200)
+        yield node
+        node.stop(signal.SIGKILL)
+
+    # A request that came after the signal waited for the silent store until
+    # the node had closed its front, and was cut off.
+    def test_request_after_the_signal_is_answered(self, node, store_proxies):
+        job = json.dumps({'spec': 'x', 'steps': [{'count': 1}]}).encode()
+        conn = http.client.HTTPConnection(node.front_address, timeout=LIMIT_S)
+        conn.putrequest('POST', standin_config.PATH_PREFIX + '0' * 16, True)
+        conn.putheader('Host', standin_config.CALLER_HOST)
+        conn.putheader('Authorization', f'Token {standin_config.API_KEY}')
+        conn.putheader('Content-Length', len(job))
+        conn.endheaders()
+        for proxy in store_proxies:
+            proxy.stall(*proxies.Direction)
+        node.send_signal(signal.SIGTERM)
+        wait_for(lambda: node.http_get(node.front_address, '/')[0] == 0)
+        conn.send(job)
+        response = conn.getresponse()
+        assert response.status in (503, 504)
+        assert response.getheader('Connection') == 'close'
+        conn.close()
+        assert node.stop() == 0
+        [closed] = node.events('front_closed')
+        assert closed['fields']['cut_off'] == 0
+
+
 class TestMaxStaleness:
     # The bound for zones may be stricter than the one for withdrawn keys, or
     # the other way round.
--- a/figtray/store/tests/outages.py
+++ b/figtray/store/tests/outages.py
@@ -43,7 +43,8 @@
 class HangingStore(memory.MemoryStore):
     """Store that answers no call which is sent into an outage.
 
-    Such a call takes the time limit of the platform's client. A watch that is
+    Such a call takes its own time limit, or that of the platform's client if
+    it is shorter. A watch that is
     sent before an outage, and has no change to yield, hangs as well.
 
     Attributes:
@@ -79,9 +80,15 @@
         """Return the time since the end of the outage."""
         return self.clock.now_ms() - self.back_ms
 
+    def get(self, key, timeout_ms=None):
+        if self.is_down():
+            self._hang(timeout_ms)
+            raise errors.StoreUnavailable(detail='injected')
+        return super().get(key)
+
     def txn(self, compares, puts=(), deletes=(), timeout_ms=None):
         if self.is_down():
-            self.clock.advance(platform_store.CALL_TIMEOUT_MS)
+            self._hang(timeout_ms)
             raise errors.WriteUncertain(detail='injected')
         return super().txn(compares, puts, deletes, timeout_ms)
 
@@ -98,6 +105,10 @@
             yield from items
             yield None
 
+    def _hang(self, timeout_ms):
+        limit_ms = platform_store.CALL_TIMEOUT_MS
+        self.clock.advance(min(timeout_ms or limit_ms, limit_ms))
+
     def _pass_watch(self, wait_ms):
         now_ms = self.clock.now_ms()
         if now_ms < self.back_ms and now_ms + wait_ms > self.down_from_ms:
@@ -109,6 +120,6 @@
 
     def _begin_call(self):
         if self.is_down():
-            self.clock.advance(platform_store.CALL_TIMEOUT_MS)
+            self._hang(None)
             raise errors.StoreUnavailable(detail='injected')
         super()._begin_call()
