Put a worker on the roster at its first report

Cause: the roster named all listed incarnations, before they had reported. The next leader can't tell that nothing was started there, awaits them (W8), and lists them in its own roster.

Evidence: TestEntryThatNeverReports; after one, two and three changes of the leader, a task that ends did not start, and the entry was on the roster. TestStartsAndTheRoster checks the stored roster at each start.

The roster now names the incarnations that have reported to this leader and those that are unresolved. A worker is put on it by its first report, with the next batch of the writer (25 ms); starts there are allowed by the thread that has stored the batch. One that is unresolved is on the stored roster already, so its first report is enough.

It is safe as no run is ordered on a worker before it has reported and a stored roster names it, and the roster of a term keeps all unresolved ones until they have reported or ended, or no lease of theirs is left.

--- /dev/null
+++ b/figtray/scheduling/enrolment.py
@@ -0,0 +1,102 @@
+"""Stored roster, and the workers on which tasks may start."""
+
+from figtray import metrics
+from figtray.scheduling import roster as rosters
+from figtray.scheduling import scheduler_base
+
+
+class Enrolment(scheduler_base.SchedulerBase):
+    """Keeps the roster, and allows starts on the workers that it names.
+
+    A later leader finds there where tasks of this term may run, and waits
+    for these incarnations. So one is on it only once it has reported.
+    """
+
+    def begin_adoption(self, roster, until_ms):
+        """Hold tasks of earlier terms until their runs are known.
+
+        Args:
+            roster: the Roster of earlier leaders; each of its incarnations
+                is unresolved until it reports or has ended.
+            until_ms: local time in milliseconds after which all leases of
+                earlier leaders have expired.
+        """
+        with self.lock:
+            self._unresolved = set(roster.lives)
+            self._adoption_until_ms = until_ms
+            self._are_placements_known = roster.placements_recorded
+            self._last_roster = roster
+
+    def roster(self):
+        """Return the Roster of the incarnations on which tasks may run.
+
+        After adoption the unresolved incarnations are dropped, as all leases
+        of earlier leaders have expired. Adopted runs are recorded, so by then
+        all Placements are, whichever release the earlier leaders ran.
+        """
+        with self.lock:
+            if not self._is_adopting(self._clock.now_ms()):
+                if self._unresolved:
+                    self._awaited_log.log_expiry(
+                        self._unresolved, self._worker_states
+                    )
+                    self._record_takeover(metrics.TakeoverPhase.ACCOUNTED)
+                self._unresolved.clear()
+                self._are_placements_known = True
+            reported = {
+                incarnation
+                for incarnation, worker_state in self._worker_states.items()
+                if worker_state.has_reported
+            }
+            return rosters.Roster(
+                tuple(sorted(reported | self._unresolved)),
+                self._are_placements_known,
+            )
+
+    def update_roster(self):
+        """Queue a write of the roster if it has changed."""
+        with self.lock:
+            if self.roster() != self._last_roster:
+                self._enqueue_roster()
+
+    def handle_written(self):
+        super().handle_written()
+        self._admit_enrolled()
+
+    def _enrol(self, worker_state):
+        """Put a worker that has reported on the roster, at once.
+
+        An unresolved one is on the stored roster already.
+        """
+        sequence = 0
+        if worker_state.worker.incarnation not in self._unresolved:
+            sequence = self._enqueue_roster()
+        self._enrolled.append((sequence, worker_state))
+        self._admit_enrolled()
+
+    def _enqueue_roster(self):
+        return self._writer.enqueue(rosters.ROSTER_KEY, self._encode_roster)
+
+    def _encode_roster(self):
+        with self.lock:
+            self._last_roster = self.roster()
+            return rosters.encode(self._last_roster)
+
+    def _admit_enrolled(self):
+        """Allow starts on the workers that the stored roster names.
+
+        None is allowed before leases may be granted: it would be taken back.
+        """
+        with self.lock:
+            if not self._enrolled or not self.lease_horizon.remaining_ms(
+                self._clock.now_ms()
+            ):
+                return
+            left = []
+            for sequence, worker_state in self._enrolled:
+                if self._writer.is_written(sequence):
+                    worker_state.on_roster = True
+                else:
+                    left.append((sequence, worker_state))
+            self._enrolled = left
+        self.changed.set()
--- a/figtray/scheduling/lease_horizon.py
+++ b/figtray/scheduling/lease_horizon.py
@@ -35,12 +35,7 @@
         self._requested_ms = None
 
     def renew_if_due(self):
-        """Queue a write of the record each RENEW_INTERVAL_MS.
-
-        Returns:
-            Sequence number of the Writer that must be written before leases
-            may be granted; 0 if they may be now.
-        """
+        """Queue a write of the record each RENEW_INTERVAL_MS."""
         with self._lock:
             self._settle()
             now_ms = self._clock.now_ms()
@@ -52,7 +47,6 @@
                 self._pending = self._writer.enqueue(
                     terms.LEASES_KEY, self._encode
                 )
-            return 0 if now_ms < self._until_ms else self._pending
 
     def remaining_ms(self, now_ms):
         """Return how long a lease may last from now on; 0 if it may not.
--- a/figtray/scheduling/membership.py
+++ b/figtray/scheduling/membership.py
@@ -6,9 +6,7 @@
 from figtray.events import log
 from figtray.fleet import model as fleet
 from figtray.jobs import model
-from figtray import metrics
 from figtray.scheduling import ends
-from figtray.scheduling import roster as rosters
 from figtray.scheduling import worker_ends
 from figtray.scheduling import worker_state as worker_state_lib
 
@@ -46,56 +44,10 @@
                 if is_queue_new:
                     self._fail_exhausted(job)
 
-    def begin_adoption(self, roster, until_ms):
-        """Hold tasks of earlier terms until their runs are known.
-
-        Args:
-            roster: the Roster of earlier leaders; each of its incarnations
-                is unresolved until it reports or has ended.
-            until_ms: local time in milliseconds after which all leases of
-                earlier leaders have expired.
-        """
-        with self.lock:
-            self._unresolved = set(roster.lives)
-            self._adoption_until_ms = until_ms
-            self._are_placements_known = roster.placements_recorded
-
-    def roster(self):
-        """Return the Roster of the incarnations on which tasks may run.
-
-        After adoption the unresolved incarnations are dropped, as all leases
-        of earlier leaders have expired. Adopted runs are recorded, so by then
-        all Placements are, whichever release the earlier leaders ran.
-        """
-        with self.lock:
-            if not self._is_adopting(self._clock.now_ms()):
-                if self._unresolved:
-                    self._awaited_log.log_expiry(
-                        self._unresolved, self._worker_states
-                    )
-                    self._record_takeover(metrics.TakeoverPhase.ACCOUNTED)
-                self._unresolved.clear()
-                self._are_placements_known = True
-            return rosters.Roster(
-                tuple(sorted({*self._worker_states, *self._unresolved})),
-                self._are_placements_known,
-            )
-
     def set_workers_expected(self, expected):
         """Set whether new workers will be listed soon."""
         self.workers_expected = expected
 
-    def allow_starts(self, roster):
-        """Allow starts on the workers of a Roster that is stored.
-
-        A later leader finds there where tasks of this term may run.
-        """
-        with self.lock:
-            for incarnation in roster.lives:
-                if incarnation in self._worker_states:
-                    self._worker_states[incarnation].on_roster = True
-        self.changed.set()
-
     def sync_workers(self, workers, trust_absence):
         """Apply the list of workers in the store.
 
--- a/figtray/scheduling/reports.py
+++ b/figtray/scheduling/reports.py
@@ -6,6 +6,7 @@
 from figtray.jobs import model
 from figtray.jobs import records
 from figtray.scheduling import ends
+from figtray.scheduling import enrolment
 from figtray.scheduling import leases
 from figtray.scheduling import scheduler_base
 from figtray.scheduling import state
@@ -17,7 +18,7 @@
 STRAY_STOP_INTERVAL_MS = 500
 
 
-class Reports(worker_ends.WorkerEnds):
+class Reports(worker_ends.WorkerEnds, enrolment.Enrolment):
     """Records the reports of workers and extends their leases."""
 
     def report_request(self, worker_state):
@@ -74,6 +75,7 @@
                 self._end_followed()
                 if worker_state.gone:
                     return 0
+                self._enrol(worker_state)
             reported = {(item.task, item.run) for item in report.running}
             ended = {(item.task, item.run) for item in report.ended}
             for item in report.running:
--- a/figtray/scheduling/scheduler_base.py
+++ b/figtray/scheduling/scheduler_base.py
@@ -55,7 +55,7 @@
         self._term = term
         self._clock = clock
         self._writer = writer
-        writer.on_written = self.release_recorded_starts
+        writer.on_written = self.handle_written
         self._lease_ms = leases.lease_ms(bounds)
         self.lease_horizon = lease_horizon.LeaseHorizon(writer, clock, bounds)
         self._is_config_fresh = is_config_fresh
@@ -84,6 +84,11 @@
         self._adoption_until_ms = 0
         # Whether the leaders before this term recorded all Placements.
         self._are_placements_known = False
+        # The Roster that was read, or encoded for the last write.
+        self._last_roster = None
+        # Workers that have reported and that no stored roster names yet, as
+        # pairs of the Writer's sequence number to wait for and WorkerState.
+        self._enrolled = []
         # Most of each resource that a worker or a host was seen to have.
         self._largest_capacity = model.NO_RESOURCES
         # Runs of lasting tasks and suspects whose Placements are not stored
@@ -269,6 +274,10 @@
         run.task.placement = run.worker_state.placement()
         return self._store_progress(run.task.step.job)
 
+    def handle_written(self):
+        """Apply that a batch of records is stored."""
+        self.release_recorded_starts()
+
     def release_recorded_starts(self):
         """Order the starts of the runs whose placement is stored."""
         with self.lock:
--- a/figtray/scheduling/service.py
+++ b/figtray/scheduling/service.py
@@ -25,7 +25,6 @@
 EXPECTED_WORKERS_POLL_MS = 150
 COUNTS_INTERVAL_MS = 1000
 RETRY_MS = 200
-ROSTER_WRITE_TIMEOUT_MS = 500
 # After an outage of the store, expired entries of workers are back within
 # this time.
 ENTRY_RECOVERY_MS = 2500
@@ -104,7 +103,6 @@
         self._pacer = pacers.Pacer(self._scheduler, self._clock)
         self._sessions = {}
         self._roster = rosters.Roster()
-        self._roster_sequence = 0
         # Local time at which the leases of earlier terms have ended; None
         # until the record of them is read.
         self._earlier_leases_until_ms = None
@@ -263,7 +261,7 @@
 
     def _update_workers(self):
         # Leases last while the workers can't be listed.
-        leases_sequence = self._scheduler.lease_horizon.renew_if_due()
+        self._scheduler.lease_horizon.renew_if_due()
         workers = self._service.list_workers()
         now_ms = self._clock.now_ms()
         self._list_failing = False
@@ -285,23 +283,11 @@
             )
             self._sessions[worker_state.worker.incarnation] = worker_session
             worker_session.start()
-        self._update_roster(leases_sequence)
+        self._scheduler.update_roster()
         for incarnation in list(self._sessions):
             if self._scheduler.worker_state(incarnation) is None:
                 self._sessions.pop(incarnation).close()
 
-    def _update_roster(self, leases_sequence):
-        """Store the incarnations in use before any task starts on them."""
-        roster = self._scheduler.roster()
-        if roster != self._roster:
-            self._roster = roster
-            self._roster_sequence = self._writer.enqueue(
-                rosters.ROSTER_KEY, lambda: rosters.encode(self._roster)
-            )
-        sequence = max(self._roster_sequence, leases_sequence)
-        if self._writer.wait(sequence, ROSTER_WRITE_TIMEOUT_MS):
-            self._scheduler.allow_starts(roster)
-
     # Periodic work.
 
     def _plan(self):
--- a/figtray/scheduling/tests/test_odd_entries.py
+++ b/figtray/scheduling/tests/test_odd_entries.py
@@ -5,6 +5,7 @@
 import pytest
 
 from figtray.scheduling import leases
+from figtray.scheduling import roster as rosters
 from figtray.scheduling.tests import harness
 from figtray.scheduling.tests import takeovers
 
@@ -161,6 +162,87 @@
         assert not leader.scheduler.drain_worker(worker_id)
 
 
+class TestEntryThatNeverReports:
+    """An entry whose address nobody answers, odd or not."""
+
+    # All tasks that end waited for it after each change of the leader.
+    @pytest.mark.parametrize('changes', [1, 2, 3])
+    @pytest.mark.parametrize('lasting', [True, False])
+    def test_tasks_wait_for_it_in_a_new_term(
+        self, fleet, leader, changes, lasting
+    ):
+        list_odd(fleet, 0)
+        play(leader, 2 * takeovers.CYCLE_MS)
+        for _ in range(changes - 1):
+            leader = fleet.elect_leader()
+            play(leader, 2 * takeovers.CYCLE_MS)
+        job_id = fleet.submit(harness.make_step(lasting=lasting))
+        leader.sync_intake()
+        leader = fleet.elect_leader()
+        play(leader, 2 * takeovers.CYCLE_MS)
+        assert f'{job_id}.0.0.0' in takeovers.running(fleet)
+
+    # A later leader awaits each incarnation on the roster.
+    def test_it_is_on_the_roster(self, fleet, leader):
+        list_odd(fleet, 0)
+        play(leader, 2 * takeovers.CYCLE_MS)
+        assert not any(
+            incarnation.worker_id == f'worker-{ODD}'
+            for incarnation in leader.scheduler.roster().lives
+        )
+
+
+class TestStartsAndTheRoster:
+    # A later leader would not have asked the worker for its runs.
+    @pytest.mark.parametrize('lasting', [True, False])
+    def test_start_is_sent_before_its_worker_is_on_the_stored_roster(
+        self, fleet, lasting
+    ):
+        missing, starts = [], []
+
+        def choose_fault(kind, worker):
+            if kind == 'start':
+                item = fleet.store.get(rosters.ROSTER_KEY)
+                starts.append(worker.worker_id)
+                if worker.incarnation not in rosters.decode(item.value).lives:
+                    missing.append(worker.worker_id)
+            return 'ok'
+
+        fleet.client.choose_fault = choose_fault
+        for number in range(4, 8):
+            fleet.submit(harness.make_step(8, 7000, lasting=lasting))
+            leader = fleet.elect_leader()
+            # Its write is late.
+            leader.flush = lambda: None
+            play(leader, 2 * takeovers.CYCLE_MS)
+            del leader.flush
+            play(leader, 2 * takeovers.CYCLE_MS)
+            fleet.add_worker(number)
+            play(leader, 3 * takeovers.CYCLE_MS)
+            fleet.client.crash(f'10.0.0.{number}:80')
+            fleet.add_worker(number, born_ms=2)
+            play(leader, 3 * takeovers.CYCLE_MS)
+        assert len(set(starts)) == 8
+        assert not missing
+
+    # It was on no roster after the leases of earlier terms had ended, and
+    # could still get a start.
+    def test_worker_that_was_awaited_to_the_end_is_on_no_roster(
+        self, fleet, leader
+    ):
+        takeovers.silence(fleet, 0)
+        leader = fleet.elect_leader()
+        play(leader, takeovers.LONGEST_LEASE_MS + takeovers.START_MS)
+        first = fleet.workers['worker-0'].incarnation
+        assert first not in leader.scheduler.roster().lives
+        fleet.client.choose_fault = lambda *_: 'ok'
+        fleet.submit(harness.make_step(4, 7000, max_per_worker=1))
+        play(leader, 3 * takeovers.CYCLE_MS)
+        assert len(takeovers.running(fleet)) == 4
+        stored = rosters.decode(fleet.store.get(rosters.ROSTER_KEY).value)
+        assert first in stored.lives
+
+
 class TestSuccessor:
     """A later incarnation that answers proves the end of the one before."""
 
