--- a/figtray/platform/tests/test_view.py
+++ b/figtray/platform/tests/test_view.py
@@ -1,13 +1,33 @@
 """Tests of the local copy of the operators' documents."""
 
+import json
+
+import logbook
 import pytest
 
+from figtray.events import catalogue
+from figtray.events import unreadable
+from figtray.platform import documents
 from figtray.platform import store as platform_store
 from figtray.platform import view as views
+from figtray.scheduling.tests import harness
 from figtray.store import base
 from figtray.store import prefix_watcher
 from figtray.store.tests import outages
 
+GOOD = {
+    'service': 'main',
+    'address': '10.0.0.1:80',
+    'zone': 'zone-a',
+    'state': 'ready',
+    'born': 1,
+    'capacity': {'cpu': 1000, 'mem_mb': 1000, 'gpu': 0},
+    'labels': ['a', 'r1'],
+    'machine': 'host-1',
+}
+# Longest value that the platform's store holds.
+LARGEST_BYTES = 1_000_000
+
 MAX_STALENESS_MS = 3500
 # An outage of this length ends the lease of a leader.
 SHORTEST_OUTAGE_MS = 2000
@@ -18,6 +38,12 @@
     return outages.HangingStore()
 
 
+@pytest.fixture
+def handler():
+    with logbook.TestHandler() as handler:
+        yield handler
+
+
 @pytest.fixture
 def view(store):
     return views.OperatorView(store, store.clock, MAX_STALENESS_MS)
@@ -54,3 +80,103 @@
             + prefix_watcher.RETRY_JITTER_MS
             + prefix_watcher.CONFIRM_WAIT_MS
         )
+
+
+class TestWorkerList:
+    """Entries that other writers put among those of the workers."""
+
+    @pytest.fixture
+    def workers(self, store, view):
+        view._config = harness.make_config()
+        return views.WorkerList(store, view, store.clock)
+
+    def write(self, store, key, data):
+        key = documents.WORKER_PREFIX + key
+        store.txn((), [base.Put(key, data)])
+
+    def write_good(self, store, **fields):
+        self.write(store, 'good', json.dumps(GOOD | fields).encode())
+
+    def read_ids(self, workers):
+        return [worker.worker_id for worker in workers.read()]
+
+    # The good worker was not read, or the log grew with the odd entries.
+    def test_each_of_very_many_entries_is_named(self, store, workers, handler):
+        for number in range(2 * unreadable.MAX_NAMED):
+            self.write(store, f'odd-{number}', b'\xff')
+        self.write_good(store)
+        for _ in range(3):
+            assert self.read_ids(workers) == ['good']
+            store.clock.advance(500)
+        lines = harness.logged(handler, catalogue.RECORD_UNREADABLE)
+        assert len(lines) == unreadable.MAX_NAMED + 1
+
+    # Each read wrote a line, as the error was another one.
+    def test_entry_that_changes_at_each_read_is_named_again(
+        self, store, workers, handler
+    ):
+        self.write_good(store)
+        for number in range(50):
+            odd = GOOD | {'state': f'odd {number}', 'born': number}
+            self.write(store, 'odd', json.dumps(odd).encode())
+            assert self.read_ids(workers) == ['good']
+            store.clock.advance(500)
+        [line] = harness.logged(handler, catalogue.RECORD_UNREADABLE)
+        assert line['record'] == 'servers/odd'
+
+    @pytest.mark.parametrize(
+        'odd',
+        [
+            b'"' + b'x' * LARGEST_BYTES + b'"',
+            b'[' * LARGEST_BYTES,
+            b'1' * LARGEST_BYTES,
+            json.dumps(GOOD | {'state': 'x' * LARGEST_BYTES}).encode(),
+            json.dumps(GOOD | {'address': '1' * LARGEST_BYTES}).encode(),
+            json.dumps(
+                GOOD | {'labels': ['x'] * (LARGEST_BYTES // 5)}
+            ).encode(),
+        ],
+        ids=['text', 'lists', 'digits', 'state', 'address', 'labels'],
+    )
+    def test_largest_entry_is_quoted_or_hides_others(
+        self, store, workers, handler, odd
+    ):
+        self.write(store, 'odd', odd)
+        self.write_good(store)
+        assert self.read_ids(workers) == ['good']
+        [line] = harness.logged(handler, catalogue.RECORD_UNREADABLE)
+        assert len(str(line)) < 1000
+
+    # An unknown field makes no entry odd, however large it is.
+    def test_good_entry_with_a_large_field_is_skipped(self, store, workers):
+        self.write_good(store, more='x' * LARGEST_BYTES)
+        assert self.read_ids(workers) == ['good']
+
+    # A worker whose entry had been replaced once was never used again.
+    def test_entry_that_becomes_good_again_is_skipped(self, store, workers):
+        self.write_good(store)
+        assert self.read_ids(workers) == ['good']
+        self.write(store, 'good', b'{}')
+        assert self.read_ids(workers) == []
+        self.write_good(store, state='draining')
+        [worker] = workers.read()
+        assert worker.draining
+
+    # An error that nobody foresaw ended the term, and so each following one.
+    def test_unforeseen_error_hides_other_entries(
+        self, store, workers, handler, monkeypatch
+    ):
+        decode = documents.decode_worker
+
+        def decode_or_fail(key, data, pools):
+            if key.endswith('odd'):
+                raise RuntimeError('injected')
+            return decode(key, data, pools)
+
+        monkeypatch.setattr(documents, 'decode_worker', decode_or_fail)
+        self.write(store, 'odd', b'{}')
+        self.write_good(store)
+        for _ in range(3):
+            assert self.read_ids(workers) == ['good']
+        [line] = harness.logged(handler, catalogue.RECORD_UNREADABLE)
+        assert 'injected' in line['detail']
