Count only capacity that a report or the host list vouches for

Callers would wait: an entry that nobody answers counted as a worker of its pool, so the pool seemed to need fewer hosts, and lost some to others. Its capacity also bounded what held tasks of a team may need out of sight; with an extreme one no other task of the team started until the leases were over.

Cause: pool_loads() and _note_capacity() took the word of the entry.

Evidence: TestCapacityOfAnOddEntry; before, 6 workers instead of 4, and the task of a new job didn't start. The plan and the arithmetic of the rebalancer bear twenty workers with 10^9 of each resource, or none, as before.

A worker counts once it has reported or the host list shows it on its host, which a worker that can't be reached is. A capacity counts if its worker has reported to this leader, or to an earlier one (it is unresolved).

--- a/figtray/scheduling/draining.py
+++ b/figtray/scheduling/draining.py
@@ -23,6 +23,9 @@
                 worker = worker_state.worker
                 if not worker_state.listed and not worker_state.runs:
                     continue
+                # One that nobody else has seen may be an entry alone.
+                if not worker_state.has_reported and not worker_state.on_host:
+                    continue
                 entry = sums.setdefault(worker.pool, collections.Counter())
                 entry['due'] += worker_state.upkeep_due
                 if (
--- a/figtray/scheduling/membership.py
+++ b/figtray/scheduling/membership.py
@@ -129,7 +129,8 @@
                     runs=len(worker_state.runs),
                 )
             worker_state.set_worker(worker)
-            self._note_capacity(worker.capacity)
+            if worker_state.has_reported or incarnation in self._unresolved:
+                self._note_capacity(worker.capacity)
             worker_state.listed = True
         return added
 
@@ -243,6 +244,9 @@
         return
     host = listed.get(host_id)
     worker_state.host_seen |= host is not None
+    worker_state.on_host = (
+        host is not None and host.worker_id == worker_state.worker.worker_id
+    )
     if host is not None and not _is_down(host):
         worker_state.host_lost_since_ms = None
     elif worker_state.host_lost_since_ms is None:
--- a/figtray/scheduling/reports.py
+++ b/figtray/scheduling/reports.py
@@ -76,6 +76,7 @@
                 if worker_state.gone:
                     return 0
                 self._enrol(worker_state)
+                self._note_capacity(worker_state.worker.capacity)
             reported = {(item.task, item.run) for item in report.running}
             ended = {(item.task, item.run) for item in report.ended}
             for item in report.running:
--- a/figtray/scheduling/tests/test_odd_entries.py
+++ b/figtray/scheduling/tests/test_odd_entries.py
@@ -4,10 +4,13 @@
 
 import pytest
 
+from figtray.jobs import model
+from figtray.platform import documents
 from figtray.scheduling import leases
 from figtray.scheduling import roster as rosters
 from figtray.scheduling.tests import harness
 from figtray.scheduling.tests import takeovers
+from figtray.upkeep import host_needs
 
 ODD = 9
 
@@ -192,6 +195,76 @@
         )
 
 
+class TestCapacityOfAnOddEntry:
+    """Amounts that are extreme but allowed."""
+
+    LARGEST = model.Resources(*[documents.MAX_AMOUNT] * 3)
+
+    # The pool seemed to have workers that it lacks, and lost its hosts.
+    def test_entry_that_never_reports_counts_as_a_worker(self, fleet, leader):
+        leader.scheduler.reconcile_hosts(fleet.hosts)
+        before = leader.scheduler.pool_loads()['main']
+        for fields in ({}, {'worker_id': 'worker-8', 'host_id': 'host-0'}):
+            list_odd(fleet, 0, capacity=self.LARGEST, **fields)
+        takeovers.silence(fleet, 8, ODD)
+        play(leader, 10 * takeovers.CYCLE_MS)
+        assert leader.scheduler.pool_loads()['main'] == before
+
+    # A pool whose workers could not be reached got more hosts.
+    def test_unreached_worker_on_its_host_counts_for_nothing(self, fleet):
+        takeovers.silence(fleet, 0)
+        leader = fleet.elect_leader()
+        leader.report_all()
+        leader.scheduler.reconcile_hosts(fleet.hosts)
+        assert leader.scheduler.pool_loads()['main'].workers == 4
+
+    # Held tasks counted towards the limit of their team by what the entry
+    # says, so that no other task of the team started.
+    def test_needs_out_of_sight_are_limited_to_it(self):
+        fleet = harness.Fleet(3, harness.make_config(limit_milli=20_000))
+        leader = fleet.elect_leader()
+        leader.report_all()
+        held = fleet.submit(harness.make_step(20))
+        takeovers.silence(fleet, 0, 1, 2)
+        leader.sync_intake()
+        leader = fleet.elect_leader()
+        list_odd(fleet, 0, capacity=self.LARGEST)
+        fleet.client.choose_fault = lambda _, worker: (
+            'not sent'
+            if worker.worker_id in ('worker-0', 'worker-9')
+            else 'ok'
+        )
+        later = fleet.submit(harness.make_step(8))
+        play(leader, 10 * takeovers.CYCLE_MS)
+        running = takeovers.running(fleet)
+        assert f'{held}.0.0.0' not in running
+        assert f'{later}.0.0.0' in running
+
+    # Sums and divisions of floats overflowed.
+    @pytest.mark.parametrize('capacity', [LARGEST, model.NO_RESOURCES])
+    def test_extreme_capacity_ends_the_plan(self, fleet, leader, capacity):
+        for number in range(ODD, ODD + 20):
+            worker = list_odd(
+                fleet,
+                0,
+                worker_id=f'worker-{number}',
+                address=f'10.0.1.{number}:80',
+                host_id=f'host-{number}',
+                capacity=capacity,
+            )
+            fleet.client.add(worker)
+        for lasting in (True, False):
+            fleet.submit(harness.make_step(8, lasting=lasting))
+        play(leader, 10 * takeovers.CYCLE_MS)
+        assert len(takeovers.running(fleet)) == 16
+        load = leader.scheduler.pool_loads()['main']
+        usual = host_needs.usual_capacity(fleet.hosts.values())
+        assert host_needs.equivalent_hosts(load, usual) <= 24
+        trend = host_needs.DemandTrend()
+        rise = trend.forecast_rise(load, fleet.clock.now_ms())
+        assert host_needs.wanted_workers(load, rise, usual) <= 24
+
+
 class TestStartsAndTheRoster:
     # A later leader would not have asked the worker for its runs.
     @pytest.mark.parametrize('lasting', [True, False])
--- a/figtray/scheduling/worker_state.py
+++ b/figtray/scheduling/worker_state.py
@@ -60,6 +60,7 @@
             is under way; 0 if there is none.
         refused_connections: number of refused connections in a row.
         host_seen: whether a host list of this term has had its host.
+        on_host: whether the last host list shows it on its host.
         host_lost_since_ms: local time since which the host lists lack its
             host, or show it down without a worker; None if the last one
             doesn't.
@@ -100,6 +101,7 @@
         self.requested_lease_ms = 0
         self.refused_connections = 0
         self.host_seen = False
+        self.on_host = False
         self.host_lost_since_ms = None
         self.unanswered_starts = 0
         self.room_refusals = 0
