Take over although a session can't start

Callers would see nothing run: an error at the start of one session, such as a system that allows no further thread, ended the takeover, and each following one as well. In a term that went on, the worker kept the threads that had started, and tasks were planned on one whose orders nobody sends.

Evidence: test_other_workers_get_no_session failed before with the injected error. The test of the order of the threads could not run before, as the start of a session had no function of its own.

Each session starts by itself, and an error is logged. The thread that gets reports starts last, so a worker whose session is incomplete never reports and gets no tasks.

--- a/figtray/scheduling/service.py
+++ b/figtray/scheduling/service.py
@@ -272,22 +272,31 @@
         for worker_state in self._scheduler.sync_workers(
             workers, trust_absence
         ):
-            worker_session = session.Session(
-                worker_state,
-                self._scheduler,
-                self._pacer,
-                self._service.client,
-                self._writer,
-                self._term,
-                self._clock,
-            )
-            self._sessions[worker_state.worker.incarnation] = worker_session
-            worker_session.start()
+            # Its failure costs the others nothing.
+            try:
+                self._start_session(worker_state)
+            except Exception as exc:
+                log.emit_exception(
+                    f'session with {worker_state.worker.worker_id}', exc
+                )
         self._scheduler.update_roster()
         for incarnation in list(self._sessions):
             if self._scheduler.worker_state(incarnation) is None:
                 self._sessions.pop(incarnation).close()
 
+    def _start_session(self, worker_state):
+        worker_session = session.Session(
+            worker_state,
+            self._scheduler,
+            self._pacer,
+            self._service.client,
+            self._writer,
+            self._term,
+            self._clock,
+        )
+        self._sessions[worker_state.worker.incarnation] = worker_session
+        worker_session.start()
+
     # Periodic work.
 
     def _plan(self):
--- a/figtray/scheduling/session.py
+++ b/figtray/scheduling/session.py
@@ -66,9 +66,14 @@
         self._failure_logged_ms = None
 
     def start(self):
-        """Start the threads."""
+        """Start the threads, the one that gets reports last.
+
+        Raises:
+            RuntimeError: the system allows no further thread.
+        """
         name = self._worker_state.worker.worker_id
-        targets = [self._run_reports] + [self._run_orders] * ORDER_THREADS
+        # Nothing starts on a worker without a report.
+        targets = [self._run_orders] * ORDER_THREADS + [self._run_reports]
         for target in targets:
             thread = threading.Thread(
                 target=self._run_guarded,
--- a/figtray/scheduling/tests/test_service.py
+++ b/figtray/scheduling/tests/test_service.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 import math
+import threading
 
 import pytest
 
@@ -337,6 +338,53 @@
         )
 
 
+class TestSessionThatCannotStart:
+    # The takeover ended with it, and each following term as well.
+    def test_other_workers_get_no_session(self, site, monkeypatch):
+        started = []
+
+        def start(worker_session):
+            worker_id = worker_session._worker_state.worker.worker_id
+            if worker_id == 'worker-0':
+                raise RuntimeError("can't start new thread")
+            started.append(worker_id)
+
+        monkeypatch.setattr(session.Session, 'start', start)
+        assert site.leader._load()
+        assert started == ['worker-1']
+        site.fleet.add_worker(2)
+        site.leader._update_workers()
+        assert started == ['worker-1', 'worker-2']
+
+    # Tasks were planned on a worker to which no order could be sent.
+    @pytest.mark.parametrize('count', range(1 + session.ORDER_THREADS))
+    def test_worker_reports_without_threads_for_its_orders(
+        self, site, monkeypatch, count
+    ):
+        started = []
+
+        class FailingThread:
+            def __init__(self, target, args, name, daemon):
+                self._target = args[0]
+
+            def start(self):
+                if len(started) == count:
+                    raise RuntimeError("can't start new thread")
+                started.append(self._target)
+
+        monkeypatch.undo()
+        monkeypatch.setattr(threading, 'Thread', FailingThread)
+        monkeypatch.setattr(site.leader, '_update_workers', lambda: None)
+        assert site.leader._load()
+        [worker_state, _] = site.leader._scheduler.sync_workers(
+            site.fleet.workers.values(), True
+        )
+        with pytest.raises(RuntimeError):
+            site.leader._start_session(worker_state)
+        [worker_session] = site.leader._sessions.values()
+        assert worker_session._run_reports not in started
+
+
 class TestRoster:
     # The roster was stored, and nothing told the scheduler so.
     @pytest.mark.parametrize('late_ms', range(0, 3000, 130))
