Skip a stored record that is nested too deeply

Callers would see nothing run: one stored job, cancellation or progress with an unknown field, nested 60,000 deep, ends each takeover, as an odd entry of a worker did. The caller of a job whose record can't be read was told 500 at each question, and a traceback was logged. figtray-status showed nothing at all, and the orders for hosts ended with an error in each round, also the ends of workers that the host list shows.

Cause: the readers of our own records caught the errors of msgspec only, those of the host controller none, and a wave's record was expected to have a number in its key.

Evidence: before, TestTakeover of test_odd_records failed for job, cancellation and progress by RecursionError, TestOddBytes for all bytes of all seven records, test_unreadable_job_is_an_internal_error (500), test_unreadable_job_is_cancelled_by_any_team (500), test_odd_record_hides_the_others, test_unreadable_record_stops_all_orders and test_odd_wave_record_stops_all_orders (ValueError, RecursionError).

Change: all of them decode by decoding.decode(), and name what they skip once. Callers are told 503, which is true and no 410. Without a readable record of the orders for hosts any host may have had one, so orders for all wait for lease_ms. A wave whose record is unreadable begins anew, as the platform accepts an order again that it has carried out.

Result: these tests pass. test_odd_records has one table of bytes and readers; a new reader joins by a line.

--- a/figtray/events/unreadable.py
+++ b/figtray/events/unreadable.py
@@ -2,6 +2,7 @@
 
 import threading
 
+from figtray import errors
 from figtray.events import catalogue
 from figtray.events import log
 
@@ -28,6 +29,20 @@
         self._seen_ms = {}
         self._is_full = False
 
+    def read(self, record, decode, data):
+        """Return a decoded record; None, with a log line, if unreadable.
+
+        Args:
+            record: its name, such as its key.
+            decode: returns the record of its bytes.
+            data: the bytes.
+        """
+        try:
+            return decode(data)
+        except errors.UnreadableMessage as exc:
+            self.note(record, exc)
+            return None
+
     def note(self, record, exc):
         """Log that a record is skipped, unless it is named already.
 
--- a/figtray/jobs/intake.py
+++ b/figtray/jobs/intake.py
@@ -3,11 +3,8 @@
 import dataclasses
 import enum
 
-import msgspec
-
 from figtray import errors
-from figtray.events import catalogue
-from figtray.events import log
+from figtray.events import unreadable
 from figtray.jobs import records
 from figtray.store import base
 
@@ -45,6 +42,7 @@
     def __init__(self, store, clock):
         self._store = store
         self._clock = clock
+        self._unreadable = unreadable.UnreadableLog(clock)
 
     def submit(self, job_id, job, timeout_ms=None):
         """Store a job once.
@@ -83,6 +81,9 @@
             A Result: STORED, EXISTS, UNKNOWN_JOB, NOT_STORED or UNCERTAIN.
             With UNKNOWN_JOB, the job doesn't exist and the cancellation is
             stored, or the job is another team's and nothing is stored.
+
+        Raises:
+            UnreadableMessage: the job can't be read, so its team is unknown.
         """
         try:
             job_item = self._store.get(
@@ -91,7 +92,7 @@
         except errors.StoreUnavailable as exc:
             return Result(Outcome.NOT_STORED, str(exc))
         if job_item is not None and team:
-            owner = records.decode_job(job_item.value).team
+            owner = self._decode(job_item, records.decode_job).team
             if owner and owner != team:
                 return Result(Outcome.UNKNOWN_JOB, 'job of another team')
         key = records.CANCEL_PREFIX + job_id
@@ -115,13 +116,18 @@
 
         Raises:
             StoreUnavailable: the store did not answer.
+            UnreadableMessage: the job exists, but can't be read.
         """
         item = self._store.get(
             records.PROGRESS_PREFIX + job_id, timeout_ms=timeout_ms
         )
         if item is not None:
-            return records.decode_progress(item.value).state
-        if self._store.get(records.JOB_PREFIX + job_id, timeout_ms=timeout_ms):
+            return self._decode(item, records.decode_progress).state
+        item = self._store.get(
+            records.JOB_PREFIX + job_id, timeout_ms=timeout_ms
+        )
+        if item is not None:
+            self._decode(item, records.decode_job)
             return records.State.QUEUED
         if self._store.get(
             records.CANCEL_PREFIX + job_id, timeout_ms=timeout_ms
@@ -144,14 +150,22 @@
         if item is None:
             return 0
         try:
-            return records.decode_waiting_jobs(item.value).counts.get(queue, 0)
-        except msgspec.MsgspecError as exc:
-            log.emit(
-                catalogue.RECORD_UNREADABLE,
-                record=records.WAITING_KEY,
-                detail=str(exc),
-            )
+            waiting = self._decode(item, records.decode_waiting_jobs)
+        except errors.UnreadableMessage as exc:
             raise errors.StoreUnavailable(detail=str(exc)) from exc
+        return waiting.counts.get(queue, 0)
+
+    def _decode(self, item, decode):
+        """Return the record of a KeyValue; one that is unreadable is logged.
+
+        Raises:
+            UnreadableMessage: its value is no such record.
+        """
+        try:
+            return decode(item.value)
+        except errors.UnreadableMessage as exc:
+            self._unreadable.note(item.key, exc)
+            raise
 
     def _create_once(self, absent_keys, put, timeout_ms):
         """Create a key unless one of some keys exists.
--- a/figtray/jobs/records.py
+++ b/figtray/jobs/records.py
@@ -9,6 +9,7 @@
 
 import msgspec
 
+from figtray import decoding
 from figtray.jobs import model
 
 INTAKE_PREFIX = 'intake/'
@@ -164,22 +165,22 @@
     """Return the Job of stored bytes.
 
     Raises:
-        msgspec.MsgspecError: the bytes are not a Job. The functions below
-            raise it in the same way.
+        UnreadableMessage: the bytes are not a Job. The functions below raise
+            it in the same way.
     """
-    return _job_decoder.decode(data)
+    return decoding.decode('job', _job_decoder, data)
 
 
 def decode_progress(data):
     """Return the Progress of stored bytes."""
-    return _progress_decoder.decode(data)
+    return decoding.decode('progress', _progress_decoder, data)
 
 
 def decode_cancellation(data):
     """Return the Cancellation of stored bytes."""
-    return _cancellation_decoder.decode(data)
+    return decoding.decode('cancellation', _cancellation_decoder, data)
 
 
 def decode_waiting_jobs(data):
     """Return the WaitingJobs of stored bytes."""
-    return _waiting_jobs_decoder.decode(data)
+    return decoding.decode('waiting jobs', _waiting_jobs_decoder, data)
--- a/figtray/leadership/elector.py
+++ b/figtray/leadership/elector.py
@@ -8,6 +8,7 @@
 from figtray import errors
 from figtray.events import catalogue
 from figtray.events import log
+from figtray.events import unreadable
 from figtray.leadership import term as terms
 from figtray.store import base
 from figtray.store import prefix_watcher
@@ -48,6 +49,7 @@
         self._vacant_ms = clock.now_ms()
         self._last_leader = ''
         self._leases_seen = None
+        self._unreadable = unreadable.UnreadableLog(clock)
         self._watcher = prefix_watcher.PrefixWatcher(
             store,
             terms.LEADER_KEY,
@@ -115,7 +117,7 @@
             self._vacant.set()
             return
         self._vacant.clear()
-        record = _decode_record(item)
+        record = self._unreadable.read(item.key, terms.decode, item.value)
         node = record.node if record else 'unknown'
         if node != self._last_leader:
             self._last_leader = node
@@ -251,11 +253,3 @@
                 term.end('the lease has expired or was revoked')
                 return
             term.record_renewal(requested_ms, min(ttl_ms, terms.LEASE_TTL_MS))
-
-
-def _decode_record(item):
-    try:
-        return terms.decode(item.value)
-    except msgspec.MsgspecError as exc:
-        log.emit(catalogue.RECORD_UNREADABLE, record=item.key, detail=str(exc))
-        return None
--- a/figtray/leadership/term.py
+++ b/figtray/leadership/term.py
@@ -5,6 +5,8 @@
 
 import msgspec
 
+from figtray import decoding
+
 LEADER_KEY = 'leader'
 # Written by the leader while it extends leases; see scheduling.lease_horizon.
 LEASES_KEY = 'leader-leases'
@@ -28,13 +30,16 @@
     address: str = ''
 
 
+_decoder = msgspec.json.Decoder(LeaderRecord)
+
+
 def decode(data):
     """Return the LeaderRecord of stored bytes.
 
     Raises:
-        msgspec.MsgspecError: the bytes are no such record.
+        UnreadableMessage: the bytes are no such record.
     """
-    return msgspec.json.decode(data, type=LeaderRecord)
+    return decoding.decode('leader', _decoder, data)
 
 
 @dataclasses.dataclass(frozen=True)
--- a/figtray/platform/job_api.py
+++ b/figtray/platform/job_api.py
@@ -121,6 +121,12 @@
         except errors.StoreUnavailable as exc:
             reason = f'store unavailable: {exc}'
             status, body = 503, {'error': 'the store does not answer'}
+        except errors.UnreadableMessage as exc:
+            # It is neither unknown nor can its state be told.
+            reason = f'unreadable record: {exc}'
+            status, body = 503, {
+                'error': 'the record of the job is unreadable'
+            }
         except Exception as exc:
             log.emit_exception(f'{method} {job_id}', exc)
             reason = type(exc).__name__
--- a/figtray/platform/status.py
+++ b/figtray/platform/status.py
@@ -4,13 +4,13 @@
 import dataclasses
 import typing
 
-import msgspec
 import rich.console
 import rich.table
 import typer
 
 from figtray import clock as clock_lib
 from figtray import errors
+from figtray.events import unreadable
 from figtray.jobs import records
 from figtray.leadership import term as terms
 from figtray.platform import settings as settings_lib
@@ -19,6 +19,7 @@
 from figtray.scheduling import roster as rosters
 from figtray.upkeep import wave_state
 
+UNREADABLE = 'unreadable'
 EXIT_INVALID = 2
 EXIT_UNAVAILABLE = 1
 
@@ -54,7 +55,7 @@
 class WaveProgress:
     """Number of hosts of a wave whose upkeep has begun."""
 
-    wave: int
+    wave: int | str
     state: str
     begun: int
 
@@ -71,7 +72,8 @@
         held: the HeldCounts, which the leader updates once a second.
         workers: the WorkerCounts.
         waves: the WaveProgresses.
-        roster: number of worker incarnations that may run tasks.
+        roster: number of worker incarnations that may run tasks; None if the
+            record is unreadable.
     """
 
     leader: str
@@ -81,7 +83,7 @@
     held: tuple
     workers: tuple
     waves: tuple
-    roster: int
+    roster: int | None
 
 
 def read(store, view):
@@ -95,13 +97,12 @@
         StoreUnavailable: the store did not answer.
     """
     view.watcher.load()
+    reader = _Reader(store)
     leader = store.get(terms.LEADER_KEY)
     roster = store.get(rosters.ROSTER_KEY)
-    item = store.get(records.WAITING_KEY)
     waiting = (
-        records.decode_waiting_jobs(item.value)
-        if item
-        else records.WaitingJobs()
+        reader.get(records.WAITING_KEY, records.decode_waiting_jobs)
+        or records.WaitingJobs()
     )
     workers = collections.Counter(
         (worker.pool, 'draining' if worker.draining else 'ready')
@@ -110,11 +111,11 @@
         ).read()
     )
     return Status(
-        leader=terms.decode(leader.value).node if leader else '',
+        leader=_leader_name(reader, leader),
         term=leader.mod_revision if leader else 0,
         config=view.config().version if view.config() else None,
         jobs=(
-            *_count_jobs(store),
+            *_count_jobs(reader),
             *(
                 JobCount(queue, 'not begun', count)
                 for queue, count in sorted(waiting.counts.items())
@@ -128,34 +129,78 @@
         workers=tuple(
             WorkerCount(*key, count) for key, count in sorted(workers.items())
         ),
-        waves=tuple(_read_waves(store)),
-        roster=len(rosters.decode(roster.value).lives) if roster else 0,
+        waves=tuple(_read_waves(reader)),
+        roster=_roster_size(reader, roster),
     )
 
 
-def _count_jobs(store):
-    states = {}
-    for item in store.range(records.PROGRESS_PREFIX).items:
-        job_id = item.key.removeprefix(records.PROGRESS_PREFIX)
-        states[job_id] = records.decode_progress(item.value).state
+class _Reader:
+    """Reads stored records; logs those that are unreadable.
+
+    Args:
+        store: the Store.
+    """
+
+    def __init__(self, store):
+        self._store = store
+        self._unreadable = unreadable.UnreadableLog(clock_lib.SystemClock())
+
+    def decode(self, item, decode):
+        """Return the record of a KeyValue; None if it is unreadable."""
+        return self._unreadable.read(item.key, decode, item.value)
+
+    def get(self, key, decode):
+        """Return the record of a key; None if there is none to read."""
+        item = self._store.get(key)
+        return None if item is None else self.decode(item, decode)
+
+    def range(self, prefix, decode):
+        """Yield the rest of each key and its record, None if unreadable."""
+        for item in self._store.range(prefix).items:
+            yield item.key.removeprefix(prefix), self.decode(item, decode)
+
+
+def _leader_name(reader, item):
+    if item is None:
+        return ''
+    record = reader.decode(item, terms.decode)
+    return UNREADABLE if record is None else record.node
+
+
+def _roster_size(reader, item):
+    if item is None:
+        return 0
+    roster = reader.decode(item, rosters.decode)
+    return None if roster is None else len(roster.lives)
+
+
+def _count_jobs(reader):
+    states = {
+        job_id: UNREADABLE if progress is None else progress.state.value
+        for job_id, progress in reader.range(
+            records.PROGRESS_PREFIX, records.decode_progress
+        )
+    }
     counts = collections.Counter()
-    for item in store.range(records.JOB_PREFIX).items:
-        job_id = item.key.removeprefix(records.JOB_PREFIX)
-        state = states.get(job_id, records.State.QUEUED)
-        queue = records.decode_job(item.value).queue
-        counts[queue, state.value] += 1
+    for job_id, job in reader.range(records.JOB_PREFIX, records.decode_job):
+        if job is None:
+            counts['', UNREADABLE] += 1
+        else:
+            state = states.get(job_id, records.State.QUEUED.value)
+            counts[job.queue, state] += 1
     for key, count in sorted(counts.items()):
         yield JobCount(*key, count)
 
 
-def _read_waves(store):
-    for item in store.range(wave_state.RECORD_PREFIX).items:
-        record = msgspec.json.decode(item.value, type=wave_state.WaveRecord)
-        yield WaveProgress(
-            int(item.key.removeprefix(wave_state.RECORD_PREFIX)),
-            'completed' if record.completed else 'running',
-            len(record.begun),
-        )
+def _read_waves(reader):
+    for number, record in reader.range(
+        wave_state.RECORD_PREFIX, wave_state.decode
+    ):
+        state = UNREADABLE
+        if record is not None:
+            state = 'completed' if record.completed else 'running'
+        number = int(number) if number.isdecimal() else number
+        yield WaveProgress(number, state, len(record.begun) if record else 0)
 
 
 def show(status, console):
@@ -196,7 +241,7 @@
     except errors.SettingsError as exc:
         typer.echo(f'figtray-status: {exc}', err=True)
         raise typer.Exit(EXIT_INVALID) from exc
-    except (errors.StoreUnavailable, msgspec.MsgspecError) as exc:
+    except errors.StoreUnavailable as exc:
         typer.echo(f'figtray-status: {exc}', err=True)
         raise typer.Exit(EXIT_UNAVAILABLE) from exc
 
--- a/figtray/platform/tests/test_job_api.py
+++ b/figtray/platform/tests/test_job_api.py
@@ -3,9 +3,11 @@
 import io
 import json
 
+import logbook
 import pytest
 
 from figtray import clock as clock_lib
+from figtray.events import catalogue
 from figtray.jobs import intake as intakes
 from figtray.jobs import records
 from figtray import metrics
@@ -204,6 +206,32 @@
         deployment.store.down = True
         assert deployment.status('GET', f'/q/{ID}') == 503
 
+    # The caller of an accepted job was told 500 at each question, and a
+    # traceback was logged.
+    @pytest.mark.parametrize('prefix', [records.PROGRESS_PREFIX, None])
+    def test_unreadable_job_is_an_internal_error(self, deployment, prefix):
+        key = (prefix or records.JOB_PREFIX) + ID
+        deployment.call('POST', f'/q/{ID}', JOB)
+        deployment.store.txn([], [base.Put(key, b'{"x":' + b'[' * 60_000)])
+        with logbook.TestHandler() as handler:
+            for _ in range(3):
+                status, reply, headers = deployment.call('GET', f'/q/{ID}')
+                assert (status, headers['Retry-After']) == (503, '1')
+                assert 'unreadable' in reply['error']
+        named = [
+            record.extra['fields']['record']
+            for record in handler.records
+            if record.extra['event'] is catalogue.RECORD_UNREADABLE
+        ]
+        assert named == [key]
+
+    # The team of the job is unknown, so another one could cancel it.
+    def test_unreadable_job_is_cancelled_by_any_team(self, deployment):
+        put = base.Put(records.JOB_PREFIX + ID, b'odd')
+        deployment.store.txn([], [put])
+        assert deployment.status('DELETE', f'/q/{ID}') == 503
+        assert not deployment.store.range(records.CANCEL_PREFIX).items
+
     def test_waiting_jobs(self, deployment):
         assert deployment.call('GET', '/q/')[1] == {'pending': 0}
         counts = records.WaitingJobs({'keyed': 4})
--- a/figtray/platform/tests/test_status.py
+++ b/figtray/platform/tests/test_status.py
@@ -14,6 +14,7 @@
 from figtray.leadership import term as terms
 from figtray.platform import status
 from figtray.platform import view as views
+from figtray.scheduling import roster as rosters
 from figtray.store import base
 from figtray.store import memory
 
@@ -71,6 +72,33 @@
         assert 'no room' in out.getvalue()
         assert 'running' in out.getvalue()
 
+    # One odd record hid the state of all others.
+    def test_odd_record_hides_the_others(self, store, view):
+        odd = b'{"x":' + b'[' * 60_000
+        job = model.Job('q', 't', 'p', (model.Step(1),))
+        intake = intakes.Intake(store, clock_lib.ManualClock())
+        for job_id in ('a' * 16, 'b' * 16):
+            intake.submit(job_id, job)
+        keys = (
+            records.JOB_PREFIX + 'c' * 16,
+            records.PROGRESS_PREFIX + 'b' * 16,
+            records.WAITING_KEY,
+            terms.LEADER_KEY,
+            rosters.ROSTER_KEY,
+            'wave/odd',
+        )
+        store.txn([], [base.Put(key, odd) for key in keys])
+        found = status.read(store, view)
+        assert set(found.jobs) == {
+            status.JobCount('q', 'queued', 1),
+            status.JobCount('q', status.UNREADABLE, 1),
+            status.JobCount('', status.UNREADABLE, 1),
+        }
+        assert (found.leader, found.roster) == (status.UNREADABLE, None)
+        assert found.waves == (
+            status.WaveProgress('odd', status.UNREADABLE, 0),
+        )
+
     def test_outage(self, store, view):
         store.down = True
         with pytest.raises(errors.StoreUnavailable):
--- a/figtray/scheduling/roster.py
+++ b/figtray/scheduling/roster.py
@@ -2,6 +2,7 @@
 
 import msgspec
 
+from figtray import decoding
 from figtray.fleet import model as fleet
 
 ROSTER_KEY = 'roster'
@@ -20,6 +21,9 @@
     placements_recorded: bool = False
 
 
+_decoder = msgspec.json.Decoder(Roster)
+
+
 def encode(roster):
     """Return the stored bytes of a Roster."""
     return msgspec.json.encode(roster)
@@ -29,6 +33,6 @@
     """Return the Roster of stored bytes.
 
     Raises:
-        msgspec.MsgspecError: the bytes are not a roster.
+        UnreadableMessage: the bytes are not a roster.
     """
-    return msgspec.json.decode(data, type=Roster)
+    return decoding.decode('roster', _decoder, data)
--- a/figtray/scheduling/service.py
+++ b/figtray/scheduling/service.py
@@ -5,6 +5,7 @@
 from figtray import errors
 from figtray.events import catalogue
 from figtray.events import log
+from figtray.events import unreadable
 from figtray.jobs import records
 from figtray.leadership import term as terms
 from figtray.scheduling import lease_horizon
@@ -75,6 +76,7 @@
         self.run_host_controller = run_host_controller
         self.bounds = bounds
         self.metrics = metrics
+        self.unreadable = unreadable.UnreadableLog(clock)
 
     def lead(self, term):
         """Schedule until the term has ended."""
@@ -98,7 +100,9 @@
             service.view.is_fresh,
             service.metrics,
         )
-        self._intake_reader = stored_records.IntakeReader(self._scheduler)
+        self._intake_reader = stored_records.IntakeReader(
+            self._scheduler, service.unreadable
+        )
         # Otherwise the planner sleeps on, and the leader keeps its key.
         term.on_end = lambda: self._scheduler.changed.set()
         self._pacer = pacers.Pacer(self._scheduler, self._clock)
@@ -190,8 +194,8 @@
         for item in self._store.range(records.PROGRESS_PREFIX).items:
             self._writer.set_revision(item.key, item.mod_revision)
             job_id = item.key.removeprefix(records.PROGRESS_PREFIX)
-            progress[job_id] = stored_records.decode(
-                item, records.decode_progress
+            progress[job_id] = self._service.unreadable.read(
+                item.key, records.decode_progress, item.value
             )
         waiting = self._store.get(records.WAITING_KEY)
         if waiting is not None:
@@ -223,7 +227,9 @@
         if item is None:
             return
         self._writer.set_revision(item.key, item.mod_revision)
-        roster = stored_records.decode(item, rosters.decode)
+        roster = self._service.unreadable.read(
+            item.key, rosters.decode, item.value
+        )
         if roster is None:
             return
         self._roster = roster
--- a/figtray/scheduling/stored_records.py
+++ b/figtray/scheduling/stored_records.py
@@ -1,9 +1,5 @@
 """Reading of the records that callers and earlier leaders have stored."""
 
-import msgspec
-
-from figtray.events import catalogue
-from figtray.events import log
 from figtray.jobs import records
 
 
@@ -12,10 +8,12 @@
 
     Args:
         scheduler: the Scheduler.
+        unreadable_log: the UnreadableLog.
     """
 
-    def __init__(self, scheduler):
+    def __init__(self, scheduler, unreadable_log):
         self._scheduler = scheduler
+        self._unreadable = unreadable_log
 
     def add(self, items, progress=None):
         """Add all jobs, then the cancellations.
@@ -42,27 +40,15 @@
             self._cancel(item)
 
     def _add_job(self, item, stored):
-        job = decode(item, records.decode_job)
+        job = self._unreadable.read(item.key, records.decode_job, item.value)
         if job is not None:
             job_id = item.key.removeprefix(records.JOB_PREFIX)
             self._scheduler.add_job(job_id, job, item.create_revision, stored)
 
     def _cancel(self, item):
-        cancel = decode(item, records.decode_cancellation)
+        cancel = self._unreadable.read(
+            item.key, records.decode_cancellation, item.value
+        )
         if cancel is not None:
             job_id = item.key.removeprefix(records.CANCEL_PREFIX)
             self._scheduler.cancel(job_id, cancel.cancelled_ms)
-
-
-def decode(item, decode_value):
-    """Return the record of a KeyValue; None, with a log line, if unreadable.
-
-    Args:
-        item: the KeyValue.
-        decode_value: returns the record of its value.
-    """
-    try:
-        return decode_value(item.value)
-    except msgspec.MsgspecError as exc:
-        log.emit(catalogue.RECORD_UNREADABLE, record=item.key, detail=str(exc))
-        return None
--- /dev/null
+++ b/figtray/scheduling/tests/test_odd_records.py
@@ -0,0 +1,130 @@
+"""Tests of takeovers that find records which no leader wrote like that."""
+
+import pytest
+
+from figtray.events import catalogue
+from figtray.jobs import records
+from figtray.leadership import term as terms
+from figtray.scheduling import service
+from figtray.scheduling import session
+from figtray.scheduling.tests import harness
+from figtray.scheduling.tests import leaders
+from figtray.scheduling.tests import takeovers
+from figtray.store import base
+
+DEEP = b'{"x":' + b'[' * 60_000 + b']' * 60_000 + b'}'
+ODD_ID = 'f' * 16
+
+
+class Term:
+    """A product's leader, without threads.
+
+    Args:
+        fleet: the harness.Fleet.
+    """
+
+    def __init__(self, fleet):
+        self.fleet = fleet
+        self.term = fleet.begin_term()
+        self.leader = service._LeaderTerm(
+            service.LeaderService(
+                fleet.store,
+                fleet.clock,
+                leaders.View(fleet),
+                lambda: list(fleet.workers.values()),
+                fleet.client,
+                None,
+                None,
+                harness.BOUNDS,
+            ),
+            self.term,
+        )
+        self.scheduler = self.leader._scheduler
+        self.leader._writer.wait = self._flush
+        self.leader._load_once()
+        self.scheduler.set_loaded()
+
+    def _flush(self, sequence, timeout_ms):
+        for _ in range(20):
+            if not self.leader._writer.has_pending():
+                return True
+            self.leader._writer.flush_once()
+        return False
+
+    def read_intake(self):
+        """Apply a full read of the watch of the intake."""
+        self.leader._intake_reader.add(
+            self.fleet.store.range(records.INTAKE_PREFIX).items
+        )
+
+    def play(self, ms):
+        """Let the leader work for a while; no task may run twice at a time."""
+        for _ in range(ms // takeovers.CYCLE_MS):
+            self.fleet.clock.advance(takeovers.CYCLE_MS)
+            self.term.record_renewal(
+                self.fleet.clock.now_ms(), terms.LEASE_TTL_MS
+            )
+            self.fleet.store.keep_alive(self.term.lease_id)
+            self.fleet.client.expire()
+            self.leader._update_workers()
+            self.scheduler.plan()
+            self._flush(0, 0)
+            for worker_session in list(self.leader._sessions.values()):
+                self._let_report(worker_session)
+            found = takeovers.running(self.fleet)
+            assert all(len(runs) == 1 for runs in found.values()), found
+
+    def _let_report(self, worker_session):
+        worker_state = worker_session._worker_state
+        while not worker_state.orders.empty():
+            order = worker_state.orders.get()
+            if order is not None:
+                worker_session.execute(order)
+        worker_session.report_once()
+        self._flush(0, 0)
+        self.scheduler.acknowledge(worker_state, worker_state.seen_end)
+
+
+@pytest.fixture(autouse=True)
+def _without_threads(monkeypatch):
+    monkeypatch.setattr(session.Session, 'start', lambda self: None)
+
+
+def named(handler):
+    """Return the names of the records that were logged as unreadable."""
+    return [
+        fields['record']
+        for fields in harness.logged(handler, catalogue.RECORD_UNREADABLE)
+    ]
+
+
+class TestTakeover:
+    # Each term ended at once, and nothing ran.
+    @pytest.mark.parametrize(
+        'key',
+        [
+            records.JOB_PREFIX + ODD_ID,
+            records.CANCEL_PREFIX + ODD_ID,
+            records.PROGRESS_PREFIX + ODD_ID,
+            records.INTAKE_PREFIX + 'odd/' + ODD_ID,
+            records.WAITING_KEY,
+            terms.LEASES_KEY,
+        ],
+    )
+    def test_unreadable_record_ends_the_term(self, fleet, handler, key):
+        fleet.submit(harness.make_step(2))
+        fleet.store.txn([], [base.Put(key, DEEP)])
+        for _ in range(2):
+            term = Term(fleet)
+            term.read_intake()
+            term.play(2 * takeovers.CYCLE_MS)
+        assert len(takeovers.running(fleet)) == 2
+
+    # The log grew with each term and each full read.
+    def test_unreadable_record_is_named_at_each_read(self, fleet, handler):
+        key = records.JOB_PREFIX + ODD_ID
+        fleet.store.txn([], [base.Put(key, DEEP)])
+        term = Term(fleet)
+        for _ in range(5):
+            term.read_intake()
+        assert named(handler) == [key]
--- /dev/null
+++ b/figtray/tests/test_odd_records.py
@@ -0,0 +1,46 @@
+"""Tests that put what no reader expects before each reader of records."""
+
+import pytest
+
+from figtray import errors
+from figtray.jobs import records
+from figtray.leadership import term as terms
+from figtray.platform import documents
+from figtray.scheduling import roster as rosters
+from figtray.upkeep import host_orders
+from figtray.upkeep import wave_state
+
+DEPTH = 60_000
+ODD_BYTES = {
+    'empty': b'',
+    'text': b'no JSON',
+    'type': b'[1]',
+    'null': b'null',
+    'utf-8': b'{"x":"\xff"',
+    'digits': b'{"x":1' + b'0' * 5000,
+    'deep-list': b'{"x":' + b'[' * DEPTH + b']' * DEPTH + b'}',
+    'deep-object': b'{"x":' * DEPTH + b'1' + b'}' * DEPTH,
+}
+# A new reader joins by a line here.
+READERS = {
+    'config': documents.decode_config,
+    'wave': documents.decode_wave,
+    'worker': lambda data: documents.decode_worker('servers/a', data, None),
+    'job': records.decode_job,
+    'progress': records.decode_progress,
+    'cancellation': records.decode_cancellation,
+    'waiting-jobs': records.decode_waiting_jobs,
+    'roster': rosters.decode,
+    'leader': terms.decode,
+    'host-orders': host_orders.decode,
+    'wave-record': wave_state.decode,
+}
+
+
+class TestOddBytes:
+    # Guards against a record that ends its reader by an unexpected error.
+    @pytest.mark.parametrize('odd', ODD_BYTES)
+    @pytest.mark.parametrize('reader', READERS)
+    def test_bytes_raise_another_error(self, reader, odd):
+        with pytest.raises(errors.UnreadableMessage):
+            READERS[reader](ODD_BYTES[odd])
--- a/figtray/upkeep/controller.py
+++ b/figtray/upkeep/controller.py
@@ -3,11 +3,10 @@
 import concurrent.futures
 import dataclasses
 
-import msgspec
-
 from figtray import errors
 from figtray.events import catalogue
 from figtray.events import log
+from figtray.events import unreadable
 from figtray.upkeep import host_orders
 from figtray.upkeep import rebalancer
 from figtray.upkeep import wave_state
@@ -62,6 +61,7 @@
         self._bounds = bounds
         self._encode_wave_status = encode_wave_status
         self._loads_logged_ms = 0
+        self._unreadable = unreadable.UnreadableLog(clock)
 
     def run(self, scheduler, writer, term):
         """Reconcile hosts every RECONCILE_INTERVAL_MS until the term ends.
@@ -158,7 +158,10 @@
         former_host_ids = ()
         if item is not None:
             writer.set_revision(item.key, item.mod_revision)
-            former_host_ids = host_orders.decode(item.value).host_ids
+            record = self._unreadable.read(
+                item.key, host_orders.decode, item.value
+            )
+            former_host_ids = None if record is None else record.host_ids
         return host_orders.HostOrders(
             writer, term, self._clock, self._bounds.lease_ms, former_host_ids
         )
@@ -167,10 +170,13 @@
         records = {}
         for item in self._store.range(wave_state.RECORD_PREFIX).items:
             writer.set_revision(item.key, item.mod_revision)
-            number = int(item.key.removeprefix(wave_state.RECORD_PREFIX))
-            records[number] = msgspec.json.decode(
-                item.value, type=wave_state.WaveRecord
-            )
+            # Upkeeps of a wave whose record is unreadable begin anew: the
+            # platform accepts an order again that it has carried out.
+            try:
+                number = wave_state.wave_number(item.key)
+                records[number] = wave_state.decode(item.value)
+            except errors.UnreadableMessage as exc:
+                self._unreadable.note(item.key, exc)
         for wave in self._view.waves().values():
             key, _ = self._encode_wave_status(wave.number, False)
             status = self._store.get(key)
--- a/figtray/upkeep/host_orders.py
+++ b/figtray/upkeep/host_orders.py
@@ -2,6 +2,8 @@
 
 import msgspec
 
+from figtray import decoding
+
 ORDERS_KEY = 'host-orders'
 # Longest wait for the record of an order; an order without one is not sent.
 RECORD_TIMEOUT_MS = 500
@@ -15,13 +17,16 @@
     host_ids: tuple[str, ...] = ()
 
 
+_decoder = msgspec.json.Decoder(HostOrdersRecord)
+
+
 def decode(data):
     """Return the HostOrdersRecord of stored bytes.
 
     Raises:
-        msgspec.MsgspecError: the bytes are no such record.
+        UnreadableMessage: the bytes are no such record.
     """
-    return msgspec.json.decode(data, type=HostOrdersRecord)
+    return decoding.decode('host orders', _decoder, data)
 
 
 class HostOrders:
@@ -37,7 +42,8 @@
         term: the Term.
         clock: the Clock.
         lease_ms: least time between orders of two leaders for one host.
-        former_host_ids: ids of the hosts that earlier leaders recorded.
+        former_host_ids: ids of the hosts that earlier leaders recorded; None
+            if they are unknown, so that orders for all hosts wait.
     """
 
     def __init__(self, writer, term, clock, lease_ms, former_host_ids=()):
@@ -45,10 +51,13 @@
         self._clock = clock
         self._lease_ms = lease_ms
         self._former_expiry_ms = term.began_ms + lease_ms
-        self._former_host_ids = frozenset(former_host_ids)
+        self._are_formers_known = former_host_ids is not None
+        self._former_host_ids = frozenset(former_host_ids or ())
         # Local time of the latest order for each host. The start of the term
         # stands for the unknown times of earlier leaders' orders.
-        self._order_times_ms = dict.fromkeys(former_host_ids, term.began_ms)
+        self._order_times_ms = dict.fromkeys(
+            self._former_host_ids, term.began_ms
+        )
 
     def former_orders_expired(self):
         """Return whether no order of an earlier leader blocks any host."""
@@ -56,10 +65,9 @@
 
     def is_order_allowed(self, host_id):
         """Return whether an order for a host may be given now."""
-        return (
-            self.former_orders_expired()
-            or host_id not in self._former_host_ids
-        )
+        if self.former_orders_expired():
+            return True
+        return self._are_formers_known and host_id not in self._former_host_ids
 
     def record(self, host_ids):
         """Store the ids of hosts; called before orders for them are sent.
--- a/figtray/upkeep/tests/test_controller.py
+++ b/figtray/upkeep/tests/test_controller.py
@@ -127,6 +127,29 @@
         stored = site.fleet.store.get(host_orders.ORDERS_KEY).value
         assert host_orders.decode(stored).host_ids == ('host-9',)
 
+    # The orders for hosts ended with an error in each round, also the ends of
+    # workers that the host list shows.
+    def test_unreadable_record_stops_all_orders(self, site):
+        site.fleet.store.txn([], [base.Put(host_orders.ORDERS_KEY, b'odd')])
+        host_controller = make_controller(site)
+        parts = build_parts(site, host_controller)
+        site.fleet.submit(harness.make_step(60, 4000))
+        site.leader.run_cycle()
+        site.leader.advance(harness.BOUNDS.lease_ms - 1)
+        host_controller._reconcile(site.leader.scheduler, parts)
+        # Any host may have had an order of an earlier leader.
+        assert not site.moves()
+        site.leader.advance(1)
+        host_controller._reconcile(site.leader.scheduler, parts)
+        assert len(site.moves()) == 2
+
+    @pytest.mark.parametrize('key', ['wave/1', 'wave/x', 'wave/\u0663'])
+    def test_odd_wave_record_stops_all_orders(self, site, key):
+        site.fleet.store.txn([], [base.Put(key, b'{"begun":' + b'[' * 60_000)])
+        site.fleet.submit(harness.make_step(60, 4000))
+        reconcile(site, make_controller(site))
+        assert len(site.moves()) == 2
+
     # Upkeeps that the former leader has begun may not be stored yet, and
     # count towards max_down.
     def test_waves_wait_for_lease_ms(self, site):
--- a/figtray/upkeep/wave_state.py
+++ b/figtray/upkeep/wave_state.py
@@ -4,6 +4,7 @@
 
 import msgspec
 
+from figtray import decoding
 from figtray.fleet import model as fleet
 
 RECORD_PREFIX = 'wave/'
@@ -21,6 +22,30 @@
     completed: bool = False
 
 
+_decoder = msgspec.json.Decoder(WaveRecord)
+
+
+def wave_number(key):
+    """Return the number of the wave whose WaveRecord has a key.
+
+    Raises:
+        UnreadableMessage: the key names no wave.
+    """
+    number = key.removeprefix(RECORD_PREFIX)
+    if not (number.isascii() and number.isdecimal()):
+        raise decoding.unreadable(key, 'the key names no wave')
+    return int(number)
+
+
+def decode(data):
+    """Return the WaveRecord of stored bytes.
+
+    Raises:
+        UnreadableMessage: the bytes are no such record.
+    """
+    return decoding.decode('wave', _decoder, data)
+
+
 @dataclasses.dataclass
 class WaveState:
     """Progress of a wave during one term.
