Start no task of a job whose progress can't be read

Callers would see tasks that were done run a second time: the job of an unreadable progress was added as a new one, so all its tasks began anew.

Cause: an unreadable progress was read as none. The watch of the intake hands over all jobs again, without progress, so skipping the job in the takeover would not have been enough.

Evidence: before, TestUnreadableProgress.test_done_task_runs_again showed both tasks of the job running, one of which was done; test_unreadable_job_stays_after_its_cancellation got 503.

Change: the reader of the intake holds such a job for the term. Its progress is not written over, its runs are stopped as stray ones, so that they hold up no worker, and no other job waits. Its caller is told 503, and may cancel it; then it is shown as cancelled and removed as any other.

Result: both tests pass; the other job runs. An operator may mend the record; the next leader reads it.

--- a/figtray/jobs/intake.py
+++ b/figtray/jobs/intake.py
@@ -122,7 +122,7 @@
             records.PROGRESS_PREFIX + job_id, timeout_ms=timeout_ms
         )
         if item is not None:
-            return self._decode(item, records.decode_progress).state
+            return self._stored_state(item, job_id, timeout_ms)
         item = self._store.get(
             records.JOB_PREFIX + job_id, timeout_ms=timeout_ms
         )
@@ -155,6 +155,21 @@
             raise errors.StoreUnavailable(detail=str(exc)) from exc
         return waiting.counts.get(queue, 0)
 
+    def _stored_state(self, item, job_id, timeout_ms):
+        """Return the State in a job's progress.
+
+        A leader starts no task of a job whose progress is unreadable, so it
+        is as cancelled as any other once its cancellation is stored.
+        """
+        try:
+            return self._decode(item, records.decode_progress).state
+        except errors.UnreadableMessage:
+            if self._store.get(
+                records.CANCEL_PREFIX + job_id, timeout_ms=timeout_ms
+            ):
+                return records.State.CANCELLED
+            raise
+
     def _decode(self, item, decode):
         """Return the record of a KeyValue; one that is unreadable is logged.
 
--- a/figtray/platform/tests/test_job_api.py
+++ b/figtray/platform/tests/test_job_api.py
@@ -225,6 +225,14 @@
         ]
         assert named == [key]
 
+    # Nobody but an operator could end such a job.
+    def test_unreadable_job_stays_after_its_cancellation(self, deployment):
+        deployment.call('POST', f'/q/{ID}', JOB)
+        put = base.Put(records.PROGRESS_PREFIX + ID, b'odd')
+        deployment.store.txn([], [put])
+        assert deployment.status('DELETE', f'/q/{ID}') == 200
+        assert deployment.call('GET', f'/q/{ID}')[1] == {'state': 'cancelled'}
+
     # The team of the job is unknown, so another one could cancel it.
     def test_unreadable_job_is_cancelled_by_any_team(self, deployment):
         put = base.Put(records.JOB_PREFIX + ID, b'odd')
--- a/figtray/scheduling/stored_records.py
+++ b/figtray/scheduling/stored_records.py
@@ -14,18 +14,26 @@
     def __init__(self, scheduler, unreadable_log):
         self._scheduler = scheduler
         self._unreadable = unreadable_log
+        # Ids of jobs whose progress is unreadable. Which of their tasks are
+        # done is unknown, so none of them may start.
+        self._held_jobs = set()
 
     def add(self, items, progress=None):
         """Add all jobs, then the cancellations.
 
         Args:
             items: the KeyValues below records.INTAKE_PREFIX.
-            progress: mapping of job id to its stored Progress, or None.
+            progress: mapping of job id to its stored Progress, which is None
+                if it is unreadable; None after the first call.
         """
+        progress = progress or {}
+        self._held_jobs |= {
+            job_id for job_id, stored in progress.items() if stored is None
+        }
         jobs = [i for i in items if i.key.startswith(records.JOB_PREFIX)]
         for item in sorted(jobs, key=lambda i: i.create_revision):
             job_id = item.key.removeprefix(records.JOB_PREFIX)
-            self._add_job(item, (progress or {}).get(job_id))
+            self._add_job(item, progress.get(job_id))
         for item in items:
             if item.key.startswith(records.CANCEL_PREFIX):
                 self._cancel(item)
@@ -40,9 +48,11 @@
             self._cancel(item)
 
     def _add_job(self, item, stored):
+        job_id = item.key.removeprefix(records.JOB_PREFIX)
+        if job_id in self._held_jobs:
+            return
         job = self._unreadable.read(item.key, records.decode_job, item.value)
         if job is not None:
-            job_id = item.key.removeprefix(records.JOB_PREFIX)
             self._scheduler.add_job(job_id, job, item.create_revision, stored)
 
     def _cancel(self, item):
--- a/figtray/scheduling/tests/test_odd_records.py
+++ b/figtray/scheduling/tests/test_odd_records.py
@@ -128,3 +128,38 @@
         for _ in range(5):
             term.read_intake()
         assert named(handler) == [key]
+
+
+class TestUnreadableProgress:
+    @pytest.fixture
+    def job_id(self, fleet):
+        """Id of a job of two tasks; the first is done, the other runs."""
+        job_id = fleet.submit(harness.make_step(2))
+        term = Term(fleet)
+        term.play(2 * takeovers.CYCLE_MS)
+        harness.finish(fleet, f'{job_id}.0.0.0')
+        term.play(2 * takeovers.CYCLE_MS)
+        key = records.PROGRESS_PREFIX + job_id
+        assert records.decode_progress(fleet.store.get(key).value).done
+        fleet.store.txn([], [base.Put(key, DEEP)])
+        return job_id
+
+    # Its tasks began anew, also those that were done.
+    def test_done_task_runs_again(self, fleet, job_id):
+        other_id = fleet.submit(harness.make_step())
+        for _ in range(2):
+            term = Term(fleet)
+            term.play(takeovers.LONGEST_LEASE_MS)
+            # The watch of the intake reads all jobs again.
+            term.read_intake()
+            term.play(takeovers.START_MS)
+        assert list(takeovers.running(fleet)) == [f'{other_id}.0.0.0']
+        item = fleet.store.get(records.PROGRESS_PREFIX + job_id)
+        assert item.value == DEEP
+
+    # Otherwise its records stay for good.
+    def test_cancelled_job_is_never_removed(self, fleet, job_id):
+        fleet.intake.cancel(job_id, 't')
+        term = Term(fleet)
+        fleet.clock.advance(2000)
+        assert term.scheduler.expired_jobs(1000) == [job_id]
