Wait for the longest lease if the roster can't be read

Callers would see a task run twice at a time after a change of the leader: if the roster is unreadable, a worker without an entry is neither asked nor awaited, and its tasks start anew at once while their runs go on.

Cause: an unreadable roster was read as none, that is, as a system in which no task has ever run.

Evidence: before, TestUnreadableRoster failed in all four cases with two runs of the task at a time.

Change: the field `complete` of the roster tells whether other incarnations may run tasks of earlier terms. After an unreadable roster it is false, and tasks of earlier terms wait as with unknown placements, for the longest lease from the start of the term. Tasks of this term start at once, and the roster that is written says that it is incomplete, so that a next leader waits too.

Result: the test passes for lasting tasks and others, for one and two changes of the leader.

--- a/figtray/scheduling/adoption.py
+++ b/figtray/scheduling/adoption.py
@@ -68,7 +68,8 @@
         """Return what the held tasks of each team may need out of sight.
 
         That is no more than the unresolved incarnations can hold. They may
-        hold more than they have by now, if they have shrunk.
+        hold more than they have by now, if they have shrunk. Without a
+        complete roster, there may be any number of them.
 
         Args:
             held: mapping of StepState to its held tasks.
@@ -77,4 +78,6 @@
         needs = collections.defaultdict(lambda: model.NO_RESOURCES)
         for step, tasks in held.items():
             needs[step.job.spec.team] += step.spec.needs.times(len(tasks))
+        if not self._is_roster_complete:
+            return needs
         return {team: total.at_most(limit) for team, total in needs.items()}
--- a/figtray/scheduling/membership.py
+++ b/figtray/scheduling/membership.py
@@ -57,6 +57,7 @@
             self._unresolved = set(roster.lives)
             self._adoption_until_ms = until_ms
             self._are_placements_known = roster.placements_recorded
+            self._is_roster_complete = roster.complete
 
     def roster(self):
         """Return the Roster of the incarnations on which tasks may run.
@@ -74,9 +75,11 @@
                     self._record_takeover(metrics.TakeoverPhase.ACCOUNTED)
                 self._unresolved.clear()
                 self._are_placements_known = True
+                self._is_roster_complete = True
             return rosters.Roster(
                 tuple(sorted({*self._worker_states, *self._unresolved})),
                 self._are_placements_known,
+                self._is_roster_complete,
             )
 
     def set_workers_expected(self, expected):
--- a/figtray/scheduling/roster.py
+++ b/figtray/scheduling/roster.py
@@ -15,12 +15,17 @@
         lives: the incarnations.
         placements_recorded: whether the Placements of all lasting tasks are
             recorded before they start. Earlier releases did not do so.
+        complete: whether no other incarnation may run tasks of earlier terms.
+            It is not after a roster that could not be read.
     """
 
     lives: tuple[fleet.Incarnation, ...] = ()
     placements_recorded: bool = False
+    complete: bool = True
 
 
+# What is known if the stored roster can't be read.
+UNKNOWN = Roster(complete=False)
 _decoder = msgspec.json.Decoder(Roster)
 
 
--- a/figtray/scheduling/scheduler_base.py
+++ b/figtray/scheduling/scheduler_base.py
@@ -80,6 +80,8 @@
         self._work_meter = arrivals.WorkMeter()
         # Incarnations of earlier terms whose runs are not known yet.
         self._unresolved = set()
+        # Whether no other incarnation may run tasks of earlier terms.
+        self._is_roster_complete = True
         self._adoption_until_ms = 0
         # Whether the leaders before this term recorded all Placements.
         self._are_placements_known = False
@@ -240,7 +242,9 @@
 
     def _is_adopting(self, now_ms):
         """Return whether runs of earlier terms may still be unknown."""
-        return bool(self._unresolved) and now_ms < self._adoption_until_ms
+        if self._is_roster_complete and not self._unresolved:
+            return False
+        return now_ms < self._adoption_until_ms
 
     def _record_placement(self, run):
         """Queue a write of where a lasting task or a suspect may run.
--- a/figtray/scheduling/service.py
+++ b/figtray/scheduling/service.py
@@ -231,7 +231,8 @@
             item.key, rosters.decode, item.value
         )
         if roster is None:
-            return
+            # Any worker may run tasks of earlier terms.
+            roster = rosters.UNKNOWN
         self._roster = roster
         # A takeover that is tried again finds the record of this term.
         if self._earlier_leases_until_ms is None:
--- a/figtray/scheduling/tests/test_odd_records.py
+++ b/figtray/scheduling/tests/test_odd_records.py
@@ -5,6 +5,7 @@
 from figtray.events import catalogue
 from figtray.jobs import records
 from figtray.leadership import term as terms
+from figtray.scheduling import roster as rosters
 from figtray.scheduling import service
 from figtray.scheduling import session
 from figtray.scheduling.tests import harness
@@ -163,3 +164,30 @@
         term = Term(fleet)
         fleet.clock.advance(2000)
         assert term.scheduler.expired_jobs(1000) == [job_id]
+
+
+class TestUnreadableRoster:
+    # A task started a second time, as its worker was not asked or awaited.
+    @pytest.mark.parametrize('lasting', [True, False])
+    @pytest.mark.parametrize('terms_after', [1, 2])
+    def test_task_on_an_unlisted_worker_runs_twice(
+        self, fleet, lasting, terms_after
+    ):
+        job_id = fleet.submit(harness.make_step(lasting=lasting))
+        Term(fleet).play(3 * takeovers.CYCLE_MS)
+        task = f'{job_id}.0.0.0'
+        number = takeovers.place(fleet, task)
+        takeovers.silence(fleet, number, listed=False)
+        fleet.store.txn([], [base.Put(rosters.ROSTER_KEY, DEEP)])
+        new_id = None
+        for _ in range(terms_after):
+            term = Term(fleet)
+            # Tasks of this term start at once, so its roster is written.
+            new_id = fleet.submit(harness.make_step(lasting=True))
+            term.read_intake()
+            term.play(takeovers.START_MS)
+            assert f'{new_id}.0.0.0' in takeovers.running(fleet)
+        term.play(takeovers.LONGEST_LEASE_MS + takeovers.START_MS)
+        assert takeovers.place(fleet, task) != number
+        stored = rosters.decode(fleet.store.get(rosters.ROSTER_KEY).value)
+        assert stored.complete
--- a/figtray/scheduling/worker_ends.py
+++ b/figtray/scheduling/worker_ends.py
@@ -67,7 +67,7 @@
             reason=reason,
             left=len(self._unresolved),
         )
-        if not self._unresolved:
+        if not self._unresolved and self._is_roster_complete:
             self._awaited_log.log_all_accounted()
             self._record_takeover(metrics.TakeoverPhase.ACCOUNTED)
         if kind in (ends.Kind.CRASHED, ends.Kind.UNKNOWN):
