Refuse jobs that could never run or would hold up others

Callers would see nothing run: a stored job with a step after one that doesn't exist, without steps or with a dot in its id ended each takeover or each plan; a start at 10^400 ms, a count of 0 or an empty id were taken for usual. Entries themselves accepted negative amounts and times, 10^400 of a resource, 10^9 repeats and any number of steps of 10,000 tasks, all of which the leader keeps in memory. A deep body or a time limit of 5,000 digits was answered 500.

Cause: the entry checked counts and `after` only, readers of stored jobs nothing, and the number of a header was converted at any length.

Evidence: before, TestTakeover.test_odd_job_ends_the_term failed in all six cases (IndexError, ValueError, or the job was taken), test_bad_job for 13 new bodies (200 in place of 400), test_deep_job_is_an_internal_error and test_odd_deadline_is_an_internal_error (500).

Change: jobs/limits.py names what is wrong with a job; the entry answers 400 with it, and a stored job beyond the limits is as one that can't be read. A time limit that no call reaches counts as none.

Result: these tests pass, and nothing is stored by a refused submission.

--- a/figtray/jobs/records.py
+++ b/figtray/jobs/records.py
@@ -10,6 +10,7 @@
 import msgspec
 
 from figtray import decoding
+from figtray.jobs import limits
 from figtray.jobs import model
 
 INTAKE_PREFIX = 'intake/'
@@ -165,10 +166,13 @@
     """Return the Job of stored bytes.
 
     Raises:
-        UnreadableMessage: the bytes are not a Job. The functions below raise
-            it in the same way.
+        UnreadableMessage: the bytes are not a Job, or no entry accepts such
+            a job. The functions below raise it in the same way.
     """
-    return decoding.decode('job', _job_decoder, data)
+    job = decoding.decode('job', _job_decoder, data)
+    if problem := limits.problem(job):
+        raise decoding.unreadable('job', problem)
+    return job
 
 
 def decode_progress(data):
--- a/figtray/platform/job_api.py
+++ b/figtray/platform/job_api.py
@@ -4,16 +4,18 @@
 
 import msgspec
 
+from figtray import decoding
 from figtray import errors
 from figtray.events import catalogue
 from figtray.events import log
 from figtray.jobs import intake as intakes
+from figtray.jobs import limits
 from figtray.jobs import model
 from figtray import listener
 
 JOB_ID_PATTERN = re.compile(r'[0-9a-f]{16}')
 MAX_PAYLOAD_BYTES = 4000
-MAX_TASKS_PER_STEP = 10_000
+MAX_DEADLINE_DIGITS = 9
 # Part of the caller's time limit that is kept for sending the response.
 RESPONSE_RESERVE_MS = 150
 MIN_STORE_CALL_MS = 100
@@ -76,6 +78,15 @@
     interval_ms: int = 0
 
 
+# Fields of a step, mapped to those of a submission.
+_PLATFORM_NAMES = {
+    'needs': 'cpu/mem_mb/gpu',
+    'tail_limit_ms': 'target_ms',
+    'max_per_worker': 'max_per_server',
+    'may_be_away': 'may_miss',
+}
+
+
 class _RequestError(Exception):
     """A request that is answered with an error before any store call."""
 
@@ -216,6 +227,8 @@
             interval_ms=submission.interval_ms,
             accepted_ms=self._clock.wall_ms(),
         )
+        if problem := limits.problem(job):
+            raise _RequestError(400, _in_platform_names(problem))
         return _describe_result(
             self._intake.submit(job_id, job, self._store_timeout_ms(environ))
         )
@@ -238,7 +251,10 @@
         no valid one, so that the default of the store's client applies.
         """
         text = environ.get('HTTP_X_FIGTRAY_DEADLINE_MS', '')
-        if not text.isdecimal():
+        if not (text.isascii() and text.isdecimal()):
+            return None
+        # A longer time than any call takes.
+        if len(text) > MAX_DEADLINE_DIGITS:
             return None
         return max(MIN_STORE_CALL_MS, int(text) - RESPONSE_RESERVE_MS)
 
@@ -280,27 +296,26 @@
     return 504, {'error': 'may have been stored'}, result.detail
 
 
+def _in_platform_names(problem):
+    for field, name in _PLATFORM_NAMES.items():
+        problem = problem.replace(f'.{field}:', f'.{name}:')
+    return problem
+
+
 def _parse_submission(environ):
-    """Return the valid _Submission of a request's body.
+    """Return the _Submission of a request's body.
 
     Raises:
-        _RequestError: the body is malformed or out of range.
+        _RequestError: the body is malformed, or its payload too large.
     """
     try:
-        submission = _submission_decoder.decode(environ['wsgi.input'].read())
-    except (msgspec.MsgspecError, UnicodeDecodeError) as exc:
-        raise _RequestError(400, f'unreadable job: {exc}') from exc
+        submission = decoding.decode(
+            'unreadable job',
+            _submission_decoder,
+            environ['wsgi.input'].read(),
+        )
+    except errors.UnreadableMessage as exc:
+        raise _RequestError(400, str(exc)) from exc
     if len(submission.spec.encode()) > MAX_PAYLOAD_BYTES:
         raise _RequestError(400, f'spec: over {MAX_PAYLOAD_BYTES} bytes')
-    if not submission.steps:
-        raise _RequestError(400, 'steps: none')
-    for number, step in enumerate(submission.steps):
-        if not 0 < step.count <= MAX_TASKS_PER_STEP:
-            raise _RequestError(
-                400, f'steps[{number}].count: not 1 to {MAX_TASKS_PER_STEP}'
-            )
-        if any(not 0 <= other < number for other in step.after):
-            raise _RequestError(
-                400, f'steps[{number}].after: not an earlier step'
-            )
     return submission
--- a/figtray/platform/tests/test_job_api.py
+++ b/figtray/platform/tests/test_job_api.py
@@ -176,6 +176,19 @@
             {'spec': 'x', 'steps': [{'count': 1, 'after': [0]}]},
             {'spec': 'x', 'steps': [{'count': 1, 'after': [-1]}]},
             {'spec': 'x', 'steps': [{'count': 'many'}]},
+            {'spec': 'x', 'steps': [{'count': 10_000}] * 11},
+            {'spec': 'x', 'steps': [{'count': 1, 'cpu': -1}]},
+            {'spec': 'x', 'steps': [{'count': 1, 'mem_mb': 10**400}]},
+            {'spec': 'x', 'steps': [{'count': 1, 'gpu': 10**10}]},
+            {'spec': 'x', 'steps': [{'count': 1, 'estimate_ms': -1}]},
+            {'spec': 'x', 'steps': [{'count': 1, 'target_ms': 10**30}]},
+            {'spec': 'x', 'steps': [{'count': 1, 'max_per_server': -1}]},
+            {'spec': 'x', 'steps': [{'count': 1, 'may_miss': -1}]},
+            JOB | {'repeats': -1},
+            JOB | {'repeats': 10**9},
+            JOB | {'repeats': 2, 'start_ms': -1},
+            JOB | {'repeats': 2, 'interval_ms': -1},
+            JOB | {'repeats': 2, 'interval_ms': 10**400},
         ],
     )
     def test_bad_job(self, deployment, body):
@@ -184,6 +197,30 @@
         assert reply['error']
         assert not deployment.store.range(records.INTAKE_PREFIX).items
 
+    # Callers know the names of the platform only.
+    def test_error_names_a_field_that_callers_do_not_know(self, deployment):
+        step = {'count': 1, 'max_per_server': -1}
+        body = {'spec': 'x', 'steps': [step]}
+        _, reply, _ = deployment.call('POST', f'/q/{ID}', body)
+        assert reply['error'].startswith('steps[0].max_per_server: not 0 to ')
+
+    # Its caller was told of an internal error, and a traceback was logged.
+    def test_deep_job_is_an_internal_error(self, deployment):
+        body = b'{"x":' + b'[' * 60_000 + b']' * 60_000 + b'}'
+        status, reply, _ = deployment.call(
+            'POST', f'/q/{ID}', **{'wsgi.input': io.BytesIO(body)}
+        )
+        assert status == 400
+        assert 'unreadable' in reply['error']
+
+    # A time limit that no call reaches is none.
+    @pytest.mark.parametrize(
+        'text', ['9' * 5000, '-1', '\u0663', '1.5', '', '0']
+    )
+    def test_odd_deadline_is_an_internal_error(self, deployment, text):
+        headers = {'HTTP_X_FIGTRAY_DEADLINE_MS': text}
+        assert deployment.status('POST', f'/q/{ID}', JOB, **headers) == 200
+
     def test_bad_id(self, deployment):
         assert deployment.status('POST', '/q/short', JOB) == 404
 
--- a/figtray/scheduling/stored_records.py
+++ b/figtray/scheduling/stored_records.py
@@ -1,5 +1,6 @@
 """Reading of the records that callers and earlier leaders have stored."""
 
+from figtray import decoding
 from figtray.jobs import records
 
 
@@ -51,7 +52,9 @@
         job_id = item.key.removeprefix(records.JOB_PREFIX)
         if job_id in self._held_jobs:
             return
-        job = self._unreadable.read(item.key, records.decode_job, item.value)
+        job = self._unreadable.read(
+            item.key, lambda data: _decode_job(job_id, data), item.value
+        )
         if job is not None:
             self._scheduler.add_job(job_id, job, item.create_revision, stored)
 
@@ -62,3 +65,10 @@
         if cancel is not None:
             job_id = item.key.removeprefix(records.CANCEL_PREFIX)
             self._scheduler.cancel(job_id, cancel.cancelled_ms)
+
+
+def _decode_job(job_id, data):
+    # The names of its tasks could not be told apart.
+    if not job_id or '.' in job_id:
+        raise decoding.unreadable('job', f'odd id {job_id!r}')
+    return records.decode_job(data)
--- a/figtray/scheduling/tests/test_odd_records.py
+++ b/figtray/scheduling/tests/test_odd_records.py
@@ -3,6 +3,7 @@
 import pytest
 
 from figtray.events import catalogue
+from figtray.jobs import model
 from figtray.jobs import records
 from figtray.leadership import term as terms
 from figtray.scheduling import roster as rosters
@@ -121,6 +122,32 @@
             term.play(2 * takeovers.CYCLE_MS)
         assert len(takeovers.running(fleet)) == 2
 
+    # Each term ended at once, or the planner failed in each round.
+    @pytest.mark.parametrize(
+        ('job_id', 'steps', 'more'),
+        [
+            (ODD_ID, (model.Step(1, after=(5,)),), {}),
+            (ODD_ID, (), {}),
+            (ODD_ID, (model.Step(0),), {}),
+            (ODD_ID, (model.Step(1),), {'repeats': 2, 'start_ms': 10**400}),
+            ('a.b', (model.Step(1),), {}),
+            ('', (model.Step(1),), {}),
+        ],
+        ids=['after', 'no-steps', 'count', 'start', 'id', 'no-id'],
+    )
+    def test_odd_job_ends_the_term(self, fleet, handler, job_id, steps, more):
+        fleet.submit(harness.make_step(2))
+        job = model.Job('q', 't', 'p', steps, **more)
+        key = records.JOB_PREFIX + job_id
+        fleet.store.txn([], [base.Put(key, records.encode(job))])
+        for _ in range(2):
+            term = Term(fleet)
+            term.read_intake()
+            term.play(2 * takeovers.CYCLE_MS)
+        assert len(takeovers.running(fleet)) == 2
+        # One line of each process.
+        assert named(handler) == [key] * 2
+
     # The log grew with each term and each full read.
     def test_unreadable_record_is_named_at_each_read(self, fleet, handler):
         key = records.JOB_PREFIX + ODD_ID
--- a/figtray/tests/test_odd_records.py
+++ b/figtray/tests/test_odd_records.py
@@ -1,5 +1,6 @@
 """Tests that put what no reader expects before each reader of records."""
 
+import msgspec
 import pytest
 
 from figtray import errors
@@ -36,6 +37,44 @@
     'wave-record': wave_state.decode,
 }
 
+JOB = {'queue': 'q', 'team': 't', 'payload': 'p', 'steps': [{'count': 2}]}
+# What each entry refuses, or no leader writes; the decoders of the type take
+# all of it.
+ODD_CONTENT = {
+    'job': [
+        JOB | {'steps': []},
+        JOB | {'steps': [{'count': 0}]},
+        JOB | {'steps': [{'count': 10**9}]},
+        JOB | {'steps': [{'count': -1}]},
+        JOB | {'steps': [{'count': 10_000}] * 11},
+        JOB | {'steps': [{'count': 1, 'after': [0]}]},
+        JOB | {'steps': [{'count': 1, 'after': [-1]}]},
+        JOB | {'steps': [{'count': 1, 'needs': {'cpu_milli': -1}}]},
+        JOB | {'steps': [{'count': 1, 'needs': {'memory_mb': 10**400}}]},
+        JOB | {'steps': [{'count': 1, 'estimate_ms': -1}]},
+        JOB | {'repeats': 10**9},
+        JOB | {'repeats': -1},
+        JOB | {'start_ms': 10**400},
+        JOB | {'accepted_ms': 10**400},
+    ],
+}
+
+
+class TestOddContent:
+    # Guards against a record that is readable, and ends its user by an
+    # unexpected error.
+    @pytest.mark.parametrize(
+        ('reader', 'content'),
+        [(name, item) for name, odd in ODD_CONTENT.items() for item in odd],
+    )
+    def test_content_is_taken_for_a_record(self, reader, content):
+        data = msgspec.json.encode(content)
+        with pytest.raises(errors.UnreadableMessage):
+            READERS[reader](data)
+
+    def test_usual_job_is_unreadable(self):
+        assert records.decode_job(msgspec.json.encode(JOB)).steps[0].count == 2
+
 
 class TestOddBytes:
     # Guards against a record that ends its reader by an unexpected error.
