Take progress with odd keys or masks for unreadable

Callers would see all jobs stand still: with one key in a stored progress that isn't OCCURRENCE.STEP.INDEX, the writer failed in each round at this record, so nothing was stored any more and no end was acknowledged. With a negative mask all tasks of the job counted as done, and the job as completed.

Cause: the keys are split and converted when the progress is stored again, in the thread of the writer, and nothing checked them when they were read.

Evidence: before, TestOddProgress.test_odd_key_ends_all_writes failed for both keys (ValueError in the writer) and for the mask (the record was written over), TestOddContent for all fifteen progress records.

Change: a progress that no leader writes is as one that can't be read: its job stands still, and nothing else does.

Result: these tests pass. What is stored of tasks that a job doesn't have stays unused, as before.

--- a/figtray/jobs/records.py
+++ b/figtray/jobs/records.py
@@ -6,6 +6,7 @@
 """
 
 import enum
+import re
 
 import msgspec
 
@@ -156,6 +157,9 @@
     return msgspec.json.encode(record)
 
 
+_STEP_KEY = re.compile(r'[0-9]{1,9}\.[0-9]{1,9}')
+_TASK_KEY = re.compile(r'[0-9]{1,9}\.[0-9]{1,9}\.[0-9]{1,9}')
+
 _job_decoder = msgspec.json.Decoder(model.Job)
 _progress_decoder = msgspec.json.Decoder(Progress)
 _cancellation_decoder = msgspec.json.Decoder(Cancellation)
@@ -177,7 +181,10 @@
 
 def decode_progress(data):
     """Return the Progress of stored bytes."""
-    return decoding.decode('progress', _progress_decoder, data)
+    progress = decoding.decode('progress', _progress_decoder, data)
+    if problem := next(_progress_problems(progress), ''):
+        raise decoding.unreadable('progress', problem)
+    return progress
 
 
 def decode_cancellation(data):
@@ -188,3 +195,23 @@
 def decode_waiting_jobs(data):
     """Return the WaitingJobs of stored bytes."""
     return decoding.decode('waiting jobs', _waiting_jobs_decoder, data)
+
+
+def _progress_problems(progress):
+    """Yield what no leader stores, and would end its user by an error."""
+    for key, mask in progress.done.items():
+        if not _STEP_KEY.fullmatch(key):
+            yield f'done: odd key {key!r}'
+        if not 0 <= mask < 1 << limits.MAX_TASKS_PER_STEP:
+            yield f'done: odd mask of {key}'
+    for field in ('failures', 'checkpoints', 'placements', 'crashes'):
+        for key in getattr(progress, field):
+            if not _TASK_KEY.fullmatch(key):
+                yield f'{field}: odd key {key!r}'
+    for key, crashes in progress.crashes.items():
+        if not 0 <= crashes.alone <= limits.MAX_AMOUNT:
+            yield f'crashes: odd number of trials of {key}'
+        if not 0 <= crashes.longest_ms <= limits.MAX_TIME_MS:
+            yield f'crashes: odd time of {key}'
+    if not 0 <= progress.ended_ms <= limits.MAX_TIME_MS:
+        yield 'ended_ms: out of range'
--- a/figtray/scheduling/tests/test_odd_records.py
+++ b/figtray/scheduling/tests/test_odd_records.py
@@ -218,3 +218,29 @@
         assert takeovers.place(fleet, task) != number
         stored = rosters.decode(fleet.store.get(rosters.ROSTER_KEY).value)
         assert stored.complete
+
+
+class TestOddProgress:
+    # The writer failed at this record in each round, so no record of any job
+    # was stored any more, and no end was acknowledged.
+    @pytest.mark.parametrize(
+        'progress',
+        [
+            records.Progress(checkpoints={'x': 'c'}),
+            records.Progress(done={'': 1}),
+            records.Progress(done={'0.0': -1}),
+        ],
+        ids=['key', 'no-key', 'mask'],
+    )
+    def test_odd_key_ends_all_writes(self, fleet, progress):
+        job_id = fleet.submit(harness.make_step(2))
+        key = records.PROGRESS_PREFIX + job_id
+        data = records.encode(progress)
+        fleet.store.txn([], [base.Put(key, data)])
+        other_id = fleet.submit(harness.make_step())
+        term = Term(fleet)
+        term.play(2 * takeovers.CYCLE_MS)
+        harness.finish(fleet, f'{other_id}.0.0.0')
+        term.play(2 * takeovers.CYCLE_MS)
+        assert fleet.intake.state(other_id) == records.State.COMPLETED
+        assert fleet.store.get(key).value == data
--- a/figtray/tests/test_odd_records.py
+++ b/figtray/tests/test_odd_records.py
@@ -57,6 +57,23 @@
         JOB | {'start_ms': 10**400},
         JOB | {'accepted_ms': 10**400},
     ],
+    'progress': [
+        {'done': {'0.0': -1}},
+        {'done': {'0.0': 1 << 10_000}},
+        {'done': {'a.0': 1}},
+        {'done': {'': 1}},
+        {'done': {'0.0.0': 1}},
+        {'failures': {'0.0': [1]}},
+        {'failures': {'0.0.-1': [1]}},
+        {'checkpoints': {'x': 'c'}},
+        {'placements': {'\u0663.0.0': ['worker', 1]}},
+        {'crashes': {'1' * 5000: [[1], 1]}},
+        {'crashes': {'0.0.0': [[1], -1]}},
+        {'crashes': {'0.0.0': [[1], 1, [], 10**400]}},
+        {'ended_ms': -1},
+        {'ended_ms': 10**400},
+        {'state': 'odd'},
+    ],
 }
 
 
@@ -75,6 +92,14 @@
     def test_usual_job_is_unreadable(self):
         assert records.decode_job(msgspec.json.encode(JOB)).steps[0].count == 2
 
+    # What is stored of tasks that the job doesn't have is not used.
+    def test_progress_of_a_large_step_is_unreadable(self):
+        progress = records.Progress(
+            done={'99.0': (1 << 10_000) - 1}, checkpoints={'0.0.9999': 'c'}
+        )
+        data = records.encode(progress)
+        assert records.decode_progress(data) == progress
+
 
 class TestOddBytes:
     # Guards against a record that ends its reader by an unexpected error.
