--- a/figtray/scheduling/stored_records.py
+++ b/figtray/scheduling/stored_records.py
@@ -1,9 +1,6 @@
 """Reading of the records that callers and earlier leaders have stored."""
 
-import msgspec
-
-from figtray.events import catalogue
-from figtray.events import log
+from figtray import decoding
 from figtray.jobs import records
 
 
@@ -12,22 +9,32 @@
 
     Args:
         scheduler: the Scheduler.
+        unreadable_log: the UnreadableLog.
     """
 
-    def __init__(self, scheduler):
+    def __init__(self, scheduler, unreadable_log):
         self._scheduler = scheduler
+        self._unreadable = unreadable_log
+        # Ids of jobs whose progress is unreadable. Which of their tasks are
+        # done is unknown, so none of them may start.
+        self._held_jobs = set()
 
     def add(self, items, progress=None):
         """Add all jobs, then the cancellations.
 
         Args:
             items: the KeyValues below records.INTAKE_PREFIX.
-            progress: mapping of job id to its stored Progress, or None.
+            progress: mapping of job id to its stored Progress, which is None
+                if it is unreadable; None after the first call.
         """
+        progress = progress or {}
+        self._held_jobs |= {
+            job_id for job_id, stored in progress.items() if stored is None
+        }
         jobs = [i for i in items if i.key.startswith(records.JOB_PREFIX)]
         for item in sorted(jobs, key=lambda i: i.create_revision):
             job_id = item.key.removeprefix(records.JOB_PREFIX)
-            self._add_job(item, (progress or {}).get(job_id))
+            self._add_job(item, progress.get(job_id))
         for item in items:
             if item.key.startswith(records.CANCEL_PREFIX):
                 self._cancel(item)
@@ -42,27 +49,26 @@
             self._cancel(item)
 
     def _add_job(self, item, stored):
-        job = decode(item, records.decode_job)
+        job_id = item.key.removeprefix(records.JOB_PREFIX)
+        if job_id in self._held_jobs:
+            return
+        job = self._unreadable.read(
+            item.key, lambda data: _decode_job(job_id, data), item.value
+        )
         if job is not None:
-            job_id = item.key.removeprefix(records.JOB_PREFIX)
             self._scheduler.add_job(job_id, job, item.create_revision, stored)
 
     def _cancel(self, item):
-        cancel = decode(item, records.decode_cancellation)
+        cancel = self._unreadable.read(
+            item.key, records.decode_cancellation, item.value
+        )
         if cancel is not None:
             job_id = item.key.removeprefix(records.CANCEL_PREFIX)
             self._scheduler.cancel(job_id, cancel.cancelled_ms)
 
 
-def decode(item, decode_value):
-    """Return the record of a KeyValue; None, with a log line, if unreadable.
-
-    Args:
-        item: the KeyValue.
-        decode_value: returns the record of its value.
-    """
-    try:
-        return decode_value(item.value)
-    except msgspec.MsgspecError as exc:
-        log.emit(catalogue.RECORD_UNREADABLE, record=item.key, detail=str(exc))
-        return None
+def _decode_job(job_id, data):
+    # The names of its tasks could not be told apart.
+    if not job_id or '.' in job_id:
+        raise decoding.unreadable('job', f'odd id {job_id!r}')
+    return records.decode_job(data)
