Keep the threads of a node through unexpected errors

Callers would see a node refuse all keyed calls for good, or no node lead: an error that nobody foresaw, in a reply of the store or in the handling of one change, ended the thread of the operators' view, of the leader's watch, of the campaign or of the renewal of the lease, and nothing started it again.

Cause: these threads caught the errors of figtray only. Those of a term were guarded.

Evidence: before, TestViewThatFails of the prefix watcher raised the error out of the watch, and test_error_ends_a_thread_for_good saw no renewal within 10 s after two unexpected errors of each of five calls.

Change: threads.spawn() calls a function again after an unexpected error. A change that the view can't apply is named once and skipped, and the others are reported; after any other error the view is read again as a whole.

Result: these tests pass, and five failed reads cost one line of the log.

--- a/figtray/events/unreadable.py
+++ b/figtray/events/unreadable.py
@@ -1,5 +1,6 @@
 """Log of the records that can't be read, each named once."""
 
+import contextlib
 import threading
 
 from figtray import errors
@@ -43,28 +44,47 @@
             self.note(record, exc)
             return None
 
+    @contextlib.contextmanager
+    def skip_on_error(self, record):
+        """Skip the rest of the block, with a log line, if it raises.
+
+        Args:
+            record: name of the record that the block applies.
+        """
+        try:
+            yield
+        except Exception as exc:
+            self.note(record, exc)
+
     def note(self, record, exc):
         """Log that a record is skipped, unless it is named already.
 
         Args:
             record: its name, such as its key.
-            exc: the UnreadableMessage.
+            exc: the UnreadableMessage, or an unexpected exception.
         """
-        detail = str(exc)
+        name = self._name_to_log(record)
+        if not name:
+            return
+        if isinstance(exc, errors.UnreadableMessage):
+            log.emit(catalogue.RECORD_UNREADABLE, record=name, detail=str(exc))
+        else:
+            log.emit_exception(f'record {name}', exc)
+
+    def _name_to_log(self, record):
+        """Return how to name a record now; empty if it was named."""
         with self._lock:
             now_ms = self._clock.now_ms()
             seen_ms = self._seen_ms.get(record)
             if seen_ms is None and not self._has_room(now_ms):
                 if self._is_full:
-                    return
+                    return ''
                 self._is_full = True
-                record = f'{record} and others'
-                detail = f'over {MAX_NAMED} records are unreadable: {detail}'
-            else:
-                self._seen_ms[record] = now_ms
+                return f'{record} and others'
+            self._seen_ms[record] = now_ms
             if seen_ms is not None and now_ms - seen_ms < FORGET_MS:
-                return
-        log.emit(catalogue.RECORD_UNREADABLE, record=record, detail=detail)
+                return ''
+            return record
 
     def _has_room(self, now_ms):
         """Return whether one more record can be named."""
--- a/figtray/leadership/elector.py
+++ b/figtray/leadership/elector.py
@@ -12,6 +12,7 @@
 from figtray.leadership import term as terms
 from figtray.store import base
 from figtray.store import prefix_watcher
+from figtray import threads
 
 # Longest wait of one watch call. The record of leases ends it each 2 s while
 # there is a leader, so a longer wait would save no calls, and a call that
@@ -61,13 +62,14 @@
 
     def run(self, stop):
         """Take part in elections until a threading.Event is set."""
-        watcher = threading.Thread(
-            target=self._watcher.run,
-            args=(stop,),
-            name='leader watch',
-            daemon=True,
+        threads.spawn(
+            lambda: self._watcher.run(stop), 'leader watch', stop, self._clock
         )
-        watcher.start()
+        threads.run_guarded(
+            lambda: self._campaign(stop), 'campaign', stop, self._clock
+        )
+
+    def _campaign(self, stop):
         while not stop.is_set():
             if not self._vacant.wait(RETRY_MS / 1000):
                 continue
@@ -218,7 +220,7 @@
             (lambda: self._renew_lease(term), 'renewal'),
             (lambda: self._end_term_at_stop(term, stop), 'hand-over'),
         ):
-            threading.Thread(target=target, name=name, daemon=True).start()
+            threads.spawn(target, name, term.ended, self._clock)
         try:
             self._lead(term)
         except Exception as exc:
--- a/figtray/leadership/tests/test_elector.py
+++ b/figtray/leadership/tests/test_elector.py
@@ -342,3 +342,45 @@
         )
         term.ended = self.NEVER
         assert term.valid()
+
+
+class TestUnexpectedErrors:
+    # The node never led again, and nobody renewed the lease of its term.
+    @pytest.mark.parametrize(
+        'call', ['grant_lease', 'txn', 'keep_alive', 'revoke', 'range']
+    )
+    def test_error_ends_a_thread_for_good(self, store, call):
+        failed, renewed, stop = [], threading.Event(), threading.Event()
+        made = getattr(store, call)
+
+        def fail_first(*args, **kwargs):
+            if len(failed) < 2:
+                failed.append(call)
+                raise RecursionError('odd reply')
+            return made(*args, **kwargs)
+
+        setattr(store, call, fail_first)
+        keep_alive = store.keep_alive
+
+        def note_renewal(lease_id):
+            ttl_ms = keep_alive(lease_id)
+            if len(failed) == 2:
+                renewed.set()
+            return ttl_ms
+
+        store.keep_alive = note_renewal
+
+        def lead(term):
+            if call == 'revoke' and len(failed) < 2:
+                return
+            term.ended.wait(WAIT_S)
+
+        candidate = make_elector(
+            store, clock_lib.SystemClock(), 'node-1', 'a', lead
+        )
+        thread = threading.Thread(target=candidate.run, args=(stop,))
+        thread.start()
+        assert renewed.wait(WAIT_S)
+        stop.set()
+        thread.join(WAIT_S)
+        assert not thread.is_alive()
--- a/figtray/platform/main.py
+++ b/figtray/platform/main.py
@@ -25,6 +25,7 @@
 from figtray import program
 from figtray.scheduling import service
 from figtray.store import instrumented
+from figtray import threads
 from figtray.upkeep import controller
 
 PROGRAM = 'figtray-node'
@@ -158,9 +159,7 @@
         log.emit(catalogue.FRONT_CLOSED, cut_off=cut_off)
 
     def _spawn(self, target, name):
-        thread = threading.Thread(target=target, name=name, daemon=True)
-        thread.start()
-        return thread
+        return threads.spawn(target, name, self._ended, self._clock)
 
     def _build_leader_service(self):
         settings = self._settings
--- a/figtray/store/prefix_watcher.py
+++ b/figtray/store/prefix_watcher.py
@@ -6,6 +6,7 @@
 from figtray import errors
 from figtray.events import catalogue
 from figtray.events import log
+from figtray.events import unreadable
 from figtray.store import base
 
 RETRY_MS = 250
@@ -21,6 +22,8 @@
     The view is confirmed as of a time if it holds all changes made before
     that time. A full read or a request of a watch that is answered confirms
     it as of the time of the request; a watch that breaks confirms nothing.
+    A change that the view can't apply is logged and skipped, and the others
+    are reported.
 
     Args:
         store: the Store.
@@ -48,6 +51,7 @@
         self._wait_ms = wait_ms
         self._confirmed_ms = None
         self._failing_since_ms = None
+        self._unreadable = unreadable.UnreadableLog(clock)
         self.loaded = threading.Event()
 
     def staleness_ms(self):
@@ -76,8 +80,16 @@
                 revision = None
             except errors.StoreUnavailable as exc:
                 self._report_failure(exc)
-                jitter_ms = random.random() * RETRY_JITTER_MS
-                self._clock.wait(stop, RETRY_MS + jitter_ms)
+                self._wait(stop)
+            except Exception as exc:
+                # What the view has missed is unknown; a full read tells.
+                revision = None
+                self._unreadable.note(self._prefix, exc)
+                self._wait(stop)
+
+    def _wait(self, stop):
+        jitter_ms = random.random() * RETRY_JITTER_MS
+        self._clock.wait(stop, RETRY_MS + jitter_ms)
 
     def load(self):
         """Read all keys below the prefix once.
@@ -113,7 +125,8 @@
                     return
                 requested_ms = self._clock.now_ms()
                 continue
-            self._on_change(item)
+            with self._unreadable.skip_on_error(item.key):
+                self._on_change(item)
             revision = item.mod_revision
             yield revision
 
--- a/figtray/store/tests/test_prefix_watcher.py
+++ b/figtray/store/tests/test_prefix_watcher.py
@@ -2,6 +2,7 @@
 
 import threading
 
+import logbook
 import pytest
 
 from figtray import clock as clock_lib
@@ -51,6 +52,12 @@
     return memory.MemoryStore(clock)
 
 
+@pytest.fixture
+def handler():
+    with logbook.TestHandler() as handler:
+        yield handler
+
+
 @pytest.fixture
 def view(store, clock):
     view = View(store, clock)
@@ -138,6 +145,41 @@
             yield None
 
 
+class TestViewThatFails:
+    # The thread ended, so the view was outdated for good.
+    def test_odd_change_ends_the_watch(self, clock, handler):
+        items = [base.KeyValue(f'/w/{n}', b'', n) for n in range(2, 5)]
+        store = ScriptedStore(clock, [items, items])
+        seen = []
+
+        def apply(item):
+            if item.key == '/w/3':
+                raise KeyError('odd')
+            seen.append(item.key)
+
+        prefix_watcher.PrefixWatcher(
+            store, '/w/', clock, lambda items: None, apply
+        ).run(threading.Event())
+        assert seen == ['/w/2', '/w/4'] * 2
+        [record] = handler.records
+        assert record.extra['fields']['where'] == 'record /w/3'
+
+    def test_odd_read_ends_the_watch(self, clock, handler):
+        store = ScriptedStore(clock, [()])
+        reads = []
+
+        def reset(items):
+            reads.append(items)
+            if len(reads) < 5:
+                raise RecursionError('odd')
+
+        prefix_watcher.PrefixWatcher(
+            store, '/w/', clock, reset, lambda item: None
+        ).run(threading.Event())
+        assert len(reads) == 5
+        assert len(handler.records) == 1
+
+
 class TestWaitAfterFailure:
     WAIT_MS = 4000
     SHORT_MS = 300
