Keep a term through an error in one job, step or record

Callers would see nothing run: an error that nobody foresaw, in one job of a takeover, in one step of a plan or in the encoding of one record, ended the term and each that followed, or the writer failed in each round.

Cause: the readers and loops of a term guard threads only, not records.

Change: a job that can't be added is held for the term; a step that can't be ranked or started waits, with its tasks, and the others start; a plan that fails is tried again, while runs go on and end; a record that can't be encoded is left out, as a batch that never ends would hold up all others.

A step that failed once starts its tasks in the next plan, and no task that is held for an earlier worker, which a test checks.

--- a/figtray/scheduling/job_lifecycle.py
+++ b/figtray/scheduling/job_lifecycle.py
@@ -68,6 +68,15 @@
             )
         self.changed.set()
 
+    def drop_job(self, job_id):
+        """Forget a job that could not be added as a whole."""
+        with self.lock:
+            self._jobs.pop(job_id, None)
+            self._timed_jobs.discard(job_id)
+            for name, step in list(self._open_steps.items()):
+                if step.job.job_id == job_id:
+                    del self._open_steps[name]
+
     def cancel(self, job_id, cancelled_ms):
         """Cancel a job and stop its runs.
 
--- a/figtray/scheduling/planner.py
+++ b/figtray/scheduling/planner.py
@@ -50,11 +50,12 @@
             ):
                 return now_ms + SUSPENDED_RETRY_MS
             for job_id in list(self._timed_jobs):
-                start_ms = self._open_due_occurrences(
-                    self._jobs[job_id], now_ms
-                )
-                if start_ms is not None:
-                    next_ms = min(next_ms, start_ms)
+                with self._failure_log.skip_on_error(f'job {job_id}'):
+                    start_ms = self._open_due_occurrences(
+                        self._jobs[job_id], now_ms
+                    )
+                    if start_ms is not None:
+                        next_ms = min(next_ms, start_ms)
             pools = self._candidates_by_pool()
             self._release_trials()
             if self._is_adopting(now_ms):
@@ -79,12 +80,25 @@
         """Start what can start of all steps, most urgent first."""
         for step in self._steps_by_urgency(now_ms):
             worker_states = pools.get(step.job.queue.pool)
-            if worker_states:
+            if not worker_states:
+                step.held_reason = state.HeldReason.NO_WORKERS
+                continue
+            try:
                 step.held_reason = self._start_step(
                     step, worker_states, now_ms
                 )
-            else:
-                step.held_reason = state.HeldReason.NO_WORKERS
+            except Exception as exc:
+                self._failure_log.note(f'step {step.name}', exc)
+                self._restore_waiting(step, now_ms)
+
+    def _restore_waiting(self, step, now_ms):
+        """Let the tasks wait that a failed start took out of the queue."""
+        for task in step.tasks:
+            if not task.done and task.run is None and task not in step.waiting:
+                step.waiting.append(task)
+        if self._is_adopting(now_ms):
+            # They are held, and return to the queue after this plan.
+            self._take_uncertain_tasks(step)
 
     def _candidates_by_pool(self):
         """Return the candidate WorkerStates of each pool.
@@ -107,14 +121,12 @@
 
     def _steps_by_urgency(self, now_ms):
         """Return the open steps with waiting tasks, most urgent first."""
-        return sorted(
-            (
-                step
-                for step in self._open_steps.values()
-                if step.waiting and step.job.queue is not None
-            ),
-            key=lambda step: self._urgency(step, now_ms),
-        )
+        ranked = []
+        for step in self._open_steps.values():
+            if step.waiting and step.job.queue is not None:
+                with self._failure_log.skip_on_error(f'step {step.name}'):
+                    ranked.append((self._urgency(step, now_ms), step))
+        return [step for _, step in sorted(ranked, key=lambda item: item[0])]
 
     def _urgency(self, step, now_ms):
         job = step.job
--- a/figtray/scheduling/scheduler_base.py
+++ b/figtray/scheduling/scheduler_base.py
@@ -7,6 +7,7 @@
 
 from figtray.events import catalogue
 from figtray.events import log
+from figtray.events import unreadable
 from figtray.jobs import model
 from figtray.jobs import records
 from figtray import metrics as metrics_lib
@@ -93,6 +94,7 @@
         self._unrecorded_runs = collections.deque()
         self._awaited_log = awaited.AwaitedLog()
         self._held_log = held.HeldLog()
+        self._failure_log = unreadable.UnreadableLog(clock)
         # Ids of jobs whose records were removed, with the Unix time of the
         # removal.
         self._removed_jobs = {}
--- a/figtray/scheduling/service.py
+++ b/figtray/scheduling/service.py
@@ -313,8 +313,13 @@
 
     def _plan(self):
         while not self._term.ended.is_set():
-            self._read_config()
-            next_ms = self._scheduler.plan()
+            try:
+                self._read_config()
+                next_ms = self._scheduler.plan()
+            except Exception as exc:
+                # Runs go on and end without a plan, so the term goes on.
+                self._service.unreadable.note('plan', exc)
+                next_ms = self._clock.now_ms() + RETRY_MS
             wait_ms = max(MIN_PLAN_MS, next_ms - self._clock.now_ms())
             if self._scheduler.changed.wait(wait_ms / 1000):
                 self._clock.wait(self._term.ended, PLAN_DELAY_MS)
--- a/figtray/scheduling/stored_records.py
+++ b/figtray/scheduling/stored_records.py
@@ -15,8 +15,8 @@
     def __init__(self, scheduler, unreadable_log):
         self._scheduler = scheduler
         self._unreadable = unreadable_log
-        # Ids of jobs whose progress is unreadable. Which of their tasks are
-        # done is unknown, so none of them may start.
+        # Ids of jobs whose progress is unreadable, or that can't be added.
+        # Which of their tasks are done is unknown, so none of them may start.
         self._held_jobs = set()
 
     def add(self, items, progress=None):
@@ -55,8 +55,14 @@
         job = self._unreadable.read(
             item.key, lambda data: _decode_job(job_id, data), item.value
         )
-        if job is not None:
+        if job is None:
+            return
+        try:
             self._scheduler.add_job(job_id, job, item.create_revision, stored)
+        except Exception as exc:
+            self._held_jobs.add(job_id)
+            self._scheduler.drop_job(job_id)
+            self._unreadable.note(item.key, exc)
 
     def _cancel(self, item):
         cancel = self._unreadable.read(
@@ -64,7 +70,8 @@
         )
         if cancel is not None:
             job_id = item.key.removeprefix(records.CANCEL_PREFIX)
-            self._scheduler.cancel(job_id, cancel.cancelled_ms)
+            with self._unreadable.skip_on_error(item.key):
+                self._scheduler.cancel(job_id, cancel.cancelled_ms)
 
 
 def _decode_job(job_id, data):
--- a/figtray/scheduling/tests/test_odd_records.py
+++ b/figtray/scheduling/tests/test_odd_records.py
@@ -7,6 +7,7 @@
 from figtray.jobs import records
 from figtray.leadership import term as terms
 from figtray.scheduling import roster as rosters
+from figtray.scheduling import scheduler as schedulers
 from figtray.scheduling import service
 from figtray.scheduling import session
 from figtray.scheduling.tests import harness
@@ -244,3 +245,139 @@
         term.play(2 * takeovers.CYCLE_MS)
         assert fleet.intake.state(other_id) == records.State.COMPLETED
         assert fleet.store.get(key).value == data
+
+
+class TestUnforeseenErrors:
+    @pytest.fixture
+    def odd_id(self, fleet):
+        """Id of a job under which a part of the leader fails."""
+        odd_id = fleet.submit(harness.make_step())
+        fleet.submit(harness.make_step(2))
+        return odd_id
+
+    def check(self, fleet, handler, term, odd_id):
+        """Check that the other job runs, and that the log names one error."""
+        term.read_intake()
+        term.play(5 * takeovers.CYCLE_MS)
+        assert len(takeovers.running(fleet)) == 2
+        assert f'{odd_id}.0.0.0' not in takeovers.running(fleet)
+        lines = harness.logged(handler, catalogue.UNEXPECTED_EXCEPTION)
+        assert len(lines) == 1
+        assert odd_id in lines[0]['where']
+
+    # Each takeover failed, and the watch of the intake with it.
+    @pytest.mark.parametrize(
+        'part', ['_open_ready_steps', '_complete_if_done', '_fail_exhausted']
+    )
+    def test_job_that_cannot_be_added_ends_the_term(
+        self, fleet, handler, monkeypatch, odd_id, part
+    ):
+        run_part = getattr(schedulers.Scheduler, part)
+
+        def fail(scheduler, target, *args):
+            job = getattr(target, 'steps', None)
+            job = job[0].job if job else target
+            if job.job_id == odd_id:
+                raise OverflowError('odd')
+            return run_part(scheduler, target, *args)
+
+        monkeypatch.setattr(schedulers.Scheduler, part, fail)
+        self.check(fleet, handler, Term(fleet), odd_id)
+
+    # The term ended with the first plan.
+    @pytest.mark.parametrize('part', ['_start_step', '_urgency'])
+    def test_step_that_cannot_start_ends_the_term(
+        self, fleet, handler, monkeypatch, odd_id, part
+    ):
+        run_part = getattr(schedulers.Scheduler, part)
+
+        def fail(scheduler, step, *args):
+            if step.job.job_id == odd_id:
+                step.waiting.popleft()
+                step.waiting.append(step.tasks[0])
+                raise OverflowError('odd')
+            return run_part(scheduler, step, *args)
+
+        monkeypatch.setattr(schedulers.Scheduler, part, fail)
+        self.check(fleet, handler, Term(fleet), odd_id)
+
+    # A task that was taken out of its queue never started.
+    def test_step_that_failed_once_loses_tasks(
+        self, fleet, monkeypatch, odd_id
+    ):
+        start_step = schedulers.Scheduler._start_step
+        failed = []
+
+        def fail_once(scheduler, step, *args):
+            if step.job.job_id == odd_id and not failed:
+                failed.append(step.waiting.popleft())
+                raise OverflowError('odd')
+            return start_step(scheduler, step, *args)
+
+        monkeypatch.setattr(schedulers.Scheduler, '_start_step', fail_once)
+        Term(fleet).play(3 * takeovers.CYCLE_MS)
+        assert failed
+        assert len(takeovers.running(fleet)) == 3
+
+    # A held task came into its queue twice, and ran twice.
+    def test_step_that_failed_once_starts_held_tasks(self, fleet, monkeypatch):
+        step = harness.make_step(2, lasting=True, max_per_worker=1)
+        job_id = fleet.submit(step)
+        Term(fleet).play(3 * takeovers.CYCLE_MS)
+        first, second = f'{job_id}.0.0.0', f'{job_id}.0.0.1'
+        number, other = (takeovers.place(fleet, t) for t in (first, second))
+        takeovers.silence(fleet, number)
+        fleet.client.crash(f'10.0.0.{other}:80')
+        fleet.add_worker(other, born_ms=2)
+        start_step = schedulers.Scheduler._start_step
+        failed = []
+
+        def fail_once(scheduler, step, *args):
+            if not failed:
+                failed.append(step.waiting.popleft())
+                raise OverflowError('odd')
+            return start_step(scheduler, step, *args)
+
+        monkeypatch.setattr(schedulers.Scheduler, '_start_step', fail_once)
+        term = Term(fleet)
+        term.play(takeovers.START_MS)
+        [task] = failed
+        assert task.name == second
+        assert takeovers.place(fleet, first) == number
+        assert second in takeovers.running(fleet)
+        term.play(takeovers.LONGEST_LEASE_MS)
+        assert takeovers.place(fleet, first) != number
+
+    # The term ended, and each that followed.
+    def test_plan_that_fails_ends_the_term(self, fleet, monkeypatch):
+        term = Term(fleet)
+        plans = []
+
+        def fail():
+            plans.append(term.term.ended.is_set())
+            if len(plans) == 5:
+                term.term.end('the test is over')
+            raise OverflowError('odd')
+
+        monkeypatch.setattr(term.scheduler, 'plan', fail)
+        monkeypatch.setattr(term.scheduler.changed, 'wait', lambda _: False)
+        term.leader._plan()
+        assert plans == [False] * 5
+        assert term.term.reason == 'the test is over'
+
+    # The writer failed at this record in each round.
+    def test_record_that_cannot_be_encoded_holds_up_others(
+        self, fleet, handler
+    ):
+        term = Term(fleet)
+
+        def fail():
+            raise OverflowError('odd')
+
+        term.leader._writer.enqueue('odd', fail)
+        sequence = term.leader._writer.enqueue('good', lambda: b'1')
+        assert term._flush(0, 0)
+        assert term.leader._writer.is_written(sequence)
+        assert fleet.store.get('good').value == b'1'
+        [line] = harness.logged(handler, catalogue.UNEXPECTED_EXCEPTION)
+        assert line['where'] == 'record odd'
--- a/figtray/scheduling/writer.py
+++ b/figtray/scheduling/writer.py
@@ -6,6 +6,7 @@
 from figtray import errors
 from figtray.events import catalogue
 from figtray.events import log
+from figtray.events import unreadable
 from figtray.leadership import term as terms
 from figtray.store import base
 
@@ -44,6 +45,7 @@
         self._last_sequence = 0
         self._revisions = {}
         self._failing = False
+        self._unreadable = unreadable.UnreadableLog(clock)
 
     def set_revision(self, key, revision):
         """Set the revision of a key that was read from the store."""
@@ -135,7 +137,8 @@
                     for key in list(self._pending)[:KEYS_PER_TXN]
                 ]
             batch = self._batch
-        if not self._write({key: encode() for key, _, encode in batch}):
+        values = dict(self._encode(batch))
+        if values and not self._write(values):
             return False
         with self._cond:
             self._batch = None
@@ -143,6 +146,16 @@
         self.on_written()
         return True
 
+    def _encode(self, batch):
+        """Yield the keys and values of a batch.
+
+        A record that can't be encoded is left out: a batch that never ends
+        would hold up all others.
+        """
+        for key, _, encode in batch:
+            with self._unreadable.skip_on_error(key):
+                yield key, encode()
+
     def _written_sequence(self):
         if self._batch is not None:
             return self._batch[0][1] - 1
