--- a/figtray/scheduling/scheduler_base.py
+++ b/figtray/scheduling/scheduler_base.py
@@ -96,6 +96,7 @@
         self._odd_entries = unreadable.UnreadableLog(clock)
         self._awaited_log = awaited.AwaitedLog()
         self._held_log = held.HeldLog()
+        self._failure_log = unreadable.UnreadableLog(clock)
         # Ids of jobs whose records were removed, with the Unix time of the
         # removal.
         self._removed_jobs = {}
