Go on with the wait for a lease after a further change of the leader

With two changes of the leader in a row a lasting task of a worker that ended unseen waited from the second leader's last record of leases on, and with three from the third's: 13 s and more after its last run, without an end by the constants.

Cause: a record of leases stands for all incarnations, also for those that the leader of the record had not reached. So the bound was counted from the last leader, not from the last moment at which the lease could have been extended.

Evidence: test_wait_begins_anew_with_each_leader (terms of 3.7 s, 3.7 and 1.5 s, 1.3 and 2.5 s) fails without the list.

Change: each record of leases but the first of a term names the incarnations that have not reported, with the revision of the earlier record that bounds their leases. Nodes keep the times at which they saw the last 20 records. The next leader counts from the first one that it saw with that revision or a later one.

Why it works: a leader extends no lease on an incarnation before it reports. One that reports later gets no lease until a record without it is stored, also if a request to write one with it got no reply (test_worker_in_the_stored_record_gets_a_lease, test_record_without_a_reply_is_forgotten). So what the stored record says is true of all leases that were granted. The floor of 3 s after the start of each term stays, as the ends on reachable workers are not known before. A term of less than a second or so still begins the wait anew: its only record names none, so that starts after a takeover don't wait for a second write.

--- a/figtray/leadership/elector.py
+++ b/figtray/leadership/elector.py
@@ -12,9 +12,9 @@
 from figtray.store import base
 from figtray.store import prefix_watcher
 
-# Longest wait of one watch call. The record of leases ends it each 2 s while
-# there is a leader, so a longer wait would save no calls, and a call that
-# hangs in an outage hides its end.
+# Longest wait of one watch call. The record of leases ends it each second
+# while there is a leader, so a longer wait would save no calls, and a call
+# that hangs in an outage hides its end.
 WATCH_WAIT_MS = 2500
 RETRY_MS = 300
 # Interval at which the wait for a stop checks whether the term has ended. A
@@ -22,6 +22,9 @@
 STOP_POLL_MS = 2000
 # Spreads the attempts of nodes that see the key disappear at the same time.
 MAX_JITTER_MS = 120
+# Records of leases whose times are kept. Those before them are older than any
+# lease that may last.
+MAX_LEASES_SEEN = 20
 
 
 class LeaderElector:
@@ -47,7 +50,8 @@
         # Local time since which the key is vacant, as far as it was seen.
         self._vacant_ms = clock.now_ms()
         self._last_leader = ''
-        self._leases_seen = None
+        # The latest LeasesSeen, the oldest first.
+        self._leases_seen = ()
         self._watcher = prefix_watcher.PrefixWatcher(
             store,
             terms.LEADER_KEY,
@@ -97,11 +101,10 @@
     def _note_leases(self, item):
         """Record when this node first saw this record of leases."""
         seen = self._leases_seen
-        if seen is not None and seen.revision == item.mod_revision:
+        if seen and seen[-1].revision >= item.mod_revision:
             return
-        self._leases_seen = terms.LeasesSeen(
-            item.mod_revision, self._clock.now_ms()
-        )
+        newest = terms.LeasesSeen(item.mod_revision, self._clock.now_ms())
+        self._leases_seen = (*seen, newest)[-MAX_LEASES_SEEN:]
 
     def _update_leader(self, item):
         if item is None:
--- a/figtray/leadership/term.py
+++ b/figtray/leadership/term.py
@@ -39,7 +39,7 @@
 
 @dataclasses.dataclass(frozen=True)
 class LeasesSeen:
-    """The last record under LEASES_KEY that this node has seen.
+    """A record under LEASES_KEY that this node has seen.
 
     Attributes:
         revision: revision of the record.
@@ -58,7 +58,7 @@
         lease_id: id of the lease in the store.
         clock: the Clock.
         requested_ms: local time, read before the lease was requested.
-        leases_seen: the LeasesSeen of this node, or None.
+        leases_seen: the latest LeasesSeen of this node, the oldest first.
 
     Attributes:
         ended: threading.Event that is set when the term ends.
@@ -67,10 +67,10 @@
         on_end: called without arguments when the term has ended.
     """
 
-    def __init__(self, epoch, lease_id, clock, requested_ms, leases_seen=None):
+    def __init__(self, epoch, lease_id, clock, requested_ms, leases_seen=()):
         self.epoch = epoch
         self.lease_id = lease_id
-        self.leases_seen = leases_seen
+        self.leases_seen = tuple(leases_seen)
         self.ended = threading.Event()
         self.on_end = lambda: None
         self.reason = ''
--- a/figtray/leadership/tests/test_elector.py
+++ b/figtray/leadership/tests/test_elector.py
@@ -229,9 +229,8 @@
         clock.advance(10_000)
         leader_elector._watcher.load()
         term = leader_elector._try_acquire()
-        assert term.leases_seen == terms.LeasesSeen(
-            store.get(terms.LEASES_KEY).mod_revision, seen_ms
-        )
+        revision = store.get(terms.LEASES_KEY).mod_revision
+        assert term.leases_seen == (terms.LeasesSeen(revision, seen_ms),)
 
 
 class TestWaitAfterAnOutage:
--- a/figtray/scheduling/adoption.py
+++ b/figtray/scheduling/adoption.py
@@ -12,6 +12,18 @@
 class Adoption(job_lifecycle.JobLifecycle):
     """Holds the tasks that may still run on unresolved incarnations."""
 
+    def note_earlier_leases(self, revision, earlier):
+        """Record which leases the last leader had not extended.
+
+        Args:
+            revision: revision of its last record of leases, or None.
+            earlier: mapping of worker id and start time of an incarnation to
+                its EarlierLeases.
+        """
+        with self.lock:
+            self._earlier_revision = revision
+            self._earlier_leases = dict(earlier)
+
     @contextlib.contextmanager
     def _hold_uncertain_tasks(self):
         """Keep tasks that may still run out of the queues of their steps.
@@ -19,10 +31,11 @@
         They are back in the queues afterwards. Meanwhile their needs count
         towards the limits of their teams.
         """
+        now_ms = self._clock.now_ms()
         held = {
             step: tasks
             for step in self._open_steps.values()
-            if (tasks := self._take_uncertain_tasks(step))
+            if (tasks := self._take_uncertain_tasks(step, now_ms))
         }
         needs = self._needs_out_of_sight(held)
         for team, total in needs.items():
@@ -38,13 +51,17 @@
                     step.held_reason or state.HeldReason.TAKEOVER
                 )
 
-    def _take_uncertain_tasks(self, step):
+    def _take_uncertain_tasks(self, step, now_ms):
         """Take the tasks that may still run out of the queue of a step.
 
         A lasting task may if its placement is unresolved. Other tasks have no
         recorded placement, so each of an earlier term may: a record before
         each of their starts would put the store into the path of all starts.
 
+        Args:
+            step: the StepState.
+            now_ms: local time.
+
         Returns:
             The tasks.
         """
@@ -56,6 +73,7 @@
             placements = {
                 records.Placement(incarnation.worker_id, incarnation.born_ms)
                 for incarnation in self._unresolved
+                if now_ms < self._leases_end_ms(incarnation)
             }
             taken = [t for t in step.waiting if t.placement in placements]
             left = [t for t in step.waiting if t.placement not in placements]
--- a/figtray/scheduling/outcomes.py
+++ b/figtray/scheduling/outcomes.py
@@ -38,7 +38,7 @@
             if task.run is not run or run.phase != state.Phase.STARTING:
                 return None
             worker_clock = worker_state.worker_clock(now_ms)
-            lease_ms = self._grantable_lease_ms(now_ms)
+            lease_ms = self._grantable_lease_ms(worker_state, now_ms)
             if (
                 not lease_ms
                 or not self._is_config_fresh()
--- a/figtray/scheduling/reports.py
+++ b/figtray/scheduling/reports.py
@@ -32,7 +32,7 @@
         with self.lock:
             now_ms = self._clock.now_ms()
             worker_clock = worker_state.worker_clock(now_ms)
-            lease_ms = self._grantable_lease_ms(now_ms)
+            lease_ms = self._grantable_lease_ms(worker_state, now_ms)
             if (
                 worker_clock is None
                 or worker_state.unresponsive
@@ -87,6 +87,7 @@
             self._resolve_incarnation(
                 worker_state.worker.incarnation, 'it reports'
             )
+            self.lease_horizon.renew_if_due()
             sequence = self._writer.last_sequence()
         self.changed.set()
         return sequence
--- a/figtray/scheduling/scheduler_base.py
+++ b/figtray/scheduling/scheduler_base.py
@@ -56,7 +56,9 @@
         self._writer = writer
         writer.on_written = self.release_recorded_starts
         self._lease_ms = leases.lease_ms(bounds)
-        self.lease_horizon = lease_horizon.LeaseHorizon(writer, clock, bounds)
+        self.lease_horizon = lease_horizon.LeaseHorizon(
+            writer, clock, bounds, self.lock, self._unextended
+        )
         self._is_config_fresh = is_config_fresh
         self._metrics = metrics
         # Parts of the takeover of this term that are over.
@@ -81,6 +83,10 @@
         # Incarnations of earlier terms whose runs are not known yet.
         self._unresolved = set()
         self._adoption_until_ms = 0
+        # The EarlierLeases of those that the last leader had not extended.
+        self._earlier_leases = {}
+        # Revision of the last record of leases of earlier terms, or None.
+        self._earlier_revision = None
         # Whether the leaders before this term recorded all Placements.
         self._are_placements_known = False
         # Most of each resource that a worker or a host was seen to have.
@@ -135,15 +141,21 @@
                 return worker_state
         return None
 
-    def _grantable_lease_ms(self, now_ms):
+    def _grantable_lease_ms(self, worker_state, now_ms):
         """Return for how long a lease may be granted; 0 if it may not.
 
         Args:
+            worker_state: the WorkerState.
             now_ms: local time, read before the validity of the term.
         """
         if not self._term.valid():
             return 0
-        return min(self._lease_ms, self.lease_horizon.remaining_ms(now_ms))
+        return min(
+            self._lease_ms,
+            self.lease_horizon.remaining_ms(
+                now_ms, worker_state.worker.incarnation
+            ),
+        )
 
     def _attach(self, run):
         """Record that a run may exist on its worker."""
@@ -240,7 +252,29 @@
 
     def _is_adopting(self, now_ms):
         """Return whether runs of earlier terms may still be unknown."""
-        return bool(self._unresolved) and now_ms < self._adoption_until_ms
+        return any(
+            now_ms < self._leases_end_ms(incarnation)
+            for incarnation in self._unresolved
+        )
+
+    def _leases_end_ms(self, incarnation):
+        """Return the local time at which an unresolved one has no lease."""
+        earlier = self._earlier_leases.get(incarnation[:2])
+        return earlier.until_ms if earlier else self._adoption_until_ms
+
+    def _unextended(self):
+        """Return the Unextended incarnations; see lease_horizon."""
+        if self._earlier_revision is None:
+            return []
+        return [
+            lease_horizon.Unextended(
+                incarnation.worker_id,
+                incarnation.born_ms,
+                earlier.revision if earlier else self._earlier_revision,
+            )
+            for incarnation in sorted(self._unresolved)
+            for earlier in [self._earlier_leases.get(incarnation[:2])]
+        ]
 
     def _record_placement(self, run):
         """Queue a write of where a lasting task or a suspect may run.
--- a/figtray/scheduling/service.py
+++ b/figtray/scheduling/service.py
@@ -229,15 +229,26 @@
         self._roster = roster
         # A takeover that is tried again finds the record of this term.
         if self._earlier_leases_until_ms is None:
-            self._earlier_leases_until_ms = self._earlier_leases_end_ms()
+            self._earlier_leases_until_ms = self._load_earlier_leases()
         self._scheduler.begin_adoption(roster, self._earlier_leases_until_ms)
 
-    def _earlier_leases_end_ms(self):
+    def _load_earlier_leases(self):
+        """Return the local time at which all earlier leases have ended."""
+        bounds = self._service.bounds
         item = self._store.get(terms.LEASES_KEY)
-        if item is not None:
-            self._writer.set_revision(item.key, item.mod_revision)
+        if item is None:
+            return lease_horizon.earlier_leases_end_ms(
+                self._term, None, bounds
+            )
+        self._writer.set_revision(item.key, item.mod_revision)
+        record = stored_records.decode(item, lease_horizon.decode)
+        if record is not None:
+            self._scheduler.note_earlier_leases(
+                item.mod_revision,
+                lease_horizon.earlier_leases(self._term, record, bounds),
+            )
         return lease_horizon.earlier_leases_end_ms(
-            self._term, item, self._service.bounds
+            self._term, item.mod_revision, bounds
         )
 
     # Updates from the store.
--- a/figtray/scheduling/tests/harness.py
+++ b/figtray/scheduling/tests/harness.py
@@ -167,11 +167,11 @@
         """Return the Leader of a new term; the present one loses its key."""
         return leaders.Leader(self, self.begin_term())
 
-    def begin_term(self, leases_seen=None):
+    def begin_term(self, leases_seen=()):
         """Return a new Term; the present leader loses its key.
 
         Args:
-            leases_seen: the LeasesSeen of the new leader's node, or None.
+            leases_seen: the LeasesSeen of the new leader's node.
         """
         item = self.store.get(terms.LEADER_KEY)
         if item is not None:
--- a/figtray/scheduling/tests/leaders.py
+++ b/figtray/scheduling/tests/leaders.py
@@ -87,10 +87,20 @@
                 self.writer.set_revision(
                     leases_item.key, leases_item.mod_revision
                 )
+                self.scheduler.note_earlier_leases(
+                    leases_item.mod_revision,
+                    lease_horizon.earlier_leases(
+                        self.term,
+                        lease_horizon.decode(leases_item.value),
+                        BOUNDS,
+                    ),
+                )
             self.scheduler.begin_adoption(
                 rosters.decode(roster.value),
                 lease_horizon.earlier_leases_end_ms(
-                    self.term, leases_item, BOUNDS
+                    self.term,
+                    leases_item and leases_item.mod_revision,
+                    BOUNDS,
                 ),
             )
         self.sync_intake(progress)
--- a/figtray/scheduling/tests/test_lease_horizon.py
+++ b/figtray/scheduling/tests/test_lease_horizon.py
@@ -53,10 +53,10 @@
         1,
         fleet.clock,
         fleet.clock.now_ms(),
-        terms.LeasesSeen(seen_revision, seen_ms),
+        [terms.LeasesSeen(seen_revision, seen_ms)],
     )
     return lease_horizon.earlier_leases_end_ms(
-        term, fleet.store.get(terms.LEASES_KEY), BOUNDS
+        term, fleet.store.get(terms.LEASES_KEY).mod_revision, BOUNDS
     )
 
 
@@ -215,10 +215,60 @@
             fleet.clock.now_ms(),
         )
         fleet.clock.advance(10_000)
-        leader_term = make_leader_term(fleet, fleet.begin_term(seen))
+        leader_term = make_leader_term(fleet, fleet.begin_term([seen]))
         for _ in range(2):
             with pytest.raises(errors.StoreUnavailable):
                 leader_term._load_once()
             leader_term._writer.flush()
         fleet.clock.advance(lease_horizon.MIN_ADOPTION_MS)
         assert not leader_term._scheduler._is_adopting(fleet.clock.now_ms())
+
+
+class TestUnextended:
+    @pytest.fixture
+    def late_leader(self, fleet, leader):
+        """A Leader to which worker 0 has not reported."""
+        leader = fleet.elect_leader()
+        leader.report(1)
+        leader.advance(lease_horizon.RENEW_INTERVAL_MS)
+        leader.sync_workers()
+        return leader
+
+    # The next leader, which finds a worker in the record of leases, doesn't
+    # wait for the lease that it has got meanwhile.
+    def test_worker_in_the_stored_record_gets_a_lease(
+        self, fleet, late_leader
+    ):
+        worker_state = late_leader.worker_state(0)
+        worker_state.has_reported = True
+        session_of = late_leader._sessions[worker_state.worker.incarnation]
+        session_of.report_once()
+        assert late_leader.scheduler.report_request(worker_state)[1] is None
+        late_leader.flush()
+        assert late_leader.scheduler.report_request(worker_state)[1]
+
+    # A write without a reply may have been carried out.
+    def test_record_without_a_reply_is_forgotten(self, fleet, late_leader):
+        record = lease_horizon.decode(fleet.store.get(terms.LEASES_KEY).value)
+        assert [item.worker_id for item in record.unextended] == ['worker-0']
+        horizon = late_leader.scheduler.lease_horizon
+        late_leader.report(0)
+        late_leader.advance(lease_horizon.RENEW_INTERVAL_MS)
+        incarnation = late_leader.worker_state(0).worker.incarnation
+        late_leader.scheduler._unresolved.add(incarnation)
+        horizon.renew_if_due()
+        horizon._encode()
+        late_leader.scheduler._unresolved.discard(incarnation)
+        horizon._encode()
+        assert not horizon.remaining_ms(fleet.clock.now_ms(), incarnation)
+
+    # Each worker is named with its own record, so a wait did not begin anew
+    # after the second change of the leader, but did after the third.
+    def test_revision_of_an_earlier_record_is_lost(self, fleet, late_leader):
+        before = lease_horizon.decode(fleet.store.get(terms.LEASES_KEY).value)
+        leader = fleet.elect_leader()
+        leader.report(1)
+        leader.advance(lease_horizon.RENEW_INTERVAL_MS)
+        leader.sync_workers()
+        after = lease_horizon.decode(fleet.store.get(terms.LEASES_KEY).value)
+        assert after == before
--- a/figtray/scheduling/tests/test_sum_of_waits.py
+++ b/figtray/scheduling/tests/test_sum_of_waits.py
@@ -65,6 +65,11 @@
         """Become the leader; returns the Leader."""
         return leaders.Leader(self._fleet, self._elector._try_acquire())
 
+    def resign(self, leader):
+        """End the term of its Leader, as at a stop of the node."""
+        leader.term.end('a test')
+        self._elector._resign(leader.term)
+
 
 @pytest.fixture
 def fleet():
@@ -395,3 +400,60 @@
             self.LEASES_END_MS + takeovers.START_MS - passed_ms,
         )
         assert takeovers.place(fleet, first) != number
+
+    # Each new leader waited once more for the lease of a worker that none of
+    # them had reached, from its own last record on.
+    @pytest.mark.parametrize('terms_ms', [[3700], [3700, 1500], [1300, 2500]])
+    def test_wait_begins_anew_with_each_leader(
+        self, fleet, leader, nodes, terms_ms
+    ):
+        first, _ = takeovers.submit_pair(fleet, leader)
+        number = takeovers.place(fleet, first)
+        play(leader, nodes, 4000)
+        lost_ms = fleet.clock.now_ms()
+        takeovers.silence(fleet, number)
+        fleet.clock.advance(terms.LEASE_TTL_MS)
+        fleet.client.expire()
+        fleet.store.expire_leases()
+        for turn, term_ms in enumerate([*terms_ms, 0], start=1):
+            node = nodes[turn % 2]
+            node.follow()
+            fleet.clock.advance(TestBounds.W3_MS)
+            next_leader = node.lead()
+            play(next_leader, nodes, term_ms)
+            if term_ms:
+                node.resign(next_leader)
+        passed_ms = fleet.clock.now_ms() - lost_ms
+        left_ms = max(
+            self.LEASES_END_MS - passed_ms, lease_horizon.MIN_ADOPTION_MS
+        )
+        play(next_leader, nodes, left_ms + takeovers.START_MS)
+        assert takeovers.place(fleet, first) != number
+
+    # A worker that reported late got a lease while the stored record named it
+    # as one without; the next leader started its task a second time. play()
+    # checks that no second run starts.
+    @pytest.mark.parametrize('answers_ms', range(100, 2000, 300))
+    def test_lease_of_a_late_worker_is_overlooked(
+        self, fleet, leader, nodes, answers_ms
+    ):
+        first, _ = takeovers.submit_pair(fleet, leader)
+        number = takeovers.place(fleet, first)
+        play(leader, nodes, 4000)
+        takeovers.silence(fleet, number)
+        fleet.clock.advance(terms.LEASE_TTL_MS)
+        fleet.store.expire_leases()
+        nodes[1].follow()
+        second = nodes[1].lead()
+        play(second, nodes, 1500)
+        fleet.client.choose_fault = lambda call, worker: 'ok'
+        play(second, nodes, answers_ms)
+        takeovers.silence(fleet, number)
+        nodes[1].resign(second)
+        nodes[0].follow()
+        play(
+            nodes[0].lead(),
+            nodes,
+            leases.longest_horizon_ms(harness.BOUNDS) + takeovers.START_MS,
+        )
+        assert takeovers.place(fleet, first) != number
