--- a/figtray/scheduling/lease_horizon.py
+++ b/figtray/scheduling/lease_horizon.py
@@ -92,10 +92,6 @@
         """Queue a write of the record each RENEW_INTERVAL_MS.
 
         One is also due when a worker has reported that the last one names.
-
-        Returns:
-            Sequence number of the Writer that must be written before leases
-            may be granted; 0 if they may be now.
         """
         with self._lock:
             self._settle()
@@ -110,7 +106,6 @@
                 self._pending = self._writer.enqueue(
                     terms.LEASES_KEY, self._encode
                 )
-            return 0 if now_ms < self._until_ms else self._pending
 
     def remaining_ms(self, now_ms, incarnation=None):
         """Return how long a lease may last from now on; 0 if it may not.
