Let an odd item in a reply of the store cost itself only

Callers would see nothing run: one item with a wrong base64 text, type or revision made each read and each watch below its prefix fail, for all nodes, as long as it was there. A deep reply, and a refusal that is no text, raised errors that no caller expects, and pages that name the same key again were read without end.

Cause: a page was decoded as a whole, and revisions had no range.

Evidence: before, TestOddReplies failed for three odd items of five and all four without a key (StoreUnavailable), for a negative revision (taken), for deep items (RecursionError) and for the refusal (UnicodeDecodeError); test_pages_never_end didn't end within 8 s.

Change: items are decoded one by one. One whose key is known gets an empty value: no reader takes that for a record, and without the item a reader would take a job's progress for absent and begin the job anew. One without a key is skipped. The reply to a refused write is unreadable as a whole, or a leader could take its key for gone.

Result: these tests pass.

--- a/figtray/platform/store.py
+++ b/figtray/platform/store.py
@@ -1,11 +1,14 @@
 """Client of the platform's key-value store."""
 
+import typing
 import urllib.parse
 
 import msgspec
 
 from figtray import clock as clock_lib
+from figtray import decoding
 from figtray import errors
+from figtray.events import unreadable
 from figtray.platform import http_client
 from figtray.store import base
 
@@ -16,15 +19,18 @@
 READ_RETRY_WINDOW_MS = 300
 
 
+_Number = typing.Annotated[int, msgspec.Meta(ge=0, le=2**63 - 1)]
+
+
 class Item(msgspec.Struct, frozen=True):
     """A key in the platform's JSON; `deleted` marks a deletion."""
 
     key: str
     value: bytes = b''
     # Revision of the last change, not a version of the value's format.
-    revision: int = 0
-    create_rev: int = 0
-    lease: int = 0
+    revision: _Number = 0
+    create_rev: _Number = 0
+    lease: _Number = 0
     deleted: bool = False
 
     def to_key_value(self):
@@ -40,24 +46,38 @@
 
 
 class _Page(msgspec.Struct, frozen=True):
-    items: tuple[Item, ...] = ()
+    items: tuple[msgspec.Raw, ...] = ()
     has_more: bool = False
-    as_of: int = 0
+    as_of: _Number = 0
 
 
 class _Changes(msgspec.Struct, frozen=True):
-    events: tuple[Item, ...] = ()
-    as_of: int = 0
+    events: tuple[msgspec.Raw, ...] = ()
+    as_of: _Number = 0
 
 
 class _TxnReply(msgspec.Struct, frozen=True):
-    revision: int = 0
-    items: tuple[Item, ...] = ()
+    revision: _Number = 0
+    items: tuple[msgspec.Raw, ...] = ()
 
 
 class _LeaseReply(msgspec.Struct, frozen=True):
-    lease: int = 0
-    ttl_ms: int = 0
+    lease: _Number = 0
+    ttl_ms: _Number = 0
+
+
+class _Key(msgspec.Struct, frozen=True):
+    """What can be told of an item that is odd otherwise."""
+
+    key: str
+
+
+_item_decoder = msgspec.json.Decoder(Item)
+_key_decoder = msgspec.json.Decoder(_Key)
+_page_decoder = msgspec.json.Decoder(_Page)
+_changes_decoder = msgspec.json.Decoder(_Changes)
+_txn_decoder = msgspec.json.Decoder(_TxnReply)
+_lease_decoder = msgspec.json.Decoder(_LeaseReply)
 
 
 class PlatformStore(base.Store):
@@ -74,13 +94,17 @@
         self._call_ms = call_ms
         self._address = address
         self._client = http_client.HttpClient(address, self.clock)
+        self._unreadable = unreadable.UnreadableLog(self.clock)
 
     def get(self, key, timeout_ms=None):
         query = urllib.parse.urlencode({'key': key})
         status, body = self._read(f'/api/kv-key?{query}', timeout_ms)
         if status == 404:
             return None
-        return _decode(Item, body).to_key_value()
+        found = next(self._key_values([body]), None)
+        if found is None:
+            raise errors.StoreUnavailable(detail='unreadable reply')
+        return found
 
     def range(self, prefix):
         items, revision, after = [], 0, ''
@@ -90,14 +114,17 @@
                 query['after'] = after
             path = f'/api/kv-range?{urllib.parse.urlencode(query)}'
             _, body = self._read(path)
-            page = _decode(_Page, body)
+            page = _decode(_page_decoder, body)
             # The pages are not one snapshot: a watch from the revision of
             # the first page yields what changed while the others were read.
             revision = revision or page.as_of
-            items += [item.to_key_value() for item in page.items]
+            found = list(self._key_values(page.items))
+            items += found
             if not page.has_more or not page.items:
                 return base.RangeResult(tuple(items), revision)
-            after = page.items[-1].key
+            if not found or found[-1].key <= after:
+                raise errors.StoreUnavailable(detail='its pages do not end')
+            after = found[-1].key
 
     def txn(self, compares, puts=(), deletes=(), timeout_ms=None):
         if len(compares) + len(puts) + len(deletes) > MAX_TXN_ENTRIES:
@@ -119,12 +146,14 @@
         if status == 404:
             lease_id = next((put.lease for put in puts if put.lease), 0)
             raise errors.LeaseLost(lease_id=lease_id)
-        reply = _decode(_TxnReply, data, uncertain=status == 200)
+        reply = _decode(_txn_decoder, data, uncertain=status == 200)
         if status == 200:
             return base.TxnResult(True, reply.revision)
+        # Without one of them, the leader could take its key for gone.
+        items = [_decode(_item_decoder, item) for item in reply.items]
         current = tuple(
             item.to_key_value()
-            for item in reply.items
+            for item in items
             if item.revision and not item.deleted
         )
         return base.TxnResult(False, 0, current)
@@ -135,7 +164,7 @@
         except errors.WriteUncertain as exc:
             # A lease whose id is unknown has no keys and expires by itself.
             raise errors.StoreUnavailable(detail=str(exc)) from exc
-        return _decode(_LeaseReply, data).lease
+        return _decode(_lease_decoder, data).lease
 
     def keep_alive(self, lease_id):
         try:
@@ -144,7 +173,7 @@
             raise errors.StoreUnavailable(detail=str(exc)) from exc
         if status == 404:
             return 0
-        return _decode(_LeaseReply, data).ttl_ms
+        return _decode(_lease_decoder, data).ttl_ms
 
     def revoke(self, lease_id):
         try:
@@ -162,8 +191,7 @@
             while not stop.is_set():
                 changes = self._poll_changes(client, prefix, after, wait_ms)
                 after = max(after, changes.as_of)
-                for item in changes.events:
-                    yield item.to_key_value()
+                yield from self._key_values(changes.events)
                 yield None
         finally:
             client.close()
@@ -187,7 +215,28 @@
             raise errors.HistoryCompacted(revision=after)
         if reply.status != 200:
             raise errors.StoreUnavailable(detail=f'status {reply.status}')
-        return _decode(_Changes, reply.body)
+        return _decode(_changes_decoder, reply.body)
+
+    def _key_values(self, rows):
+        """Yield the KeyValues of a reply; odd items are logged.
+
+        One whose key is known gets an empty value, which no reader takes for
+        a record: without the item, a reader would take it for absent.
+
+        Args:
+            rows: the msgspec.Raw of each item.
+        """
+        for row in rows:
+            try:
+                yield decoding.decode(
+                    'item', _item_decoder, row
+                ).to_key_value()
+                continue
+            except errors.UnreadableMessage as exc:
+                key = _read_key(row)
+                self._unreadable.note(key or 'item without a key', exc)
+            if key:
+                yield base.KeyValue(key, b'', 0)
 
     def _read(self, path, timeout_ms=None):
         """Send a GET; retry once if the connection breaks early."""
@@ -227,7 +276,7 @@
         if reply.status in (429, 503):
             raise errors.StoreUnavailable(detail=f'status {reply.status}')
         if reply.status == 403:
-            raise errors.WriteForbidden(detail=reply.body[:200].decode())
+            raise errors.WriteForbidden(detail=f'{reply.body[:200]}')
         if reply.status not in (200, 204, 404, 412):
             raise errors.StoreUnavailable(
                 detail=f'unexpected status {reply.status}: {reply.body[:200]}'
@@ -235,9 +284,17 @@
         return reply.status, reply.body
 
 
-def _decode(record_type, data, uncertain=False):
+def _read_key(row):
+    """Return the key of an odd item; empty if it is unreadable as well."""
+    try:
+        return decoding.decode('item', _key_decoder, row).key
+    except errors.UnreadableMessage:
+        return ''
+
+
+def _decode(decoder, data, uncertain=False):
     try:
-        return msgspec.json.decode(data, type=record_type)
-    except msgspec.MsgspecError as exc:
+        return decoding.decode('reply', decoder, data)
+    except errors.UnreadableMessage as exc:
         error = errors.WriteUncertain if uncertain else errors.StoreUnavailable
-        raise error(detail=f'unreadable reply: {exc}') from exc
+        raise error(detail=f'unreadable: {exc}') from exc
--- a/figtray/platform/tests/test_store.py
+++ b/figtray/platform/tests/test_store.py
@@ -6,6 +6,7 @@
 
 from figtray import clock as clock_lib
 from figtray import errors
+from figtray.platform import standin_server
 from figtray.platform import standin_services
 from figtray.platform import store as stores
 from figtray.store import base
@@ -88,6 +89,128 @@
         )
 
 
+class CannedService:
+    """Replies to each request with the same status and body."""
+
+    status, body = 200, b''
+
+    def handle(self, handler, body):
+        handler.reply(self.status, self.body)
+
+
+@pytest.fixture
+def canned():
+    """A CannedService, and the client of its store."""
+    service = CannedService()
+    server = standin_server.Server('127.0.0.1:0', service)
+    server.start()
+    service.store = stores.PlatformStore(
+        server.address, clock_lib.ManualClock(), 5000
+    )
+    yield service
+    service.store.close()
+    server.stop()
+
+
+DEEP = b'[' * 60_000 + b']' * 60_000
+GOOD = b'{"key":"/w/z","value":"MQ==","revision":7}'
+ODD_ITEMS = {
+    'base64': b'{"key":"/w/a","value":"?","revision":3}',
+    'type': b'{"key":"/w/a","value":5,"revision":3}',
+    'revision': b'{"key":"/w/a","value":"","revision":-1}',
+    'large': b'{"key":"/w/a","value":"","revision":1' + b'0' * 400 + b'}',
+    'deep': b'{"key":"/w/a","value":"?","x":' + b'[' * 200 + b']' * 200 + b'}',
+}
+ODD_ITEMS_WITHOUT_KEY = {
+    'key': b'{"value":"MQ=="}',
+    'key-type': b'{"key":4}',
+    'list': b'[]',
+    'null': b'null',
+}
+
+
+def make_page(items):
+    """Return a reply to a read of a range, and to a watch."""
+    return b'{"as_of":9,"items":[%b],"events":[%b]}' % (items, items)
+
+
+class TestOddReplies:
+    def read_watch(self, canned):
+        watch = canned.store.watch('/w/', 1, threading.Event())
+        found = list(iter(lambda: next(watch), None))
+        watch.close()
+        return found
+
+    def read_range(self, canned):
+        return list(canned.store.range('/w/').items)
+
+    # Nothing could be read or watched below the prefix any more. Without the
+    # item, the job of an odd progress would begin anew.
+    @pytest.mark.parametrize('odd', ODD_ITEMS)
+    def test_odd_item_costs_the_others(self, canned, odd):
+        items = ODD_ITEMS[odd] + b',' + GOOD
+        canned.body = make_page(items)
+        for read in (self.read_watch, self.read_range):
+            first, second = read(canned)
+            assert (first.key, first.value) == ('/w/a', b'')
+            assert (second.key, second.value) == ('/w/z', b'1')
+
+    # A takeover waited for a readable roster without end.
+    def test_odd_item_is_an_outage(self, canned):
+        canned.body = ODD_ITEMS['base64']
+        assert canned.store.get('/w/a').value == b''
+
+    @pytest.mark.parametrize('odd', ODD_ITEMS_WITHOUT_KEY)
+    def test_item_without_a_key_costs_the_others(self, canned, odd):
+        items = ODD_ITEMS_WITHOUT_KEY[odd] + b',' + GOOD
+        canned.body = make_page(items)
+        for read in (self.read_watch, self.read_range):
+            [item] = read(canned)
+            assert item.key == '/w/z'
+
+    # It was an error that no caller expects.
+    @pytest.mark.parametrize(
+        'body',
+        [
+            b'',
+            b'[]',
+            b'{"items":3}',
+            DEEP,
+            b'{"as_of":-1,"revision":-1}',
+            b'{"items":' + DEEP,
+        ],
+        ids=['empty', 'list', 'type', 'deep', 'revision', 'deep-items'],
+    )
+    def test_unreadable_reply_is_unexpected(self, canned, body):
+        canned.body = body
+        with pytest.raises(errors.StoreUnavailable) as caught:
+            canned.store.range('/w/')
+        assert len(str(caught.value)) < 400
+        with pytest.raises(errors.StoreUnavailable):
+            canned.store.get('/w/a')
+        if b'items' not in body:
+            with pytest.raises(errors.WriteUncertain):
+                canned.store.txn([], [base.Put('/w/a', b'')])
+
+    # A leader whose key is odd in this reply took it for gone.
+    def test_odd_item_of_a_refused_write_is_absent(self, canned):
+        canned.status = 412
+        canned.body = b'{"items":[' + ODD_ITEMS['type'] + b']}'
+        with pytest.raises(errors.StoreUnavailable):
+            canned.store.txn([], [base.Put('/w/a', b'')])
+
+    def test_refusal_that_is_no_text_is_unexpected(self, canned):
+        canned.status, canned.body = 403, b'\xff\xfe'
+        with pytest.raises(errors.WriteForbidden):
+            canned.store.txn([], [base.Put('/w/a', b'')])
+
+    # The reader never returned.
+    def test_pages_never_end(self, canned):
+        canned.body = b'{"has_more":true,"items":[' + GOOD + b']}'
+        with pytest.raises(errors.StoreUnavailable):
+            canned.store.range('/w/')
+
+
 class TestHistory:
     # A watch from a compacted revision must fail, or it would miss changes
     # unnoticed.
--- a/figtray/store/prefix_watcher.py
+++ b/figtray/store/prefix_watcher.py
@@ -127,7 +127,7 @@
                 continue
             with self._unreadable.skip_on_error(item.key):
                 self._on_change(item)
-            revision = item.mod_revision
+            revision = max(revision, item.mod_revision)
             yield revision
 
     def _confirm(self, requested_ms):
