Let an odd machine or row of advice cost itself only

Callers would see pools that get no hosts, and waits for workers whose hosts are gone: one machine with an unknown state, a wrong type or no pool made the whole host list unreadable, for as long as it was listed. A capacity of -1 or 10^400 was taken. One odd row of advice lost the advice on its step, for all workers. Pages that name a next one without end kept the thread for good.

Cause: a page was decoded as a whole, amounts and times had no range.

Change: machines and rows are decoded one by one. A machine that is odd is listed in the state `unknown`, as a host that is missing ends its silent worker; one without an id may be any that the list lacks, so those of the last list stay, in that state. It gets no orders and proves nothing. A list has 1,000 pages at most.

--- a/figtray/fleet/model.py
+++ b/figtray/fleet/model.py
@@ -65,12 +65,13 @@
 
 
 class HostState(enum.Enum):
-    """State of a host as the platform lists it."""
+    """State of a host as the platform lists it; UNKNOWN if it is odd."""
 
     UP = 'up'
     MOVING = 'moving'
     UPKEEP = 'upkeep'
     DOWN = 'down'
+    UNKNOWN = 'unknown'
 
 
 @dataclasses.dataclass(frozen=True)
--- a/figtray/jobs/limits.py
+++ b/figtray/jobs/limits.py
@@ -40,7 +40,7 @@
         yield 'count', f'1 to {MAX_TASKS_PER_STEP}'
     if any(not 0 <= other < number for other in step.after):
         yield 'after', 'an earlier step'
-    if any(not 0 <= amount <= MAX_AMOUNT for amount in _amounts(step.needs)):
+    if are_amounts_odd(step.needs):
         yield 'needs', f'0 to {MAX_AMOUNT} of each resource'
     for field in ('estimate_ms', 'tail_limit_ms'):
         if not 0 <= getattr(step, field) <= MAX_TIME_MS:
@@ -50,5 +50,7 @@
             yield field, f'0 to {MAX_AMOUNT}'
 
 
-def _amounts(needs):
-    return needs.cpu_milli, needs.memory_mb, needs.gpus
+def are_amounts_odd(resources):
+    """Return whether an amount of Resources is out of range."""
+    amounts = (resources.cpu_milli, resources.memory_mb, resources.gpus)
+    return any(not 0 <= amount <= MAX_AMOUNT for amount in amounts)
--- a/figtray/platform/adviser.py
+++ b/figtray/platform/adviser.py
@@ -1,17 +1,27 @@
 """Client of the platform's adviser, which approves workers for steps."""
 
+import typing
+
 import msgspec
 
 from figtray import clock as clock_lib
+from figtray import decoding
 from figtray import errors
+from figtray.events import unreadable
 from figtray.fleet import base
 from figtray.fleet import messages
 from figtray.platform import http_client
 
+MAX_VALID_MS = 10**9
+
 
 class _Reply(msgspec.Struct, frozen=True):
-    good: tuple[tuple[str, str], ...] = ()  # (worker id, its ticket)
-    valid_ms: int = 0
+    good: tuple[msgspec.Raw, ...] = ()  # (worker id, its ticket)
+    valid_ms: typing.Annotated[int, msgspec.Meta(ge=0, le=MAX_VALID_MS)] = 0
+
+
+_reply_decoder = msgspec.json.Decoder(_Reply)
+_row_decoder = msgspec.json.Decoder(tuple[str, str])
 
 
 class PlatformAdviser(base.Adviser):
@@ -23,9 +33,9 @@
     """
 
     def __init__(self, address, clock=None):
-        self._client = http_client.HttpClient(
-            address, clock or clock_lib.SystemClock()
-        )
+        clock = clock or clock_lib.SystemClock()
+        self._client = http_client.HttpClient(address, clock)
+        self._unreadable = unreadable.UnreadableLog(clock)
 
     def advise(self, step, worker_ids, timeout_ms):
         reply = self._client.call(
@@ -39,9 +49,19 @@
                 address=self._client.address, detail=f'status {reply.status}'
             )
         try:
-            decoded = msgspec.json.decode(reply.body, type=_Reply)
-        except msgspec.MsgspecError as exc:
+            decoded = decoding.decode('reply', _reply_decoder, reply.body)
+        except errors.UnreadableMessage as exc:
             raise errors.ReplyLost(
-                address=self._client.address, detail=f'malformed reply: {exc}'
+                address=self._client.address, detail=f'malformed: {exc}'
             ) from exc
-        return messages.Advice(dict(decoded.good), decoded.valid_ms)
+        rows = (
+            self._unreadable.read(
+                'advice',
+                lambda data: decoding.decode('row', _row_decoder, data),
+                row,
+            )
+            for row in decoded.good
+        )
+        return messages.Advice(
+            dict(row for row in rows if row is not None), decoded.valid_ms
+        )
--- a/figtray/platform/hosts.py
+++ b/figtray/platform/hosts.py
@@ -5,13 +5,18 @@
 import msgspec
 
 from figtray import clock as clock_lib
+from figtray import decoding
 from figtray import errors
+from figtray.events import unreadable
 from figtray.fleet import base
 from figtray.fleet import model as fleet
+from figtray.jobs import limits
 from figtray.platform import documents
 from figtray.platform import http_client
 
 CALL_TIMEOUT_MS = 2000
+# Of one list; more than any site has.
+MAX_PAGES = 1000
 HOLDER_HEADER = 'X-Figtray-Holder'
 TOKEN_HEADER = 'X-Figtray-Fencing-Token'
 
@@ -29,10 +34,21 @@
 
 
 class _Page(msgspec.Struct, frozen=True):
-    machines: tuple[_Machine, ...] = ()
+    machines: tuple[msgspec.Raw, ...] = ()
     next_token: str | int | None = None
 
 
+class _MachineId(msgspec.Struct, frozen=True):
+    """What can be told of a host that is odd otherwise."""
+
+    machine: str
+
+
+_machine_decoder = msgspec.json.Decoder(_Machine)
+_machine_id_decoder = msgspec.json.Decoder(_MachineId)
+_page_decoder = msgspec.json.Decoder(_Page)
+
+
 class PlatformHosts(base.HostClient):
     """Client of the platform's host service.
 
@@ -42,22 +58,25 @@
     """
 
     def __init__(self, address, clock=None):
-        self._client = http_client.HttpClient(
-            address, clock or clock_lib.SystemClock()
-        )
+        clock = clock or clock_lib.SystemClock()
+        self._client = http_client.HttpClient(address, clock)
+        self._unreadable = unreadable.UnreadableLog(clock)
+        # Ids of the hosts in the last list.
+        self._last_ids = frozenset()
 
     def list_hosts(self):
         hosts, page_token = [], None
-        while True:
+        for _ in range(MAX_PAGES):
             path = '/api/machines'
             if page_token:
                 query = urllib.parse.urlencode({'page_token': page_token})
                 path = f'{path}?{query}'
             page = self._read_page(path)
-            hosts += [_build_host(machine) for machine in page.machines]
+            hosts += [self._build_host(row) for row in page.machines]
             page_token = page.next_token
             if not page_token:
-                return tuple(hosts)
+                return self._complete(hosts)
+        raise errors.HostListUnavailable(detail='its pages do not end')
 
     def move(self, host_id, pool, node_name, epoch):
         body = {'machine': host_id, 'pool': pool}
@@ -75,10 +94,38 @@
         if reply.status != 200:
             raise errors.HostListUnavailable(detail=f'status {reply.status}')
         try:
-            return msgspec.json.decode(reply.body, type=_Page)
-        except msgspec.MsgspecError as exc:
+            return decoding.decode('page', _page_decoder, reply.body)
+        except errors.UnreadableMessage as exc:
             raise errors.HostListUnavailable(detail=str(exc)) from exc
 
+    def _build_host(self, row):
+        """Return the Host of a row of the list.
+
+        A row that is odd must not look as if the host had left the list,
+        which would end its worker: only the host's state is unknown. None if
+        its id is unreadable as well.
+        """
+        try:
+            return _build_host(decoding.decode('host', _machine_decoder, row))
+        except errors.UnreadableMessage as exc:
+            host_id = _read_id(row)
+            self._unreadable.note(f'host {host_id}', exc)
+        return _unknown_host(host_id) if host_id else None
+
+    def _complete(self, hosts):
+        """Return a whole list of hosts.
+
+        Args:
+            hosts: the Hosts; None for each one without an id, which may be
+                any that the list lacks.
+        """
+        found = [host for host in hosts if host is not None]
+        if len(found) < len(hosts):
+            ids = {host.host_id for host in found}
+            found += [_unknown_host(i) for i in self._last_ids - ids]
+        self._last_ids = frozenset(host.host_id for host in found)
+        return tuple(found)
+
     def _send_order(self, path, body, node_name, epoch):
         reply = self._client.call(
             'POST',
@@ -91,12 +138,27 @@
 
 
 def _build_host(machine):
+    capacity = machine.capacity.to_resources()
+    if limits.are_amounts_odd(capacity):
+        raise decoding.unreadable('host', 'its capacity is out of range')
     return fleet.Host(
         host_id=machine.machine,
         pool=machine.pool,
         state=machine.state,
         zone=machine.zone,
         labels=machine.labels,
-        capacity=machine.capacity.to_resources(),
+        capacity=capacity,
         worker_id=machine.id or '',
     )
+
+
+def _unknown_host(host_id):
+    return fleet.Host(host_id, '', fleet.HostState.UNKNOWN, '')
+
+
+def _read_id(row):
+    """Return the id of an odd host; empty if it is unreadable as well."""
+    try:
+        return decoding.decode('host', _machine_id_decoder, row).machine
+    except errors.UnreadableMessage:
+        return ''
--- a/figtray/platform/tests/test_store.py
+++ b/figtray/platform/tests/test_store.py
@@ -9,6 +9,7 @@
 from figtray.platform import standin_server
 from figtray.platform import standin_services
 from figtray.platform import store as stores
+from figtray.platform.tests import canned as canned_service
 from figtray.store import base
 from figtray.store import memory
 from figtray.store.tests import contract
@@ -89,19 +90,10 @@
         )
 
 
-class CannedService:
-    """Replies to each request with the same status and body."""
-
-    status, body = 200, b''
-
-    def handle(self, handler, body):
-        handler.reply(self.status, self.body)
-
-
 @pytest.fixture
 def canned():
     """A CannedService, and the client of its store."""
-    service = CannedService()
+    service = canned_service.CannedService()
     server = standin_server.Server('127.0.0.1:0', service)
     server.start()
     service.store = stores.PlatformStore(
@@ -112,7 +104,6 @@
     server.stop()
 
 
-DEEP = b'[' * 60_000 + b']' * 60_000
 GOOD = b'{"key":"/w/z","value":"MQ==","revision":7}'
 ODD_ITEMS = {
     'base64': b'{"key":"/w/a","value":"?","revision":3}',
@@ -175,9 +166,9 @@
             b'',
             b'[]',
             b'{"items":3}',
-            DEEP,
+            canned_service.DEEP,
             b'{"as_of":-1,"revision":-1}',
-            b'{"items":' + DEEP,
+            b'{"items":' + canned_service.DEEP,
         ],
         ids=['empty', 'list', 'type', 'deep', 'revision', 'deep-items'],
     )
--- a/figtray/scheduling/membership.py
+++ b/figtray/scheduling/membership.py
@@ -327,6 +327,8 @@
 
 
 def _may_run_on_host(incarnation, host):
+    if host.state == fleet.HostState.UNKNOWN:
+        return True
     return host.state == fleet.HostState.UP and host.worker_id in (
         '',
         incarnation.worker_id,
--- a/figtray/scheduling/tests/test_host_list.py
+++ b/figtray/scheduling/tests/test_host_list.py
@@ -33,6 +33,26 @@
         takeovers.play(leader, takeovers.LEASE_LEFT_MS + takeovers.START_MS)
         assert takeovers.place(fleet, first) != number
 
+    # What a list says of a host may be unreadable, which is no proof.
+    @pytest.mark.parametrize('refuses', [True, False])
+    @pytest.mark.parametrize('listed', [True, False])
+    def test_host_in_an_unknown_state_ends_runs(
+        self, fleet, leader, refuses, listed
+    ):
+        first, _ = takeovers.submit_pair(fleet, leader)
+        number = takeovers.place(fleet, first)
+        host_id = f'host-{number}'
+        fleet.hosts[host_id] = fleet_model.Host(
+            host_id, '', fleet_model.HostState.UNKNOWN, ''
+        )
+        takeovers.silence(fleet, number, listed=listed)
+        if refuses:
+            takeovers.refuse(fleet, number)
+        takeovers.play(
+            leader, takeovers.LONGEST_LEASE_MS - takeovers.LEASE_LEFT_MS
+        )
+        assert takeovers.place(fleet, first) == number
+
     # A host that has crashed refuses connections until it is back.
     @pytest.mark.parametrize('new_leader', [True, False])
     def test_crashed_worker_is_awaited(self, fleet, leader, new_leader):
