Let an odd row of a worker's report cost that row only

Callers would see all tasks of a worker end, or one run twice: one odd row of `running` or `ended` made each report of the worker unreadable, so its lease ended with all that ran there. A report without `born` looked as if another incarnation had answered, which ends the worker while its runs go on. A deep report or a clock of 10^300 raised an unexpected error or was taken, and a row that names the task -1 was taken for the last task.

Cause: a report was decoded as a whole, `born` and `clock_ms` had a default, no number a range, and the name of a task was converted by int().

Change: rows are decoded one by one, and named once for each worker. - A running row with odd figures is a run without them. - With a row whose task or run can't be read, any run that the report lacks may be there: none is lost, nothing else starts on this worker, and its earlier incarnation stays awaited, with no longer lease. - An end that can't be read is acknowledged, as it would hold up those that follow; its run is lost, so its task runs again. - A report over 10,000 rows or 4 MB, or unreadable as a whole, counts as none, so that its worker is treated as a silent one.

What remains: a run that ends while its worker lists an odd running row is not missed until the row is gone.

--- a/figtray/events/unreadable.py
+++ b/figtray/events/unreadable.py
@@ -9,6 +9,8 @@
 
 # Further unreadable records of a reader are skipped without a line each.
 MAX_NAMED = 200
+# A name may come from the record.
+MAX_NAME_CHARS = 200
 # A record that was readable, or gone, for this long is named again.
 FORGET_MS = 60_000
 
@@ -73,6 +75,7 @@
 
     def _name_to_log(self, record):
         """Return how to name a record now; empty if it was named."""
+        record = record[:MAX_NAME_CHARS]
         with self._lock:
             now_ms = self._clock.now_ms()
             seen_ms = self._seen_ms.get(record)
--- a/figtray/fleet/messages.py
+++ b/figtray/fleet/messages.py
@@ -98,12 +98,17 @@
         clock_ms: time of the worker's own clock.
         running: runs that are on the worker.
         ended: runs whose ends were not acknowledged yet.
+        unreadable: number of the rows of running that can't be read. Any run
+            that is missing may be among them.
+        last_end: highest number of an end, also of those that can't be read.
     """
 
     born_ms: int
     clock_ms: int
     running: tuple[ActiveRun, ...] = ()
     ended: tuple[EndedRun, ...] = ()
+    unreadable: int = 0
+    last_end: int = 0
 
 
 @dataclasses.dataclass(frozen=True)
--- a/figtray/jobs/model.py
+++ b/figtray/jobs/model.py
@@ -157,5 +157,12 @@
     Raises:
         ValueError: the text is not the name of a task.
     """
-    job_id, occurrence, step, index = text.split('.')
-    return TaskId(job_id, int(occurrence), int(step), int(index))
+    job_id, *numbers = text.split('.')
+    # Other spellings of a number would give a task several names.
+    if not all(n.isascii() and n.isdecimal() for n in numbers):
+        raise ValueError(f'{text[:100]!r} is not the name of a task')
+    occurrence, step, index = numbers
+    task_id = TaskId(job_id, int(occurrence), int(step), int(index))
+    if str(task_id) != text:
+        raise ValueError(f'{text[:100]!r} is not the name of a task')
+    return task_id
--- a/figtray/platform/tests/test_odd_replies.py
+++ b/figtray/platform/tests/test_odd_replies.py
@@ -1,14 +1,19 @@
 """Tests of the platform's services when their replies are odd."""
 
+import dataclasses
+
+import logbook
 import pytest
 
 from figtray import clock as clock_lib
 from figtray import errors
+from figtray.fleet import memory
 from figtray.fleet import model as fleet
 from figtray.platform import adviser
 from figtray.platform import hosts
 from figtray.platform import standin_server
 from figtray.platform.tests import canned as canned_service
+from figtray.platform import workers
 
 GOOD = b'{"machine":"good","pool":"main","state":"up"}'
 ODD_MACHINES = {
@@ -115,3 +120,97 @@
         with pytest.raises(errors.ReplyLost) as caught:
             client.advise('step', ['w'], 5000)
         assert len(str(caught.value)) < 400
+
+
+class TestWorkers:
+    @pytest.fixture
+    def report(self, canned):
+        """Function that returns the Report of a body."""
+        client = workers.PlatformWorkers(clock_lib.ManualClock())
+        worker = dataclasses.replace(
+            memory.make_worker(1), address=canned.address
+        )
+
+        def report(body):
+            canned.body = body
+            return client.report(worker, 1, 0, None, 0, 5000)
+
+        yield report
+        client.close()
+
+    def make(self, running=b'', ended=b''):
+        return b'{"born":1,"clock_ms":5,"running":[%b],"ended":[%b]}' % (
+            running,
+            ended,
+        )
+
+    # The worker was silent for as long as it listed the row, so its lease
+    # ended, and all that ran there.
+    @pytest.mark.parametrize(
+        'rest',
+        [b',3', b',"c","x"', b',"c",-1', b',"c",1e300', b',"c",1,null'],
+    )
+    def test_odd_figure_costs_the_report(self, report, rest):
+        found = report(self.make(b'["a",1%b],["b",2]' % rest))
+        assert [(r.task, r.run) for r in found.running] == [('a', 1), ('b', 2)]
+        assert found.running[0].percent == 0
+        assert not found.unreadable
+
+    @pytest.mark.parametrize(
+        'row',
+        [b'3', b'null', b'[]', b'["a"]', b'["a","x"]', b'[1,2]', b'["a",-1]']
+        + [b'["a",1%b]' % (b'0' * 30)],
+    )
+    def test_odd_row_costs_the_report(self, report, row):
+        found = report(self.make(row + b',["b",2]'))
+        assert [run.task for run in found.running] == ['b']
+        assert found.unreadable == 1
+
+    # Ends that follow were never seen.
+    @pytest.mark.parametrize(
+        ('row', 'last_end'),
+        [
+            (b'[7,"a",1,"odd",""]', 7),
+            (b'[7,"a"]', 7),
+            (b'[7,"a",1%b,"done"]' % (b'0' * 30), 7),
+            (b'[7]', 7),
+            (b'["7","a",1,"done"]', 2),
+            (b'[1%b,"a",1,"done"]' % (b'0' * 30), 2),
+            (b'null', 2),
+        ],
+    )
+    def test_odd_end_costs_the_report(self, report, row, last_end):
+        good = b'[2,"b",1,"done",""],[1,"c",1,"done",""]'
+        found = report(self.make(b'', good + b',' + row))
+        assert [end.number for end in found.ended] == [1, 2]
+        assert found.last_end == last_end
+
+    # Without `born`, a worker looked as if another incarnation had answered,
+    # and its tasks started a second time elsewhere.
+    @pytest.mark.parametrize(
+        'body',
+        [
+            *UNREADABLE.values(),
+            b'{}',
+            b'{"clock_ms":5}',
+            b'{"born":1}',
+            b'{"born":1,"clock_ms":1' + b'0' * 300 + b'}',
+            b'{"born":"x","clock_ms":5}',
+            b'{"born":1,"clock_ms":5,"x":' + canned_service.DEEP + b'}',
+            b'{"born":1,"clock_ms":5,"running":['
+            + b'0,' * workers.MAX_ROWS
+            + b'0]}',
+            b'{"born":1,"clock_ms":5}' + b' ' * workers.MAX_REPORT_BYTES,
+        ],
+    )
+    def test_unreadable_report_is_unexpected(self, report, body):
+        with pytest.raises(errors.ReplyLost) as caught:
+            report(body)
+        assert len(str(caught.value)) < 400
+
+    # The log grew with each report.
+    def test_odd_row_is_named_in_each_report(self, report):
+        with logbook.TestHandler() as handler:
+            for number in range(5):
+                report(self.make(b'["a%d",-1],3' % number))
+        assert len(handler.records) == 1
--- a/figtray/platform/workers.py
+++ b/figtray/platform/workers.py
@@ -1,18 +1,28 @@
 """Client of the platform's workers, which sends them orders over HTTP."""
 
 import threading
+import typing
 
 import msgspec
 
 from figtray import clock as clock_lib
+from figtray import decoding
 from figtray import errors
+from figtray.events import unreadable
 from figtray.fleet import base
 from figtray.fleet import messages
+from figtray.jobs import limits
 from figtray.platform import http_client
 from figtray import verdict
 
 INCARNATION_HEADER = 'X-Figtray-Expect-Instance'
 
+# A worker has fewer runs, and lists 500 ends at a time.
+MAX_ROWS = 10_000
+MAX_REPORT_BYTES = 4_000_000
+# Of a run's share of its speed, and of its load.
+MAX_FIGURE = 10**9
+
 _REFUSAL_REASONS = {
     'old': verdict.RefusalReason.STALE_RUN,
     'late': verdict.RefusalReason.LATE,
@@ -36,15 +46,42 @@
     reason: str = ''
 
 
+_ClockMs = typing.Annotated[
+    int, msgspec.Meta(ge=-limits.MAX_TIME_MS, le=limits.MAX_TIME_MS)
+]
+_Number = typing.Annotated[int, msgspec.Meta(ge=0, le=2**63 - 1)]
+_Rows = typing.Annotated[
+    tuple[msgspec.Raw, ...], msgspec.Meta(max_length=MAX_ROWS)
+]
+
+
 class _Report(msgspec.Struct, frozen=True):
-    born: int = 0  # Unix time in ms of the worker's start
-    clock_ms: int = 0
-    running: tuple[messages.ActiveRun, ...] = ()
-    ended: tuple[messages.EndedRun, ...] = ()
+    # Without it, the report would look like that of another incarnation.
+    born: int  # Unix time in ms of the worker's start
+    clock_ms: _ClockMs
+    running: _Rows = ()
+    ended: _Rows = ()
+
+
+class _RunId(msgspec.Struct, frozen=True, array_like=True):
+    """What must be known of a row of running."""
+
+    task: str
+    run: _Number
+
+
+class _EndNumber(msgspec.Struct, frozen=True, array_like=True):
+    """What must be known of a row of ended."""
+
+    number: _Number
 
 
 _reply_decoder = msgspec.json.Decoder(_Reply)
 _report_decoder = msgspec.json.Decoder(_Report)
+_run_decoder = msgspec.json.Decoder(messages.ActiveRun)
+_run_id_decoder = msgspec.json.Decoder(_RunId)
+_end_decoder = msgspec.json.Decoder(messages.EndedRun)
+_end_number_decoder = msgspec.json.Decoder(_EndNumber)
 
 
 class PlatformWorkers(base.WorkerClient):
@@ -54,6 +91,7 @@
         self._clock = clock or clock_lib.SystemClock()
         self._lock = threading.Lock()
         self._clients = {}
+        self._unreadable = unreadable.UnreadableLog(self._clock)
 
     def start(self, worker, order, timeout_ms):
         body = _StartRequest(
@@ -99,15 +137,12 @@
         if wait_ms:
             body['wait_ms'] = wait_ms
         reply = self._send_order(worker, '/api/hold', body, timeout_ms)
-        try:
-            report = _report_decoder.decode(reply.body)
-        except msgspec.MsgspecError as exc:
+        if len(reply.body) > MAX_REPORT_BYTES:
             raise errors.ReplyLost(
-                address=worker.address, detail=f'malformed report: {exc}'
-            ) from exc
-        return messages.Report(
-            report.born, report.clock_ms, report.running, report.ended
-        )
+                address=worker.address, detail='malformed: it is too large'
+            )
+        report = _decode(worker, _report_decoder, reply)
+        return self._build_report(worker, report)
 
     def pace(self, worker, task, run, percent, epoch, timeout_ms):
         body = {'task': task, 'run': run, 'percent': percent, 'fence': epoch}
@@ -153,6 +188,58 @@
                 )
         return reply
 
+    def _build_report(self, worker, report):
+        """Return the Report; odd rows are logged, once for each worker."""
+        running = [self._read_run(worker, row) for row in report.running]
+        ended, last_end = [], 0
+        for row in report.ended:
+            number, end = self._read_end(worker, row)
+            last_end = max(last_end, number)
+            if end is not None:
+                ended.append(end)
+        known = tuple(run for run in running if run is not None)
+        return messages.Report(
+            report.born,
+            report.clock_ms,
+            known,
+            tuple(sorted(ended, key=lambda end: end.number)),
+            len(running) - len(known),
+            last_end,
+        )
+
+    def _read_run(self, worker, row):
+        """Return the ActiveRun of a row; None if its id is unreadable."""
+        try:
+            # Whatever else is odd, the run is there.
+            run_id = decoding.decode('running', _run_id_decoder, row)
+        except errors.UnreadableMessage as exc:
+            self._note(worker, exc)
+            return None
+        try:
+            run = decoding.decode('running', _run_decoder, row)
+            if all(0 <= x <= MAX_FIGURE for x in (run.percent, run.load)):
+                return run
+            raise decoding.unreadable('running', 'a figure is out of range')
+        except errors.UnreadableMessage as exc:
+            self._note(worker, exc)
+            return messages.ActiveRun(run_id.task, run_id.run)
+
+    def _read_end(self, worker, row):
+        """Return the number and the EndedRun of a row; 0 and None if odd."""
+        number = 0
+        try:
+            number = decoding.decode('ended', _end_number_decoder, row).number
+            end = decoding.decode('ended', _end_decoder, row)
+            if 0 <= end.run < 2**63:
+                return number, end
+            raise decoding.unreadable('ended', 'its run is out of range')
+        except errors.UnreadableMessage as exc:
+            self._note(worker, exc)
+            return number, None
+
+    def _note(self, worker, exc):
+        self._unreadable.note(f'report of {worker.worker_id}', exc)
+
     def _client_of(self, worker):
         with self._lock:
             client = self._clients.get(worker.incarnation)
@@ -163,9 +250,13 @@
 
 
 def _decode_reply(worker, reply):
+    return _decode(worker, _reply_decoder, reply)
+
+
+def _decode(worker, decoder, reply):
     try:
-        return _reply_decoder.decode(reply.body)
-    except msgspec.MsgspecError as exc:
+        return decoding.decode('reply', decoder, reply.body)
+    except errors.UnreadableMessage as exc:
         raise errors.ReplyLost(
-            address=worker.address, detail=f'malformed reply: {exc}'
+            address=worker.address, detail=f'malformed: {exc}'
         ) from exc
--- a/figtray/scheduling/reports.py
+++ b/figtray/scheduling/reports.py
@@ -27,7 +27,8 @@
             (number of the last end that the worker may forget, end of the
             lease on the worker's clock in milliseconds). The latter is None,
             which leaves the lease as it is, if the worker's clock is unknown,
-            its last report failed, or leases may not be extended now.
+            its last report failed, leases may not be extended now, or runs of
+            earlier terms may be among those that can't be read.
         """
         with self.lock:
             now_ms = self._clock.now_ms()
@@ -37,6 +38,7 @@
                 worker_clock is None
                 or worker_state.unresponsive
                 or not lease_ms
+                or self._may_hide_earlier_runs(worker_state)
             ):
                 return worker_state.acknowledged, None
             worker_state.requested_lease_ms = worker_clock + lease_ms
@@ -80,17 +82,33 @@
                 if item.number > worker_state.seen_end:
                     self._handle_end(worker_state, item, now_ms)
                     worker_state.seen_end = item.number
-            self._check_tracked(worker_state, reported, asked_ms)
-            worker_state.stray_runs = self._stray_runs(
-                worker_state, reported - ended
+            # Ends that can't be read are acknowledged as well, or they would
+            # hold up those that follow; their runs are lost.
+            worker_state.seen_end = max(worker_state.seen_end, report.last_end)
+            self._check_tracked(
+                worker_state, reported, asked_ms, not report.unreadable
             )
-            self._resolve_incarnation(
-                worker_state.worker.incarnation, 'it reports'
+            worker_state.stray_runs = self._stray_runs(
+                worker_state, reported - ended, report.unreadable
             )
+            if not report.unreadable:
+                self._resolve_incarnation(
+                    worker_state.worker.incarnation, 'it reports'
+                )
             sequence = self._writer.last_sequence()
         self.changed.set()
         return sequence
 
+    def _may_hide_earlier_runs(self, worker_state):
+        """Return whether a worker may have runs of earlier terms, unread.
+
+        Their leases end with the wait for them only if they are not extended.
+        """
+        return (
+            worker_state.stray_runs.unreadable
+            and worker_state.worker.incarnation in self._unresolved
+        )
+
     def is_settling(self, worker_state):
         """Return whether a worker has runs that are starting or stopping.
 
@@ -160,19 +178,24 @@
             ended=len(report.ended),
         )
 
-    def _check_tracked(self, worker_state, reported, asked_ms):
+    def _check_tracked(self, worker_state, reported, asked_ms, is_complete):
         """Find the lost runs of a worker, and note that the others go on.
 
         Args:
             worker_state: its WorkerState.
             reported: (task name, run number) of what it reports as running.
             asked_ms: see handle_report().
+            is_complete: whether no other run is there.
         """
         for run in list(worker_state.runs.values()):
             if (run.task.name, run.number) in reported:
                 self._note_running(run, asked_ms)
             # Equal times tell nothing about the order of the two.
-            elif run.confirmed_ms is not None and run.confirmed_ms < asked_ms:
+            elif (
+                is_complete
+                and run.confirmed_ms is not None
+                and run.confirmed_ms < asked_ms
+            ):
                 self._mark_lost(run, 'absent from a report')
 
     def _handle_running(self, worker_state, item, now_ms):
@@ -250,12 +273,13 @@
         )
         worker_state.orders.put(worker_orders.StopStray(item.task, item.run))
 
-    def _stray_runs(self, worker_state, running):
+    def _stray_runs(self, worker_state, running, unreadable):
         """Return the StrayRuns of a report that has been handled.
 
         Args:
             worker_state: the WorkerState of the worker that reports.
             running: (task name, run number) of what runs there.
+            unreadable: number of the runs that can't be read.
         """
         tasks = [
             self.find_task(name)
@@ -265,7 +289,12 @@
         needs = model.NO_RESOURCES
         for task in filter(None, tasks):
             needs += state.occupied(task.step.spec)
-        return worker_state_lib.StrayRuns(len(tasks), needs, None in tasks)
+        return worker_state_lib.StrayRuns(
+            len(tasks) + unreadable,
+            needs,
+            None in tasks or unreadable > 0,
+            unreadable > 0,
+        )
 
     def _handle_end(self, worker_state, item, now_ms):
         task = self.find_task(item.task)
--- a/figtray/scheduling/tests/test_odd_records.py
+++ b/figtray/scheduling/tests/test_odd_records.py
@@ -1,5 +1,7 @@
 """Tests of takeovers that find records which no leader wrote like that."""
 
+import dataclasses
+
 import pytest
 
 from figtray.events import catalogue
@@ -381,3 +383,84 @@
         assert fleet.store.get('good').value == b'1'
         [line] = harness.logged(handler, catalogue.UNEXPECTED_EXCEPTION)
         assert line['where'] == 'record odd'
+
+
+class TestOddReports:
+    @pytest.fixture
+    def hide(self, fleet):
+        """Function that makes the runs of a worker unreadable."""
+        make_report = fleet.client.report
+
+        def hide(number):
+            def report(worker, *args):
+                found = make_report(worker, *args)
+                if worker.worker_id != f'worker-{number}':
+                    return found
+                return dataclasses.replace(
+                    found, running=(), unreadable=len(found.running)
+                )
+
+            fleet.client.report = report
+
+        return hide
+
+    # A run that is not seen was lost, and its task started a second time.
+    @pytest.mark.parametrize('lasting', [True, False])
+    def test_unread_run_is_lost(self, fleet, leader, hide, lasting):
+        job_id = fleet.submit(harness.make_step(lasting=lasting))
+        takeovers.play(leader, 2 * takeovers.CYCLE_MS)
+        number = takeovers.place(fleet, f'{job_id}.0.0.0')
+        hide(number)
+        takeovers.play(leader, 2 * takeovers.LONGEST_LEASE_MS)
+        assert takeovers.place(fleet, f'{job_id}.0.0.0') == number
+        # What it runs is unknown, so nothing else starts there.
+        fleet.submit(harness.make_step(20))
+        takeovers.play(leader, takeovers.START_MS)
+        assert len(fleet.sim(number).runs) == 1
+        assert len(takeovers.running(fleet)) > 10
+
+    # Its worker counted as known, so its tasks started a second time.
+    @pytest.mark.parametrize('lasting', [True, False])
+    def test_unread_run_of_an_earlier_term_runs_twice(
+        self, fleet, leader, hide, lasting
+    ):
+        job_id = fleet.submit(harness.make_step(lasting=lasting))
+        takeovers.play(leader, 2 * takeovers.CYCLE_MS)
+        task = f'{job_id}.0.0.0'
+        [(_, run)] = takeovers.running(fleet)[task]
+        hide(takeovers.place(fleet, task))
+        leader = fleet.elect_leader()
+        takeovers.play(leader, takeovers.LONGEST_LEASE_MS // 2)
+        assert takeovers.running(fleet)[task][0][1] == run
+        # Its lease was not extended, so the task starts anew after it.
+        takeovers.play(leader, takeovers.LONGEST_LEASE_MS)
+        assert takeovers.running(fleet)[task][0][1] > run
+
+    # Ends that follow were never seen, as the worker lists 500 at a time.
+    def test_unread_end_is_never_acknowledged(self, fleet, leader):
+        fleet.submit(harness.make_step())
+        takeovers.play(leader, 2 * takeovers.CYCLE_MS)
+        worker_state = leader.worker_state(0)
+        report = fleet.client.report(worker_state.worker, 9, 0, None, 0, 0)
+        leader.scheduler.handle_report(
+            worker_state, dataclasses.replace(report, last_end=5), 0
+        )
+        assert worker_state.seen_end == 5
+
+    # It was taken for another task.
+    @pytest.mark.parametrize(
+        'name',
+        [
+            '{}.0.0.-1',
+            '{}.0.0.1_0',
+            '{}.0.0.01',
+            '{}.0.0.\u0661',
+            '{}.0.0',
+            '.',
+            '',
+        ],
+    )
+    def test_odd_name_finds_a_task(self, fleet, leader, name):
+        job_id = fleet.submit(harness.make_step(20))
+        leader.sync_intake()
+        assert leader.scheduler.find_task(name.format(job_id)) is None
--- a/figtray/scheduling/worker_state.py
+++ b/figtray/scheduling/worker_state.py
@@ -17,11 +17,13 @@
         count: number of the runs.
         needs: Resources that they occupy.
         unknown: whether the needs of some are unknown.
+        unreadable: whether some can't be told from those that it tracks.
     """
 
     count: int = 0
     needs: model.Resources = model.NO_RESOURCES
     unknown: bool = False
+    unreadable: bool = False
 
 
 class WorkerState:
