--- a/figtray/leadership/elector.py
+++ b/figtray/leadership/elector.py
@@ -10,6 +10,7 @@
 from figtray.events import log
 from figtray.events import unreadable
 from figtray.leadership import term as terms
+from figtray import release
 from figtray.store import base
 from figtray.store import prefix_watcher
 from figtray import threads
@@ -215,6 +216,7 @@
             catalogue.LEADER_WON,
             epoch=term.epoch,
             vacant_ms=self._clock.now_ms() - self._vacant_ms,
+            sources=release.sources_digest(),
         )
         for target, name in (
             (lambda: self._renew_lease(term), 'renewal'),
