Start no trial beside a lasting run that has just started

Cause: a trial waits until the other runs on its worker have gone on for 0.4 s. For the first 0.3 s, in which it also awaits that the others end, lasting runs were let pass whatever their age.

Evidence: the new test failed; the trial began at once beside a lasting run that had just started.

Change: the age counts for all runs, lasting ones too, at any time.

Why it works: a run that is older than 0.4 s as the trial begins is not among those that crash their workers right after the start.

--- a/figtray/scheduling/tests/test_trials.py
+++ b/figtray/scheduling/tests/test_trials.py
@@ -77,3 +77,22 @@
         other, _ = deadly.submit(fleet, cpu_milli=6000)
         site.play(leader, 10_000)
         assert leader.state(other) == records.State.COMPLETED
+
+
+class TestTrialBesideOthers:
+    # A trial began beside a lasting run that had just started, and the task on
+    # trial was blamed for a crash that was the other's doing.
+    def test_trial_awaits_that_a_lasting_run_has_gone_on(self):
+        fleet = harness.Fleet(workers=1)
+        leader = fleet.elect_leader()
+        leader.report_all()
+        site = deadly.Site(fleet, run_ms=None)
+        site.lasting = deadly.submit(fleet, lasting=True)[1]
+        _, [task] = deadly.submit(fleet)
+        leader.sync_intake()
+        leader.scheduler.find_task(task).crashes = records.Crashes((1,))
+        site.play(leader, 250)
+        assert site.lasting[0] in takeovers.running(fleet)
+        assert task not in takeovers.running(fleet)
+        site.play(leader, 750)
+        assert task in takeovers.running(fleet)
--- a/figtray/scheduling/trials.py
+++ b/figtray/scheduling/trials.py
@@ -165,10 +165,12 @@
     Its runs would be lost with it, so those that end soon are awaited for a
     while.
     """
-    runs = worker_state.runs.values()
-    if now_ms - task.ready_ms < EMPTY_WAIT_MS:
-        return all(run.task.step.spec.lasting for run in runs)
-    return all(crashes.has_gone_on(run, QUIET_MS, now_ms) for run in runs)
+    awaits_ends = now_ms - task.ready_ms < EMPTY_WAIT_MS
+    return all(
+        crashes.has_gone_on(run, QUIET_MS, now_ms)
+        and (run.task.step.spec.lasting or not awaits_ends)
+        for run in worker_state.runs.values()
+    )
 
 
 def _run_counts(worker_state):
