Note late crashes also beside a task on trial

What callers saw: tasks that crash their workers 0.4 s to 5 s after each start were started a sixth time (TestLateDeadlyMachine).

Cause: a crash on a worker where another task was on trial was put down to that one alone, so a crash by an older run was not counted at all.

Evidence: the new test failed: the older run had no late crash.

Change: the other runs there are noted as late, as they are without a trial. A late crash counts only after a crash on trial, and a run that goes on for longer clears it, so an innocent task is not given up by it.

Why it works: each crash is now noted for each run that may have caused it.

--- a/figtray/scheduling/crashes.py
+++ b/figtray/scheduling/crashes.py
@@ -58,15 +58,15 @@
 def late_runs(worker_state):
     """Return the runs that had gone on for a while before a crash.
 
-    If one is on trial, only that one and its gang are suspected, so then
-    there are none.
+    They may be the cause, too, if another one is on trial or had just started.
 
     Args:
         worker_state: WorkerState of the crashed worker.
     """
     sent = _sent_runs(worker_state)
     if run_on_trial(worker_state) in sent:
-        return []
+        tried = suspects(worker_state)
+        return [run for run in sent if run not in tried]
     return [run for run in sent if is_late(run)]
 
 
--- a/figtray/scheduling/tests/test_trials.py
+++ b/figtray/scheduling/tests/test_trials.py
@@ -96,3 +96,24 @@
         assert task not in takeovers.running(fleet)
         site.play(leader, 750)
         assert task in takeovers.running(fleet)
+
+    # A crash was put down to the task on trial alone, so one that crashes its
+    # workers late was not counted when another was on trial there.
+    def test_late_crash_beside_a_trial_is_noted(self):
+        fleet = harness.Fleet(workers=1)
+        leader = fleet.elect_leader()
+        leader.report_all()
+        site = deadly.Site(fleet, delay_ms=1000, run_ms=None)
+        _, [late] = deadly.submit(fleet, lasting=True)
+        site.deadly = {late}
+        site.play(leader, 200)
+        _, [task] = deadly.submit(fleet)
+        leader.sync_intake()
+        leader.scheduler.find_task(task).crashes = records.Crashes(
+            (1,), late=(1,)
+        )
+        site.play_to_crash(leader, late)
+        site.play(leader, 200)
+        crashes = [leader.scheduler.find_task(t).crashes for t in (task, late)]
+        assert [item.count for item in crashes] == [2, 0]
+        assert [len(item.late) for item in crashes] == [1, 1]
