Go on with trials and ages of crashes under the next leader

What callers saw: tasks that crash their workers seconds after each start were started a sixth time (TestLateDeadlyMachine).

Cause: a new leader counted the age of an adopted run from the adoption, so the task's next run outlasted that age and cleared the task. And it did not know that the run was on trial, so it started others beside it.

Change: the age of a crash of an adopted run counts as unknown, 10 s, after which a run clears its task anyway. An adopted run of a task that starts on trial only is on trial again.

Why it works: what the next leader can't know no longer counts in favour of a suspect, and what it can tell from the stored crashes goes on.

--- a/figtray/scheduling/crashes.py
+++ b/figtray/scheduling/crashes.py
@@ -109,14 +109,20 @@
         task: the TaskState.
         now_ms: local time.
     """
-    if task.crashes.count >= CRASHES_TO_REQUIRE_TRIAL:
-        return True
-    all_runs = {*task.crashes.runs, *task.crashes.late}
-    if task.crashes.count and len(all_runs) >= ALL_CRASHES_TO_REQUIRE_TRIAL:
+    if is_tried_each_time(task):
         return True
     return is_suspect(task) and now_ms - task.ready_ms < MAX_TRIAL_WAIT_MS
 
 
+def is_tried_each_time(task):
+    """Return whether a task starts on trial only, however long it waits."""
+    crashes = task.crashes
+    if crashes.count >= CRASHES_TO_REQUIRE_TRIAL:
+        return True
+    all_runs = {*crashes.runs, *crashes.late}
+    return crashes.count > 0 and len(all_runs) >= ALL_CRASHES_TO_REQUIRE_TRIAL
+
+
 def must_start_apart(task, now_ms):
     """Return whether a suspect may not start beside another one.
 
@@ -181,8 +187,14 @@
 
 
 def note_age(run):
-    """Record for how long at most a run had gone on in a crash."""
-    run.task.crashes = run.task.crashes.note_age(_age_ms(run) or 0)
+    """Record for how long at most a run had gone on in a crash.
+
+    That of an adopted run is unknown.
+    """
+    age_ms = _age_ms(run) or 0
+    if run.adopted:
+        age_ms = max(age_ms, CLEARED_MS)
+    run.task.crashes = run.task.crashes.note_age(age_ms)
 
 
 def log_suspected(run):
--- a/figtray/scheduling/reports.py
+++ b/figtray/scheduling/reports.py
@@ -211,6 +211,7 @@
         run.phase = state.Phase.RUNNING
         run.confirmed_ms = now_ms
         run.sent_ms = run.started_ms = now_ms
+        run.adopted = True
         self._attach(run)
         job = task.step.job
         from_earlier_term = (
@@ -225,6 +226,7 @@
             run=item.run,
             worker=worker_state.worker.worker_id,
         )
+        self._resume_trial(run)
         self._handle_running(worker_state, item, now_ms)
         if not job.started:
             job.state = records.State.RUNNING
--- a/figtray/scheduling/state.py
+++ b/figtray/scheduling/state.py
@@ -61,6 +61,7 @@
             the worker has not confirmed it.
         seen_ms: local time of the latest request for a report that showed it;
             None if none did.
+        adopted: whether an earlier leader started it.
     """
 
     __slots__ = (
@@ -78,6 +79,7 @@
         'sent_ms',
         'started_ms',
         'seen_ms',
+        'adopted',
     )
 
     def __init__(self, task, worker_state, number, ordered_ms, ticket=''):
@@ -95,6 +97,7 @@
         self.sent_ms = None
         self.started_ms = None
         self.seen_ms = None
+        self.adopted = False
 
 
 class TaskState:
--- a/figtray/scheduling/tests/test_deadly_tasks.py
+++ b/figtray/scheduling/tests/test_deadly_tasks.py
@@ -163,6 +163,22 @@
         assert site.crashes[task] <= deadly.MOST_CRASHES
         assert leader.state(job_id) == records.State.FAILED
 
+    # The age of a run that a leader had adopted counted from the adoption, so
+    # the next run cleared the task before it crashed its worker.
+    def test_crashes_of_adopted_runs_are_counted(self, fleet, leader):
+        site = deadly.Site(fleet, delay_ms=5000)
+        job_id, [task] = deadly.submit(fleet)
+        site.deadly = {task}
+        for _ in range(4):
+            site.play(leader, 4000)
+            leader = fleet.elect_leader()
+            leader.report_all()
+            site.play_to_crash(leader, task)
+            site.play_to_crash(leader, task)
+            site.play(leader, FOUND_MS)
+        assert site.crashes[task] <= deadly.MOST_CRASHES
+        assert leader.state(job_id) == records.State.FAILED
+
     # A run of 10 s clears its task, whatever came before.
     def test_task_that_crashes_workers_after_15_s_is_given_up(
         self, fleet, leader
--- a/figtray/scheduling/tests/test_trials.py
+++ b/figtray/scheduling/tests/test_trials.py
@@ -117,3 +117,26 @@
         crashes = [leader.scheduler.find_task(t).crashes for t in (task, late)]
         assert [item.count for item in crashes] == [2, 0]
         assert [len(item.late) for item in crashes] == [1, 1]
+
+
+class TestTrialAfterAChangeOfLeader:
+    # The next leader started others beside a task on trial, and put its crash
+    # down to them.
+    def test_trial_goes_on(self):
+        fleet = harness.Fleet(workers=1)
+        leader = fleet.elect_leader()
+        leader.report_all()
+        site = deadly.Site(fleet, run_ms=None)
+        _, [task] = deadly.submit(fleet)
+        leader.sync_intake()
+        leader.scheduler.find_task(task).crashes = records.Crashes(
+            (1, 2, 3), late=(1,), longest_ms=2600
+        )
+        site.play(leader, 500)
+        leader = fleet.elect_leader()
+        leader.report_all()
+        _, [other] = deadly.submit(fleet)
+        site.play(leader, 1000)
+        assert set(takeovers.running(fleet)) == {task}
+        site.play(leader, 3000)
+        assert set(takeovers.running(fleet)) == {task, other}
--- a/figtray/scheduling/worker_ends.py
+++ b/figtray/scheduling/worker_ends.py
@@ -8,6 +8,7 @@
 from figtray.scheduling import ends
 from figtray.scheduling import job_lifecycle
 from figtray.scheduling import scheduler_base
+from figtray.scheduling import trials
 
 
 class WorkerEnds(job_lifecycle.JobLifecycle):
@@ -158,6 +159,12 @@
             if not task.done
         ]
 
+    def _resume_trial(self, run):
+        """Go on with the trial of an adopted run that starts on trial only."""
+        worker_state = run.worker_state
+        if worker_state.trial is None and crashes.is_tried_each_time(run.task):
+            worker_state.trial = trials.Trial(run.task)
+
     def _note_running(self, run, asked_ms):
         """End the trial of a run, or clear its task, if it went on.
 
