Keep the late crashes of a task over a change of the leader

What callers saw: tasks that crash their workers seconds after each start were started a sixth time (TestLateDeadlyMachine).

Cause: the placement of a task with late crashes only was not stored before its start, so a crash while nobody led was not counted. With four such crashes it still started beside others, where a fifth shows nothing.

Evidence: both new tests failed: one late crash instead of two after the change of the leader; a start beside another task with four late crashes.

Change: the placement of each task with crashes, late ones too, is stored before its start, and a crash there while nobody led counts as one more late one. With four crashes of any kind a task starts on trial only.

Why it works: the next leader finds where the task was started, as it does for suspects, and the deciding crash comes on trial.

--- a/figtray/scheduling/crashes.py
+++ b/figtray/scheduling/crashes.py
@@ -120,7 +120,7 @@
     if crashes.count >= CRASHES_TO_REQUIRE_TRIAL:
         return True
     all_runs = {*crashes.runs, *crashes.late}
-    return crashes.count > 0 and len(all_runs) >= ALL_CRASHES_TO_REQUIRE_TRIAL
+    return len(all_runs) >= ALL_CRASHES_TO_REQUIRE_TRIAL
 
 
 def must_start_apart(task, now_ms):
--- a/figtray/scheduling/starts.py
+++ b/figtray/scheduling/starts.py
@@ -2,6 +2,7 @@
 
 import collections
 
+from figtray.jobs import records
 from figtray.scheduling import crashes
 from figtray.scheduling import placement
 from figtray.scheduling import scheduler_base
@@ -126,7 +127,7 @@
         self._attach(run)
         if crashes.run_on_trial(worker_state) is run:
             self._log_trial(run)
-        if step.spec.lasting or task.crashes.count:
+        if step.spec.lasting or task.crashes != records.NO_CRASHES:
             sequence = self._record_placement(run)
             self._unrecorded_runs.append((sequence, run))
         else:
--- a/figtray/scheduling/tests/test_deadly_tasks.py
+++ b/figtray/scheduling/tests/test_deadly_tasks.py
@@ -226,6 +226,21 @@
         assert site.crashes[task] <= deadly.MOST_CRASHES
         assert leader.state(job_id) == records.State.FAILED
 
+    # A task with late crashes only had no stored placement, so a crash while
+    # nobody led was not counted.
+    def test_late_crash_without_a_leader_is_counted(self, fleet, leader):
+        site = deadly.Site(fleet, delay_ms=1000)
+        _, [name] = deadly.submit(fleet)
+        leader.sync_intake()
+        task = leader.scheduler.find_task(name)
+        task.crashes = records.Crashes(late=(1,), longest_ms=1000)
+        site.deadly = {name}
+        site.play_to_crash(leader, name)
+        leader = fleet.elect_leader()
+        leader.report_all()
+        site.play(leader, FOUND_MS)
+        assert len(leader.scheduler.find_task(name).crashes.late) == 2
+
     # A crash on trial that a slow leader noticed late counted as a late one.
     def test_crash_on_trial_that_is_noticed_late(self, fleet, leader):
         site = deadly.Site(fleet, delay_ms=380)
@@ -394,6 +409,8 @@
             ((1,), (1, 2, 3), True),
             ((1, 2), (3, 4), False),
             ((1,), (2, 3, 4), False),
+            ((), (1, 2, 3), True),
+            ((), (1, 2, 3, 4), False),
         ],
     )
     def test_task_with_late_crashes_starts_beside_others_once_more(
--- a/figtray/scheduling/worker_ends.py
+++ b/figtray/scheduling/worker_ends.py
@@ -127,7 +127,10 @@
             if (
                 task.placement != placement
                 or task.run is not None
-                or (task.step.spec.lasting and not task.crashes.count)
+                or (
+                    task.step.spec.lasting
+                    and task.crashes == records.NO_CRASHES
+                )
             ):
                 continue
             # The number of the run is unknown; no run has this one.
@@ -136,8 +139,12 @@
                 kind == ends.Kind.CRASHED
                 and task.crashes.count >= crashes.CRASHES_TO_REQUIRE_TRIAL
             )
-            task.crashes = task.crashes.add(number, alone)
             task.placement = None
+            if task.crashes.late and not task.crashes.count:
+                task.crashes = task.crashes.add_late(number)
+                self._store_progress(task.step.job)
+                continue
+            task.crashes = task.crashes.add(number, alone)
             self._store_progress(task.step.job)
             log.emit(
                 catalogue.TASK_SUSPECTED,
