Try a task for as long as it goes on before its crashes

What callers saw: a task that crashes its workers 15 s after each start was started without end, and one with 5 s a sixth time beside younger runs (KNOWN-RED.txt, test_task_that_crashes_workers_after_15_s_is_given_up).

Cause: a run of 10 s cleared its task, whatever came before. A trial ended after 3 s, so a crash at 5 s was put down to runs that had started since.

Change: with three crashes of any kind, a trial goes on until the run has outlasted those under which workers crashed. Crashes between 10 and 30 s count too, if they come at the same age, within 15 %; else only the last one does, as crashes by chance come at any age.

A new test lets chance crash a run at seven ages of 11 to 28 s: none fails its job.

Why it works: the crash comes while the task is alone with older runs, and nothing clears the task before it.

--- a/figtray/scheduling/crashes.py
+++ b/figtray/scheduling/crashes.py
@@ -21,6 +21,14 @@
 # A run that has outlasted those under which workers crashed, or has gone on
 # for this long, shows that its task was not the cause.
 CLEARED_MS = 10_000
+# Later crashes count up to this age, if they come at the same age each time:
+# those that are chance do not.
+MAX_AGE_MS = 30_000
+# Largest difference of such ages, as a share of the longest.
+AGE_TOLERANCE = 0.15
+# A task with as many crashes, also late ones, is on trial until a run has
+# outlasted those under which workers crashed.
+CRASHES_TO_TRY_LONGER = 3
 # Number of crashes after which a task is given up, by how many of them were on
 # trial and soon after the start. One of these may be chance: a worker may
 # crash by itself during a trial. After a change of the leader it may be
@@ -116,11 +124,10 @@
 
 def is_tried_each_time(task):
     """Return whether a task starts on trial only, however long it waits."""
-    crashes = task.crashes
-    if crashes.count >= CRASHES_TO_REQUIRE_TRIAL:
-        return True
-    all_runs = {*crashes.runs, *crashes.late}
-    return len(all_runs) >= ALL_CRASHES_TO_REQUIRE_TRIAL
+    return (
+        task.crashes.count >= CRASHES_TO_REQUIRE_TRIAL
+        or _count_all(task.crashes) >= ALL_CRASHES_TO_REQUIRE_TRIAL
+    )
 
 
 def must_start_apart(task, now_ms):
@@ -140,7 +147,10 @@
         run: the Run.
         asked_ms: local time at which it certainly went on.
     """
-    trial_ms = LONG_TRIAL_MS if run.task.crashes.late else TRIAL_MS
+    crashes = run.task.crashes
+    if _count_all(crashes) >= CRASHES_TO_TRY_LONGER:
+        return is_cleared(run, asked_ms)
+    trial_ms = LONG_TRIAL_MS if crashes.late else TRIAL_MS
     return has_gone_on(run, trial_ms, asked_ms)
 
 
@@ -153,7 +163,10 @@
         run: the Run.
         asked_ms: local time at which it certainly went on.
     """
-    cleared_ms = min(run.task.crashes.longest_ms + SETTLED_MS, CLEARED_MS)
+    longest_ms = run.task.crashes.longest_ms
+    cleared_ms = longest_ms + SETTLED_MS
+    if not CLEARED_MS < longest_ms <= MAX_AGE_MS:
+        cleared_ms = min(cleared_ms, CLEARED_MS)
     return has_gone_on(run, cleared_ms, asked_ms)
 
 
@@ -186,6 +199,21 @@
     return run.started_ms is not None and at_ms - run.started_ms >= for_ms
 
 
+def is_unlike_earlier(run):
+    """Return whether a crash is not the doing of what caused earlier ones.
+
+    That is so if one came long after the start and the other did not, or at
+    another age.
+
+    Args:
+        run: a Run on the crashed worker.
+    """
+    longest_ms, age_ms = run.task.crashes.longest_ms, _age_ms(run) or 0
+    if run.adopted or max(longest_ms, age_ms) <= CLEARED_MS:
+        return False
+    return abs(longest_ms - age_ms) > AGE_TOLERANCE * longest_ms
+
+
 def note_age(run):
     """Record for how long at most a run had gone on in a crash.
 
@@ -210,6 +238,11 @@
     )
 
 
+def _count_all(crashes):
+    """Return the number of crashes of a task, with the late ones."""
+    return len({*crashes.runs, *crashes.late})
+
+
 def _sent_runs(worker_state):
     """Return the runs on a worker that it may have started."""
     return [
--- a/figtray/scheduling/tests/test_deadly_tasks.py
+++ b/figtray/scheduling/tests/test_deadly_tasks.py
@@ -163,6 +163,21 @@
         assert site.crashes[task] <= deadly.MOST_CRASHES
         assert leader.state(job_id) == records.State.FAILED
 
+    # A trial ended before a task crashed its worker, so the crash was put down
+    # to younger runs; only each fourth was on trial.
+    def test_task_that_crashes_workers_after_5_s_beside_younger_runs(
+        self, fleet, leader
+    ):
+        site = deadly.Site(fleet, delay_ms=5000)
+        job_id, [task] = deadly.submit(fleet)
+        site.deadly = {task}
+        for _ in range(300):
+            deadly.submit(fleet, 16)
+            site.play(leader, 200)
+        site.play(leader, LONG_MS)
+        assert site.crashes[task] <= deadly.MOST_CRASHES
+        assert leader.state(job_id) == records.State.FAILED
+
     # The age of a run that a leader had adopted counted from the adoption, so
     # the next run cleared the task before it crashed its worker.
     def test_crashes_of_adopted_runs_are_counted(self, fleet, leader):
@@ -179,7 +194,7 @@
         assert site.crashes[task] <= deadly.MOST_CRASHES
         assert leader.state(job_id) == records.State.FAILED
 
-    # A run of 10 s clears its task, whatever came before.
+    # A run of 10 s cleared its task, whatever came before.
     def test_task_that_crashes_workers_after_15_s_is_given_up(
         self, fleet, leader
     ):
@@ -373,6 +388,19 @@
         site.play(leader, 10_000)
         assert leader.state(job_id) == records.State.COMPLETED
 
+    # Crashes by chance come at any age, those of a task always at the same.
+    def test_chance_crashes_of_longer_runs_fail_no_job(self, fleet, leader):
+        site = deadly.Site(fleet, run_ms=None)
+        job_id, [task] = deadly.submit(fleet)
+        site.play(leader, 200)
+        for age_ms in (25_000, 18_000, 28_000, 12_000, 20_000, 15_000, 11_000):
+            site.play(leader, age_ms)
+            [(worker_id, _)] = deadly.takeovers.running(fleet)[task]
+            site.crash(int(worker_id.split('-')[1]))
+            site.play(leader, 500)
+            assert leader.state(job_id) == records.State.RUNNING
+        assert leader.scheduler.find_task(task).crashes.count == 1
+
     # A move, an upkeep, a drain or a lost host is not the task's doing.
     @pytest.mark.parametrize('how', ['moved', 'lost', 'drained'])
     def test_other_ends_are_not_counted(self, fleet, leader, how):
--- a/figtray/scheduling/worker_ends.py
+++ b/figtray/scheduling/worker_ends.py
@@ -77,9 +77,12 @@
     def _suspect_runs(self, worker_state):
         """Suspect the runs of a crashed worker; return their tasks."""
         late_runs = crashes.late_runs(worker_state)
+        runs = crashes.suspects(worker_state)
+        for run in {*late_runs, *runs}:
+            if crashes.is_unlike_earlier(run):
+                run.task.crashes = records.NO_CRASHES
         for run in late_runs:
             run.task.crashes = run.task.crashes.add_late(run.number)
-        runs = crashes.suspects(worker_state)
         alone = crashes.run_on_trial(worker_state) in runs
         for run in runs:
             task = run.task
