Count late crashes less when a task is given up

What callers saw: with crashes beside trials noted, a job without a deadly task was shown as failed more often in random plays of the fakes.

Cause: a task was given up after four crashes with one on trial, though three of them had come late, beside runs that had caused them; and after a late crash beside many runs that was not on trial.

Evidence: three of the new tests failed: a task with three late crashes and one on trial, one with two on trial, one in a crash beside 16 others.

Change: late crashes count towards the five that show guilt in any case, no longer towards four or three. A late crash beside other runs is counted but gives up no task; the next one, on trial, does.

Why it works: a late crash alone doesn't tell which of the runs caused it.

--- a/figtray/scheduling/crashes.py
+++ b/figtray/scheduling/crashes.py
@@ -100,8 +100,12 @@
 def is_guilty(task):
     """Return whether a task certainly crashes its workers."""
     crashes = task.crashes
+    if crashes.count >= CRASHES_TO_GIVE_UP[0]:
+        return True
+    # Late ones show less, as others may be their cause.
     alone = min(crashes.alone, max(CRASHES_TO_GIVE_UP))
-    return crashes.count >= CRASHES_TO_GIVE_UP[alone]
+    early = len({*crashes.runs} - {*crashes.late})
+    return early >= CRASHES_TO_GIVE_UP[alone]
 
 
 def is_suspect(task):
--- a/figtray/scheduling/tests/test_deadly_tasks.py
+++ b/figtray/scheduling/tests/test_deadly_tasks.py
@@ -401,6 +401,40 @@
             assert leader.state(job_id) == records.State.RUNNING
         assert leader.scheduler.find_task(task).crashes.count == 1
 
+    # A task was given up after one crash on trial by chance and three that had
+    # been put down to others.
+    @pytest.mark.parametrize(
+        'runs, alone, late, guilty',
+        [
+            ((1, 2, 3, 4), 1, (), True),
+            ((1, 2, 3, 4), 1, (1, 2, 3), False),
+            ((1, 2, 3), 2, (1,), False),
+            ((1, 2, 3, 4, 5), 0, (1, 2, 3, 4), True),
+        ],
+    )
+    def test_late_crashes_show_less(
+        self, fleet, leader, runs, alone, late, guilty
+    ):
+        _, [name] = deadly.submit(fleet)
+        leader.sync_intake()
+        task = leader.scheduler.find_task(name)
+        task.crashes = records.Crashes(runs, alone, late)
+        assert crashes.is_guilty(task) == guilty
+
+    # A task that had gone on beside others was given up when a chance crash
+    # ended them all.
+    def test_late_crash_beside_others_gives_up_no_task(self, fleet, leader):
+        site = deadly.Site(fleet, run_ms=None)
+        job_id, tasks = deadly.submit(fleet, 16)
+        site.play(leader, 1000)
+        [(worker_id, _)] = deadly.takeovers.running(fleet)[tasks[0]]
+        task = leader.scheduler.find_task(tasks[0])
+        task.crashes = records.Crashes((1, 2, 3, 4), longest_ms=5000)
+        site.crash(int(worker_id.split('-')[1]))
+        site.play(leader, 500)
+        assert task.crashes.count == 5
+        assert leader.state(job_id) == records.State.RUNNING
+
     # A move, an upkeep, a drain or a lost host is not the task's doing.
     @pytest.mark.parametrize('how', ['moved', 'lost', 'drained'])
     def test_other_ends_are_not_counted(self, fleet, leader, how):
--- a/figtray/scheduling/worker_ends.py
+++ b/figtray/scheduling/worker_ends.py
@@ -97,7 +97,12 @@
         for run in {*late_runs, *runs}:
             crashes.note_age(run)
             self._store_crashes(run.task)
-        return [run.task for run in runs]
+        # Late crashes beside other runs show no guilt; the next trial does.
+        return [
+            run.task
+            for run in runs
+            if alone or len(runs) == 1 or not crashes.is_late(run)
+        ]
 
     def _record_suspects(self, worker_state):
         """Record the tasks that may have crashed a worker.
