--- a/figtray/leadership/elector.py
+++ b/figtray/leadership/elector.py
@@ -8,9 +8,12 @@
 from figtray import errors
 from figtray.events import catalogue
 from figtray.events import log
+from figtray.events import unreadable
 from figtray.leadership import term as terms
+from figtray import release
 from figtray.store import base
 from figtray.store import prefix_watcher
+from figtray import threads
 
 # Longest wait of one watch call. The record of leases ends it each 2 s while
 # there is a leader, so a longer wait would save no calls, and a call that
@@ -48,6 +51,7 @@
         self._vacant_ms = clock.now_ms()
         self._last_leader = ''
         self._leases_seen = None
+        self._unreadable = unreadable.UnreadableLog(clock)
         self._watcher = prefix_watcher.PrefixWatcher(
             store,
             terms.LEADER_KEY,
@@ -59,13 +63,14 @@
 
     def run(self, stop):
         """Take part in elections until a threading.Event is set."""
-        watcher = threading.Thread(
-            target=self._watcher.run,
-            args=(stop,),
-            name='leader watch',
-            daemon=True,
+        threads.spawn(
+            lambda: self._watcher.run(stop), 'leader watch', stop, self._clock
         )
-        watcher.start()
+        threads.run_guarded(
+            lambda: self._campaign(stop), 'campaign', stop, self._clock
+        )
+
+    def _campaign(self, stop):
         while not stop.is_set():
             if not self._vacant.wait(RETRY_MS / 1000):
                 continue
@@ -115,7 +120,7 @@
             self._vacant.set()
             return
         self._vacant.clear()
-        record = _decode_record(item)
+        record = self._unreadable.read(item.key, terms.decode, item.value)
         node = record.node if record else 'unknown'
         if node != self._last_leader:
             self._last_leader = node
@@ -211,12 +216,13 @@
             catalogue.LEADER_WON,
             epoch=term.epoch,
             vacant_ms=self._clock.now_ms() - self._vacant_ms,
+            sources=release.sources_digest(),
         )
         for target, name in (
             (lambda: self._renew_lease(term), 'renewal'),
             (lambda: self._end_term_at_stop(term, stop), 'hand-over'),
         ):
-            threading.Thread(target=target, name=name, daemon=True).start()
+            threads.spawn(target, name, term.ended, self._clock)
         try:
             self._lead(term)
         except Exception as exc:
@@ -251,11 +257,3 @@
                 term.end('the lease has expired or was revoked')
                 return
             term.record_renewal(requested_ms, min(ttl_ms, terms.LEASE_TTL_MS))
-
-
-def _decode_record(item):
-    try:
-        return terms.decode(item.value)
-    except msgspec.MsgspecError as exc:
-        log.emit(catalogue.RECORD_UNREADABLE, record=item.key, detail=str(exc))
-        return None
--- a/figtray/platform/documents.py
+++ b/figtray/platform/documents.py
@@ -1,8 +1,11 @@
 """Documents that operators and workers write to the platform's store."""
 
+import typing
+
 import msgspec
 
-from figtray import errors
+from figtray import connections
+from figtray import decoding
 from figtray.fleet import model as fleet
 from figtray.jobs import model
 from figtray.jobs import queues
@@ -15,6 +18,19 @@
 WORKER_PREFIX = 'servers/'
 
 
+# Far above any host; sums of very many entries are still exact as floats.
+MAX_AMOUNT = 10**9
+# Unix time in ms; larger numbers are not exact in all JSON decoders. It isn't
+# compared with the reader's clock: one that is late would refuse all workers.
+MAX_BORN_MS = 2**53 - 1
+# A key has at most 200 bytes, so no name of a worker is longer.
+MAX_NAME_CHARS = 200
+MAX_LABELS = 100
+
+_Amount = typing.Annotated[int, msgspec.Meta(ge=0, le=MAX_AMOUNT)]
+_Name = typing.Annotated[str, msgspec.Meta(max_length=MAX_NAME_CHARS)]
+
+
 class Amounts(msgspec.Struct, frozen=True):
     """Amounts of resources in the platform's JSON."""
 
@@ -83,17 +99,27 @@
     maximum: int = 1  # most hosts that may be down at once
 
 
+class _Capacity(Amounts, frozen=True):
+    """Amounts that a worker says it has."""
+
+    cpu: _Amount = 0
+    mem_mb: _Amount = 0
+    gpu: _Amount = 0
+
+
 class _WorkerEntry(msgspec.Struct, frozen=True):
     """A worker's entry; `service` names its pool, `machine` its host."""
 
-    service: str
-    address: str
-    zone: str
-    state: str
-    born: int
-    capacity: Amounts
-    labels: tuple[str, ...] = ()
-    machine: str = ''
+    service: _Name
+    address: _Name
+    zone: _Name
+    state: _Name
+    born: typing.Annotated[int, msgspec.Meta(gt=0, le=MAX_BORN_MS)]
+    capacity: _Capacity
+    labels: typing.Annotated[
+        tuple[_Name, ...], msgspec.Meta(max_length=MAX_LABELS)
+    ] = ()
+    machine: _Name = ''
 
 
 _config_decoder = msgspec.json.Decoder(_Config)
@@ -108,7 +134,7 @@
         UnreadableMessage: the document is malformed, or has a missing or
             wrong field.
     """
-    doc = _decode('configuration', _config_decoder, data)
+    doc = decoding.decode('configuration', _config_decoder, data)
     return queues.Config(
         doc.version,
         [_build_queue(route) for route in doc.routes],
@@ -135,7 +161,7 @@
         UnreadableMessage: the document is malformed, or has a missing or
             wrong field.
     """
-    doc = _decode('wave', _wave_decoder, data)
+    doc = decoding.decode('wave', _wave_decoder, data)
     return fleet.Wave(
         doc.wave, doc.machines, int(doc.duration_s * 1000), doc.maximum
     )
@@ -157,19 +183,24 @@
 
     Raises:
         UnreadableMessage: the entry is malformed, has a missing or wrong
-            field, or names an unknown state or pool.
+            field, or an id that can't be sent, or it names an unknown state
+            or pool, or an address that can't be called.
     """
-    entry = _decode(key, _worker_decoder, data)
+    entry = decoding.decode(key, _worker_decoder, data)
     if entry.state not in ('ready', 'draining'):
-        raise errors.UnreadableMessage(
-            what=key, detail=f'unknown state {entry.state!r}'
-        )
+        raise decoding.unreadable(key, f'unknown state {entry.state!r}')
     if pools is not None and entry.service not in pools:
-        raise errors.UnreadableMessage(
-            what=key, detail=f'unknown pool {entry.service!r}'
-        )
+        raise decoding.unreadable(key, f'unknown pool {entry.service!r}')
+    worker_id = key.removeprefix(WORKER_PREFIX)
+    # Orders carry it in a header.
+    if not (worker_id.isascii() and worker_id.isprintable() and worker_id):
+        raise decoding.unreadable(key, f'id {worker_id!r} is not ASCII text')
+    try:
+        connections.check_ip_address(entry.address)
+    except ValueError as exc:
+        raise decoding.unreadable(key, f'address: {exc}') from exc
     return fleet.Worker(
-        worker_id=key.removeprefix(WORKER_PREFIX),
+        worker_id=worker_id,
         born_ms=entry.born,
         address=entry.address,
         pool=entry.service,
@@ -202,10 +233,3 @@
         timeout_ms=route.timeout_ms,
         advice=advice,
     )
-
-
-def _decode(what, decoder, data):
-    try:
-        return decoder.decode(data)
-    except (msgspec.MsgspecError, UnicodeDecodeError) as exc:
-        raise errors.UnreadableMessage(what=what, detail=str(exc)) from exc
--- a/figtray/scheduling/scheduler_base.py
+++ b/figtray/scheduling/scheduler_base.py
@@ -7,6 +7,7 @@
 
 from figtray.events import catalogue
 from figtray.events import log
+from figtray.events import unreadable
 from figtray.jobs import model
 from figtray.jobs import records
 from figtray import metrics as metrics_lib
@@ -80,6 +81,8 @@
         self._work_meter = arrivals.WorkMeter()
         # Incarnations of earlier terms whose runs are not known yet.
         self._unresolved = set()
+        # Whether no other incarnation may run tasks of earlier terms.
+        self._is_roster_complete = True
         self._adoption_until_ms = 0
         # Whether the leaders before this term recorded all Placements.
         self._are_placements_known = False
@@ -89,8 +92,11 @@
         # yet, with the sequence numbers of the Writer to wait for, in
         # ascending order.
         self._unrecorded_runs = collections.deque()
+        # Names the entries that say other than their workers.
+        self._odd_entries = unreadable.UnreadableLog(clock)
         self._awaited_log = awaited.AwaitedLog()
         self._held_log = held.HeldLog()
+        self._failure_log = unreadable.UnreadableLog(clock)
         # Ids of jobs whose records were removed, with the Unix time of the
         # removal.
         self._removed_jobs = {}
@@ -126,14 +132,25 @@
         return tasks[task_id.index] if task_id.index < len(tasks) else None
 
     def _find_worker(self, worker_id):
-        """Return the WorkerState with a worker id, or None."""
-        for worker_state in self._worker_states.values():
-            if (
-                worker_state.worker.worker_id == worker_id
+        """Return the WorkerState with a worker id, or None.
+
+        If entries name several incarnations, it is one with runs, or else
+        one that has answered.
+        """
+        return max(
+            (
+                worker_state
+                for worker_state in self._worker_states.values()
+                if worker_state.worker.worker_id == worker_id
                 and not worker_state.gone
-            ):
-                return worker_state
-        return None
+            ),
+            key=lambda found: (
+                bool(found.runs),
+                found.has_reported,
+                found.worker.born_ms,
+            ),
+            default=None,
+        )
 
     def _grantable_lease_ms(self, now_ms):
         """Return for how long a lease may be granted; 0 if it may not.
@@ -240,7 +257,9 @@
 
     def _is_adopting(self, now_ms):
         """Return whether runs of earlier terms may still be unknown."""
-        return bool(self._unresolved) and now_ms < self._adoption_until_ms
+        if self._is_roster_complete and not self._unresolved:
+            return False
+        return now_ms < self._adoption_until_ms
 
     def _record_placement(self, run):
         """Queue a write of where a lasting task or a suspect may run.
--- a/figtray/upkeep/controller.py
+++ b/figtray/upkeep/controller.py
@@ -3,11 +3,11 @@
 import concurrent.futures
 import dataclasses
 
-import msgspec
-
 from figtray import errors
 from figtray.events import catalogue
 from figtray.events import log
+from figtray.events import unreadable
+from figtray.upkeep import context
 from figtray.upkeep import host_orders
 from figtray.upkeep import rebalancer
 from figtray.upkeep import wave_state
@@ -62,6 +62,7 @@
         self._bounds = bounds
         self._encode_wave_status = encode_wave_status
         self._loads_logged_ms = 0
+        self._unreadable = unreadable.UnreadableLog(clock)
 
     def run(self, scheduler, writer, term):
         """Reconcile hosts every RECONCILE_INTERVAL_MS until the term ends.
@@ -137,20 +138,20 @@
 
     def _build_parts(self, scheduler, writer, term, executor):
         """Return a _TermParts with the state that earlier leaders stored."""
-        orders = self._build_orders(writer, term)
+        term_context = context.TermContext(
+            scheduler,
+            writer,
+            term,
+            self._clock,
+            self._host_client,
+            self._node_name,
+            self._bounds,
+            self._build_orders(writer, term),
+        )
         return _TermParts(
-            orders,
-            self._build_wave_runner(scheduler, writer, term, orders),
-            rebalancer.PoolRebalancer(
-                scheduler,
-                term,
-                self._clock,
-                self._host_client,
-                self._node_name,
-                self._bounds,
-                executor,
-                orders,
-            ),
+            term_context.orders,
+            self._build_wave_runner(term_context),
+            rebalancer.PoolRebalancer(term_context, executor),
         )
 
     def _build_orders(self, writer, term):
@@ -158,19 +159,26 @@
         former_host_ids = ()
         if item is not None:
             writer.set_revision(item.key, item.mod_revision)
-            former_host_ids = host_orders.decode(item.value).host_ids
+            record = self._unreadable.read(
+                item.key, host_orders.decode, item.value
+            )
+            former_host_ids = None if record is None else record.host_ids
         return host_orders.HostOrders(
             writer, term, self._clock, self._bounds.lease_ms, former_host_ids
         )
 
-    def _build_wave_runner(self, scheduler, writer, term, orders):
+    def _build_wave_runner(self, term_context):
+        writer = term_context.writer
         records = {}
         for item in self._store.range(wave_state.RECORD_PREFIX).items:
             writer.set_revision(item.key, item.mod_revision)
-            number = int(item.key.removeprefix(wave_state.RECORD_PREFIX))
-            records[number] = msgspec.json.decode(
-                item.value, type=wave_state.WaveRecord
-            )
+            # Upkeeps of a wave whose record is unreadable begin anew: the
+            # platform accepts an order again that it has carried out.
+            try:
+                number = wave_state.wave_number(item.key)
+                records[number] = wave_state.decode(item.value)
+            except errors.UnreadableMessage as exc:
+                self._unreadable.note(item.key, exc)
         for wave in self._view.waves().values():
             key, _ = self._encode_wave_status(wave.number, False)
             status = self._store.get(key)
@@ -181,15 +189,4 @@
             key, value = self._encode_wave_status(number, completed)
             writer.enqueue(key, lambda: value)
 
-        return waves.WaveRunner(
-            scheduler,
-            writer,
-            term,
-            self._clock,
-            self._host_client,
-            self._node_name,
-            self._bounds,
-            publish,
-            records,
-            orders,
-        )
+        return waves.WaveRunner(term_context, publish, records)
