Store odd entries of another writer in the soak

Change: a fault that comes beside the others stores one to four odd entries for a while: an unknown field nested 60,000 deep, a port out of range, amounts of 10^400, a far later birth that names the address and host of a good worker. One may stand under the id of a good worker until its next heartbeat. All promises hold meanwhile. It has random numbers of its own, so seeds keep their schedules; the schedule is made in a function now.

--- a/figtray/soak/faults.py
+++ b/figtray/soak/faults.py
@@ -11,6 +11,7 @@
 MIN_DURATION_S = 0.3
 MEAN_INTERVAL_S = 0.8
 MEAN_SHRINK_INTERVAL_S = 2.0
+MEAN_ODD_INTERVAL_S = 4.0
 PROXY_DELAY_MS = 250
 LEADER_PROBABILITY = 0.5
 
@@ -50,6 +51,7 @@
     KEY_CHANGES = 'a key is withdrawn, given back and withdrawn'
     # These come beside the others.
     WORKER_SHRINKS = 'the capacity of a worker shrinks and grows again'
+    ODD_ENTRIES = 'odd entries are stored among those of the workers'
 
 
 SERIES_KINDS = (
@@ -58,7 +60,9 @@
     FaultKind.WORKER_SILENT_CRASH,
 )
 CHANGE_KINDS = (FaultKind.SIGNALS, FaultKind.KEY_CHANGES)
-OTHER_KINDS = (*SERIES_KINDS, *CHANGE_KINDS, FaultKind.WORKER_SHRINKS)
+# All promises hold meanwhile.
+HARMLESS_KINDS = (FaultKind.WORKER_SHRINKS, FaultKind.ODD_ENTRIES)
+OTHER_KINDS = (*SERIES_KINDS, *CHANGE_KINDS, *HARMLESS_KINDS)
 # A kind that is added here changes the schedule of each seed.
 SINGLE_KINDS = tuple(kind for kind in FaultKind if kind not in OTHER_KINDS)
 
--- a/figtray/soak/injector.py
+++ b/figtray/soak/injector.py
@@ -1,6 +1,7 @@
 """Injection of the faults of a schedule."""
 
 import functools
+import itertools
 import random
 import signal
 import threading
@@ -11,7 +12,9 @@
 from figtray.platform import standin_config
 from figtray.platform import standin_site as sites
 from figtray.soak import faults
+from figtray.soak import odd_entries
 from figtray.soak import proxies as proxies_lib
+from figtray.store import base
 
 LOST_REPLY_COUNT = 4
 # Of a worker that shrinks; a task needs a core, and a lasting one a tenth.
@@ -75,8 +78,7 @@
             if self._active_targets & targets:
                 return None
             self._active_targets |= targets
-        # All promises hold while a worker shrinks.
-        disrupts = fault.kind is not faults.FaultKind.WORKER_SHRINKS
+        disrupts = fault.kind not in faults.HARMLESS_KINDS
         if disrupts:
             self._checker.record_fault_begin()
         try:
@@ -155,6 +157,9 @@
             case faults.FaultKind.WORKER_SHRINKS:
                 begin, end, host_id = self._shrink_actions(fault)
                 targets = {f'capacity of {host_id}'}
+            case faults.FaultKind.ODD_ENTRIES:
+                begin, end = self._odd_entry_actions(fault)
+                targets = {'odd entries'}
             case faults.FaultKind.KEY_WITHDRAWN:
                 begin, targets = self._withdraw_key, {'keys'}
             case faults.FaultKind.KEY_CHANGES:
@@ -248,6 +253,18 @@
             self._checker.record_resize(worker)
             self._site.resize_worker(worker, capacity)
 
+    def _odd_entry_actions(self, fault):
+        worker = self._site.worker_on(self._select_host(fault))
+        if worker is None:
+            return _no_action, _no_action
+        entries = odd_entries.make(random.Random(fault.choice), worker)
+        puts = list(itertools.starmap(base.Put, entries.items()))
+        store = self._site.store
+        return (
+            lambda: self._retry_change(store.txn, (), puts),
+            lambda: store.remove(entries),
+        )
+
     def _silent_outage_actions(self):
         """Return actions of an outage in which calls are lost unanswered."""
         store = self._site.store
--- a/figtray/soak/soak.py
+++ b/figtray/soak/soak.py
@@ -101,23 +101,8 @@
         self._seed = seed
         self._deadly_jobs = deadly_jobs
         rng = random.Random(seed)
-        # Each source of random numbers that is added gets a seed of its own
-        # so that a seed keeps its schedule and its callers.
-        random_schedule = faults_lib.make_schedule(rng, length_s)
-        random_schedule += series.make_series(
-            random.Random(f'series {seed}'), length_s
-        )
-        random_schedule += series.make_series(
-            random.Random(f'changes {seed}'), length_s, series.CHANGE_KINDS
-        )
-        random_schedule += faults_lib.make_schedule(
-            random.Random(f'shrinkages {seed}'),
-            length_s + (deadly.CALM_S if deadly_jobs else 0),
-            (faults_lib.FaultKind.WORKER_SHRINKS,),
-            faults_lib.MEAN_SHRINK_INTERVAL_S,
-        )
-        self._schedule = schedule or sorted(
-            random_schedule, key=lambda fault: fault.at_s
+        self._schedule = schedule or _make_schedule(
+            rng, seed, length_s, length_s + deadly.CALM_S * bool(deadly_jobs)
         )
         self._caller_seeds = [rng.getrandbits(32) for _ in range(CALLER_COUNT)]
         clock = clock_lib.SystemClock()
@@ -307,3 +292,38 @@
                 )
             ),
         )
+
+
+def _make_schedule(rng, seed, length_s, shrink_s):
+    """Return the random Faults of a seed, sorted by start.
+
+    Each source of random numbers that is added gets a seed of its own, so that
+    a seed keeps its schedule and its callers.
+
+    Args:
+        rng: random.Random of the seed, for the single faults.
+        seed: the seed.
+        length_s: time in seconds in which the other faults begin and end.
+        shrink_s: the same for workers that shrink.
+    """
+    kinds = faults_lib.FaultKind
+    schedule = [
+        *faults_lib.make_schedule(rng, length_s),
+        *series.make_series(random.Random(f'series {seed}'), length_s),
+        *series.make_series(
+            random.Random(f'changes {seed}'), length_s, series.CHANGE_KINDS
+        ),
+        *faults_lib.make_schedule(
+            random.Random(f'shrinkages {seed}'),
+            shrink_s,
+            (kinds.WORKER_SHRINKS,),
+            faults_lib.MEAN_SHRINK_INTERVAL_S,
+        ),
+        *faults_lib.make_schedule(
+            random.Random(f'odd entries {seed}'),
+            length_s,
+            (kinds.ODD_ENTRIES,),
+            faults_lib.MEAN_ODD_INTERVAL_S,
+        ),
+    ]
+    return sorted(schedule, key=lambda fault: fault.at_s)
--- a/figtray/soak/tests/test_injector.py
+++ b/figtray/soak/tests/test_injector.py
@@ -3,6 +3,7 @@
 import collections
 import json
 import math
+import random
 import signal
 import socket
 
@@ -11,10 +12,13 @@
 from figtray import clock as clock_lib
 from figtray import connections
 from figtray import errors
+from figtray.platform import standin_entries
+from figtray.platform import standin_services
 from figtray.platform import standin_site as sites
 from figtray.soak import faults
 from figtray.soak import injector
 from figtray.soak import invariants
+from figtray.soak import odd_entries
 from figtray.soak import proxies as proxies_lib
 from figtray.store import base
 
@@ -213,6 +217,45 @@
         )
 
 
+class TestOddEntries:
+    """Guards against entries that are like good ones, or that stay."""
+
+    def keys(self, harness):
+        return {
+            item.key
+            for item in harness.site.store.range(standin_entries.PREFIX).items
+        }
+
+    def test_entries_are_stored_and_removed(self, harness):
+        good = {
+            standin_entries.PREFIX + worker.worker_id
+            for worker in harness.workers
+        }
+        seen = set()
+        harness.pause.action = lambda: seen.update(self.keys(harness))
+        for choice in range(20):
+            fault = faults.Fault(
+                0, 0, faults.FaultKind.ODD_ENTRIES, choice, False
+            )
+            assert harness.injector.inject(fault)
+            assert self.keys(harness) <= good
+        assert len(seen - good) == odd_entries.MAX_COUNT
+
+    def test_each_kind_occurs_also_under_the_id_of_a_good_worker(
+        self, harness
+    ):
+        worker = harness.workers[0]
+        key = standin_entries.PREFIX + worker.worker_id
+        good = standin_services.encode_worker_entry(worker)
+        entries = [
+            odd_entries.make(random.Random(number), worker)
+            for number in range(100)
+        ]
+        values = {value for made in entries for value in made.values()}
+        assert good not in values and len(values) == 4
+        assert {made[key] for made in entries if key in made} == values
+
+
 class TestSeriesOfChanges:
     """Guards against nodes that stay paused and keys that stay given."""
 
--- a/figtray/soak/tests/test_soak.py
+++ b/figtray/soak/tests/test_soak.py
@@ -127,7 +127,7 @@
         for kinds in (series.KINDS, series.CHANGE_KINDS):
             schedule += series.make_series(random.Random(5), 300, kinds)
         schedule += faults.make_schedule(
-            random.Random(5), 300, (faults.FaultKind.WORKER_SHRINKS,)
+            random.Random(5), 300, faults.HARMLESS_KINDS
         )
         assert {fault.kind for fault in schedule} == set(faults.FaultKind)
 
