--- a/figtray/scheduling/membership.py
+++ b/figtray/scheduling/membership.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 
+from figtray import decoding
 from figtray.events import catalogue
 from figtray.events import log
 from figtray.fleet import model as fleet
@@ -140,10 +141,9 @@
             if incarnation in (None, worker.incarnation):
                 yield worker
                 continue
-            self._odd_entries.note(
-                f'entry of worker {worker.worker_id}',
-                f'its address, host or pool is another: {worker.incarnation}',
-            )
+            entry = f'entry of worker {worker.worker_id}'
+            detail = f'its address, host or pool is not {incarnation}'
+            self._odd_entries.note(entry, decoding.unreadable(entry, detail))
             yield dataclasses.replace(
                 worker,
                 address=incarnation.address,
