--- a/figtray/scheduling/reports.py
+++ b/figtray/scheduling/reports.py
@@ -246,6 +246,7 @@
         run.phase = state.Phase.RUNNING
         run.confirmed_ms = now_ms
         run.sent_ms = run.started_ms = now_ms
+        run.adopted = True
         self._attach(run)
         job = task.step.job
         from_earlier_term = (
@@ -260,6 +261,7 @@
             run=item.run,
             worker=worker_state.worker.worker_id,
         )
+        self._resume_trial(run)
         self._handle_running(worker_state, item, now_ms)
         if not job.started:
             job.state = records.State.RUNNING
