Log that orders for hosts wait for their record

For up to 18 s pools with thousands of waiting tasks got no host, and no line said why.

Cause, in part: a leader records hosts before it orders them, and gives no order if the record is not stored within 500 ms. The records of a leader are stored in the order of their requests, 15 in a call.

No change of logic.

Test: test_orders_without_a_record_are_logged. figtray/upkeep and figtray/events: 125 passed; make check passes.

--- a/figtray/events/catalogue/upkeep.py
+++ b/figtray/events/catalogue/upkeep.py
@@ -86,3 +86,10 @@
     'tasks start there again, and the host is drained later.',
     ('host', 'pool', 'wave', 'down'),
 )
+HOST_ORDERS_WAIT = base.Event(
+    1810,
+    logbook.WARNING,
+    'The record of orders for hosts was not stored in time; these orders are '
+    'not given, and tried again.',
+    ('hosts', 'waited_ms'),
+)
--- a/figtray/upkeep/host_orders.py
+++ b/figtray/upkeep/host_orders.py
@@ -2,6 +2,9 @@
 
 import msgspec
 
+from figtray.events import catalogue
+from figtray.events import log
+
 ORDERS_KEY = 'host-orders'
 # Longest wait for the record of an order; an order without one is not sent.
 RECORD_TIMEOUT_MS = 500
@@ -76,7 +79,14 @@
             if at_ms >= oldest_ms
         } | dict.fromkeys(host_ids, now_ms)
         sequence = self._writer.enqueue(ORDERS_KEY, self._encode)
-        return self._writer.wait(sequence, RECORD_TIMEOUT_MS)
+        stored = self._writer.wait(sequence, RECORD_TIMEOUT_MS)
+        if not stored:
+            log.emit(
+                catalogue.HOST_ORDERS_WAIT,
+                hosts=len(host_ids),
+                waited_ms=self._clock.now_ms() - now_ms,
+            )
+        return stored
 
     def _encode(self):
         return msgspec.json.encode(
--- a/figtray/upkeep/tests/test_controller.py
+++ b/figtray/upkeep/tests/test_controller.py
@@ -1,9 +1,11 @@
 """Tests of the control loop over hosts."""
 
+import logbook
 import msgspec
 import pytest
 
 from figtray import errors
+from figtray.events import catalogue
 from figtray.platform import hosts as platform_hosts
 from figtray.scheduling.tests import harness
 from figtray.scheduling.tests import leaders
@@ -111,6 +113,18 @@
         host_controller._reconcile(site.leader.scheduler, parts)
         assert not site.moves()
 
+    # Guards against pools that don't grow and waves that stand still for
+    # seconds without a line that says why.
+    def test_orders_without_a_record_are_logged(self, site):
+        orders = build_parts(site, make_controller(site)).orders
+        with logbook.TestHandler() as handler:
+            assert orders.record(['host-8'])
+            assert not harness.logged(handler, catalogue.HOST_ORDERS_WAIT)
+            site.fleet.store.down = True
+            assert not orders.record(['host-8', 'host-9'])
+        [line] = harness.logged(handler, catalogue.HOST_ORDERS_WAIT)
+        assert line == {'hosts': 2, 'waited_ms': 0}
+
     # A term may end within lease_ms. The next leader must then also know the
     # orders of the leader before.
     def test_former_hosts_stay_recorded_until_lease_ms_passed(self, site):
