--- a/figtray/jobs/intake.py
+++ b/figtray/jobs/intake.py
@@ -3,11 +3,8 @@
 import dataclasses
 import enum
 
-import msgspec
-
 from figtray import errors
-from figtray.events import catalogue
-from figtray.events import log
+from figtray.events import unreadable
 from figtray.jobs import records
 from figtray.store import base
 
@@ -47,6 +44,7 @@
     def __init__(self, store, clock):
         self._store = store
         self._clock = clock
+        self._unreadable = unreadable.UnreadableLog(clock)
         self._calls_end_ms = None
 
     def end_calls_by(self, end_ms):
@@ -97,13 +95,16 @@
             A Result: STORED, EXISTS, UNKNOWN_JOB, NOT_STORED or UNCERTAIN.
             With UNKNOWN_JOB, the job doesn't exist and the cancellation is
             stored, or the job is another team's and nothing is stored.
+
+        Raises:
+            UnreadableMessage: the job can't be read, so its team is unknown.
         """
         try:
             job_item = self._get(records.JOB_PREFIX + job_id, timeout_ms)
         except errors.StoreUnavailable as exc:
             return Result(Outcome.NOT_STORED, str(exc))
         if job_item is not None and team:
-            owner = records.decode_job(job_item.value).team
+            owner = self._decode(job_item, records.decode_job).team
             if owner and owner != team:
                 return Result(Outcome.UNKNOWN_JOB, 'job of another team')
         key = records.CANCEL_PREFIX + job_id
@@ -127,11 +128,14 @@
 
         Raises:
             StoreUnavailable: the store did not answer.
+            UnreadableMessage: the job exists, but can't be read.
         """
         item = self._get(records.PROGRESS_PREFIX + job_id, timeout_ms)
         if item is not None:
-            return records.decode_progress(item.value).state
-        if self._get(records.JOB_PREFIX + job_id, timeout_ms):
+            return self._stored_state(item, job_id, timeout_ms)
+        item = self._get(records.JOB_PREFIX + job_id, timeout_ms)
+        if item is not None:
+            self._decode(item, records.decode_job)
             return records.State.QUEUED
         if self._get(records.CANCEL_PREFIX + job_id, timeout_ms):
             return records.State.CANCELLED
@@ -152,14 +156,35 @@
         if item is None:
             return 0
         try:
-            return records.decode_waiting_jobs(item.value).counts.get(queue, 0)
-        except msgspec.MsgspecError as exc:
-            log.emit(
-                catalogue.RECORD_UNREADABLE,
-                record=records.WAITING_KEY,
-                detail=str(exc),
-            )
+            waiting = self._decode(item, records.decode_waiting_jobs)
+        except errors.UnreadableMessage as exc:
             raise errors.StoreUnavailable(detail=str(exc)) from exc
+        return waiting.counts.get(queue, 0)
+
+    def _stored_state(self, item, job_id, timeout_ms):
+        """Return the State in a job's progress.
+
+        A leader starts no task of a job whose progress is unreadable, so it
+        is as cancelled as any other once its cancellation is stored.
+        """
+        try:
+            return self._decode(item, records.decode_progress).state
+        except errors.UnreadableMessage:
+            if self._get(records.CANCEL_PREFIX + job_id, timeout_ms):
+                return records.State.CANCELLED
+            raise
+
+    def _decode(self, item, decode):
+        """Return the record of a KeyValue; one that is unreadable is logged.
+
+        Raises:
+            UnreadableMessage: its value is no such record.
+        """
+        try:
+            return decode(item.value)
+        except errors.UnreadableMessage as exc:
+            self._unreadable.note(item.key, exc)
+            raise
 
     def _create_once(self, absent_keys, put, timeout_ms):
         """Create a key unless one of some keys exists.
--- a/figtray/leadership/elector.py
+++ b/figtray/leadership/elector.py
@@ -8,14 +8,16 @@
 from figtray import errors
 from figtray.events import catalogue
 from figtray.events import log
+from figtray.events import unreadable
 from figtray.leadership import term as terms
 from figtray import release
 from figtray.store import base
 from figtray.store import prefix_watcher
+from figtray import threads
 
-# Longest wait of one watch call. The record of leases ends it each 2 s while
-# there is a leader, so a longer wait would save no calls, and a call that
-# hangs in an outage hides its end.
+# Longest wait of one watch call. The record of leases ends it each second
+# while there is a leader, so a longer wait would save no calls, and a call
+# that hangs in an outage hides its end.
 WATCH_WAIT_MS = 2500
 RETRY_MS = 300
 # Interval at which the wait for a stop checks whether the term has ended. A
@@ -23,6 +25,9 @@
 STOP_POLL_MS = 2000
 # Spreads the attempts of nodes that see the key disappear at the same time.
 MAX_JITTER_MS = 120
+# Records of leases whose times are kept. Those before them are older than any
+# lease that may last.
+MAX_LEASES_SEEN = 20
 
 
 class LeaderElector:
@@ -48,7 +53,9 @@
         # Local time since which the key is vacant, as far as it was seen.
         self._vacant_ms = clock.now_ms()
         self._last_leader = ''
-        self._leases_seen = None
+        # The latest LeasesSeen, the oldest first.
+        self._leases_seen = ()
+        self._unreadable = unreadable.UnreadableLog(clock)
         self._watcher = prefix_watcher.PrefixWatcher(
             store,
             terms.LEADER_KEY,
@@ -60,13 +67,14 @@
 
     def run(self, stop):
         """Take part in elections until a threading.Event is set."""
-        watcher = threading.Thread(
-            target=self._watcher.run,
-            args=(stop,),
-            name='leader watch',
-            daemon=True,
+        threads.spawn(
+            lambda: self._watcher.run(stop), 'leader watch', stop, self._clock
         )
-        watcher.start()
+        threads.run_guarded(
+            lambda: self._campaign(stop), 'campaign', stop, self._clock
+        )
+
+    def _campaign(self, stop):
         while not stop.is_set():
             if not self._vacant.wait(RETRY_MS / 1000):
                 continue
@@ -98,11 +106,10 @@
     def _note_leases(self, item):
         """Record when this node first saw this record of leases."""
         seen = self._leases_seen
-        if seen is not None and seen.revision == item.mod_revision:
+        if seen and seen[-1].revision >= item.mod_revision:
             return
-        self._leases_seen = terms.LeasesSeen(
-            item.mod_revision, self._clock.now_ms()
-        )
+        newest = terms.LeasesSeen(item.mod_revision, self._clock.now_ms())
+        self._leases_seen = (*seen, newest)[-MAX_LEASES_SEEN:]
 
     def _update_leader(self, item):
         if item is None:
@@ -116,7 +123,7 @@
             self._vacant.set()
             return
         self._vacant.clear()
-        record = _decode_record(item)
+        record = self._unreadable.read(item.key, terms.decode, item.value)
         node = record.node if record else 'unknown'
         if node != self._last_leader:
             self._last_leader = node
@@ -218,7 +225,7 @@
             (lambda: self._renew_lease(term), 'renewal'),
             (lambda: self._end_term_at_stop(term, stop), 'hand-over'),
         ):
-            threading.Thread(target=target, name=name, daemon=True).start()
+            threads.spawn(target, name, term.ended, self._clock)
         try:
             self._lead(term)
         except Exception as exc:
@@ -253,11 +260,3 @@
                 term.end('the lease has expired or was revoked')
                 return
             term.record_renewal(requested_ms, min(ttl_ms, terms.LEASE_TTL_MS))
-
-
-def _decode_record(item):
-    try:
-        return terms.decode(item.value)
-    except msgspec.MsgspecError as exc:
-        log.emit(catalogue.RECORD_UNREADABLE, record=item.key, detail=str(exc))
-        return None
--- a/figtray/scheduling/crashes.py
+++ b/figtray/scheduling/crashes.py
@@ -21,6 +21,14 @@
 # A run that has outlasted those under which workers crashed, or has gone on
 # for this long, shows that its task was not the cause.
 CLEARED_MS = 10_000
+# Later crashes count up to this age, if they come at the same age each time:
+# those that are chance do not.
+MAX_AGE_MS = 30_000
+# Largest difference of such ages, as a share of the longest.
+AGE_TOLERANCE = 0.15
+# A task with as many crashes, also late ones, is on trial until a run has
+# outlasted those under which workers crashed.
+CRASHES_TO_TRY_LONGER = 3
 # Number of crashes after which a task is given up, by how many of them were on
 # trial and soon after the start. One of these may be chance: a worker may
 # crash by itself during a trial. After a change of the leader it may be
@@ -58,15 +66,15 @@
 def late_runs(worker_state):
     """Return the runs that had gone on for a while before a crash.
 
-    If one is on trial, only that one and its gang are suspected, so then
-    there are none.
+    They may be the cause, too, if another one is on trial or had just started.
 
     Args:
         worker_state: WorkerState of the crashed worker.
     """
     sent = _sent_runs(worker_state)
     if run_on_trial(worker_state) in sent:
-        return []
+        tried = suspects(worker_state)
+        return [run for run in sent if run not in tried]
     return [run for run in sent if is_late(run)]
 
 
@@ -92,8 +100,12 @@
 def is_guilty(task):
     """Return whether a task certainly crashes its workers."""
     crashes = task.crashes
+    if crashes.count >= CRASHES_TO_GIVE_UP[0]:
+        return True
+    # Late ones show less, as others may be their cause.
     alone = min(crashes.alone, max(CRASHES_TO_GIVE_UP))
-    return crashes.count >= CRASHES_TO_GIVE_UP[alone]
+    early = len({*crashes.runs} - {*crashes.late})
+    return early >= CRASHES_TO_GIVE_UP[alone]
 
 
 def is_suspect(task):
@@ -109,14 +121,19 @@
         task: the TaskState.
         now_ms: local time.
     """
-    if task.crashes.count >= CRASHES_TO_REQUIRE_TRIAL:
-        return True
-    all_runs = {*task.crashes.runs, *task.crashes.late}
-    if task.crashes.count and len(all_runs) >= ALL_CRASHES_TO_REQUIRE_TRIAL:
+    if is_tried_each_time(task):
         return True
     return is_suspect(task) and now_ms - task.ready_ms < MAX_TRIAL_WAIT_MS
 
 
+def is_tried_each_time(task):
+    """Return whether a task starts on trial only, however long it waits."""
+    return (
+        task.crashes.count >= CRASHES_TO_REQUIRE_TRIAL
+        or _count_all(task.crashes) >= ALL_CRASHES_TO_REQUIRE_TRIAL
+    )
+
+
 def must_start_apart(task, now_ms):
     """Return whether a suspect may not start beside another one.
 
@@ -134,7 +151,10 @@
         run: the Run.
         asked_ms: local time at which it certainly went on.
     """
-    trial_ms = LONG_TRIAL_MS if run.task.crashes.late else TRIAL_MS
+    crashes = run.task.crashes
+    if _count_all(crashes) >= CRASHES_TO_TRY_LONGER:
+        return is_cleared(run, asked_ms)
+    trial_ms = LONG_TRIAL_MS if crashes.late else TRIAL_MS
     return has_gone_on(run, trial_ms, asked_ms)
 
 
@@ -147,7 +167,10 @@
         run: the Run.
         asked_ms: local time at which it certainly went on.
     """
-    cleared_ms = min(run.task.crashes.longest_ms + SETTLED_MS, CLEARED_MS)
+    longest_ms = run.task.crashes.longest_ms
+    cleared_ms = longest_ms + SETTLED_MS
+    if not CLEARED_MS < longest_ms <= MAX_AGE_MS:
+        cleared_ms = min(cleared_ms, CLEARED_MS)
     return has_gone_on(run, cleared_ms, asked_ms)
 
 
@@ -180,9 +203,30 @@
     return run.started_ms is not None and at_ms - run.started_ms >= for_ms
 
 
+def is_unlike_earlier(run):
+    """Return whether a crash is not the doing of what caused earlier ones.
+
+    That is so if one came long after the start and the other did not, or at
+    another age.
+
+    Args:
+        run: a Run on the crashed worker.
+    """
+    longest_ms, age_ms = run.task.crashes.longest_ms, _age_ms(run) or 0
+    if run.adopted or max(longest_ms, age_ms) <= CLEARED_MS:
+        return False
+    return abs(longest_ms - age_ms) > AGE_TOLERANCE * longest_ms
+
+
 def note_age(run):
-    """Record for how long at most a run had gone on in a crash."""
-    run.task.crashes = run.task.crashes.note_age(_age_ms(run) or 0)
+    """Record for how long at most a run had gone on in a crash.
+
+    That of an adopted run is unknown.
+    """
+    age_ms = _age_ms(run) or 0
+    if run.adopted:
+        age_ms = max(age_ms, CLEARED_MS)
+    run.task.crashes = run.task.crashes.note_age(age_ms)
 
 
 def log_suspected(run):
@@ -198,6 +242,11 @@
     )
 
 
+def _count_all(crashes):
+    """Return the number of crashes of a task, with the late ones."""
+    return len({*crashes.runs, *crashes.late})
+
+
 def _sent_runs(worker_state):
     """Return the runs on a worker that it may have started."""
     return [
--- a/figtray/scheduling/enrolment.py
+++ b/figtray/scheduling/enrolment.py
@@ -25,6 +25,7 @@
             self._unresolved = set(roster.lives)
             self._adoption_until_ms = until_ms
             self._are_placements_known = roster.placements_recorded
+            self._is_roster_complete = roster.complete
             self._last_roster = roster
 
     def roster(self):
@@ -43,6 +44,7 @@
                     self._record_takeover(metrics.TakeoverPhase.ACCOUNTED)
                 self._unresolved.clear()
                 self._are_placements_known = True
+                self._is_roster_complete = True
             reported = {
                 incarnation
                 for incarnation, worker_state in self._worker_states.items()
@@ -51,6 +53,7 @@
             return rosters.Roster(
                 tuple(sorted(reported | self._unresolved)),
                 self._are_placements_known,
+                self._is_roster_complete,
             )
 
     def update_roster(self):
--- a/figtray/scheduling/roster.py
+++ b/figtray/scheduling/roster.py
@@ -2,6 +2,7 @@
 
 import msgspec
 
+from figtray import decoding
 from figtray.fleet import model as fleet
 
 ROSTER_KEY = 'roster'
@@ -14,10 +15,18 @@
         lives: the incarnations.
         placements_recorded: whether the Placements of all lasting tasks are
             recorded before they start. Earlier releases did not do so.
+        complete: whether no other incarnation may run tasks of earlier terms.
+            It is not after a roster that could not be read.
     """
 
     lives: tuple[fleet.Incarnation, ...] = ()
     placements_recorded: bool = False
+    complete: bool = True
+
+
+# What is known if the stored roster can't be read.
+UNKNOWN = Roster(complete=False)
+_decoder = msgspec.json.Decoder(Roster)
 
 
 def encode(roster):
@@ -29,6 +38,6 @@
     """Return the Roster of stored bytes.
 
     Raises:
-        msgspec.MsgspecError: the bytes are not a roster.
+        UnreadableMessage: the bytes are not a roster.
     """
-    return msgspec.json.decode(data, type=Roster)
+    return decoding.decode('roster', _decoder, data)
--- a/figtray/scheduling/service.py
+++ b/figtray/scheduling/service.py
@@ -5,6 +5,7 @@
 from figtray import errors
 from figtray.events import catalogue
 from figtray.events import log
+from figtray.events import unreadable
 from figtray.jobs import records
 from figtray.leadership import term as terms
 from figtray.scheduling import lease_horizon
@@ -74,6 +75,7 @@
         self.run_host_controller = run_host_controller
         self.bounds = bounds
         self.metrics = metrics
+        self.unreadable = unreadable.UnreadableLog(clock)
 
     def lead(self, term):
         """Schedule until the term has ended."""
@@ -97,7 +99,9 @@
             service.view.is_fresh,
             service.metrics,
         )
-        self._intake_reader = stored_records.IntakeReader(self._scheduler)
+        self._intake_reader = stored_records.IntakeReader(
+            self._scheduler, service.unreadable
+        )
         # Otherwise the planner sleeps on, and the leader keeps its key.
         term.on_end = lambda: self._scheduler.changed.set()
         self._pacer = pacers.Pacer(self._scheduler, self._clock)
@@ -188,8 +192,8 @@
         for item in self._store.range(records.PROGRESS_PREFIX).items:
             self._writer.set_revision(item.key, item.mod_revision)
             job_id = item.key.removeprefix(records.PROGRESS_PREFIX)
-            progress[job_id] = stored_records.decode(
-                item, records.decode_progress
+            progress[job_id] = self._service.unreadable.read(
+                item.key, records.decode_progress, item.value
             )
         waiting = self._store.get(records.WAITING_KEY)
         if waiting is not None:
@@ -221,21 +225,37 @@
         if item is None:
             return
         self._writer.set_revision(item.key, item.mod_revision)
-        roster = stored_records.decode(item, rosters.decode)
+        roster = self._service.unreadable.read(
+            item.key, rosters.decode, item.value
+        )
         if roster is None:
-            return
+            # Any worker may run tasks of earlier terms.
+            roster = rosters.UNKNOWN
         self._roster = roster
         # A takeover that is tried again finds the record of this term.
         if self._earlier_leases_until_ms is None:
-            self._earlier_leases_until_ms = self._earlier_leases_end_ms()
+            self._earlier_leases_until_ms = self._load_earlier_leases()
         self._scheduler.begin_adoption(roster, self._earlier_leases_until_ms)
 
-    def _earlier_leases_end_ms(self):
+    def _load_earlier_leases(self):
+        """Return the local time at which all earlier leases have ended."""
+        bounds = self._service.bounds
         item = self._store.get(terms.LEASES_KEY)
-        if item is not None:
-            self._writer.set_revision(item.key, item.mod_revision)
+        if item is None:
+            return lease_horizon.earlier_leases_end_ms(
+                self._term, None, bounds
+            )
+        self._writer.set_revision(item.key, item.mod_revision)
+        record = self._service.unreadable.read(
+            item.key, lease_horizon.decode, item.value
+        )
+        if record is not None:
+            self._scheduler.note_earlier_leases(
+                item.mod_revision,
+                lease_horizon.earlier_leases(self._term, record, bounds),
+            )
         return lease_horizon.earlier_leases_end_ms(
-            self._term, item, self._service.bounds
+            self._term, item.mod_revision, bounds
         )
 
     # Updates from the store.
@@ -301,8 +321,13 @@
 
     def _plan(self):
         while not self._term.ended.is_set():
-            self._read_config()
-            next_ms = self._scheduler.plan()
+            try:
+                self._read_config()
+                next_ms = self._scheduler.plan()
+            except Exception as exc:
+                # Runs go on and end without a plan, so the term goes on.
+                self._service.unreadable.note('plan', exc)
+                next_ms = self._clock.now_ms() + RETRY_MS
             wait_ms = max(MIN_PLAN_MS, next_ms - self._clock.now_ms())
             if self._scheduler.changed.wait(wait_ms / 1000):
                 self._clock.wait(self._term.ended, PLAN_DELAY_MS)
--- a/figtray/scheduling/tests/test_deadly_tasks.py
+++ b/figtray/scheduling/tests/test_deadly_tasks.py
@@ -163,7 +163,38 @@
         assert site.crashes[task] <= deadly.MOST_CRASHES
         assert leader.state(job_id) == records.State.FAILED
 
-    # A run of 10 s clears its task, whatever came before.
+    # A trial ended before a task crashed its worker, so the crash was put down
+    # to younger runs; only each fourth was on trial.
+    def test_task_that_crashes_workers_after_5_s_beside_younger_runs(
+        self, fleet, leader
+    ):
+        site = deadly.Site(fleet, delay_ms=5000)
+        job_id, [task] = deadly.submit(fleet)
+        site.deadly = {task}
+        for _ in range(300):
+            deadly.submit(fleet, 16)
+            site.play(leader, 200)
+        site.play(leader, LONG_MS)
+        assert site.crashes[task] <= deadly.MOST_CRASHES
+        assert leader.state(job_id) == records.State.FAILED
+
+    # The age of a run that a leader had adopted counted from the adoption, so
+    # the next run cleared the task before it crashed its worker.
+    def test_crashes_of_adopted_runs_are_counted(self, fleet, leader):
+        site = deadly.Site(fleet, delay_ms=5000)
+        job_id, [task] = deadly.submit(fleet)
+        site.deadly = {task}
+        for _ in range(4):
+            site.play(leader, 4000)
+            leader = fleet.elect_leader()
+            leader.report_all()
+            site.play_to_crash(leader, task)
+            site.play_to_crash(leader, task)
+            site.play(leader, FOUND_MS)
+        assert site.crashes[task] <= deadly.MOST_CRASHES
+        assert leader.state(job_id) == records.State.FAILED
+
+    # A run of 10 s cleared its task, whatever came before.
     def test_task_that_crashes_workers_after_15_s_is_given_up(
         self, fleet, leader
     ):
@@ -210,6 +241,21 @@
         assert site.crashes[task] <= deadly.MOST_CRASHES
         assert leader.state(job_id) == records.State.FAILED
 
+    # A task with late crashes only had no stored placement, so a crash while
+    # nobody led was not counted.
+    def test_late_crash_without_a_leader_is_counted(self, fleet, leader):
+        site = deadly.Site(fleet, delay_ms=1000)
+        _, [name] = deadly.submit(fleet)
+        leader.sync_intake()
+        task = leader.scheduler.find_task(name)
+        task.crashes = records.Crashes(late=(1,), longest_ms=1000)
+        site.deadly = {name}
+        site.play_to_crash(leader, name)
+        leader = fleet.elect_leader()
+        leader.report_all()
+        site.play(leader, FOUND_MS)
+        assert len(leader.scheduler.find_task(name).crashes.late) == 2
+
     # A crash on trial that a slow leader noticed late counted as a late one.
     def test_crash_on_trial_that_is_noticed_late(self, fleet, leader):
         site = deadly.Site(fleet, delay_ms=380)
@@ -342,6 +388,53 @@
         site.play(leader, 10_000)
         assert leader.state(job_id) == records.State.COMPLETED
 
+    # Crashes by chance come at any age, those of a task always at the same.
+    def test_chance_crashes_of_longer_runs_fail_no_job(self, fleet, leader):
+        site = deadly.Site(fleet, run_ms=None)
+        job_id, [task] = deadly.submit(fleet)
+        site.play(leader, 200)
+        for age_ms in (25_000, 18_000, 28_000, 12_000, 20_000, 15_000, 11_000):
+            site.play(leader, age_ms)
+            [(worker_id, _)] = deadly.takeovers.running(fleet)[task]
+            site.crash(int(worker_id.split('-')[1]))
+            site.play(leader, 500)
+            assert leader.state(job_id) == records.State.RUNNING
+        assert leader.scheduler.find_task(task).crashes.count == 1
+
+    # A task was given up after one crash on trial by chance and three that had
+    # been put down to others.
+    @pytest.mark.parametrize(
+        'runs, alone, late, guilty',
+        [
+            ((1, 2, 3, 4), 1, (), True),
+            ((1, 2, 3, 4), 1, (1, 2, 3), False),
+            ((1, 2, 3), 2, (1,), False),
+            ((1, 2, 3, 4, 5), 0, (1, 2, 3, 4), True),
+        ],
+    )
+    def test_late_crashes_show_less(
+        self, fleet, leader, runs, alone, late, guilty
+    ):
+        _, [name] = deadly.submit(fleet)
+        leader.sync_intake()
+        task = leader.scheduler.find_task(name)
+        task.crashes = records.Crashes(runs, alone, late)
+        assert crashes.is_guilty(task) == guilty
+
+    # A task that had gone on beside others was given up when a chance crash
+    # ended them all.
+    def test_late_crash_beside_others_gives_up_no_task(self, fleet, leader):
+        site = deadly.Site(fleet, run_ms=None)
+        job_id, tasks = deadly.submit(fleet, 16)
+        site.play(leader, 1000)
+        [(worker_id, _)] = deadly.takeovers.running(fleet)[tasks[0]]
+        task = leader.scheduler.find_task(tasks[0])
+        task.crashes = records.Crashes((1, 2, 3, 4), longest_ms=5000)
+        site.crash(int(worker_id.split('-')[1]))
+        site.play(leader, 500)
+        assert task.crashes.count == 5
+        assert leader.state(job_id) == records.State.RUNNING
+
     # A move, an upkeep, a drain or a lost host is not the task's doing.
     @pytest.mark.parametrize('how', ['moved', 'lost', 'drained'])
     def test_other_ends_are_not_counted(self, fleet, leader, how):
@@ -378,6 +471,8 @@
             ((1,), (1, 2, 3), True),
             ((1, 2), (3, 4), False),
             ((1,), (2, 3, 4), False),
+            ((), (1, 2, 3), True),
+            ((), (1, 2, 3, 4), False),
         ],
     )
     def test_task_with_late_crashes_starts_beside_others_once_more(
--- a/figtray/scheduling/tests/test_trials.py
+++ b/figtray/scheduling/tests/test_trials.py
@@ -77,3 +77,66 @@
         other, _ = deadly.submit(fleet, cpu_milli=6000)
         site.play(leader, 10_000)
         assert leader.state(other) == records.State.COMPLETED
+
+
+class TestTrialBesideOthers:
+    # A trial began beside a lasting run that had just started, and the task on
+    # trial was blamed for a crash that was the other's doing.
+    def test_trial_awaits_that_a_lasting_run_has_gone_on(self):
+        fleet = harness.Fleet(workers=1)
+        leader = fleet.elect_leader()
+        leader.report_all()
+        site = deadly.Site(fleet, run_ms=None)
+        site.lasting = deadly.submit(fleet, lasting=True)[1]
+        _, [task] = deadly.submit(fleet)
+        leader.sync_intake()
+        leader.scheduler.find_task(task).crashes = records.Crashes((1,))
+        site.play(leader, 250)
+        assert site.lasting[0] in takeovers.running(fleet)
+        assert task not in takeovers.running(fleet)
+        site.play(leader, 750)
+        assert task in takeovers.running(fleet)
+
+    # A crash was put down to the task on trial alone, so one that crashes its
+    # workers late was not counted when another was on trial there.
+    def test_late_crash_beside_a_trial_is_noted(self):
+        fleet = harness.Fleet(workers=1)
+        leader = fleet.elect_leader()
+        leader.report_all()
+        site = deadly.Site(fleet, delay_ms=1000, run_ms=None)
+        _, [late] = deadly.submit(fleet, lasting=True)
+        site.deadly = {late}
+        site.play(leader, 200)
+        _, [task] = deadly.submit(fleet)
+        leader.sync_intake()
+        leader.scheduler.find_task(task).crashes = records.Crashes(
+            (1,), late=(1,)
+        )
+        site.play_to_crash(leader, late)
+        site.play(leader, 200)
+        crashes = [leader.scheduler.find_task(t).crashes for t in (task, late)]
+        assert [item.count for item in crashes] == [2, 0]
+        assert [len(item.late) for item in crashes] == [1, 1]
+
+
+class TestTrialAfterAChangeOfLeader:
+    # The next leader started others beside a task on trial, and put its crash
+    # down to them.
+    def test_trial_goes_on(self):
+        fleet = harness.Fleet(workers=1)
+        leader = fleet.elect_leader()
+        leader.report_all()
+        site = deadly.Site(fleet, run_ms=None)
+        _, [task] = deadly.submit(fleet)
+        leader.sync_intake()
+        leader.scheduler.find_task(task).crashes = records.Crashes(
+            (1, 2, 3), late=(1,), longest_ms=2600
+        )
+        site.play(leader, 500)
+        leader = fleet.elect_leader()
+        leader.report_all()
+        _, [other] = deadly.submit(fleet)
+        site.play(leader, 1000)
+        assert set(takeovers.running(fleet)) == {task}
+        site.play(leader, 3000)
+        assert set(takeovers.running(fleet)) == {task, other}
--- a/figtray/scheduling/worker_ends.py
+++ b/figtray/scheduling/worker_ends.py
@@ -8,6 +8,7 @@
 from figtray.scheduling import ends
 from figtray.scheduling import job_lifecycle
 from figtray.scheduling import scheduler_base
+from figtray.scheduling import trials
 
 
 class WorkerEnds(job_lifecycle.JobLifecycle):
@@ -67,7 +68,7 @@
             reason=reason,
             left=len(self._unresolved),
         )
-        if not self._unresolved:
+        if not self._unresolved and self._is_roster_complete:
             self._awaited_log.log_all_accounted()
             self._record_takeover(metrics.TakeoverPhase.ACCOUNTED)
         if kind in (ends.Kind.CRASHED, ends.Kind.UNKNOWN):
@@ -105,9 +106,12 @@
     def _suspect_runs(self, worker_state):
         """Suspect the runs of a crashed worker; return their tasks."""
         late_runs = crashes.late_runs(worker_state)
+        runs = crashes.suspects(worker_state)
+        for run in {*late_runs, *runs}:
+            if crashes.is_unlike_earlier(run):
+                run.task.crashes = records.NO_CRASHES
         for run in late_runs:
             run.task.crashes = run.task.crashes.add_late(run.number)
-        runs = crashes.suspects(worker_state)
         alone = crashes.run_on_trial(worker_state) in runs
         for run in runs:
             task = run.task
@@ -122,7 +126,12 @@
         for run in {*late_runs, *runs}:
             crashes.note_age(run)
             self._store_crashes(run.task)
-        return [run.task for run in runs]
+        # Late crashes beside other runs show no guilt; the next trial does.
+        return [
+            run.task
+            for run in runs
+            if alone or len(runs) == 1 or not crashes.is_late(run)
+        ]
 
     def _record_suspects(self, worker_state):
         """Record the tasks that may have crashed a worker.
@@ -155,7 +164,10 @@
             if (
                 task.placement != placement
                 or task.run is not None
-                or (task.step.spec.lasting and not task.crashes.count)
+                or (
+                    task.step.spec.lasting
+                    and task.crashes == records.NO_CRASHES
+                )
             ):
                 continue
             # The number of the run is unknown; no run has this one.
@@ -164,8 +176,12 @@
                 kind == ends.Kind.CRASHED
                 and task.crashes.count >= crashes.CRASHES_TO_REQUIRE_TRIAL
             )
-            task.crashes = task.crashes.add(number, alone)
             task.placement = None
+            if task.crashes.late and not task.crashes.count:
+                task.crashes = task.crashes.add_late(number)
+                self._store_progress(task.step.job)
+                continue
+            task.crashes = task.crashes.add(number, alone)
             self._store_progress(task.step.job)
             log.emit(
                 catalogue.TASK_SUSPECTED,
@@ -187,6 +203,12 @@
             if not task.done
         ]
 
+    def _resume_trial(self, run):
+        """Go on with the trial of an adopted run that starts on trial only."""
+        worker_state = run.worker_state
+        if worker_state.trial is None and crashes.is_tried_each_time(run.task):
+            worker_state.trial = trials.Trial(run.task)
+
     def _note_running(self, run, asked_ms):
         """End the trial of a run, or clear its task, if it went on.
 
--- a/figtray/upkeep/tests/test_controller.py
+++ b/figtray/upkeep/tests/test_controller.py
@@ -1,9 +1,11 @@
 """Tests of the control loop over hosts."""
 
+import logbook
 import msgspec
 import pytest
 
 from figtray import errors
+from figtray.events import catalogue
 from figtray.platform import hosts as platform_hosts
 from figtray.scheduling.tests import harness
 from figtray.scheduling.tests import leaders
@@ -111,6 +113,18 @@
         host_controller._reconcile(site.leader.scheduler, parts)
         assert not site.moves()
 
+    # Guards against pools that don't grow and waves that stand still for
+    # seconds without a line that says why.
+    def test_orders_without_a_record_are_logged(self, site):
+        orders = build_parts(site, make_controller(site)).orders
+        with logbook.TestHandler() as handler:
+            assert orders.record(['host-8'])
+            assert not harness.logged(handler, catalogue.HOST_ORDERS_WAIT)
+            site.fleet.store.down = True
+            assert not orders.record(['host-8', 'host-9'])
+        [line] = harness.logged(handler, catalogue.HOST_ORDERS_WAIT)
+        assert line == {'hosts': 2, 'waited_ms': 0}
+
     # A term may end within lease_ms. The next leader must then also know the
     # orders of the leader before.
     def test_former_hosts_stay_recorded_until_lease_ms_passed(self, site):
@@ -127,6 +141,29 @@
         stored = site.fleet.store.get(host_orders.ORDERS_KEY).value
         assert host_orders.decode(stored).host_ids == ('host-9',)
 
+    # The orders for hosts ended with an error in each round, also the ends of
+    # workers that the host list shows.
+    def test_unreadable_record_stops_all_orders(self, site):
+        site.fleet.store.txn([], [base.Put(host_orders.ORDERS_KEY, b'odd')])
+        host_controller = make_controller(site)
+        parts = build_parts(site, host_controller)
+        site.fleet.submit(harness.make_step(60, 4000))
+        site.leader.run_cycle()
+        site.leader.advance(harness.BOUNDS.lease_ms - 1)
+        host_controller._reconcile(site.leader.scheduler, parts)
+        # Any host may have had an order of an earlier leader.
+        assert not site.moves()
+        site.leader.advance(1)
+        host_controller._reconcile(site.leader.scheduler, parts)
+        assert len(site.moves()) == 2
+
+    @pytest.mark.parametrize('key', ['wave/1', 'wave/x', 'wave/\u0663'])
+    def test_odd_wave_record_stops_all_orders(self, site, key):
+        site.fleet.store.txn([], [base.Put(key, b'{"begun":' + b'[' * 60_000)])
+        site.fleet.submit(harness.make_step(60, 4000))
+        reconcile(site, make_controller(site))
+        assert len(site.moves()) == 2
+
     # Upkeeps that the former leader has begun may not be stored yet, and
     # count towards max_down.
     def test_waves_wait_for_lease_ms(self, site):
