Log an unforeseen error of an entry as an exception

Cause: the log of unreadable records now takes the exception itself, and the reader of the entries passed a text.

The reader passes the exception. The log names the record once and adds the traceback; the test looks for that line.

--- a/figtray/platform/tests/test_view.py
+++ b/figtray/platform/tests/test_view.py
@@ -178,5 +178,5 @@
         self.write_good(store)
         for _ in range(3):
             assert self.read_ids(workers) == ['good']
-        [line] = harness.logged(handler, catalogue.RECORD_UNREADABLE)
-        assert 'injected' in line['detail']
+        [line] = harness.logged(handler, catalogue.UNEXPECTED_EXCEPTION)
+        assert 'servers/odd' in line['where']
--- a/figtray/platform/view.py
+++ b/figtray/platform/view.py
@@ -171,8 +171,6 @@
         for item in items:
             try:
                 yield documents.decode_worker(item.key, item.value, pools)
-            except errors.UnreadableMessage as exc:
-                self._unreadable.note(item.key, exc)
             # Whatever an entry does to its decoder, the others hold.
             except Exception as exc:
-                self._unreadable.note(item.key, f'unexpected {exc!r}')
+                self._unreadable.note(item.key, exc)
