Wait for the longer leases of another release after an upgrade

What callers saw: nothing; found by reading. A release with leases of 7 s that leads until the new one takes over leaves leases that reach further than the new horizon of 7.5 s. A lasting task of a worker that nobody reaches could start a second time while its first run goes on.

Cause: the new leader counted its own horizon and length of leases from a record of a leader with longer ones.

Evidence: test_shorter_horizon_is_counted fails without the check of the horizon, for a record without one and for one of 9,500 ms.

Change: the record of leases has the horizon of its leader. If it is missing, unreadable or another one, the new leader waits for the longest lease that any release requested, 7 s, from the start of its term, and takes an adopted worker's lease to be as long.

Why it works: a former leader grants nothing after its term, so no lease lasts longer from the start of the next one.

--- a/figtray/scheduling/adoption.py
+++ b/figtray/scheduling/adoption.py
@@ -6,6 +6,7 @@
 from figtray.jobs import model
 from figtray.jobs import records
 from figtray.scheduling import job_lifecycle
+from figtray.scheduling import leases
 from figtray.scheduling import state
 
 
@@ -24,6 +25,11 @@
             self._earlier_revision = revision
             self._earlier_leases = dict(earlier)
 
+    def note_longer_leases(self):
+        """Record that leases of earlier terms may be longer than ours."""
+        with self.lock:
+            self._earlier_lease_ms = leases.EARLIER_RELEASE_LEASE_MS
+
     @contextlib.contextmanager
     def _hold_uncertain_tasks(self):
         """Keep tasks that may still run out of the queues of their steps.
--- a/figtray/scheduling/lease_horizon.py
+++ b/figtray/scheduling/lease_horizon.py
@@ -34,9 +34,12 @@
 
     Attributes:
         unextended: the Unextended ones.
+        horizon_ms: how far leases reach after its request; 0 in a record of
+            an earlier release.
     """
 
     unextended: tuple[Unextended, ...] = ()
+    horizon_ms: int = 0
 
 
 def decode(data):
@@ -146,7 +149,7 @@
             self._requested_unextended = frozenset(unextended)
             # A request without a reply may have been carried out.
             self._unextended |= self._requested_unextended
-        return msgspec.json.encode(LeasesRecord(unextended))
+        return msgspec.json.encode(LeasesRecord(unextended, self._horizon_ms))
 
 
 @dataclasses.dataclass(frozen=True)
--- a/figtray/scheduling/leases.py
+++ b/figtray/scheduling/leases.py
@@ -6,6 +6,8 @@
 # Longer leases survive longer outages; shorter ones free the tasks of an
 # unresponsive worker earlier. This one outlasts a change of the leader.
 TARGET_LEASE_MS = 6000
+# Longest lease that any earlier release requested.
+EARLIER_RELEASE_LEASE_MS = 7000
 # The interval of the records of leases and the time to store one, together.
 HORIZON_SLACK_MS = 1500
 
@@ -20,6 +22,11 @@
     return _on_slowest_clock_ms(lease_ms(bounds))
 
 
+def longest_earlier_release_lease_ms():
+    """Return how long a lease of another release can last on a worker."""
+    return _on_slowest_clock_ms(EARLIER_RELEASE_LEASE_MS)
+
+
 def horizon_ms(bounds):
     """Return how far leases reach after the request of the last record.
 
--- a/figtray/scheduling/reports.py
+++ b/figtray/scheduling/reports.py
@@ -153,7 +153,7 @@
             return
         worker_state.has_reported = True
         # An earlier leader may have extended the lease this far.
-        worker_state.extend_lease(report.clock_ms + self._lease_ms)
+        worker_state.extend_lease(report.clock_ms + self._earlier_lease_ms)
         log.emit(
             catalogue.WORKER_REACHED,
             worker=worker_state.worker.worker_id,
--- a/figtray/scheduling/scheduler_base.py
+++ b/figtray/scheduling/scheduler_base.py
@@ -56,6 +56,8 @@
         self._writer = writer
         writer.on_written = self.release_recorded_starts
         self._lease_ms = leases.lease_ms(bounds)
+        # Length of the leases that earlier leaders requested, at most.
+        self._earlier_lease_ms = self._lease_ms
         self.lease_horizon = lease_horizon.LeaseHorizon(
             writer, clock, bounds, self.lock, self._unextended
         )
--- a/figtray/scheduling/service.py
+++ b/figtray/scheduling/service.py
@@ -8,6 +8,7 @@
 from figtray.jobs import records
 from figtray.leadership import term as terms
 from figtray.scheduling import lease_horizon
+from figtray.scheduling import leases
 from figtray.scheduling import pacer as pacers
 from figtray.scheduling import retention
 from figtray.scheduling import roster as rosters
@@ -242,11 +243,16 @@
             )
         self._writer.set_revision(item.key, item.mod_revision)
         record = stored_records.decode(item, lease_horizon.decode)
-        if record is not None:
-            self._scheduler.note_earlier_leases(
-                item.mod_revision,
-                lease_horizon.earlier_leases(self._term, record, bounds),
+        if record is None or record.horizon_ms != leases.horizon_ms(bounds):
+            # Another release, or one with other settings, has stored it.
+            self._scheduler.note_longer_leases()
+            return (
+                self._term.began_ms + leases.longest_earlier_release_lease_ms()
             )
+        self._scheduler.note_earlier_leases(
+            item.mod_revision,
+            lease_horizon.earlier_leases(self._term, record, bounds),
+        )
         return lease_horizon.earlier_leases_end_ms(
             self._term, item.mod_revision, bounds
         )
--- a/figtray/scheduling/tests/test_lease_horizon.py
+++ b/figtray/scheduling/tests/test_lease_horizon.py
@@ -10,8 +10,11 @@
 from figtray.scheduling import session
 from figtray.scheduling.tests import harness
 from figtray.scheduling.tests import leaders
+from figtray.store import base
 
 BOUNDS = harness.BOUNDS
+# Longest lease of a release before the records had a horizon.
+EARLIER_LEASE_MS = 7000
 
 
 @pytest.fixture
@@ -224,6 +227,34 @@
         assert not leader_term._scheduler._is_adopting(fleet.clock.now_ms())
 
 
+class TestEarlierRelease:
+    # A release whose leases were longer wrote records without a horizon, and
+    # the next leader counted the shorter horizon of its own from them.
+    @pytest.mark.parametrize('value', [b'{}', b'{"horizon_ms": 9500}', b'x'])
+    def test_shorter_horizon_is_counted(self, fleet, leader, value):
+        fleet.store.txn((), [base.Put(terms.LEASES_KEY, value)])
+        seen = terms.LeasesSeen(
+            fleet.store.get(terms.LEASES_KEY).mod_revision,
+            fleet.clock.now_ms(),
+        )
+        leader_term = make_leader_term(fleet, fleet.begin_term([seen]))
+        with pytest.raises(errors.StoreUnavailable):
+            leader_term._load_once()
+        scheduler = leader_term._scheduler
+        fleet.clock.advance(EARLIER_LEASE_MS)
+        assert scheduler._is_adopting(fleet.clock.now_ms())
+
+    # The lease that the earlier leader had extended lasted for longer than
+    # the new one thought.
+    def test_lease_on_an_adopted_worker_is_longer(self, fleet, leader):
+        leader = fleet.elect_leader()
+        leader.scheduler.note_longer_leases()
+        leader.report(0)
+        worker_state = leader.worker_state(0)
+        lease_ms = worker_state.lease_until_ms - worker_state.clock_ms
+        assert lease_ms >= EARLIER_LEASE_MS
+
+
 class TestUnextended:
     @pytest.fixture
     def late_leader(self, fleet, leader):
