Give each task that awaits a trial its turn

A task that may start on trial only, also a lasting one, waited for as long as suspects of queues that go first came: each of them took the next worker that could hold a trial (W22 had no bound).

Cause: workers were kept free in the order of the steps, not of the waits.

Evidence: TestTurn, with 1, 2, 3 and 5 workers and a stream of suspects of a queue that goes first: without the change the task has no run in 21 s.

Change: before the steps are planned, a worker is kept free for each single task that has awaited a trial for MAX_TURN_WAIT_MS, 2 s: the lasting ones first, then the oldest. One that suits no worker, or whose team is at its limit, is left out and holds up no other.

Why it works: a worker on which a trial ends is taken by the task at the front of this order, so that at most the trial that goes on there is awaited. TestBounds adds it up: 5.9 s to the order. Gangs keep their order.

--- a/figtray/scheduling/planner.py
+++ b/figtray/scheduling/planner.py
@@ -77,6 +77,7 @@
 
     def _start_steps(self, pools, now_ms):
         """Start what can start of all steps, most urgent first."""
+        self._keep_workers_for_overdue(pools, now_ms)
         for step in self._steps_by_urgency(now_ms):
             worker_states = pools.get(step.job.queue.pool)
             if worker_states:
--- a/figtray/scheduling/tests/test_sum_of_waits.py
+++ b/figtray/scheduling/tests/test_sum_of_waits.py
@@ -153,6 +153,9 @@
         session.START_TIMEOUT_MS,
         session.STOP_TIMEOUT_MS + session.RETRY_MS,
     )
+    W22_TURN_MS = (
+        trials.MAX_TURN_WAIT_MS + crashes.LONG_TRIAL_MS + trials.TRIAL_RETRY_MS
+    )
     W21_MS = platform_store.CALL_TIMEOUT_MS + terms.RENEW_INTERVAL_MS
     # From the end of all other waits to the first order.
     LAST_MS = W13_MS + W14_MS + W15_MS
@@ -229,6 +232,7 @@
         ),
         'W21': (W21_MS, 1700),
         'W22': (crashes.MAX_APART_WAIT_MS + trials.TRIAL_RETRY_MS, 2600),
+        'W22 turn': (W22_TURN_MS, 5100),
         'W23': (service.ADVICE_TIMEOUT_MS + service.RETRY_MS, 2700),
     }
 
@@ -238,6 +242,7 @@
             leases.longest_horizon_ms(BOUNDS) - 2000 + LAST_MS,
             6750,
         ),
+        'W22': (W22_TURN_MS + LAST_MS, 5900),
         'W10': (
             W10_MS + controller.RECONCILE_INTERVAL_MS + LAST_MS,
             5110,
--- a/figtray/scheduling/tests/test_trials.py
+++ b/figtray/scheduling/tests/test_trials.py
@@ -1,5 +1,9 @@
 """Tests of the choice of workers for trials."""
 
+import dataclasses
+
+import pytest
+
 from figtray.jobs import records
 from figtray.scheduling.tests import deadly
 from figtray.scheduling.tests import harness
@@ -77,3 +81,58 @@
         other, _ = deadly.submit(fleet, cpu_milli=6000)
         site.play(leader, 10_000)
         assert leader.state(other) == records.State.COMPLETED
+
+
+class TestTurn:
+    # A lasting task runs again within this time.
+    RESTART_MS = 7000
+    SUSPECTED = records.Crashes((1, 2, 3))
+
+    @pytest.fixture(params=[1, 2, 3, 5])
+    def fleet(self, request):
+        """Fleet whose queue `other` goes first."""
+        cfg = harness.make_config()
+        cfg.queues['q'] = dataclasses.replace(cfg.queues['q'], priority=1)
+        return harness.Fleet(request.param, cfg)
+
+    def play_stream(self, fleet, lasting):
+        """Let suspects come all the time; return when a lasting one runs.
+
+        Args:
+            fleet: the Fleet.
+            lasting: whether the suspect that is looked at is to last.
+
+        Returns:
+            The time in milliseconds that it waited; None if it doesn't run.
+        """
+        leader = fleet.elect_leader()
+        leader.report_all()
+        site = deadly.Site(fleet, run_ms=600)
+        _, [task] = deadly.submit(fleet, lasting=lasting)
+        site.lasting = [task]
+        leader.sync_intake()
+        for waiting in leader.scheduler._unfinished_tasks():
+            waiting.crashes = self.SUSPECTED
+        for cycle in range(3 * self.RESTART_MS // takeovers.CYCLE_MS):
+            for _ in fleet.hosts:
+                job_id = fleet.submit(harness.make_step(1), queue='other')
+                leader.sync_intake()
+                other = leader.scheduler.find_task(f'{job_id}.0.0.0')
+                other.crashes = self.SUSPECTED
+            site.play(leader, takeovers.CYCLE_MS)
+            if task in takeovers.running(fleet):
+                return cycle * takeovers.CYCLE_MS
+        return None
+
+    # A lasting task waited for its trial as long as other suspects came whose
+    # queue goes first.
+    @pytest.mark.parametrize('lasting', [True, False])
+    def test_suspects_of_another_queue_take_each_trial(self, fleet, lasting):
+        waited_ms = self.play_stream(fleet, lasting)
+        assert waited_ms is not None and waited_ms <= self.RESTART_MS
+
+    # The oldest one suited no worker, and none was kept free for the others.
+    def test_task_that_suits_no_worker_is_in_front(self, fleet):
+        fleet.submit(harness.make_step(1, lasting=True, label='kind=none'))
+        waited_ms = self.play_stream(fleet, True)
+        assert waited_ms is not None and waited_ms <= self.RESTART_MS
--- a/figtray/scheduling/trials.py
+++ b/figtray/scheduling/trials.py
@@ -1,6 +1,7 @@
 """Trials of tasks that may crash their workers."""
 
 import dataclasses
+import itertools
 
 from figtray.events import catalogue
 from figtray.events import log
@@ -21,6 +22,9 @@
 EMPTY_WAIT_MS = 300
 # Longest time between two plans while suspects wait.
 TRIAL_RETRY_MS = 100
+# Time after which a task that awaits a trial gets the next worker for one,
+# before the tasks of queues that otherwise go first.
+MAX_TURN_WAIT_MS = 2000
 
 
 @dataclasses.dataclass(frozen=True)
@@ -61,6 +65,46 @@
             for step in self._open_steps.values()
         )
 
+    def _keep_workers_for_overdue(self, pools, now_ms):
+        """Keep workers free for the tasks that have awaited a trial for long.
+
+        The lasting ones come first, then the oldest.
+
+        Args:
+            pools: mapping of pool to its candidate WorkerStates.
+            now_ms: local time.
+        """
+        full_pools = set()
+        for task in sorted(
+            self._overdue_suspects(now_ms),
+            key=lambda task: (not task.step.spec.lasting, task.ready_ms),
+        ):
+            pool = task.step.job.queue.pool
+            worker_states = pools.get(pool, ())
+            if pool in full_pools or self._find_reserved(task, worker_states):
+                continue
+            if self._reserve(
+                task, worker_states, now_ms
+            ) is None and _trial_count(worker_states) >= _most_trials(
+                worker_states, BUSY_SHARE
+            ):
+                full_pools.add(pool)
+
+    def _overdue_suspects(self, now_ms):
+        """Return the single tasks that have awaited a trial for long."""
+        return [
+            task
+            for step in self._open_steps.values()
+            if step.job.queue is not None and not step.spec.gang
+            # The planner puts the suspects of a step first.
+            for task in itertools.takewhile(crashes.is_suspect, step.waiting)
+            if now_ms - task.ready_ms >= MAX_TURN_WAIT_MS
+            and crashes.is_trial_needed(task, now_ms)
+            and self._quota.allows(
+                self._cfg.teams.get(step.job.spec.team), step.spec.needs
+            )
+        ]
+
     def _trial_worker(self, task, worker_states, now_ms):
         """Return the WorkerState on which a task can be tried now, or None.
 
@@ -115,9 +159,8 @@
         )
         if best is None:
             return None
-        trials = sum(1 for w in worker_states if w.trial is not None)
         share = BUSY_SHARE if best.runs else IDLE_SHARE
-        if trials >= max(1, share * len(worker_states)):
+        if _trial_count(worker_states) >= _most_trials(worker_states, share):
             return None
         best.trial = Trial(task)
         return best
@@ -159,6 +202,15 @@
     )
 
 
+def _trial_count(worker_states):
+    return sum(1 for w in worker_states if w.trial is not None)
+
+
+def _most_trials(worker_states, share):
+    """Return how many workers of a pool may hold trials at a time."""
+    return max(1, share * len(worker_states))
+
+
 def _is_quiet(worker_state, task, now_ms):
     """Return whether a worker can be used for a trial now.
 
