Free a worker that is kept for a suspect of a team at its limit

While a team was at its limit, a suspect of it kept a worker free that it had got before, and on pools of few workers no other one was left for the trials of other teams' tasks, without a bound.

Cause: the limit is asked first, and a worker that was kept free stayed so.

--- a/figtray/scheduling/tests/test_trials.py
+++ b/figtray/scheduling/tests/test_trials.py
@@ -136,3 +136,29 @@
         fleet.submit(harness.make_step(1, lasting=True, label='kind=none'))
         waited_ms = self.play_stream(fleet, True)
         assert waited_ms is not None and waited_ms <= self.RESTART_MS
+
+    # A suspect of a team at its limit kept a worker free, and no other one
+    # was left for trials.
+    def test_worker_is_kept_for_a_team_at_its_limit(self):
+        fleet = harness.Fleet(
+            2, harness.make_config(limit_milli=2500, more_teams=['u'])
+        )
+        leader = fleet.elect_leader()
+        leader.report_all()
+        site = deadly.Site(fleet, run_ms=2000)
+        for cpu_milli in (WORKER_MILLI, WORKER_MILLI - 1000):
+            fleet.submit(harness.make_step(1, cpu_milli), team='u')
+        site.play(leader, 200)
+        _, [limited] = deadly.submit(fleet, cpu_milli=2000)
+        leader.sync_intake()
+        leader.scheduler.find_task(limited).crashes = self.SUSPECTED
+        site.play(leader, 200)
+        _, [other] = deadly.submit(fleet, lasting=True)
+        site.play(leader, 200)
+        job_id = fleet.submit(harness.make_step(lasting=True), team='u')
+        site.lasting = [other, f'{job_id}.0.0.0']
+        leader.sync_intake()
+        suspect = leader.scheduler.find_task(f'{job_id}.0.0.0')
+        suspect.crashes = self.SUSPECTED
+        site.play(leader, self.RESTART_MS)
+        assert {other, suspect.name} <= set(takeovers.running(fleet))
--- a/figtray/scheduling/trials.py
+++ b/figtray/scheduling/trials.py
@@ -135,6 +135,12 @@
                 return worker_state
         return None
 
+    def _release_reserved(self, task, worker_states):
+        """Free the worker that is kept free for a task, if there is one."""
+        worker_state = self._find_reserved(task, worker_states)
+        if worker_state is not None:
+            worker_state.trial = None
+
     def _reserve(self, task, worker_states, now_ms):
         """Keep a worker free for a task.
 
