Forget orders for hosts that are long past

Each new leader gave no order for the hosts in the record of orders for lease_ms, also if they were minutes old.

Cause: the record was pruned only with the next order. Leaders between that gave none left it as it was, and the bound was counted anew from each term.

Evidence: test_orders_of_a_leader_long_ago_are_awaited fails without the call.

Change: a leader empties the record once all orders in it are older than lease_ms and the margin of 1 s. One write after the last of a row of moves.

Why it works: it is the same age at which the next order would have dropped them, counted for those of earlier leaders from the start of its own term.

--- a/figtray/upkeep/host_orders.py
+++ b/figtray/upkeep/host_orders.py
@@ -69,14 +69,31 @@
             RECORD_TIMEOUT_MS, False; then the orders must not be sent.
         """
         now_ms = self._clock.now_ms()
+        self._order_times_ms = self._recent_orders(now_ms) | dict.fromkeys(
+            host_ids, now_ms
+        )
+        sequence = self._writer.enqueue(ORDERS_KEY, self._encode)
+        return self._writer.wait(sequence, RECORD_TIMEOUT_MS)
+
+    def drop_expired(self):
+        """Record that there are no recent orders, once all are old enough.
+
+        Else each later leader would wait for orders of long ago.
+        """
+        if self._order_times_ms and not self._recent_orders(
+            self._clock.now_ms()
+        ):
+            self._order_times_ms = {}
+            self._writer.enqueue(ORDERS_KEY, self._encode)
+
+    def _recent_orders(self, now_ms):
+        """Return {host id: local time} of the orders that are not expired."""
         oldest_ms = now_ms - self._lease_ms - RETENTION_MARGIN_MS
-        self._order_times_ms = {
+        return {
             host_id: at_ms
             for host_id, at_ms in self._order_times_ms.items()
             if at_ms >= oldest_ms
-        } | dict.fromkeys(host_ids, now_ms)
-        sequence = self._writer.enqueue(ORDERS_KEY, self._encode)
-        return self._writer.wait(sequence, RECORD_TIMEOUT_MS)
+        }
 
     def _encode(self):
         return msgspec.json.encode(
--- a/figtray/upkeep/tests/test_controller.py
+++ b/figtray/upkeep/tests/test_controller.py
@@ -127,6 +127,21 @@
         stored = site.fleet.store.get(host_orders.ORDERS_KEY).value
         assert host_orders.decode(stored).host_ids == ('host-9',)
 
+    # Each further leader waited once more for the orders of one long ago, as
+    # those between had given none and had written no record.
+    def test_orders_of_a_leader_long_ago_are_awaited(self, site):
+        store_record(site, 'host-8')
+        host_controller = make_controller(site)
+        parts = build_parts(site, host_controller)
+        site.leader.advance(
+            harness.BOUNDS.lease_ms + host_orders.RETENTION_MARGIN_MS + 1
+        )
+        host_controller._reconcile(site.leader.scheduler, parts)
+        site.leader.flush()
+        site.leader = site.fleet.elect_leader()
+        parts = build_parts(site, make_controller(site))
+        assert parts.orders.is_order_allowed('host-8')
+
     # Upkeeps that the former leader has begun may not be stored yet, and
     # count towards max_down.
     def test_waves_wait_for_lease_ms(self, site):
