--- a/figtray/platform/view.py
+++ b/figtray/platform/view.py
@@ -2,6 +2,7 @@
 
 import threading
 
+from figtray import decoding
 from figtray import errors
 from figtray.events import catalogue
 from figtray.events import log
@@ -175,4 +176,5 @@
                 self._unreadable.note(item.key, exc)
             # Whatever an entry does to its decoder, the others hold.
             except Exception as exc:
-                self._unreadable.note(item.key, f'unexpected {exc!r}')
+                error = decoding.unreadable(item.key, f'unexpected {exc!r}')
+                self._unreadable.note(item.key, error)
