Let an odd document of operators cost itself only

Callers would see a node refuse all keyed calls: a wave of 1.7e308 s raised an OverflowError out of the watch of the operators' documents. Wave documents under another number undid each other, and figures out of any range were taken, such as a maximum of -1 or a weight of 1e300. Each full read named the same document again.

Cause: the view caught one error only, and the figures had no range.

Change: figures have generous ranges, a document of a wave has to be under its number, a host that is named twice has one upkeep, and whatever error a document raises, the others apply. The last good configuration and wave stay.

After a restart of a node there is no last good configuration: while the stored one is unreadable, it answers 503.

--- a/figtray/platform/documents.py
+++ b/figtray/platform/documents.py
@@ -26,8 +26,13 @@
 # A key has at most 200 bytes, so no name of a worker is longer.
 MAX_NAME_CHARS = 200
 MAX_LABELS = 100
+# Of the other figures of operators; all sums and products of them are exact.
+MAX_FIGURE = 10**12
+MAX_WAVE_HOSTS = 100_000
 
 _Amount = typing.Annotated[int, msgspec.Meta(ge=0, le=MAX_AMOUNT)]
+_Number = typing.Annotated[int, msgspec.Meta(ge=-MAX_FIGURE, le=MAX_FIGURE)]
+_Figure = typing.Annotated[float, msgspec.Meta(ge=-MAX_FIGURE, le=MAX_FIGURE)]
 _Name = typing.Annotated[str, msgspec.Meta(max_length=MAX_NAME_CHARS)]
 
 
@@ -44,9 +49,9 @@
 
 
 class _Advice(msgspec.Struct, frozen=True):
-    decide_ms: int = 0
-    each_ms: int = 0
-    valid_ms: int = 0
+    decide_ms: _Number = 0
+    each_ms: _Number = 0
+    valid_ms: _Number = 0
 
 
 class _Route(msgspec.Struct, frozen=True):
@@ -57,13 +62,13 @@
     prefix: str
     service: str
     public: bool = False
-    priority: int = 0
-    attempts: int = 1
-    stretch: float = 1.0
+    priority: _Number = 0
+    attempts: _Number = 1
+    stretch: _Figure = 1.0
     # Not a limit of one call: added to the time after which a job is late;
     # see queues.Queue.slack_ms.
-    target_latency_ms: int = 0
-    timeout_ms: int = 3000
+    target_latency_ms: _Number = 0
+    timeout_ms: _Number = 3000
     advice: _Advice | None = None
 
 
@@ -80,23 +85,25 @@
 
     name: str
     api_keys: tuple[str, ...] = ()
-    weight: float = 1
+    weight: _Figure = 1
     # Limit of all of the team's running tasks together, not of a single one.
     maximum: Amounts = Amounts()
 
 
 class _Config(msgspec.Struct, frozen=True):
-    version: int
+    version: typing.Annotated[int, msgspec.Meta(ge=0, le=2**63 - 1)]
     routes: tuple[_Route, ...] = ()
     services: tuple[_Service, ...] = ()
     tenants: tuple[_Tenant, ...] = ()
 
 
 class _Wave(msgspec.Struct, frozen=True):
-    wave: int
-    machines: tuple[str, ...] = ()
-    duration_s: float = 0
-    maximum: int = 1  # most hosts that may be down at once
+    wave: typing.Annotated[int, msgspec.Meta(ge=0, le=MAX_FIGURE)]
+    machines: typing.Annotated[
+        tuple[str, ...], msgspec.Meta(max_length=MAX_WAVE_HOSTS)
+    ] = ()
+    duration_s: typing.Annotated[float, msgspec.Meta(ge=0, le=MAX_FIGURE)] = 0
+    maximum: _Amount = 1  # most hosts that may be down at once
 
 
 class _Capacity(Amounts, frozen=True):
@@ -163,7 +170,11 @@
     """
     doc = decoding.decode('wave', _wave_decoder, data)
     return fleet.Wave(
-        doc.wave, doc.machines, int(doc.duration_s * 1000), doc.maximum
+        # A host that is named twice has one upkeep.
+        doc.wave,
+        tuple(dict.fromkeys(doc.machines)),
+        int(doc.duration_s * 1000),
+        doc.maximum,
     )
 
 
--- a/figtray/platform/tests/test_view.py
+++ b/figtray/platform/tests/test_view.py
@@ -1,7 +1,9 @@
 """Tests of the local copy of the operators' documents."""
 
+import logbook
 import pytest
 
+from figtray.platform import documents
 from figtray.platform import store as platform_store
 from figtray.platform import view as views
 from figtray.store import base
@@ -54,3 +56,63 @@
             + prefix_watcher.RETRY_JITTER_MS
             + prefix_watcher.CONFIRM_WAIT_MS
         )
+
+
+CONFIG = b'{"version":%d,"services":[{"name":"%b"}]}'
+GOOD_WAVE = b'{"wave":1,"machines":["h1","h1"]}'
+
+
+class TestOddDocuments:
+    def apply(self, store, view, written, by_watch):
+        """Write documents, and apply them by a full read or one by one."""
+        puts = [base.Put(key, value) for key, value in written.items()]
+        store.txn([], puts)
+        if not by_watch:
+            view.watcher.load()
+            return
+        for put in puts:
+            view._change(store.get(put.key))
+
+    # The watch of the operators' documents ended with the document, and with
+    # it the thread, so the node refused all keyed calls for good.
+    @pytest.mark.parametrize('by_watch', [True, False])
+    @pytest.mark.parametrize(
+        ('key', 'odd'),
+        [
+            ('op/wave/0', b'{"wave":0,"duration_s":1.7e308}'),
+            ('op/wave/0', b'{"wave":0,"x":' + b'[' * 60_000),
+            ('op/wave/0', b'{"wave":1,"machines":["h2"]}'),
+            ('op/wave/x', b'{"wave":1,"machines":["h2"]}'),
+            ('op/config', b'{"version":2,"x":' + b'[' * 60_000),
+            ('op/config', b'{"version":-1}'),
+            ('op/evacuate/', b'?'),
+            ('op/odd', b'?'),
+        ],
+    )
+    def test_odd_document_costs_the_others(
+        self, store, view, key, odd, by_watch
+    ):
+        first = {documents.CONFIG_KEY: CONFIG % (1, b'old')}
+        self.apply(store, view, first, by_watch)
+        later = {key: odd, 'op/wave/1': GOOD_WAVE, 'op/evacuate/z': b''}
+        if key != documents.CONFIG_KEY:
+            later[documents.CONFIG_KEY] = CONFIG % (3, b'new')
+        self.apply(store, view, later, by_watch)
+        expected = 'old' if key == documents.CONFIG_KEY else 'new'
+        assert list(view.config().pools) == [expected]
+        [wave] = view.waves().values()
+        assert (wave.number, wave.host_ids) == (1, ('h1',))
+        assert 'z' in view.evacuated_zones()
+
+    # The upkeeps of a wave ended when its document was written again badly.
+    def test_odd_document_withdraws_a_good_wave(self, store, view):
+        self.apply(store, view, {'op/wave/1': GOOD_WAVE}, False)
+        self.apply(store, view, {'op/wave/1': b'odd'}, False)
+        assert [wave.number for wave in view.waves().values()] == [1]
+
+    # The log grew with each full read.
+    def test_odd_document_is_named_at_each_read(self, store, view):
+        with logbook.TestHandler() as handler:
+            for _ in range(5):
+                self.apply(store, view, {'op/wave/1': b'odd'}, False)
+        assert len(handler.records) == 1
--- a/figtray/platform/view.py
+++ b/figtray/platform/view.py
@@ -2,6 +2,7 @@
 
 import threading
 
+from figtray import decoding
 from figtray import errors
 from figtray.events import catalogue
 from figtray.events import log
@@ -26,6 +27,7 @@
         self._evacuated_zones = set()
         self._waves = {}
         self._subscribers = []
+        self._unreadable = unreadable.UnreadableLog(clock)
         self.watcher = prefix_watcher.PrefixWatcher(
             store,
             documents.OPERATOR_PREFIX,
@@ -105,10 +107,9 @@
                 self._apply_evacuation(item)
             elif item.key.startswith(documents.WAVE_PREFIX):
                 self._apply_wave(item)
-        except errors.UnreadableMessage as exc:
-            log.emit(
-                catalogue.RECORD_UNREADABLE, record=item.key, detail=str(exc)
-            )
+        except Exception as exc:
+            # An odd document costs itself only, whatever its error is.
+            self._unreadable.note(item.key, exc)
 
     def _apply_config(self, item):
         cfg = documents.decode_config(item.value)
@@ -134,7 +135,15 @@
                 self._evacuated_zones.add(zone)
 
     def _apply_wave(self, item):
-        wave = None if item.deleted else documents.decode_wave(item.value)
+        wave = None
+        if not item.deleted:
+            wave = documents.decode_wave(item.value)
+            # Two documents of one wave would undo each other.
+            name = item.key.removeprefix(documents.WAVE_PREFIX)
+            if name.lstrip('0') != str(wave.number).lstrip('0'):
+                raise decoding.unreadable(
+                    item.key, f'it describes wave {wave.number}'
+                )
         with self._lock:
             if wave is None:
                 self._waves.pop(item.key, None)
--- a/figtray/tests/test_odd_records.py
+++ b/figtray/tests/test_odd_records.py
@@ -38,6 +38,7 @@
 }
 
 JOB = {'queue': 'q', 'team': 't', 'payload': 'p', 'steps': [{'count': 2}]}
+ROUTE = {'name': 'q', 'host': 'h', 'prefix': '/', 'service': 's'}
 # What each entry refuses, or no leader writes; the decoders of the type take
 # all of it.
 ODD_CONTENT = {
@@ -57,6 +58,28 @@
         JOB | {'start_ms': 10**400},
         JOB | {'accepted_ms': 10**400},
     ],
+    'wave': [
+        {'wave': -1},
+        {'wave': '1'},
+        {'wave': 10**400},
+        {'wave': 1, 'duration_s': 1e300},
+        {'wave': 1, 'duration_s': 1.7e308},
+        {'wave': 1, 'duration_s': -1},
+        {'wave': 1, 'maximum': -1},
+        {'wave': 1, 'maximum': 10**400},
+        {'wave': 1, 'machines': ['host'] * 100_001},
+        {'wave': 1, 'machines': [1]},
+    ],
+    'config': [
+        {'version': -1},
+        {'version': 10**400},
+        {'version': 1, 'tenants': [{'name': 't', 'weight': 1e300}]},
+        {'version': 1, 'routes': [ROUTE | {'priority': 10**400}]},
+        {'version': 1, 'routes': [ROUTE | {'stretch': 1e300}]},
+        {'version': 1, 'routes': [ROUTE | {'target_latency_ms': 10**400}]},
+        {'version': 1, 'routes': [ROUTE | {'advice': {'valid_ms': 10**30}}]},
+        {'version': 1, 'routes': [ROUTE | {'host': 3}]},
+    ],
     'progress': [
         {'done': {'0.0': -1}},
         {'done': {'0.0': 1 << 10_000}},
