Tell operators which document is unreadable, and lose nothing

Operators would see an internal error at each request of the API while the stored configuration is odd, and also while any one wave is, so they could not change anything else. A limit of -1 of a team was shown as if it were none.

Cause: the registry caught the errors of msgspec in one place only, and shape and ranges of the configuration were not checked there.

Change: the registry reads a configuration as nodes do and answers 503 with the reason. An odd wave is skipped and named once; a change that would write over it is refused.

Result: these tests pass, and the odd documents are unchanged.

--- a/figtray/platform/documents.py
+++ b/figtray/platform/documents.py
@@ -33,6 +33,8 @@
 _Amount = typing.Annotated[int, msgspec.Meta(ge=0, le=MAX_AMOUNT)]
 _Number = typing.Annotated[int, msgspec.Meta(ge=-MAX_FIGURE, le=MAX_FIGURE)]
 _Figure = typing.Annotated[float, msgspec.Meta(ge=-MAX_FIGURE, le=MAX_FIGURE)]
+# Some operators may write the largest integer for no limit.
+_LimitAmount = typing.Annotated[int, msgspec.Meta(ge=0, le=2**63 - 1)]
 _Name = typing.Annotated[str, msgspec.Meta(max_length=MAX_NAME_CHARS)]
 
 
@@ -80,6 +82,14 @@
     rejects_overload: bool = True
 
 
+class _Limit(Amounts, frozen=True):
+    """Amounts that a team may use."""
+
+    cpu: _LimitAmount = 0
+    mem_mb: _LimitAmount = 0
+    gpu: _LimitAmount = 0
+
+
 class _Tenant(msgspec.Struct, frozen=True):
     """A team."""
 
@@ -87,7 +97,7 @@
     api_keys: tuple[str, ...] = ()
     weight: _Figure = 1
     # Limit of all of the team's running tasks together, not of a single one.
-    maximum: Amounts = Amounts()
+    maximum: _Limit = _Limit()
 
 
 class _Config(msgspec.Struct, frozen=True):
--- a/figtray/platform/registry.py
+++ b/figtray/platform/registry.py
@@ -4,10 +4,13 @@
 
 import msgspec
 
+from figtray import clock as clock_lib
 from figtray.configuration import keys
 from figtray.configuration import registry
 from figtray.configuration import resources
+from figtray import decoding
 from figtray import errors
+from figtray.events import unreadable
 from figtray.platform import documents
 from figtray.store import base
 
@@ -47,6 +50,7 @@
 
     def __init__(self, store):
         self._store = store
+        self._unreadable = unreadable.UnreadableLog(clock_lib.SystemClock())
 
     def read(self):
         return self._read()[0]
@@ -72,7 +76,7 @@
                 name = key.removeprefix(documents.EVACUATE_PREFIX)
                 found.append(_build_zone(name, False))
             elif key.startswith(documents.WAVE_PREFIX):
-                found.append(_build_wave(item))
+                found += self._build_waves(item)
         # A zone in service has no document; its workers' entries name it.
         zones = {
             worker.zone
@@ -82,6 +86,13 @@
         found += [_build_zone(name, True) for name in zones]
         return registry.Snapshot(result.revision, found), stored
 
+    def _build_waves(self, item):
+        """Yield the Resource of a wave; none if it is unreadable."""
+        try:
+            yield _build_wave(item)
+        except errors.UnreadableMessage as exc:
+            self._unreadable.note(item.key, exc)
+
     def _read_workers(self):
         for item in self._store.range(documents.WORKER_PREFIX).items:
             try:
@@ -119,6 +130,7 @@
                 if change.spec is None:
                     deletes.append(key)
                 else:
+                    _check_wave(stored.get(key))
                     puts.append(base.Put(key, _encode_wave(change)))
         return self._commit_txn(snapshot, stored, puts, deletes)
 
@@ -139,6 +151,7 @@
         return result.revision if result.succeeded else 0
 
 
+_config_decoder = msgspec.json.Decoder(dict)
 _CONFIG_KINDS = frozenset({*_LIST_FIELDS, resources.Kind.KEY})
 
 
@@ -147,8 +160,9 @@
     if item is None:
         return {}
     try:
-        return msgspec.json.decode(item.value, type=dict)
-    except msgspec.MsgspecError as exc:
+        documents.decode_config(item.value)
+        return decoding.decode('configuration', _config_decoder, item.value)
+    except errors.UnreadableMessage as exc:
         # Writing a new configuration would lose what this one holds.
         raise errors.StoreUnavailable(
             detail=f'the configuration is unreadable: {exc}'
@@ -170,6 +184,18 @@
     )
 
 
+def _check_wave(item):
+    """Raise StoreUnavailable if a change would write over an odd wave."""
+    if item is None:
+        return
+    try:
+        documents.decode_wave(item.value)
+    except errors.UnreadableMessage as exc:
+        raise errors.StoreUnavailable(
+            detail=f'{item.key} is unreadable: {exc}'
+        ) from exc
+
+
 def _encode_wave(change):
     return msgspec.json.encode(
         {
@@ -185,9 +211,13 @@
     """Yield the Resources of a configuration document."""
     for kind, field in _LIST_FIELDS.items():
         for entry in config.get(field, ()):
-            yield registry.Resource(
-                kind, entry['name'], _build_spec(kind, entry)
-            )
+            try:
+                spec = _build_spec(kind, entry)
+            except msgspec.ValidationError as exc:
+                raise errors.StoreUnavailable(
+                    detail=f'{kind.value} {entry["name"]} is unreadable: {exc}'
+                ) from exc
+            yield registry.Resource(kind, entry['name'], spec)
     for team in config.get('tenants', ()):
         for key in team.get('api_keys', ()):
             yield registry.Resource(
--- a/figtray/tests/test_odd_records.py
+++ b/figtray/tests/test_odd_records.py
@@ -74,6 +74,7 @@
         {'version': -1},
         {'version': 10**400},
         {'version': 1, 'tenants': [{'name': 't', 'weight': 1e300}]},
+        {'version': 1, 'tenants': [{'name': 't', 'maximum': {'cpu': -1}}]},
         {'version': 1, 'routes': [ROUTE | {'priority': 10**400}]},
         {'version': 1, 'routes': [ROUTE | {'stretch': 1e300}]},
         {'version': 1, 'routes': [ROUTE | {'target_latency_ms': 10**400}]},
