Name a node's settings file that is nested too deeply

Operators saw a traceback in place of the clear error and of status 2.

Cause: the loader caught the errors of msgspec only.

Evidence: before, test_unreadable_file_is_an_unexpected_error failed for the deep file (RecursionError); the other four bytes passed.

Change: the file is decoded by decoding.decode().

Result: the test passes.

--- a/figtray/platform/settings.py
+++ b/figtray/platform/settings.py
@@ -4,6 +4,7 @@
 
 import msgspec
 
+from figtray import decoding
 from figtray import errors
 
 FILE_ENV_VARIABLE = 'FIGTRAY_NODE_FILE'
@@ -89,6 +90,9 @@
     bounds: Bounds = Bounds()
 
 
+_decoder = msgspec.json.Decoder(Settings)
+
+
 def load(path=None):
     """Read the settings file.
 
@@ -110,10 +114,10 @@
         )
     try:
         with open(path, 'rb') as file:
-            settings = msgspec.json.decode(file.read(), type=Settings)
+            settings = decoding.decode('settings', _decoder, file.read())
     except OSError as exc:
         raise errors.SettingsError(path, exc.strerror) from exc
-    except msgspec.MsgspecError as exc:
+    except errors.UnreadableMessage as exc:
         raise errors.SettingsError(path, str(exc)) from exc
     if settings.commands != 'request':
         raise errors.SettingsError(
