Check for second runs through many changes of the leader

A random row of leaders, each lost, resigned or going on to extend leases until its key goes, while workers fall silent and answer again. play() fails if a task runs twice at a time; all four lasting tasks run at the end.

--- a/figtray/scheduling/tests/test_sum_of_waits.py
+++ b/figtray/scheduling/tests/test_sum_of_waits.py
@@ -1,5 +1,7 @@
 """Tests of the sum of all waits from the end of an outage to the first run."""
 
+import random
+
 import pytest
 
 from figtray.leadership import elector
@@ -462,3 +464,44 @@
             leases.longest_horizon_ms(harness.BOUNDS) + takeovers.START_MS,
         )
         assert takeovers.place(fleet, first) != number
+
+
+class TestChangesInARow:
+    # play() checks that no second run of a task starts. A leader that has
+    # extended a lease on a worker after a record that names it as one without
+    # would let the next one start its task too early.
+    @pytest.mark.parametrize('seed', range(12))
+    def test_task_starts_before_the_last_lease_is_over(self, seed):
+        rng = random.Random(seed)
+        fleet = harness.Fleet(4, rate=leases.SLOWEST_CLOCK_RATE)
+        nodes = [Node(fleet, f'node-{number}') for number in range(3)]
+        node = nodes[0]
+        leader = node.lead()
+        leader.report_all()
+        takeovers.submit_pair(fleet, leader)
+        takeovers.submit_pair(fleet, leader)
+        for _ in range(15):
+            for _ in range(rng.choice([1, 2, 3])):
+                silent = rng.sample(range(4), rng.choice([0, 1, 1, 2]))
+                takeovers.silence(fleet, *silent)
+                play(leader, nodes, rng.choice([0, 100, 400, 1300, 3100]))
+            if rng.random() < 0.5:
+                node.resign(leader)
+            else:
+                self.lose_leader(fleet, leader, rng.random() < 0.3)
+            node = rng.choice(nodes)
+            for each in nodes:
+                each.follow()
+            leader = node.lead()
+        fleet.client.choose_fault = lambda call, worker: 'ok'
+        play(leader, nodes, RESTART_MS)
+        assert len(takeovers.running(fleet)) == 4
+
+    def lose_leader(self, fleet, leader, goes_on):
+        """Let the lease of a leader end, which may extend leases till then."""
+        for _ in range(terms.LEASE_TTL_MS // takeovers.CYCLE_MS):
+            fleet.clock.advance(takeovers.CYCLE_MS)
+            fleet.client.expire()
+            if goes_on and leader.term.valid():
+                leader.report_all()
+        fleet.store.expire_leases()
