Let odd entries of the soak stay until its end

Change: one in three times they stay to the end of the soak, so takeovers and the recovery have to do with them. Their keys have the number of their fault, so another one does not remove them.

--- a/figtray/soak/injector.py
+++ b/figtray/soak/injector.py
@@ -257,12 +257,13 @@
         worker = self._site.worker_on(self._select_host(fault))
         if worker is None:
             return _no_action, _no_action
-        entries = odd_entries.make(random.Random(fault.choice), worker)
+        entries = odd_entries.make(fault.choice, worker)
         puts = list(itertools.starmap(base.Put, entries.items()))
         store = self._site.store
+        stays = fault.choice % odd_entries.STAY_INTERVAL == 0
         return (
             lambda: self._retry_change(store.txn, (), puts),
-            lambda: store.remove(entries),
+            _no_action if stays else lambda: store.remove(entries),
         )
 
     def _silent_outage_actions(self):
--- a/figtray/soak/odd_entries.py
+++ b/figtray/soak/odd_entries.py
@@ -1,6 +1,7 @@
 """Odd entries that another writer stores among those of the workers."""
 
 import json
+import random
 
 from figtray.platform import standin_entries
 from figtray.platform import standin_services
@@ -11,22 +12,25 @@
 # No worker is born so long after another.
 LATER_MS = 10**9
 MAX_COUNT = 4
+# One in so many times, the entries stay until the end of the soak.
+STAY_INTERVAL = 3
 
 
-def make(rng, worker):
+def make(choice, worker):
     """Return random odd entries as bytes by their keys.
 
     Each is like that of a good worker but for one field. One of them may be
     under the id of the good worker, until its next heartbeat.
 
     Args:
-        rng: random.Random to use.
+        choice: random number that selects them.
         worker: the good fleet Worker.
     """
+    rng = random.Random(choice)
     values = rng.choices(
         list(_odd_values(worker)), k=rng.randint(1, MAX_COUNT)
     )
-    names = [f'odd-{number}' for number in range(len(values))]
+    names = [f'odd-{choice}-{number}' for number in range(len(values))]
     if rng.random() < 0.5:
         names[0] = worker.worker_id
     return {
--- a/figtray/soak/tests/test_injector.py
+++ b/figtray/soak/tests/test_injector.py
@@ -3,7 +3,6 @@
 import collections
 import json
 import math
-import random
 import signal
 import socket
 
@@ -228,20 +227,23 @@
             for item in harness.site.store.range(standin_entries.PREFIX).items
         }
 
-    def test_entries_are_stored_and_removed(self, harness):
+    def odd_keys(self, harness):
         good = {
             standin_entries.PREFIX + worker.worker_id
             for worker in harness.workers
         }
-        seen = set()
-        harness.pause.action = lambda: seen.update(self.keys(harness))
-        for choice in range(20):
-            fault = faults.Fault(
-                0, 0, faults.FaultKind.ODD_ENTRIES, choice, False
-            )
-            assert harness.injector.inject(fault)
-            assert self.keys(harness) <= good
-        assert len(seen - good) == odd_entries.MAX_COUNT
+        return self.keys(harness) - good
+
+    @pytest.mark.parametrize('choice', range(1, 19))
+    def test_entries_are_stored_and_removed_or_stay(self, harness, choice):
+        during = []
+        harness.pause.action = lambda: during.append(self.odd_keys(harness))
+        fault = faults.Fault(0, 0, faults.FaultKind.ODD_ENTRIES, choice, False)
+        assert harness.injector.inject(fault)
+        made = odd_entries.make(choice, harness.workers[0])
+        assert during == [{key for key in made if '/odd-' in key}]
+        stays = choice % odd_entries.STAY_INTERVAL == 0
+        assert self.odd_keys(harness) == (during[0] if stays else set())
 
     def test_each_kind_occurs_also_under_the_id_of_a_good_worker(
         self, harness
@@ -249,10 +251,7 @@
         worker = harness.workers[0]
         key = standin_entries.PREFIX + worker.worker_id
         good = standin_services.encode_worker_entry(worker)
-        entries = [
-            odd_entries.make(random.Random(number), worker)
-            for number in range(100)
-        ]
+        entries = [odd_entries.make(number, worker) for number in range(100)]
         values = {value for made in entries for value in made.values()}
         assert good not in values and len(values) == 4
         assert {made[key] for made in entries if key in made} == values
