Keep odd entries beside a change of the leader as a case of the soak

Change: a fixed schedule stores entries that are too deep, too large and born too late, and kills the leader a second later; they stay to the end.

--- a/figtray/soak/tests/test_soak.py
+++ b/figtray/soak/tests/test_soak.py
@@ -43,6 +43,12 @@
     for at_s in (1.0, 8.0)
     for choice in range(4)
 )
+# Entries that are too deep, too large or born too late stay until the end, and
+# another leader takes over (seeds 63002, 64035).
+ODD_ENTRIES_AND_A_KILL = (
+    faults.Fault(1.0, 0.1, faults.FaultKind.ODD_ENTRIES, 27, False),
+    faults.Fault(2.0, 0.5, faults.FaultKind.KILL, 0, True),
+)
 RELOAD_AT_THE_END = (
     faults.Fault(8.0, 0.1, faults.FaultKind.RELOAD, 0, False),
 )
@@ -151,6 +157,14 @@
         assert not result.violations, report.summarize(result)
         assert len(result.hits) == len(WORKER_LEAVES_DURING_OUTAGE)
 
+    # Guards against an entry of another writer that ends each term.
+    def test_odd_entries_stay_while_the_leader_changes(self, tmp_path):
+        result = soak.Soak(
+            1, DURATION_S, 2, tmp_path, ODD_ENTRIES_AND_A_KILL
+        ).run()
+        assert not result.violations, report.summarize(result)
+        assert len(result.hits) == len(ODD_ENTRIES_AND_A_KILL)
+
     # Guards against starts on a worker that has shrunk below what runs there.
     def test_workers_shrink_and_grow(self, tmp_path):
         result = soak.Soak(1, DURATION_S, 2, tmp_path, WORKERS_SHRINK).run()
