--- a/figtray/scheduling/lease_horizon.py
+++ b/figtray/scheduling/lease_horizon.py
@@ -35,9 +35,12 @@
 
     Attributes:
         unextended: the Unextended ones.
+        horizon_ms: how far leases reach after its request; 0 in a record of
+            an earlier release.
     """
 
     unextended: tuple[Unextended, ...] = ()
+    horizon_ms: int = 0
 
 
 _decoder = msgspec.json.Decoder(LeasesRecord)
@@ -92,10 +95,6 @@
         """Queue a write of the record each RENEW_INTERVAL_MS.
 
         One is also due when a worker has reported that the last one names.
-
-        Returns:
-            Sequence number of the Writer that must be written before leases
-            may be granted; 0 if they may be now.
         """
         with self._lock:
             self._settle()
@@ -110,7 +109,6 @@
                 self._pending = self._writer.enqueue(
                     terms.LEASES_KEY, self._encode
                 )
-            return 0 if now_ms < self._until_ms else self._pending
 
     def remaining_ms(self, now_ms, incarnation=None):
         """Return how long a lease may last from now on; 0 if it may not.
@@ -150,7 +148,7 @@
             self._requested_unextended = frozenset(unextended)
             # A request without a reply may have been carried out.
             self._unextended |= self._requested_unextended
-        return msgspec.json.encode(LeasesRecord(unextended))
+        return msgspec.json.encode(LeasesRecord(unextended, self._horizon_ms))
 
 
 @dataclasses.dataclass(frozen=True)
--- a/figtray/scheduling/service.py
+++ b/figtray/scheduling/service.py
@@ -9,6 +9,7 @@
 from figtray.jobs import records
 from figtray.leadership import term as terms
 from figtray.scheduling import lease_horizon
+from figtray.scheduling import leases
 from figtray.scheduling import pacer as pacers
 from figtray.scheduling import retention
 from figtray.scheduling import roster as rosters
@@ -26,7 +27,6 @@
 EXPECTED_WORKERS_POLL_MS = 150
 COUNTS_INTERVAL_MS = 1000
 RETRY_MS = 200
-ROSTER_WRITE_TIMEOUT_MS = 500
 # After an outage of the store, expired entries of workers are back within
 # this time.
 ENTRY_RECOVERY_MS = 2500
@@ -108,7 +108,6 @@
         self._pacer = pacers.Pacer(self._scheduler, self._clock)
         self._sessions = {}
         self._roster = rosters.Roster()
-        self._roster_sequence = 0
         # Local time at which the leases of earlier terms have ended; None
         # until the record of them is read.
         self._earlier_leases_until_ms = None
@@ -251,11 +250,16 @@
         record = self._service.unreadable.read(
             item.key, lease_horizon.decode, item.value
         )
-        if record is not None:
-            self._scheduler.note_earlier_leases(
-                item.mod_revision,
-                lease_horizon.earlier_leases(self._term, record, bounds),
+        if record is None or record.horizon_ms != leases.horizon_ms(bounds):
+            # Another release, or one with other settings, has stored it.
+            self._scheduler.note_longer_leases()
+            return (
+                self._term.began_ms + leases.longest_earlier_release_lease_ms()
             )
+        self._scheduler.note_earlier_leases(
+            item.mod_revision,
+            lease_horizon.earlier_leases(self._term, record, bounds),
+        )
         return lease_horizon.earlier_leases_end_ms(
             self._term, item.mod_revision, bounds
         )
@@ -283,7 +287,7 @@
 
     def _update_workers(self):
         # Leases last while the workers can't be listed.
-        leases_sequence = self._scheduler.lease_horizon.renew_if_due()
+        self._scheduler.lease_horizon.renew_if_due()
         workers = self._service.list_workers()
         now_ms = self._clock.now_ms()
         self._list_failing = False
@@ -294,33 +298,30 @@
         for worker_state in self._scheduler.sync_workers(
             workers, trust_absence
         ):
-            worker_session = session.Session(
-                worker_state,
-                self._scheduler,
-                self._pacer,
-                self._service.client,
-                self._writer,
-                self._term,
-                self._clock,
-            )
-            self._sessions[worker_state.worker.incarnation] = worker_session
-            worker_session.start()
-        self._update_roster(leases_sequence)
+            # Its failure costs the others nothing.
+            try:
+                self._start_session(worker_state)
+            except Exception as exc:
+                log.emit_exception(
+                    f'session with {worker_state.worker.worker_id}', exc
+                )
+        self._scheduler.update_roster()
         for incarnation in list(self._sessions):
             if self._scheduler.worker_state(incarnation) is None:
                 self._sessions.pop(incarnation).close()
 
-    def _update_roster(self, leases_sequence):
-        """Store the incarnations in use before any task starts on them."""
-        roster = self._scheduler.roster()
-        if roster != self._roster:
-            self._roster = roster
-            self._roster_sequence = self._writer.enqueue(
-                rosters.ROSTER_KEY, lambda: rosters.encode(self._roster)
-            )
-        sequence = max(self._roster_sequence, leases_sequence)
-        if self._writer.wait(sequence, ROSTER_WRITE_TIMEOUT_MS):
-            self._scheduler.allow_starts(roster)
+    def _start_session(self, worker_state):
+        worker_session = session.Session(
+            worker_state,
+            self._scheduler,
+            self._pacer,
+            self._service.client,
+            self._writer,
+            self._term,
+            self._clock,
+        )
+        self._sessions[worker_state.worker.incarnation] = worker_session
+        worker_session.start()
 
     # Periodic work.
 
--- a/figtray/scheduling/tests/test_odd_entries.py
+++ b/figtray/scheduling/tests/test_odd_entries.py
@@ -4,9 +4,13 @@
 
 import pytest
 
+from figtray.jobs import model
+from figtray.platform import documents
 from figtray.scheduling import leases
+from figtray.scheduling import roster as rosters
 from figtray.scheduling.tests import harness
 from figtray.scheduling.tests import takeovers
+from figtray.upkeep import host_needs
 
 ODD = 9
 
@@ -161,6 +165,157 @@
         assert not leader.scheduler.drain_worker(worker_id)
 
 
+class TestEntryThatNeverReports:
+    """An entry whose address nobody answers, odd or not."""
+
+    # All tasks that end waited for it after each change of the leader.
+    @pytest.mark.parametrize('changes', [1, 2, 3])
+    @pytest.mark.parametrize('lasting', [True, False])
+    def test_tasks_wait_for_it_in_a_new_term(
+        self, fleet, leader, changes, lasting
+    ):
+        list_odd(fleet, 0)
+        play(leader, 2 * takeovers.CYCLE_MS)
+        for _ in range(changes - 1):
+            leader = fleet.elect_leader()
+            play(leader, 2 * takeovers.CYCLE_MS)
+        job_id = fleet.submit(harness.make_step(lasting=lasting))
+        leader.sync_intake()
+        leader = fleet.elect_leader()
+        play(leader, 2 * takeovers.CYCLE_MS)
+        assert f'{job_id}.0.0.0' in takeovers.running(fleet)
+
+    # A later leader awaits each incarnation on the roster.
+    def test_it_is_on_the_roster(self, fleet, leader):
+        list_odd(fleet, 0)
+        play(leader, 2 * takeovers.CYCLE_MS)
+        assert not any(
+            incarnation.worker_id == f'worker-{ODD}'
+            for incarnation in leader.scheduler.roster().lives
+        )
+
+
+class TestCapacityOfAnOddEntry:
+    """Amounts that are extreme but allowed."""
+
+    LARGEST = model.Resources(*[documents.MAX_AMOUNT] * 3)
+
+    # The pool seemed to have workers that it lacks, and lost its hosts.
+    def test_entry_that_never_reports_counts_as_a_worker(self, fleet, leader):
+        leader.scheduler.reconcile_hosts(fleet.hosts)
+        before = leader.scheduler.pool_loads()['main']
+        for fields in ({}, {'worker_id': 'worker-8', 'host_id': 'host-0'}):
+            list_odd(fleet, 0, capacity=self.LARGEST, **fields)
+        takeovers.silence(fleet, 8, ODD)
+        play(leader, 10 * takeovers.CYCLE_MS)
+        assert leader.scheduler.pool_loads()['main'] == before
+
+    # A pool whose workers could not be reached got more hosts.
+    def test_unreached_worker_on_its_host_counts_for_nothing(self, fleet):
+        takeovers.silence(fleet, 0)
+        leader = fleet.elect_leader()
+        leader.report_all()
+        leader.scheduler.reconcile_hosts(fleet.hosts)
+        assert leader.scheduler.pool_loads()['main'].workers == 4
+
+    # Held tasks counted towards the limit of their team by what the entry
+    # says, so that no other task of the team started.
+    def test_needs_out_of_sight_are_limited_to_it(self):
+        fleet = harness.Fleet(3, harness.make_config(limit_milli=20_000))
+        leader = fleet.elect_leader()
+        leader.report_all()
+        held = fleet.submit(harness.make_step(20))
+        takeovers.silence(fleet, 0, 1, 2)
+        leader.sync_intake()
+        leader = fleet.elect_leader()
+        list_odd(fleet, 0, capacity=self.LARGEST)
+        fleet.client.choose_fault = lambda _, worker: (
+            'not sent'
+            if worker.worker_id in ('worker-0', 'worker-9')
+            else 'ok'
+        )
+        later = fleet.submit(harness.make_step(8))
+        play(leader, 10 * takeovers.CYCLE_MS)
+        running = takeovers.running(fleet)
+        assert f'{held}.0.0.0' not in running
+        assert f'{later}.0.0.0' in running
+
+    # Sums and divisions of floats overflowed.
+    @pytest.mark.parametrize('capacity', [LARGEST, model.NO_RESOURCES])
+    def test_extreme_capacity_ends_the_plan(self, fleet, leader, capacity):
+        for number in range(ODD, ODD + 20):
+            worker = list_odd(
+                fleet,
+                0,
+                worker_id=f'worker-{number}',
+                address=f'10.0.1.{number}:80',
+                host_id=f'host-{number}',
+                capacity=capacity,
+            )
+            fleet.client.add(worker)
+        for lasting in (True, False):
+            fleet.submit(harness.make_step(8, lasting=lasting))
+        play(leader, 10 * takeovers.CYCLE_MS)
+        assert len(takeovers.running(fleet)) == 16
+        load = leader.scheduler.pool_loads()['main']
+        usual = host_needs.usual_capacity(fleet.hosts.values())
+        assert host_needs.equivalent_hosts(load, usual) <= 24
+        trend = host_needs.DemandTrend()
+        rise = trend.forecast_rise(load, fleet.clock.now_ms())
+        assert host_needs.wanted_workers(load, rise, usual) <= 24
+
+
+class TestStartsAndTheRoster:
+    # A later leader would not have asked the worker for its runs.
+    @pytest.mark.parametrize('lasting', [True, False])
+    def test_start_is_sent_before_its_worker_is_on_the_stored_roster(
+        self, fleet, lasting
+    ):
+        missing, starts = [], []
+
+        def choose_fault(kind, worker):
+            if kind == 'start':
+                item = fleet.store.get(rosters.ROSTER_KEY)
+                starts.append(worker.worker_id)
+                if worker.incarnation not in rosters.decode(item.value).lives:
+                    missing.append(worker.worker_id)
+            return 'ok'
+
+        fleet.client.choose_fault = choose_fault
+        for number in range(4, 8):
+            fleet.submit(harness.make_step(8, 7000, lasting=lasting))
+            leader = fleet.elect_leader()
+            # Its write is late.
+            leader.flush = lambda: None
+            play(leader, 2 * takeovers.CYCLE_MS)
+            del leader.flush
+            play(leader, 2 * takeovers.CYCLE_MS)
+            fleet.add_worker(number)
+            play(leader, 3 * takeovers.CYCLE_MS)
+            fleet.client.crash(f'10.0.0.{number}:80')
+            fleet.add_worker(number, born_ms=2)
+            play(leader, 3 * takeovers.CYCLE_MS)
+        assert len(set(starts)) == 8
+        assert not missing
+
+    # It was on no roster after the leases of earlier terms had ended, and
+    # could still get a start.
+    def test_worker_that_was_awaited_to_the_end_is_on_no_roster(
+        self, fleet, leader
+    ):
+        takeovers.silence(fleet, 0)
+        leader = fleet.elect_leader()
+        play(leader, takeovers.LONGEST_LEASE_MS + takeovers.START_MS)
+        first = fleet.workers['worker-0'].incarnation
+        assert first not in leader.scheduler.roster().lives
+        fleet.client.choose_fault = lambda *_: 'ok'
+        fleet.submit(harness.make_step(4, 7000, max_per_worker=1))
+        play(leader, 3 * takeovers.CYCLE_MS)
+        assert len(takeovers.running(fleet)) == 4
+        stored = rosters.decode(fleet.store.get(rosters.ROSTER_KEY).value)
+        assert first in stored.lives
+
+
 class TestSuccessor:
     """A later incarnation that answers proves the end of the one before."""
 
--- a/figtray/upkeep/tests/test_controller.py
+++ b/figtray/upkeep/tests/test_controller.py
@@ -1,9 +1,11 @@
 """Tests of the control loop over hosts."""
 
+import logbook
 import msgspec
 import pytest
 
 from figtray import errors
+from figtray.events import catalogue
 from figtray.platform import hosts as platform_hosts
 from figtray.scheduling.tests import harness
 from figtray.scheduling.tests import leaders
@@ -111,6 +113,18 @@
         host_controller._reconcile(site.leader.scheduler, parts)
         assert not site.moves()
 
+    # Guards against pools that don't grow and waves that stand still for
+    # seconds without a line that says why.
+    def test_orders_without_a_record_are_logged(self, site):
+        orders = build_parts(site, make_controller(site)).orders
+        with logbook.TestHandler() as handler:
+            assert orders.record(['host-8'])
+            assert not harness.logged(handler, catalogue.HOST_ORDERS_WAIT)
+            site.fleet.store.down = True
+            assert not orders.record(['host-8', 'host-9'])
+        [line] = harness.logged(handler, catalogue.HOST_ORDERS_WAIT)
+        assert line == {'hosts': 2, 'waited_ms': 0}
+
     # A term may end within lease_ms. The next leader must then also know the
     # orders of the leader before.
     def test_former_hosts_stay_recorded_until_lease_ms_passed(self, site):
@@ -150,6 +164,21 @@
         reconcile(site, make_controller(site))
         assert len(site.moves()) == 2
 
+    # Each further leader waited once more for the orders of one long ago, as
+    # those between had given none and had written no record.
+    def test_orders_of_a_leader_long_ago_are_awaited(self, site):
+        store_record(site, 'host-8')
+        host_controller = make_controller(site)
+        parts = build_parts(site, host_controller)
+        site.leader.advance(
+            harness.BOUNDS.lease_ms + host_orders.RETENTION_MARGIN_MS + 1
+        )
+        host_controller._reconcile(site.leader.scheduler, parts)
+        site.leader.flush()
+        site.leader = site.fleet.elect_leader()
+        parts = build_parts(site, make_controller(site))
+        assert parts.orders.is_order_allowed('host-8')
+
     # Upkeeps that the former leader has begun may not be stored yet, and
     # count towards max_down.
     def test_waves_wait_for_lease_ms(self, site):
