--- a/figtray/platform/view.py
+++ b/figtray/platform/view.py
@@ -182,3 +182,9 @@
                 yield documents.decode_worker(item.key, item.value, pools)
             except errors.UnreadableMessage as exc:
                 self._unreadable.note(item.key, exc)
+            # Whatever an entry does to its decoder, the others hold.
+            except Exception as exc:
+                self._unreadable.note(
+                    item.key,
+                    decoding.unreadable(item.key, f'unexpected {exc!r}'),
+                )
--- a/figtray/scheduling/planner.py
+++ b/figtray/scheduling/planner.py
@@ -98,7 +98,7 @@
                 step.waiting.append(task)
         if self._is_adopting(now_ms):
             # They are held, and return to the queue after this plan.
-            self._take_uncertain_tasks(step)
+            self._take_uncertain_tasks(step, now_ms)
 
     def _candidates_by_pool(self):
         """Return the candidate WorkerStates of each pool.
--- a/figtray/scheduling/reports.py
+++ b/figtray/scheduling/reports.py
@@ -6,6 +6,7 @@
 from figtray.jobs import model
 from figtray.jobs import records
 from figtray.scheduling import ends
+from figtray.scheduling import enrolment
 from figtray.scheduling import leases
 from figtray.scheduling import scheduler_base
 from figtray.scheduling import state
@@ -17,7 +18,7 @@
 STRAY_STOP_INTERVAL_MS = 500
 
 
-class Reports(worker_ends.WorkerEnds):
+class Reports(worker_ends.WorkerEnds, enrolment.Enrolment):
     """Records the reports of workers and extends their leases."""
 
     def report_request(self, worker_state):
@@ -33,7 +34,7 @@
         with self.lock:
             now_ms = self._clock.now_ms()
             worker_clock = worker_state.worker_clock(now_ms)
-            lease_ms = self._grantable_lease_ms(now_ms)
+            lease_ms = self._grantable_lease_ms(worker_state, now_ms)
             if (
                 worker_clock is None
                 or worker_state.unresponsive
@@ -76,6 +77,7 @@
                 self._end_followed()
                 if worker_state.gone:
                     return 0
+                self._enrol(worker_state)
             reported = {(item.task, item.run) for item in report.running}
             ended = {(item.task, item.run) for item in report.ended}
             for item in report.running:
@@ -98,6 +100,7 @@
                 self._resolve_incarnation(
                     worker_state.worker.incarnation, 'it reports'
                 )
+            self.lease_horizon.renew_if_due()
             sequence = self._writer.last_sequence()
         self.changed.set()
         return sequence
@@ -243,6 +246,7 @@
         run.phase = state.Phase.RUNNING
         run.confirmed_ms = now_ms
         run.sent_ms = run.started_ms = now_ms
+        run.adopted = True
         self._attach(run)
         job = task.step.job
         from_earlier_term = (
@@ -257,6 +261,7 @@
             run=item.run,
             worker=worker_state.worker.worker_id,
         )
+        self._resume_trial(run)
         self._handle_running(worker_state, item, now_ms)
         if not job.started:
             job.state = records.State.RUNNING
--- a/figtray/scheduling/scheduler_base.py
+++ b/figtray/scheduling/scheduler_base.py
@@ -55,9 +55,11 @@
         self._term = term
         self._clock = clock
         self._writer = writer
-        writer.on_written = self.release_recorded_starts
+        writer.on_written = self.handle_written
         self._lease_ms = leases.lease_ms(bounds)
-        self.lease_horizon = lease_horizon.LeaseHorizon(writer, clock, bounds)
+        self.lease_horizon = lease_horizon.LeaseHorizon(
+            writer, clock, bounds, self.lock, self._unextended
+        )
         self._is_config_fresh = is_config_fresh
         self._metrics = metrics
         # Parts of the takeover of this term that are over.
@@ -84,8 +86,17 @@
         # Whether no other incarnation may run tasks of earlier terms.
         self._is_roster_complete = True
         self._adoption_until_ms = 0
+        # The EarlierLeases of those that the last leader had not extended.
+        self._earlier_leases = {}
+        # Revision of the last record of leases of earlier terms, or None.
+        self._earlier_revision = None
         # Whether the leaders before this term recorded all Placements.
         self._are_placements_known = False
+        # The Roster that was read, or encoded for the last write.
+        self._last_roster = None
+        # Workers that have reported and that no stored roster names yet, as
+        # pairs of the Writer's sequence number to wait for and WorkerState.
+        self._enrolled = []
         # Most of each resource that a worker or a host was seen to have.
         self._largest_capacity = model.NO_RESOURCES
         # Runs of lasting tasks and suspects whose Placements are not stored
@@ -152,15 +163,21 @@
             default=None,
         )
 
-    def _grantable_lease_ms(self, now_ms):
+    def _grantable_lease_ms(self, worker_state, now_ms):
         """Return for how long a lease may be granted; 0 if it may not.
 
         Args:
+            worker_state: the WorkerState.
             now_ms: local time, read before the validity of the term.
         """
         if not self._term.valid():
             return 0
-        return min(self._lease_ms, self.lease_horizon.remaining_ms(now_ms))
+        return min(
+            self._lease_ms,
+            self.lease_horizon.remaining_ms(
+                now_ms, worker_state.worker.incarnation
+            ),
+        )
 
     def _attach(self, run):
         """Record that a run may exist on its worker."""
@@ -257,9 +274,31 @@
 
     def _is_adopting(self, now_ms):
         """Return whether runs of earlier terms may still be unknown."""
-        if self._is_roster_complete and not self._unresolved:
-            return False
-        return now_ms < self._adoption_until_ms
+        if not self._is_roster_complete and now_ms < self._adoption_until_ms:
+            return True
+        return any(
+            now_ms < self._leases_end_ms(incarnation)
+            for incarnation in self._unresolved
+        )
+
+    def _leases_end_ms(self, incarnation):
+        """Return the local time at which an unresolved one has no lease."""
+        earlier = self._earlier_leases.get(incarnation[:2])
+        return earlier.until_ms if earlier else self._adoption_until_ms
+
+    def _unextended(self):
+        """Return the Unextended incarnations; see lease_horizon."""
+        if self._earlier_revision is None:
+            return []
+        return [
+            lease_horizon.Unextended(
+                incarnation.worker_id,
+                incarnation.born_ms,
+                earlier.revision if earlier else self._earlier_revision,
+            )
+            for incarnation in sorted(self._unresolved)
+            for earlier in [self._earlier_leases.get(incarnation[:2])]
+        ]
 
     def _record_placement(self, run):
         """Queue a write of where a lasting task or a suspect may run.
@@ -274,6 +313,10 @@
         run.task.placement = run.worker_state.placement()
         return self._store_progress(run.task.step.job)
 
+    def handle_written(self):
+        """Apply that a batch of records is stored."""
+        self.release_recorded_starts()
+
     def release_recorded_starts(self):
         """Order the starts of the runs whose placement is stored."""
         with self.lock:
--- a/figtray/tests/test_odd_records.py
+++ b/figtray/tests/test_odd_records.py
@@ -7,6 +7,7 @@
 from figtray.jobs import records
 from figtray.leadership import term as terms
 from figtray.platform import documents
+from figtray.scheduling import lease_horizon
 from figtray.scheduling import roster as rosters
 from figtray.upkeep import host_orders
 from figtray.upkeep import wave_state
@@ -35,6 +36,7 @@
     'leader': terms.decode,
     'host-orders': host_orders.decode,
     'wave-record': wave_state.decode,
+    'leases': lease_horizon.decode,
 }
 
 JOB = {'queue': 'q', 'team': 't', 'payload': 'p', 'steps': [{'count': 2}]}
