--- a/figtray/platform/view.py
+++ b/figtray/platform/view.py
@@ -184,7 +184,5 @@
                 self._unreadable.note(item.key, exc)
             # Whatever an entry does to its decoder, the others hold.
             except Exception as exc:
-                self._unreadable.note(
-                    item.key,
-                    decoding.unreadable(item.key, f'unexpected {exc!r}'),
-                )
+                error = decoding.unreadable(item.key, f'unexpected {exc!r}')
+                self._unreadable.note(item.key, error)
--- a/figtray/scheduling/lease_horizon.py
+++ b/figtray/scheduling/lease_horizon.py
@@ -35,9 +35,12 @@
 
     Attributes:
         unextended: the Unextended ones.
+        horizon_ms: how far leases reach after its request; 0 in a record of
+            an earlier release.
     """
 
     unextended: tuple[Unextended, ...] = ()
+    horizon_ms: int = 0
 
 
 _decoder = msgspec.json.Decoder(LeasesRecord)
@@ -145,7 +148,7 @@
             self._requested_unextended = frozenset(unextended)
             # A request without a reply may have been carried out.
             self._unextended |= self._requested_unextended
-        return msgspec.json.encode(LeasesRecord(unextended))
+        return msgspec.json.encode(LeasesRecord(unextended, self._horizon_ms))
 
 
 @dataclasses.dataclass(frozen=True)
--- a/figtray/scheduling/planner.py
+++ b/figtray/scheduling/planner.py
@@ -78,6 +78,7 @@
 
     def _start_steps(self, pools, now_ms):
         """Start what can start of all steps, most urgent first."""
+        self._keep_workers_for_overdue(pools, now_ms)
         for step in self._steps_by_urgency(now_ms):
             worker_states = pools.get(step.job.queue.pool)
             if not worker_states:
@@ -200,6 +201,7 @@
     def _start_suspect(self, task, worker_states, team, now_ms):
         """Start a suspect if it can start; return whether it does."""
         if not self._quota.allows(team, task.step.spec.needs):
+            self._release_reserved(task, worker_states)
             return False
         # This also asks for advice on the workers that lack it.
         worker_state = self._choose(
--- a/figtray/scheduling/reports.py
+++ b/figtray/scheduling/reports.py
@@ -78,6 +78,7 @@
                 if worker_state.gone:
                     return 0
                 self._enrol(worker_state)
+                self._note_capacity(worker_state.worker.capacity)
             reported = {(item.task, item.run) for item in report.running}
             ended = {(item.task, item.run) for item in report.ended}
             for item in report.running:
@@ -181,7 +182,7 @@
             return False
         worker_state.has_reported = True
         # An earlier leader may have extended the lease this far.
-        worker_state.extend_lease(report.clock_ms + self._lease_ms)
+        worker_state.extend_lease(report.clock_ms + self._earlier_lease_ms)
         log.emit(
             catalogue.WORKER_REACHED,
             worker=worker_state.worker.worker_id,
