--- a/figtray/tests/test_odd_records.py
+++ b/figtray/tests/test_odd_records.py
@@ -1,5 +1,7 @@
 """Tests that put what no reader expects before each reader of records."""
 
+import hypothesis
+import hypothesis.strategies as st
 import msgspec
 import pytest
 
@@ -134,3 +136,32 @@
     def test_bytes_raise_another_error(self, reader, odd):
         with pytest.raises(errors.UnreadableMessage):
             READERS[reader](ODD_BYTES[odd])
+
+
+KEYS = st.text(max_size=6) | st.sampled_from(
+    'version routes wave machines duration_s steps count after needs done '
+    'state failures placements crashes lives begun 0.0 0.0.0'.split()
+)
+VALUES = st.recursive(
+    st.none()
+    | st.booleans()
+    | st.integers()
+    | st.floats(allow_nan=False)
+    | st.text(max_size=6),
+    lambda inner: st.lists(inner, max_size=3)
+    | st.dictionaries(KEYS, inner, max_size=4),
+    max_leaves=8,
+)
+BYTES = st.binary(max_size=60) | VALUES.map(msgspec.json.encode)
+
+
+class TestAnyBytes:
+    # Guards against an error that the tables above don't list.
+    @pytest.mark.parametrize('reader', READERS)
+    @hypothesis.settings(max_examples=60, deadline=None)
+    @hypothesis.given(data=BYTES)
+    def test_bytes_raise_another_error(self, reader, data):
+        try:
+            READERS[reader](data)
+        except errors.UnreadableMessage as exc:
+            assert len(str(exc)) < 400
