Store placements, leases and orders before a backlog of records

Cause: all records of a term were stored in the order of their requests, 15 a call, and a wait for one was a wait for all before it.

Change: these records are urgent and go first, and a wait for one looks at its key only. A record that is queued already moves to the front with its number, so a wait for all records still sees it.

test_urgent_record_waits_for_a_backlog fails with the former order. Acknowledged ends still wait for all records before them.

--- a/figtray/scheduling/enrolment.py
+++ b/figtray/scheduling/enrolment.py
@@ -78,7 +78,9 @@
         self._admit_enrolled()
 
     def _enqueue_roster(self):
-        return self._writer.enqueue(rosters.ROSTER_KEY, self._encode_roster)
+        return self._writer.enqueue(
+            rosters.ROSTER_KEY, self._encode_roster, urgent=True
+        )
 
     def _encode_roster(self):
         with self.lock:
@@ -97,7 +99,7 @@
                 return
             left = []
             for sequence, worker_state in self._enrolled:
-                if self._writer.is_written(sequence):
+                if self._writer.is_written(sequence, rosters.ROSTER_KEY):
                     worker_state.on_roster = True
                 else:
                     left.append((sequence, worker_state))
--- a/figtray/scheduling/lease_horizon.py
+++ b/figtray/scheduling/lease_horizon.py
@@ -107,7 +107,7 @@
             )
             if is_due and self._pending is None:
                 self._pending = self._writer.enqueue(
-                    terms.LEASES_KEY, self._encode
+                    terms.LEASES_KEY, self._encode, urgent=True
                 )
 
     def remaining_ms(self, now_ms, incarnation=None):
@@ -131,7 +131,7 @@
 
     def _settle(self):
         if self._pending is not None and self._writer.is_written(
-            self._pending
+            self._pending, terms.LEASES_KEY
         ):
             self._until_ms = self._requested_ms + self._horizon_ms
             self._unextended = self._requested_unextended
--- a/figtray/scheduling/scheduler_base.py
+++ b/figtray/scheduling/scheduler_base.py
@@ -1,6 +1,5 @@
 """Base class of the scheduler's parts, with the state of one term."""
 
-import collections
 import threading
 
 import msgspec
@@ -104,7 +103,7 @@
         # Runs of lasting tasks and suspects whose Placements are not stored
         # yet, with the sequence numbers of the Writer to wait for, in
         # ascending order.
-        self._unrecorded_runs = collections.deque()
+        self._unrecorded_runs = []
         # Names the entries that say other than their workers.
         self._odd_entries = unreadable.UnreadableLog(clock)
         self._awaited_log = awaited.AwaitedLog()
@@ -313,7 +312,7 @@
             The sequence number of the write.
         """
         run.task.placement = run.worker_state.placement()
-        return self._store_progress(run.task.step.job)
+        return self._store_progress(run.task.step.job, urgent=True)
 
     def handle_written(self):
         """Apply that a batch of records is stored."""
@@ -322,12 +321,15 @@
     def release_recorded_starts(self):
         """Order the starts of the runs whose placement is stored."""
         with self.lock:
-            while self._unrecorded_runs:
-                sequence, run = self._unrecorded_runs[0]
-                if not self._writer.is_written(sequence):
-                    return
-                self._unrecorded_runs.popleft()
-                self._order_start(run)
+            left = []
+            for sequence, run in self._unrecorded_runs:
+                if self._writer.is_written(
+                    sequence, _progress_key(run.task.step.job)
+                ):
+                    self._order_start(run)
+                else:
+                    left.append((sequence, run))
+            self._unrecorded_runs = left
 
     def _order_start(self, run):
         run.worker_state.orders.put(worker_orders.Start(run))
@@ -341,12 +343,16 @@
         if task.step.open:
             task.step.waiting.append(task)
 
-    def _store_progress(self, job):
+    def _store_progress(self, job, urgent=False):
         """Queue a write of a job's progress; returns its sequence number."""
         return self._writer.enqueue(
-            records.PROGRESS_PREFIX + job.job_id, lambda: self._encode(job)
+            _progress_key(job), lambda: self._encode(job), urgent
         )
 
     def _encode(self, job):
         with self.lock:
             return msgspec.json.encode(job.progress())
+
+
+def _progress_key(job):
+    return records.PROGRESS_PREFIX + job.job_id
--- a/figtray/scheduling/tests/leaders.py
+++ b/figtray/scheduling/tests/leaders.py
@@ -25,12 +25,12 @@
     def set_revision(self, key, revision):
         self._leader.writer.set_revision(key, revision)
 
-    def enqueue(self, key, encode):
-        return self._leader.writer.enqueue(key, encode)
+    def enqueue(self, key, encode, urgent=False):
+        return self._leader.writer.enqueue(key, encode, urgent)
 
-    def wait(self, sequence, timeout_ms):
+    def wait(self, sequence, timeout_ms, key=None):
         self._leader.flush()
-        return self._leader.writer.wait(sequence, 0)
+        return self._leader.writer.wait(sequence, 0, key)
 
 
 class View:
--- a/figtray/scheduling/tests/test_writer.py
+++ b/figtray/scheduling/tests/test_writer.py
@@ -141,6 +141,44 @@
             calls * self.CALL_MS + writers.BATCH_DELAY_MS
         )
 
+    # A backlog of thousands of records held up the starts of lasting tasks,
+    # the leases on all workers and the orders for hosts for seconds.
+    @pytest.mark.parametrize('is_queued_before', [True, False])
+    def test_urgent_record_waits_for_a_backlog(self, writer, is_queued_before):
+        if is_queued_before:
+            writer.enqueue('k-last', lambda: b'v')
+        backlog = [
+            writer.enqueue(f'k{number}', lambda: b'v')
+            for number in range(self.QUEUED)
+        ]
+        writer.enqueue('k-last', lambda: b'v')
+        sequence = writer.enqueue('k-last', lambda: b'v', urgent=True)
+        assert not writer.is_written(sequence, 'k-last')
+        writer.flush()
+        assert writer.is_written(sequence, 'k-last')
+        assert not writer.is_written(sequence)
+        assert not writer.is_written(backlog[-1])
+        while writer.has_pending():
+            writer.flush()
+        assert writer.is_written(sequence)
+
+    # A record that was changed while it was being written counted as stored.
+    def test_record_that_changes_in_its_write_counts_as_stored(
+        self, store, writer
+    ):
+        def txn(*args, **kwargs):
+            sequences.append(writer.enqueue('k', lambda: b'2', urgent=True))
+            store.txn = write
+            return write(*args, **kwargs)
+
+        write, store.txn = store.txn, txn
+        sequences = [writer.enqueue('k', lambda: b'1', urgent=True)]
+        writer.flush()
+        assert writer.is_written(sequences[0], 'k')
+        assert not writer.is_written(sequences[1], 'k')
+        writer.flush()
+        assert writer.is_written(sequences[1], 'k')
+
     # A call that hangs, or is repeated too late, holds the start for longer
     # than the outage.
     @pytest.mark.parametrize('outage_ms', range(100, 3000, 100))
--- a/figtray/scheduling/writer.py
+++ b/figtray/scheduling/writer.py
@@ -1,6 +1,7 @@
 """Writer of the leader's records: group commit, fenced by its term."""
 
 import collections
+import itertools
 import threading
 
 from figtray import errors
@@ -40,6 +41,9 @@
         self._term = term
         self._clock = clock
         self._cond = threading.Condition()
+        # Sequence number and encode() of each queued key. The urgent ones go
+        # first, so that no start and no lease waits for a backlog.
+        self._urgent = collections.OrderedDict()
         self._pending = collections.OrderedDict()
         self._batch = None
         self._last_sequence = 0
@@ -52,7 +56,7 @@
         with self._cond:
             self._revisions[key] = revision
 
-    def enqueue(self, key, encode):
+    def enqueue(self, key, encode, urgent=False):
         """Queue a write of a key.
 
         If a write of the key is queued already, that one is kept, with its
@@ -62,15 +66,20 @@
             key: the key.
             encode: called at the time of the write; returns the bytes, or
                 None to delete the key.
+            urgent: whether it goes before all records that are not.
 
         Returns:
             Sequence number for wait().
         """
         with self._cond:
             self._last_sequence += 1
-            if key not in self._pending:
-                self._pending[key] = (self._last_sequence, encode)
-                self._cond.notify_all()
+            if key in self._urgent:
+                return self._last_sequence
+            queued = self._urgent if urgent else self._pending
+            if key in queued:
+                return self._last_sequence
+            queued[key] = self._pending.pop(key, (self._last_sequence, encode))
+            self._cond.notify_all()
             return self._last_sequence
 
     def last_sequence(self):
@@ -78,24 +87,31 @@
         with self._cond:
             return self._last_sequence
 
-    def is_written(self, sequence):
-        """Return whether all writes up to a sequence number are stored."""
+    def is_written(self, sequence, key=None):
+        """Return whether all writes up to a sequence number are stored.
+
+        Args:
+            sequence: the sequence number.
+            key: the only key to look at; None for all.
+        """
         with self._cond:
-            return self._written_sequence() >= sequence
+            return self._written_sequence(key) >= sequence
 
-    def wait(self, sequence, timeout_ms):
+    def wait(self, sequence, timeout_ms, key=None):
         """Wait until all writes up to a sequence number are stored.
 
         Args:
             sequence: the sequence number.
             timeout_ms: longest wait in milliseconds.
+            key: the only key to look at; None for all.
 
         Returns:
             True if they are stored.
         """
         with self._cond:
             return self._cond.wait_for(
-                lambda: self._written_sequence() >= sequence, timeout_ms / 1000
+                lambda: self._written_sequence(key) >= sequence,
+                timeout_ms / 1000,
             )
 
     def run(self):
@@ -103,11 +119,11 @@
         while not self._term.ended.is_set():
             with self._cond:
                 self._cond.wait_for(
-                    lambda: self._pending, terms.RENEW_INTERVAL_MS / 1000
+                    self._count_queued, terms.RENEW_INTERVAL_MS / 1000
                 )
-                if not self._pending:
+                if not self._count_queued():
                     continue
-                is_full = len(self._pending) >= KEYS_PER_TXN
+                is_full = self._count_queued() >= KEYS_PER_TXN
             if not is_full:
                 self._clock.wait(self._term.ended, BATCH_DELAY_MS)
             self.flush()
@@ -115,7 +131,7 @@
     def has_pending(self):
         """Return whether a write is queued or under way."""
         with self._cond:
-            return bool(self._pending or self._batch)
+            return bool(self._count_queued() or self._batch)
 
     def flush(self):
         """Write one batch; retry until it is stored or the term ends."""
@@ -130,12 +146,11 @@
         """
         with self._cond:
             if self._batch is None:
-                if not self._pending:
+                if not self._count_queued():
                     return True
-                self._batch = [
-                    (key, *self._pending.popitem(last=False)[1])
-                    for key in list(self._pending)[:KEYS_PER_TXN]
-                ]
+                self._batch = list(
+                    itertools.islice(self._take_queued(), KEYS_PER_TXN)
+                )
             batch = self._batch
         values = dict(self._encode(batch))
         if values and not self._write(values):
@@ -156,12 +171,32 @@
             with self._unreadable.skip_on_error(key):
                 yield key, encode()
 
-    def _written_sequence(self):
-        if self._batch is not None:
-            return self._batch[0][1] - 1
-        if self._pending:
-            return next(iter(self._pending.values()))[0] - 1
-        return self._last_sequence
+    def _count_queued(self):
+        return len(self._urgent) + len(self._pending)
+
+    def _take_queued(self):
+        """Yield and remove (key, sequence number, encode), urgent first."""
+        for queued in (self._urgent, self._pending):
+            while queued:
+                key, entry = queued.popitem(last=False)
+                yield key, *entry
+
+    def _written_sequence(self, key):
+        """Return the number up to which a key, or all if None, is stored."""
+        return min(self._unwritten(key), default=self._last_sequence + 1) - 1
+
+    def _unwritten(self, key):
+        """Yield the lowest sequence numbers that are not stored yet."""
+        for batch_key, sequence, _ in self._batch or ():
+            if key in (None, batch_key):
+                yield sequence
+        for queued_key, (sequence, _) in self._urgent.items():
+            if key in (None, queued_key):
+                yield sequence
+        # In the order of their numbers.
+        first = next(iter(self._pending), None) if key is None else key
+        if first in self._pending:
+            yield self._pending[first][0]
 
     def _write(self, values):
         compares = [
--- a/figtray/upkeep/host_orders.py
+++ b/figtray/upkeep/host_orders.py
@@ -82,8 +82,8 @@
         self._order_times_ms = self._recent_orders(now_ms) | dict.fromkeys(
             host_ids, now_ms
         )
-        sequence = self._writer.enqueue(ORDERS_KEY, self._encode)
-        stored = self._writer.wait(sequence, RECORD_TIMEOUT_MS)
+        sequence = self._writer.enqueue(ORDERS_KEY, self._encode, urgent=True)
+        stored = self._writer.wait(sequence, RECORD_TIMEOUT_MS, ORDERS_KEY)
         if not stored:
             log.emit(
                 catalogue.HOST_ORDERS_WAIT,
