Try the session with a worker again at the next poll

Found by a review: a session that could not start, as when the system allows no further thread, was not tried again in the term. Its worker was not used, and its runs lapsed. test_session_is_not_tried_again failed before: one try.

The sessions that failed are started again with each list of workers, each from the thread that is missing; the failure is named once.

--- a/figtray/scheduling/service.py
+++ b/figtray/scheduling/service.py
@@ -107,6 +107,8 @@
         term.on_end = lambda: self._scheduler.changed.set()
         self._pacer = pacers.Pacer(self._scheduler, self._clock)
         self._sessions = {}
+        # WorkerStates whose sessions could not start.
+        self._unstarted = []
         self._roster = rosters.Roster()
         # Local time at which the leases of earlier terms have ended; None
         # until the record of them is read.
@@ -295,33 +297,40 @@
             self._list_failed_ms is None
             or now_ms - self._list_failed_ms > ENTRY_RECOVERY_MS
         )
-        for worker_state in self._scheduler.sync_workers(
-            workers, trust_absence
-        ):
-            # Its failure costs the others nothing.
+        added = self._scheduler.sync_workers(workers, trust_absence)
+        self._start_sessions([*self._unstarted, *added])
+        self._scheduler.update_roster()
+        for incarnation in list(self._sessions):
+            if self._scheduler.worker_state(incarnation) is None:
+                self._sessions.pop(incarnation).close()
+
+    def _start_sessions(self, worker_states):
+        """Start the sessions; one that fails is tried at the next poll."""
+        self._unstarted = []
+        for worker_state in worker_states:
+            if worker_state.gone:
+                continue
             try:
                 self._start_session(worker_state)
             except Exception as exc:
-                log.emit_exception(
+                self._unstarted.append(worker_state)
+                self._service.unreadable.note(
                     f'session with {worker_state.worker.worker_id}', exc
                 )
-        self._scheduler.update_roster()
-        for incarnation in list(self._sessions):
-            if self._scheduler.worker_state(incarnation) is None:
-                self._sessions.pop(incarnation).close()
 
     def _start_session(self, worker_state):
-        worker_session = session.Session(
-            worker_state,
-            self._scheduler,
-            self._pacer,
-            self._service.client,
-            self._writer,
-            self._term,
-            self._clock,
-        )
-        self._sessions[worker_state.worker.incarnation] = worker_session
-        worker_session.start()
+        incarnation = worker_state.worker.incarnation
+        if incarnation not in self._sessions:
+            self._sessions[incarnation] = session.Session(
+                worker_state,
+                self._scheduler,
+                self._pacer,
+                self._service.client,
+                self._writer,
+                self._term,
+                self._clock,
+            )
+        self._sessions[incarnation].start()
 
     # Periodic work.
 
--- a/figtray/scheduling/session.py
+++ b/figtray/scheduling/session.py
@@ -60,29 +60,31 @@
         self._term = term
         self._clock = clock
         self._threads = []
+        # What the threads that have not started yet run, the one that gets
+        # reports last: nothing starts on a worker without a report.
+        self._targets = [self._run_orders] * ORDER_THREADS
+        self._targets.append(self._run_reports)
         # Types of the unexpected errors that are logged.
         self._logged_errors = set()
         # Local time of the last log line on a failed report.
         self._failure_logged_ms = None
 
     def start(self):
-        """Start the threads, the one that gets reports last.
+        """Start the threads that have not started yet.
 
         Raises:
             RuntimeError: the system allows no further thread.
         """
-        name = self._worker_state.worker.worker_id
-        # Nothing starts on a worker without a report.
-        targets = [self._run_orders] * ORDER_THREADS + [self._run_reports]
-        for target in targets:
+        while self._targets:
             thread = threading.Thread(
                 target=self._run_guarded,
-                args=(target,),
-                name=name,
+                args=(self._targets[0],),
+                name=self._worker_state.worker.worker_id,
                 daemon=True,
             )
-            self._threads.append(thread)
             thread.start()
+            self._threads.append(thread)
+            del self._targets[0]
 
     def close(self):
         """Wake all threads, so that they notice the end of the session."""
--- a/figtray/scheduling/tests/test_service.py
+++ b/figtray/scheduling/tests/test_service.py
@@ -356,6 +356,22 @@
         site.leader._update_workers()
         assert started == ['worker-1', 'worker-2']
 
+    # A worker without a session in a moment without threads was not used for
+    # the rest of the term, and its runs lapsed.
+    def test_session_is_not_tried_again(self, site, monkeypatch):
+        tried = []
+
+        def start(worker_session):
+            tried.append(worker_session._worker_state.worker.worker_id)
+            if tried == ['worker-0']:
+                raise RuntimeError("can't start new thread")
+
+        monkeypatch.setattr(session.Session, 'start', start)
+        assert site.leader._load()
+        for _ in range(3):
+            site.leader._update_workers()
+        assert tried == ['worker-0', 'worker-1', 'worker-0']
+
     # Tasks were planned on a worker to which no order could be sent.
     @pytest.mark.parametrize('count', range(1 + session.ORDER_THREADS))
     def test_worker_reports_without_threads_for_its_orders(
