Take the host of a worker from the host list only

Found by a review: a worker that answers ended another one by naming its host in its entry, also while the host list showed the other there. A task of the other one, which was silent and went on, ran twice.

Cause: a report proves the id and the address of a worker; its host was taken from its entry. The host counts now only if the host list shows the worker on it, and is looked at with each list.

test_former_worker_of_a_moved_host_is_awaited had a host list that showed the former worker for good, which nothing tells from such an entry. The list shows the later one now; the bound and the check are the same.

--- a/figtray/scheduling/membership.py
+++ b/figtray/scheduling/membership.py
@@ -210,6 +210,7 @@
                 end = _find_end(worker_state, listed, self._clock.now_ms())
                 if end is not None:
                     self._end_incarnation(worker_state, end)
+            self._end_followed()
         self.changed.set()
 
     def retire_idle_worker(self, worker_id, reason):
--- a/figtray/scheduling/tests/test_host_list.py
+++ b/figtray/scheduling/tests/test_host_list.py
@@ -125,6 +125,9 @@
         )
         fleet.workers[later.worker_id] = later
         fleet.client.add(later)
+        fleet.hosts[later.host_id] = dataclasses.replace(
+            fleet.hosts[later.host_id], worker_id=later.worker_id
+        )
         takeovers.play(fleet.elect_leader(), takeovers.FIND_GONE_MS)
         assert takeovers.place(fleet, first) != number
 
--- a/figtray/scheduling/tests/test_odd_entries.py
+++ b/figtray/scheduling/tests/test_odd_entries.py
@@ -316,6 +316,26 @@
         assert first in stored.lives
 
 
+class TestHostOnTrust:
+    # A worker that reports ended another one by naming its host, and a task
+    # of the other, which was silent, ran twice.
+    @pytest.mark.parametrize('lasting', [True, False])
+    @pytest.mark.parametrize('new_leader', [True, False])
+    def test_worker_that_names_the_host_of_another_ends_it(
+        self, fleet, leader, lasting, new_leader
+    ):
+        step = harness.make_step(1, lasting=lasting)
+        task = f'{fleet.submit(step)}.0.0.0'
+        play(leader, takeovers.START_MS)
+        number = takeovers.place(fleet, task)
+        takeovers.silence(fleet, number)
+        fleet.client.add(list_odd(fleet, number, 'host_id'))
+        if new_leader:
+            leader = fleet.elect_leader()
+        play(leader, 2000)
+        assert len(takeovers.running(fleet)[task]) == 1
+
+
 class TestSuccessor:
     """A later incarnation that answers proves the end of the one before."""
 
--- a/figtray/scheduling/worker_ends.py
+++ b/figtray/scheduling/worker_ends.py
@@ -78,20 +78,23 @@
         """End the incarnations that a later one has followed.
 
         An entry alone proves nothing, as another writer may have put it
-        there: the later one must have reported under its start time.
+        there: the later one must have reported under its start time. Its host
+        is known only from the host list.
         """
         latest = {}
         for worker_state in self._worker_states.values():
             if worker_state.has_reported:
                 worker = worker_state.worker
-                for place in _places(worker):
+                for place in _places(worker, worker_state.on_host):
                     latest[place] = max(latest.get(place, 0), worker.born_ms)
         reason = 'a later incarnation has reported'
         for incarnation in [*self._worker_states, *self._unresolved]:
             worker_state = self._worker_states.get(incarnation)
             if not any(
                 latest.get(place, 0) > incarnation.born_ms
-                for place in _places(incarnation, _may_answer(worker_state))
+                for place in _places(
+                    incarnation, not _may_answer(worker_state)
+                )
             ):
                 continue
             if worker_state is not None:
@@ -253,22 +256,21 @@
             self._store_progress(task.step.job)
 
 
-def _places(worker, may_answer=False):
+def _places(worker, with_host):
     """Yield what no two incarnations of workers have at the same time.
 
-    A report proves the id and the address of a worker, while its host is
-    taken from the entry. So that ends only workers that don't answer.
+    A report proves the id and the address of a worker, but not its host.
 
     Args:
         worker: a fleet Worker or Incarnation.
-        may_answer: whether no request for its report has failed since the
-            last one that was answered.
+        with_host: whether its host counts.
     """
     yield 'id', worker.worker_id
     yield 'address', worker.address
-    if worker.host_id and not may_answer:
+    if worker.host_id and with_host:
         yield 'host', worker.host_id
 
 
 def _may_answer(worker_state):
+    """Return whether no request has failed since the last answer."""
     return worker_state is not None and not worker_state.unresponsive
