Skip ends of runs whose numbers are out of range

One row of a worker's report whose number was far too high, such as 2^62, moved the last end seen there. The leader ignored all ends of the worker that followed, so done tasks ran again, and asked the worker to forget ends that it had not recorded.

Cause: seen_end followed any number up to 2^63 - 1, of readable and unreadable rows alike.

Change: a number more than MAX_END_NUMBER_STEP (10^6) above the last end seen is odd. Before the first end that a leader sees of a worker, the limit is MAX_END_NUMBER (10^12) instead: a new leader starts at 0, and a worker that has had over 10^6 ends would never be heard. The client skips rows above MAX_END_NUMBER as well, so that they don't hide the numbers of other rows that can't be read.

Why it works: numbers that are skipped never enter seen_end, from which the acknowledgement is taken. The run of a skipped row is absent from the report, so it is lost and its task starts again once.

Not covered: before the first end, an odd number below 10^12 is believed.

--- a/figtray/fleet/messages.py
+++ b/figtray/fleet/messages.py
@@ -5,6 +5,9 @@
 
 import msgspec
 
+# A worker that ends a thousand runs a second has fewer ends in 30 years.
+MAX_END_NUMBER = 10**12
+
 
 class EndReason(enum.Enum):
     """Why a run has ended."""
--- a/figtray/platform/workers.py
+++ b/figtray/platform/workers.py
@@ -73,7 +73,9 @@
 class _EndNumber(msgspec.Struct, frozen=True, array_like=True):
     """What must be known of a row of ended."""
 
-    number: _Number
+    number: typing.Annotated[
+        int, msgspec.Meta(ge=0, le=messages.MAX_END_NUMBER)
+    ]
 
 
 _reply_decoder = msgspec.json.Decoder(_Reply)
--- a/figtray/scheduling/reports.py
+++ b/figtray/scheduling/reports.py
@@ -1,5 +1,6 @@
 """Reports of workers, with their runs, ends of runs and leases."""
 
+from figtray import decoding
 from figtray.events import catalogue
 from figtray.events import log
 from figtray.fleet import messages
@@ -16,6 +17,8 @@
 
 # Least time between two orders to stop the same stray run.
 STRAY_STOP_INTERVAL_MS = 500
+# An end whose number is further than this above the last one seen is odd.
+MAX_END_NUMBER_STEP = 10**6
 
 
 class Reports(worker_ends.WorkerEnds, enrolment.Enrolment):
@@ -80,17 +83,29 @@
                 self._enrol(worker_state)
                 self._note_capacity(worker_state.worker.capacity)
             reported = {(item.task, item.run) for item in report.running}
-            ended = {(item.task, item.run) for item in report.ended}
+            max_number = _max_end_number(worker_state)
+            ends_in_range = [
+                item for item in report.ended if item.number <= max_number
+            ]
+            if (
+                len(ends_in_range) < len(report.ended)
+                or report.last_end > max_number
+            ):
+                self._note_odd_end(worker_state)
+            ended = {(item.task, item.run) for item in ends_in_range}
             for item in report.running:
                 if (item.task, item.run) not in ended:
                     self._handle_running(worker_state, item, now_ms)
-            for item in report.ended:
+            for item in ends_in_range:
                 if item.number > worker_state.seen_end:
                     self._handle_end(worker_state, item, now_ms)
                     worker_state.seen_end = item.number
             # Ends that can't be read are acknowledged as well, or they would
             # hold up those that follow; their runs are lost.
-            worker_state.seen_end = max(worker_state.seen_end, report.last_end)
+            if report.last_end <= max_number:
+                worker_state.seen_end = max(
+                    worker_state.seen_end, report.last_end
+                )
             self._check_tracked(
                 worker_state, reported, asked_ms, not report.unreadable
             )
@@ -106,6 +121,12 @@
         self.changed.set()
         return sequence
 
+    def _note_odd_end(self, worker_state):
+        self._odd_entries.note(
+            f'ends of {worker_state.worker.worker_id}',
+            decoding.unreadable('ended', 'its number is out of range'),
+        )
+
     def _may_hide_earlier_runs(self, worker_state):
         """Return whether a worker may have runs of earlier terms, unread.
 
@@ -351,3 +372,14 @@
             self._requeue(task)
         if not spec.lasting and not job.state.ended:
             self._store_progress(job)
+
+
+def _max_end_number(worker_state):
+    """Return the highest number that an end in the next report may have.
+
+    Before its first end in a term, the leader doesn't know how many a worker
+    has had.
+    """
+    if not worker_state.seen_end:
+        return messages.MAX_END_NUMBER
+    return worker_state.seen_end + MAX_END_NUMBER_STEP
--- a/figtray/scheduling/tests/test_odd_records.py
+++ b/figtray/scheduling/tests/test_odd_records.py
@@ -5,6 +5,7 @@
 import pytest
 
 from figtray.events import catalogue
+from figtray.fleet import messages
 from figtray.jobs import model
 from figtray.jobs import records
 from figtray.leadership import term as terms
@@ -447,6 +448,60 @@
         )
         assert worker_state.seen_end == 5
 
+    @pytest.fixture
+    def report_end(self, leader):
+        """Function that reports an end, readable or not, with a number."""
+        worker_state = leader.worker_state(0)
+
+        def report_end(number, readable=True):
+            end = messages.EndedRun(
+                number, 'x.0.0.0', 1, messages.EndReason.DONE
+            )
+            report = messages.Report(
+                worker_state.worker.born_ms,
+                1,
+                ended=(end,) if readable else (),
+                last_end=number,
+            )
+            leader.scheduler.handle_report(worker_state, report, 0)
+            return worker_state.seen_end
+
+        return report_end
+
+    # All ends that followed were ignored, so done tasks ran again.
+    @pytest.mark.parametrize('readable', [True, False])
+    @pytest.mark.parametrize(
+        ('seen', 'odd'), [(0, 2**62), (5, 2**62), (5, 1_000_006)]
+    )
+    def test_odd_number_hides_later_ends(
+        self, report_end, handler, readable, seen, odd
+    ):
+        report_end(seen)
+        for _ in range(3):
+            assert report_end(odd, readable) == seen
+        assert len(named(handler)) == 1
+        assert report_end(seen + 1) == seen + 1
+
+    def test_end_with_an_odd_number_counts(self, fleet, leader):
+        job_id = fleet.submit(harness.make_step())
+        takeovers.play(leader, 2 * takeovers.CYCLE_MS)
+        number = takeovers.place(fleet, f'{job_id}.0.0.0')
+        fleet.sim(number).next_end_number = 2**62
+        harness.finish(fleet, f'{job_id}.0.0.0')
+        takeovers.play(leader, takeovers.CYCLE_MS)
+        assert leader.worker_state(number).seen_end == 0
+        assert leader.state(job_id) == records.State.RUNNING
+
+    # A new leader knows no end of a worker that has had many; they must not
+    # look odd to it.
+    @pytest.mark.parametrize('readable', [True, False])
+    def test_ends_of_an_old_worker_look_odd(
+        self, report_end, handler, readable
+    ):
+        assert report_end(50_000_000, readable) == 50_000_000
+        assert report_end(51_000_000, readable) == 51_000_000
+        assert not named(handler)
+
     # It was taken for another task.
     @pytest.mark.parametrize(
         'name',
