End the orders of a pass at the first record not stored

While the store was slow, a pass over the hosts lasted for seconds: pools did not grow, and no host list was read meanwhile. The pass could go on after the end of the term.

The rebalancer tries one spare host after the other until enough are moving, and the waves ask for a record each; each record that is not stored was awaited for RECORD_TIMEOUT_MS.

HostOrders.record() returns False at once after a record of the pass was not stored in time, or after the end of the term; begin_pass() allows records again, and the rebalancer tries no further spare host. All orders of a pass need a record of HostOrders, so a pass waits for at most one that is late.

--- a/figtray/upkeep/controller.py
+++ b/figtray/upkeep/controller.py
@@ -115,6 +115,7 @@
         scheduler.reconcile_hosts(listed)
         if not scheduler.loaded.is_set():
             return
+        parts.orders.begin_pass()
         parts.orders.drop_expired()
         # An upkeep that the former leader has begun may not be stored yet,
         # but counts towards max_down, so waves wait.
--- a/figtray/upkeep/host_orders.py
+++ b/figtray/upkeep/host_orders.py
@@ -50,6 +50,7 @@
 
     def __init__(self, writer, term, clock, lease_ms, former_host_ids=()):
         self._writer = writer
+        self._term = term
         self._clock = clock
         self._lease_ms = lease_ms
         self._former_expiry_ms = term.began_ms + lease_ms
@@ -60,6 +61,19 @@
         self._order_times_ms = dict.fromkeys(
             self._former_host_ids, term.began_ms
         )
+        # Whether a record of this pass was not stored in time.
+        self._is_stopped = False
+
+    def begin_pass(self):
+        """Allow orders again; called before each pass over the hosts."""
+        self._is_stopped = False
+
+    def can_record(self):
+        """Return whether this pass may still give orders.
+
+        It may until a record is not stored in time or the term ends.
+        """
+        return not self._is_stopped and self._term.valid()
 
     def former_orders_expired(self):
         """Return whether no order of an earlier leader blocks any host."""
@@ -76,8 +90,11 @@
 
         Returns:
             True if they are stored. If that is not confirmed within
-            RECORD_TIMEOUT_MS, False; then the orders must not be sent.
+            RECORD_TIMEOUT_MS, False; then the orders must not be sent, and
+            further calls of the pass return False at once.
         """
+        if not self.can_record():
+            return False
         now_ms = self._clock.now_ms()
         self._order_times_ms = self._recent_orders(now_ms) | dict.fromkeys(
             host_ids, now_ms
@@ -85,6 +102,7 @@
         sequence = self._writer.enqueue(ORDERS_KEY, self._encode, urgent=True)
         stored = self._writer.wait(sequence, RECORD_TIMEOUT_MS, ORDERS_KEY)
         if not stored:
+            self._is_stopped = True
             log.emit(
                 catalogue.HOST_ORDERS_WAIT,
                 hosts=len(host_ids),
--- a/figtray/upkeep/rebalancer.py
+++ b/figtray/upkeep/rebalancer.py
@@ -149,7 +149,7 @@
             and host.zone not in evacuated_zones
             and self._is_movable(host)
         ]
-        while added < count and candidates:
+        while added < count and candidates and self._orders.can_record():
             chosen = []
             while candidates and added + len(chosen) < count:
                 host = min(
--- a/figtray/upkeep/tests/test_controller.py
+++ b/figtray/upkeep/tests/test_controller.py
@@ -140,6 +140,29 @@
             host_controller._reconcile(site.leader.scheduler, parts)
         assert len(harness.logged(handler, catalogue.HOST_ORDERS_WAIT)) == 1
 
+    # Guards against pools that never grow again after one slow record.
+    def test_next_pass_gives_no_orders_after_a_record_that_was_late(
+        self, site
+    ):
+        host_controller = make_controller(site)
+        parts = build_parts(site, host_controller)
+        site.fleet.submit(harness.make_step(60, 4000))
+        site.leader.run_cycle()
+        site.fleet.store.down = True
+        host_controller._reconcile(site.leader.scheduler, parts)
+        site.fleet.store.down = False
+        host_controller._reconcile(site.leader.scheduler, parts)
+        assert len(site.moves()) == 2
+
+    # Guards against a pass that waits for records of a term that has ended.
+    def test_ended_term_waits_for_its_records(self, site):
+        parts = build_parts(site, make_controller(site))
+        site.leader.term.end('test')
+        with logbook.TestHandler() as handler:
+            assert not parts.orders.record(['host-8'])
+        assert not harness.logged(handler, catalogue.HOST_ORDERS_WAIT)
+        assert parts.orders._order_times_ms == {}
+
     # A term may end within lease_ms. The next leader must then also know the
     # orders of the leader before.
     def test_former_hosts_stay_recorded_until_lease_ms_passed(self, site):
