Add a test of an odd clock of a worker that fails, and strengthen another

If the worker then falls silent, its lasting task has no run in that term. With a clock that is right the test passes.

test_worker_of_the_stored_roster_waits_for_a_write covered less than the test that it replaced: it has two rounds and all workers again.

--- a/figtray/scheduling/tests/test_odd_records.py
+++ b/figtray/scheduling/tests/test_odd_records.py
@@ -519,3 +519,33 @@
         job_id = fleet.submit(harness.make_step(20))
         leader.sync_intake()
         assert leader.scheduler.find_task(name.format(job_id)) is None
+
+
+class TestOddClock:
+    # The lease that was asked for by an odd reading counted for the rest of
+    # the term, so a silent worker kept its task.
+    @pytest.mark.parametrize('ahead_ms', [10**6, 10**14])
+    def test_lasting_task_waits_without_end_after_one_reading(self, ahead_ms):
+        fleet = harness.Fleet(2)
+        leader = fleet.elect_leader()
+        leader.report_all()
+        task = f'{fleet.submit(harness.make_step(1, lasting=True))}.0.0.0'
+        takeovers.play(leader, takeovers.START_MS)
+        number = takeovers.place(fleet, task)
+        report = fleet.client.report
+
+        def report_ahead(worker, *args):
+            found = report(worker, *args)
+            if worker.worker_id != f'worker-{number}':
+                return found
+            return dataclasses.replace(
+                found, clock_ms=found.clock_ms + ahead_ms
+            )
+
+        fleet.client.report = report_ahead
+        takeovers.play(leader, 2 * takeovers.CYCLE_MS)
+        fleet.client.report = report
+        takeovers.play(leader, 2000)
+        takeovers.silence(fleet, number)
+        takeovers.play(leader, 2 * takeovers.LONGEST_LEASE_MS)
+        assert takeovers.place(fleet, task) != number
--- a/figtray/scheduling/tests/test_service.py
+++ b/figtray/scheduling/tests/test_service.py
@@ -429,19 +429,22 @@
     # While writes were slow, starts on a worker that the stored roster names
     # waited for each new record of the leases.
     def test_worker_of_the_stored_roster_waits_for_a_write(self, site):
-        worker = site.fleet.workers['worker-0']
-        roster = rosters.Roster((worker.incarnation,), True)
+        workers = site.fleet.workers.values()
+        roster = rosters.Roster(tuple(w.incarnation for w in workers), True)
         site.store.txn(
             (), [base.Put(rosters.ROSTER_KEY, rosters.encode(roster))]
         )
         assert site.leader._load()
-        site.store_records()
-        site.clock.advance(lease_horizon.RENEW_INTERVAL_MS)
-        site.stored_ms = site.clock.now_ms() + outages.ENDLESS_MS
-        site.leader._update_workers()
-        assert site.leader._writer.has_pending()
-        site.report(0)
-        assert site.worker_state(0).on_roster
+        for number in range(2):
+            site.stored_ms = site.clock.now_ms()
+            site.store_records()
+            site.clock.advance(lease_horizon.RENEW_INTERVAL_MS)
+            site.stored_ms = site.clock.now_ms() + outages.ENDLESS_MS
+            site.leader._update_workers()
+            assert site.leader._writer.has_pending()
+            site.report(number)
+            assert site.worker_state(number).on_roster
+            assert site.worker_state(0).on_roster
 
     # The whole wait holds up the takeover if the store hangs.
     def test_takeover_waits_for_the_roster(self, site):
