Treat a row with a long checkpoint as odd

One ended row with a checkpoint of 1.1 MB made the progress record of its job larger than a value of the store may be. The store refused each batch with it, so the leader stored no record of any job for the rest of its term.

The reader of reports bounded the size of a report, not of a checkpoint, and the checkpoint of a run is stored with its job.

A checkpoint may have MAX_CHECKPOINT_CHARS. With a longer one, a run counts as running without a checkpoint, and an end as unreadable, as with other odd fields; the row is logged. A row can no longer make a record too large alone; the checkpoints of many tasks of one job still can.

--- a/figtray/platform/tests/test_odd_replies.py
+++ b/figtray/platform/tests/test_odd_replies.py
@@ -185,6 +185,25 @@
         assert [end.number for end in found.ended] == [1, 2]
         assert found.last_end == last_end
 
+    # A checkpoint of 1.1 MB made the record of its job too large for the
+    # store, so no record of the term was stored any more.
+    @pytest.mark.parametrize('more', [0, 1])
+    def test_long_checkpoint_is_recorded(self, report, more):
+        checkpoint = b'c' * (workers.MAX_CHECKPOINT_CHARS + more)
+        found = report(
+            self.make(
+                b'["a",1,"%b",50],["b",2,"x"]' % checkpoint,
+                b'[1,"c",1,"stopped","%b"],[2,"d",1,"stopped","x"]'
+                % checkpoint,
+            )
+        )
+        kept = [] if more else [checkpoint.decode()]
+        assert [run.task for run in found.running] == ['a', 'b']
+        assert found.running[0].checkpoint == ''.join(kept)
+        assert [end.checkpoint for end in found.ended] == [*kept, 'x']
+        assert found.last_end == 2
+        assert not found.unreadable
+
     # Without `born`, a worker looked as if another incarnation had answered,
     # and its tasks started a second time elsewhere.
     @pytest.mark.parametrize(
--- a/figtray/platform/workers.py
+++ b/figtray/platform/workers.py
@@ -20,6 +20,8 @@
 # A worker has fewer runs, and lists 500 ends at a time.
 MAX_ROWS = 10_000
 MAX_REPORT_BYTES = 4_000_000
+# Far longer ones would make a record too large for the store.
+MAX_CHECKPOINT_CHARS = 10_000
 # Of a run's share of its speed, and of its load.
 MAX_FIGURE = 10**9
 
@@ -217,6 +219,7 @@
             return None
         try:
             run = decoding.decode('running', _run_decoder, row)
+            _check_checkpoint('running', run.checkpoint)
             if all(0 <= x <= MAX_FIGURE for x in (run.percent, run.load)):
                 return run
             raise decoding.unreadable('running', 'a figure is out of range')
@@ -230,6 +233,7 @@
         try:
             number = decoding.decode('ended', _end_number_decoder, row).number
             end = decoding.decode('ended', _end_decoder, row)
+            _check_checkpoint('ended', end.checkpoint)
             if 0 <= end.run < 2**63:
                 return number, end
             raise decoding.unreadable('ended', 'its run is out of range')
@@ -249,6 +253,11 @@
             return client
 
 
+def _check_checkpoint(what, checkpoint):
+    if len(checkpoint) > MAX_CHECKPOINT_CHARS:
+        raise decoding.unreadable(what, 'its checkpoint is too long')
+
+
 def _decode_reply(worker, reply):
     return _decode(worker, _reply_decoder, reply)
 
