Pass over a restart after the lease has lapsed in the soak

Cause: the check took any end as final that is acknowledged after a later start of its task. The rule TWICE leaves out an end if the worker's lease lapsed between the end and its acknowledgement.

Change: simulated workers tell when a lease last lapsed. The check passes over a start only if the lease of the worker has lapsed between the end of the earlier run and that start, which is less than the rule excuses. A start while the lease holds still breaks the promise, also if the lease lapses before the acknowledgement, and so does a start after the acknowledgement.

Result: test_start_after_the_lease_has_lapsed failed before and passes now. The tests of the other side pass before and after; a check that excuses every start fails five of them.

--- a/figtray/fleet/memory.py
+++ b/figtray/fleet/memory.py
@@ -88,6 +88,7 @@
         self.ended = []
         self.highest_runs = {}
         self.lease_until_ms = 0
+        self._former_lapse_ms = None
         self.up = True
         self.next_end_number = 1
         self.hold_max_ms = hold_max_ms
@@ -147,9 +148,16 @@
             raise errors.StaleEpoch(detail=f'by {self.worker.worker_id}')
         self.epoch = epoch
 
+    def last_lapse_ms(self):
+        """Return when a lease last lapsed on its clock; None if none has."""
+        if self.clock_ms() > self.lease_until_ms:
+            return self.lease_until_ms
+        return self._former_lapse_ms
+
     def extend_lease(self, lease_until_ms):
         """Extend the lease of all runs, to hold_max_ms from now at most."""
         if lease_until_ms is not None:
+            self._former_lapse_ms = self.last_lapse_ms()
             max_until_ms = self.clock_ms() + self.hold_max_ms
             self.lease_until_ms = max(
                 self.lease_until_ms, min(lease_until_ms, max_until_ms)
--- a/figtray/soak/invariants.py
+++ b/figtray/soak/invariants.py
@@ -49,10 +49,12 @@
         self._task_milli = task_milli
         self._lock = threading.RLock()
         self._running_by_task = collections.defaultdict(dict)
-        # By task, its runs that ended as done: (incarnation, task, run).
-        self._done_runs = collections.defaultdict(set)
+        # By task, its runs that ended as done: (incarnation, task, run), with
+        # their SimWorkers and the times of the ends on the workers' clocks.
+        self._done_runs = collections.defaultdict(dict)
         self._acknowledged_tasks = set()
-        # Runs that ended as done before a later start of their task.
+        # Runs that ended as done before a later start of their task, while
+        # the leases of their workers held.
         self._restarted_runs = set()
         self._last_fault_ms = -SETTLE_MS
         self._active_faults = 0
@@ -90,7 +92,11 @@
                 self._record_violation(
                     'no start after the end', f'{task} {run}'
                 )
-            self._restarted_runs |= self._done_runs[task]
+            self._restarted_runs.update(
+                key
+                for key, (done_sim, done_ms) in self._done_runs[task].items()
+                if not _has_lapsed_since(done_sim, done_ms)
+            )
             self._check_job(task)
             self._check_team_limit(task)
             self._check_zone(sim, task, now_ms)
@@ -107,7 +113,8 @@
             if reason is None:
                 self._crash_budget.record_crash(task)
             if reason is messages.EndReason.DONE:
-                self._done_runs[task].add((sim.worker.incarnation, task, run))
+                key = sim.worker.incarnation, task, run
+                self._done_runs[task][key] = sim, sim.clock_ms()
 
     def end_acknowledged(self, sim, ended_run):
         with self._lock:
@@ -348,3 +355,17 @@
         self.violations.append(
             observations.Violation(promise, self.now_ms(), detail)
         )
+
+
+def _has_lapsed_since(sim, done_ms):
+    """Return whether the lease on a worker has lapsed since the end of a run.
+
+    The task may then start again: nobody can tell that the run was done if
+    its worker can't be reached.
+
+    Args:
+        sim: the SimWorker.
+        done_ms: time of the end on its clock.
+    """
+    lapse_ms = sim.last_lapse_ms()
+    return lapse_ms is not None and lapse_ms >= done_ms
--- a/figtray/soak/tests/test_invariants.py
+++ b/figtray/soak/tests/test_invariants.py
@@ -138,6 +138,12 @@
         assert harness.violated_invariants() == ['failed only with a cause']
 
 
+def finish_unnoticed(harness, task):
+    """Let a run on the first worker be done; nobody acknowledges its end."""
+    harness.start(0, task)
+    harness.sims[0].end(task, messages.EndReason.DONE)
+
+
 class TestRuns:
     """Guards against missed and false violations by runs on workers."""
 
@@ -192,6 +198,60 @@
         harness.sims[0].report(1, 1, None)
         assert harness.violated_invariants() == ['no start after the end']
 
+    # Nobody may have seen the end of a run on a worker that can't be reached.
+    # Its task starts again once the lease there has lapsed.
+    @pytest.mark.parametrize('is_extended_again', [False, True])
+    def test_start_after_the_lease_has_lapsed(
+        self, harness, is_extended_again
+    ):
+        task = f'{JOB}.0.0.0'
+        finish_unnoticed(harness, task)
+        harness.clock.advance(5001)
+        if is_extended_again:
+            harness.sims[0].report(1, 0, harness.sims[0].clock_ms() + 5000)
+        harness.start(1, task, 2)
+        harness.sims[0].report(1, 1, harness.sims[0].clock_ms() + 5000)
+        assert not harness.violated_invariants()
+
+    # The next leader stopped waiting too early, though nothing ran any more.
+    @pytest.mark.parametrize('lapses_later', [False, True])
+    def test_start_while_the_lease_holds(self, harness, lapses_later):
+        task = f'{JOB}.0.0.0'
+        finish_unnoticed(harness, task)
+        harness.clock.advance(5000)
+        harness.start(1, task, 2)
+        if lapses_later:
+            harness.clock.advance(1)
+        harness.sims[0].report(1, 1, None)
+        assert harness.violated_invariants() == ['no start after the end']
+
+    def test_start_while_an_extended_lease_holds(self, harness):
+        task = f'{JOB}.0.0.0'
+        finish_unnoticed(harness, task)
+        harness.clock.advance(5000)
+        harness.sims[0].report(1, 0, harness.sims[0].clock_ms() + 5000)
+        harness.clock.advance(5000)
+        harness.start(1, task, 2)
+        harness.sims[0].report(1, 1, None)
+        assert harness.violated_invariants() == ['no start after the end']
+
+    def test_lease_that_lapsed_before_the_run(self, harness):
+        harness.start(0, f'{JOB}.0.0.1')
+        harness.clock.advance(5001)
+        task = f'{JOB}.0.0.0'
+        finish_unnoticed(harness, task)
+        harness.start(1, task, 2)
+        harness.sims[0].report(1, 2, None)
+        assert harness.violated_invariants() == ['no start after the end']
+
+    def test_start_after_an_end_is_acknowledged_late(self, harness):
+        task = f'{JOB}.0.0.0'
+        finish_unnoticed(harness, task)
+        harness.clock.advance(5001)
+        harness.sims[0].report(1, 1, None)
+        harness.start(1, task, 2)
+        assert harness.violated_invariants() == ['no start after the end']
+
     # An end that is lost in a crash of its worker is never acknowledged, so
     # the task has to be started again.
     def test_start_after_end_lost_in_crash(self, harness):
