Check a timed job once after its due occurrences are opened

Cause: each occurrence that was opened checked all occurrences of the job for its completion and failure, so the cost grew with the square of their number. A job that failed in between also went on opening steps.

Change: both checks run once after the loop, and only if an occurrence was opened. One plan opens at most MAX_OPENED_OCCURRENCES (100) of a job; it returns the present time, so the next plan follows soon. Of a job of an earlier term all due ones are opened at once, as before.

Why it works: the cost of a call grows with the number of occurrences only, and completion still needs all of them to be open. Jobs of earlier terms have no limit, as workers may report runs of any due occurrence: the leader would stop unknown runs and acknowledge unknown ends.

--- a/figtray/scheduling/job_lifecycle.py
+++ b/figtray/scheduling/job_lifecycle.py
@@ -13,6 +13,8 @@
 FAILURES_TO_AVOID = 4
 FAILED_JOBS_TO_AVOID = 2
 FAILING_BACKOFF_MS = 4000
+# Most occurrences of a job that one plan opens; the lock is held meanwhile.
+MAX_OPENED_OCCURRENCES = 100
 
 
 class JobLifecycle(scheduler_base.SchedulerBase):
@@ -57,6 +59,7 @@
                 self._open_due_occurrences(job, now_ms)
             else:
                 self._open_occurrence(job, 0, now_ms)
+                self._end_if_over(job)
             log.emit(
                 catalogue.JOB_SEEN,
                 job_id=job_id,
@@ -153,22 +156,45 @@
             return records.WaitingJobs(counts, held)
 
     def _open_due_occurrences(self, job, now_ms):
-        """Open the occurrences of a timed job that are due.
+        """Open occurrences of a timed job that are due.
+
+        All are opened of a job of an earlier term, as workers may report
+        runs of each; else at most MAX_OPENED_OCCURRENCES.
 
         Returns:
             Local time in milliseconds at which the next occurrence is due,
             or None if all are open.
         """
+        limit = MAX_OPENED_OCCURRENCES
+        if job.created < self._term.epoch:
+            limit = job.spec.repeats
+        opened, next_ms = self._open_due(job, now_ms, limit)
+        if next_ms is None:
+            self._timed_jobs.discard(job.job_id)
+        if opened:
+            self._end_if_over(job)
+        return next_ms
+
+    def _open_due(self, job, now_ms, limit):
+        """Open at most a number of due occurrences.
+
+        Returns:
+            (number of those opened, local time in milliseconds at which the
+            next one is due, or None if all are open).
+        """
+        opened = 0
         wall_ms = self._clock.wall_ms()
         for number in range(job.spec.repeats):
             if number in job.occurrences:
                 continue
             start_ms = job.spec.start_ms + number * job.spec.interval_ms
             if start_ms > wall_ms:
-                return now_ms + start_ms - wall_ms
+                return opened, now_ms + start_ms - wall_ms
+            if opened == limit:
+                return opened, now_ms
             self._open_occurrence(job, number, now_ms)
-        self._timed_jobs.discard(job.job_id)
-        return None
+            opened += 1
+        return opened, None
 
     def _open_occurrence(self, job, number, now_ms):
         occurrence = state.Occurrence(job, number)
@@ -176,6 +202,12 @@
         if job.stored is not None:
             _restore(occurrence, job.stored)
         self._open_ready_steps(occurrence, now_ms)
+
+    def _end_if_over(self, job):
+        """Complete or fail a job whose occurrences were opened, if due.
+
+        The cost grows with the number of its occurrences.
+        """
         self._complete_if_done(job)
         self._fail_exhausted(job)
 
--- a/figtray/scheduling/tests/test_job_lifecycle.py
+++ b/figtray/scheduling/tests/test_job_lifecycle.py
@@ -4,7 +4,9 @@
 
 from figtray.fleet import messages
 from figtray.jobs import records
+from figtray.scheduling import job_lifecycle
 from figtray.scheduling import retention
+from figtray.scheduling import scheduler as schedulers
 from figtray.scheduling import scheduler_base
 from figtray.scheduling import state
 from figtray.scheduling.tests import harness
@@ -99,6 +101,87 @@
         assert not harness.running(fleet)
 
 
+class TestDueOccurrences:
+    REPEATS = 2 * job_lifecycle.MAX_OPENED_OCCURRENCES + 5
+
+    def submit(self, fleet):
+        return fleet.submit(
+            harness.make_step(),
+            repeats=self.REPEATS,
+            start_ms=0,
+            interval_ms=0,
+        )
+
+    def opened(self, leader, job_id):
+        return len(leader.scheduler._jobs[job_id].occurrences)
+
+    # The lock was held for minutes as the whole job was checked once for each
+    # of its occurrences.
+    @pytest.mark.parametrize('part', ['_complete_if_done', '_fail_exhausted'])
+    def test_job_is_checked_for_each_occurrence(
+        self, fleet, leader, monkeypatch, part
+    ):
+        calls = []
+        run_part = getattr(schedulers.Scheduler, part)
+
+        def count(scheduler, job):
+            calls.append(job)
+            run_part(scheduler, job)
+
+        monkeypatch.setattr(schedulers.Scheduler, part, count)
+        self.submit(fleet)
+        leader.sync_intake()
+        assert len(calls) == 1
+
+    # One plan opened all of them, however many were due.
+    def test_all_due_occurrences_open_at_once(self, fleet, leader):
+        job_id = self.submit(fleet)
+        leader.sync_intake()
+        limit = job_lifecycle.MAX_OPENED_OCCURRENCES
+        assert self.opened(leader, job_id) == limit
+        assert leader.scheduler.plan() <= fleet.clock.now_ms()
+        assert self.opened(leader, job_id) == 2 * limit
+        assert leader.scheduler.plan() > fleet.clock.now_ms()
+        assert self.opened(leader, job_id) == self.REPEATS
+
+    # Workers may report runs and ends of any due occurrence of an earlier
+    # term; an unknown run is stopped, and an unknown end is forgotten.
+    def test_occurrence_of_an_earlier_term_is_unknown(self, fleet, leader):
+        job_id = self.submit(fleet)
+        for _ in range(3):
+            leader.sync_intake()
+            leader.scheduler.plan()
+        leader = fleet.elect_leader()
+        leader.sync_intake()
+        assert self.opened(leader, job_id) == self.REPEATS
+
+    # A job with occurrences that are not open yet must not be completed.
+    def test_job_is_completed_before_all_are_open(self, fleet, leader):
+        job_id = self.submit(fleet)
+        leader.sync_intake()
+        job = leader.scheduler._jobs[job_id]
+        for occurrence in job.occurrences.values():
+            for step in occurrence.steps:
+                step.remaining = 0
+        leader.scheduler._complete_if_done(job)
+        assert not job.ended
+
+    # Stored failures that exhaust the attempts fail the job after a change of
+    # the leader, although its later occurrences are not open yet.
+    def test_job_that_has_failed_goes_on_opening(self, fleet, leader):
+        job_id = self.submit(fleet)
+        leader.sync_intake()
+        job = leader.scheduler._jobs[job_id]
+        task = job.occurrences[0].steps[0].tasks[0]
+        task.failed_runs = [1, 2, 3]
+        leader.scheduler.plan()
+        assert job.state == records.State.FAILED
+        opened = self.opened(leader, job_id)
+        leader.scheduler.plan()
+        assert self.opened(leader, job_id) == opened
+        assert not leader.scheduler._open_steps
+
+
 class TestGang:
     def test_gang_starts_and_ends_as_a_whole(self, fleet, leader):
         job_id = fleet.submit(harness.make_step(3, gang=True))
