Record no horizon while longer leases may last

After an upgrade from a release with longer leases, or a change of the settings, the leader after the next one could take tasks for lost whose workers still held them: a task could run twice for up to about 0.6 s.

Cause: the first new leader waits for the longest lease of any release, but stored its own horizon at once. If it ended soon, the second one found a record like its own and counted leases of 6 s from it, while leases of 7 s of the earlier release might last.

Evidence: the three cases of test_longer_leases_are_forgotten_by_the_second_leader failed before; so the second leader counted 6,000 ms. test_longer_leases_are_never_forgotten passes either way and guards against a wait that never ends.

Change: until the longest lease of an earlier release has certainly ended, counted from the start of the term, the record has the horizon 0. The next leader takes it for that of another release and waits for the longest lease as well.

Why it works: each leader in a row passes the mark on until one term has outlasted all leases that were granted before it. The leases of the term itself don't change, as the horizon that bounds them is not the recorded one. A leader that follows within 7.4 s of such a start waits longer for workers that don't report.

--- a/figtray/scheduling/adoption.py
+++ b/figtray/scheduling/adoption.py
@@ -29,6 +29,9 @@
         """Record that leases of earlier terms may be longer than ours."""
         with self.lock:
             self._earlier_lease_ms = leases.EARLIER_RELEASE_LEASE_MS
+            self.lease_horizon.note_longer_leases(
+                self._term.began_ms + leases.longest_earlier_release_lease_ms()
+            )
 
     @contextlib.contextmanager
     def _hold_uncertain_tasks(self):
--- a/figtray/scheduling/lease_horizon.py
+++ b/figtray/scheduling/lease_horizon.py
@@ -36,7 +36,7 @@
     Attributes:
         unextended: the Unextended ones.
         horizon_ms: how far leases reach after its request; 0 in a record of
-            an earlier release.
+            an earlier release, or while its leases may last.
     """
 
     unextended: tuple[Unextended, ...] = ()
@@ -90,6 +90,8 @@
         self._pending = None
         # Local time before the last request of a write.
         self._requested_ms = None
+        # Local time until which longer leases of earlier terms may last.
+        self._longer_until_ms = None
 
     def renew_if_due(self):
         """Queue a write of the record each RENEW_INTERVAL_MS.
@@ -110,6 +112,15 @@
                     terms.LEASES_KEY, self._encode, urgent=True
                 )
 
+    def note_longer_leases(self, until_ms):
+        """Record that leases of earlier terms may be longer than ours.
+
+        Until a local time, the record has no horizon, so that a next leader
+        takes it for one of another release as well.
+        """
+        with self._lock:
+            self._longer_until_ms = until_ms
+
     def remaining_ms(self, now_ms, incarnation=None):
         """Return how long a lease may last from now on; 0 if it may not.
 
@@ -148,7 +159,13 @@
             self._requested_unextended = frozenset(unextended)
             # A request without a reply may have been carried out.
             self._unextended |= self._requested_unextended
-        return msgspec.json.encode(LeasesRecord(unextended, self._horizon_ms))
+            horizon_ms = self._horizon_ms
+            if (
+                self._longer_until_ms is not None
+                and self._requested_ms < self._longer_until_ms
+            ):
+                horizon_ms = 0
+        return msgspec.json.encode(LeasesRecord(unextended, horizon_ms))
 
 
 @dataclasses.dataclass(frozen=True)
--- a/figtray/scheduling/tests/test_lease_horizon.py
+++ b/figtray/scheduling/tests/test_lease_horizon.py
@@ -228,6 +228,64 @@
         fleet.clock.advance(EARLIER_LEASE_MS)
         assert scheduler._is_adopting(fleet.clock.now_ms())
 
+    @pytest.fixture
+    def begin_terms(self, fleet, leader):
+        """Function that changes the leader twice after an earlier release.
+
+        The first new leader stores its record until a time has passed. The
+        function returns the scheduler of the second one, and the local time
+        at which the last lease of the earlier release may end.
+        """
+
+        def begin_terms(ms):
+            fleet.store.txn((), [base.Put(terms.LEASES_KEY, b'{}')])
+            ended_ms = (
+                fleet.clock.now_ms()
+                + leases.longest_earlier_release_lease_ms()
+                - leases.LEASE_MARGIN_MS
+            )
+            term = fleet.begin_term()
+            first = make_leader_term(fleet, term)
+            with pytest.raises(errors.StoreUnavailable):
+                first._load_once()
+            first._writer.flush()
+            for _ in range(ms // 100):
+                fleet.clock.advance(100)
+                term.record_renewal(fleet.clock.now_ms(), terms.LEASE_TTL_MS)
+                fleet.store.keep_alive(term.lease_id)
+                first._scheduler.lease_horizon.renew_if_due()
+                first._writer.flush()
+            seen = terms.LeasesSeen(
+                fleet.store.get(terms.LEASES_KEY).mod_revision,
+                fleet.clock.now_ms(),
+            )
+            fleet.clock.advance(100)
+            second = make_leader_term(fleet, fleet.begin_term([seen]))
+            with pytest.raises(errors.StoreUnavailable):
+                second._load_once()
+            return second._scheduler, ended_ms
+
+        return begin_terms
+
+    # The first new leader stored its own horizon; if it ended soon, the next
+    # one took leases of the earlier release for shorter ones.
+    @pytest.mark.parametrize('ms', [0, 1000, 3000])
+    def test_longer_leases_are_forgotten_by_the_second_leader(
+        self, fleet, begin_terms, ms
+    ):
+        scheduler, ended_ms = begin_terms(ms)
+        assert scheduler._earlier_lease_ms == leases.EARLIER_RELEASE_LEASE_MS
+        fleet.clock.advance(ended_ms - 1 - fleet.clock.now_ms())
+        assert scheduler._is_adopting(fleet.clock.now_ms())
+
+    # Each later leader would wait for the longest lease.
+    def test_longer_leases_are_never_forgotten(self, fleet, begin_terms):
+        wait_ms = leases.longest_earlier_release_lease_ms()
+        scheduler, _ = begin_terms(
+            wait_ms + 2 * lease_horizon.RENEW_INTERVAL_MS
+        )
+        assert scheduler._earlier_lease_ms == leases.lease_ms(BOUNDS)
+
     # The lease that the earlier leader had extended lasted for longer than
     # the new one thought.
     def test_lease_on_an_adopted_worker_is_longer(self, fleet, leader):
