Leave records that can't be stored out of a batch

A record of more than 1 MiB ended all writes of a term: the store refused each batch with it, the leader took that for an outage and tried it again, so no start was recorded and no end acknowledged. A record that could not be encoded counted as stored, so a start was ordered without its placement.

The writer knew no limit on values, and is_written() looked only at what was queued or under way.

A record of more than MAX_RECORD_BYTES is skipped and logged like one that can't be encoded, so the rest of the batch is stored. The writer keeps the lowest number of each key left out until a later record of the key is stored; only waits on that key see it. This holds for both lanes, as it is applied to the batch.

A wait for all records doesn't wait for those left out, so the end of a run is still acknowledged although the record of its job is not stored.

--- a/figtray/scheduling/tests/test_writer.py
+++ b/figtray/scheduling/tests/test_writer.py
@@ -1,7 +1,10 @@
 """Tests of the leader's group commit of records."""
 
+import logbook
 import pytest
 
+from figtray import errors
+from figtray.events import catalogue
 from figtray.leadership import term as terms
 from figtray.platform import store as platform_store
 from figtray.scheduling.tests import harness
@@ -100,6 +103,102 @@
         assert value(fleet, 'k') is None
 
 
+class TestRecordsLeftOut:
+    """Records that can't be encoded, or are too large for the store."""
+
+    @pytest.fixture(autouse=True)
+    def limited_store(self, fleet, monkeypatch):
+        """Refuse large values as the platform's store does."""
+
+        def txn(compares, puts=(), deletes=(), timeout_ms=None):
+            if any(len(put.value) > writers.MAX_RECORD_BYTES for put in puts):
+                raise errors.StoreUnavailable(detail='unexpected status 400')
+            return write(compares, puts, deletes, timeout_ms)
+
+        write = fleet.store.txn
+        monkeypatch.setattr(fleet.store, 'txn', txn)
+
+    @pytest.fixture(params=['large', 'odd'])
+    def encode(self, request):
+        """Function that encodes a record that can't be stored."""
+
+        def fail():
+            raise OverflowError('odd')
+
+        large = b'v' * (writers.MAX_RECORD_BYTES + 1)
+        return {'large': lambda: large, 'odd': fail}[request.param]
+
+    def test_largest_record_is_left_out(self, fleet, writer):
+        largest = b'v' * writers.MAX_RECORD_BYTES
+        sequence = writer.enqueue('k', lambda: largest)
+        assert writer.flush_once()
+        assert writer.is_written(sequence, 'k')
+        assert value(fleet, 'k') == largest
+
+    # The writer tried a batch with a record of 1.1 MB until its term ended,
+    # and no other record was stored.
+    @pytest.mark.parametrize('urgent', [False, True])
+    def test_record_holds_up_all_others(self, fleet, writer, encode, urgent):
+        writer.enqueue('bad', encode, urgent)
+        sequence = writer.enqueue('k', lambda: b'v', urgent)
+        assert writer.flush_once()
+        assert value(fleet, 'k') == b'v'
+        assert writer.is_written(sequence, 'k')
+        assert writer.is_written(sequence)
+        assert not writer.has_pending()
+
+    # A start would be ordered although its placement is not stored.
+    @pytest.mark.parametrize('urgent', [False, True])
+    def test_left_out_record_counts_as_stored(self, writer, encode, urgent):
+        stored = writer.enqueue('bad', lambda: b'v')
+        writer.flush_once()
+        first = writer.enqueue('bad', encode, urgent)
+        again = writer.enqueue('bad', encode, urgent)
+        writer.flush_once()
+        later = writer.enqueue('bad', encode)
+        writer.flush_once()
+        assert writer.is_written(stored, 'bad')
+        for sequence in (first, again, later):
+            assert not writer.is_written(sequence, 'bad')
+            assert not writer.wait(sequence, 0, 'bad')
+
+    @pytest.mark.parametrize('value', [b'v', None])
+    @pytest.mark.parametrize('urgent', [False, True])
+    def test_key_stays_unstored_after_a_later_write(
+        self, writer, encode, urgent, value
+    ):
+        first = writer.enqueue('bad', encode, urgent)
+        writer.flush_once()
+        later = writer.enqueue('bad', lambda: value)
+        assert not writer.is_written(first, 'bad')
+        assert not writer.is_written(later, 'bad')
+        writer.flush_once()
+        assert writer.is_written(first, 'bad')
+        assert writer.is_written(later, 'bad')
+
+    # A batch that is tried again encodes its records anew.
+    def test_record_that_shrinks_stays_left_out(self, fleet, writer):
+        values = [b'v' * (writers.MAX_RECORD_BYTES + 1)]
+        sequence = writer.enqueue('bad', lambda: values[-1])
+        writer.enqueue('k', lambda: b'v')
+        fleet.store.down = True
+        assert not writer.flush_once()
+        fleet.store.down = False
+        values.append(b'v')
+        assert writer.flush_once()
+        assert writer.is_written(sequence, 'bad')
+
+    # The log grew with each try.
+    def test_left_out_record_is_named_at_each_write(self, writer, encode):
+        with logbook.TestHandler() as handler:
+            for _ in range(5):
+                writer.enqueue('bad', encode)
+                writer.flush_once()
+        [line] = harness.logged(handler, catalogue.UNEXPECTED_EXCEPTION)
+        assert line['where'] == 'record bad'
+        assert len(handler.records) == 1
+
+
 class TestWaitForARecord:
     """Time until a record is stored for which a start waits."""
 
--- a/figtray/scheduling/writer.py
+++ b/figtray/scheduling/writer.py
@@ -17,6 +17,8 @@
 # A transaction holds 32 entries: one condition on the term, and a condition
 # and a write for each key.
 KEYS_PER_TXN = 15
+# Limit of the store on a value (platform.value_bytes of the settings).
+MAX_RECORD_BYTES = 1024 * 1024
 
 
 class Writer:
@@ -46,6 +48,8 @@
         self._urgent = collections.OrderedDict()
         self._pending = collections.OrderedDict()
         self._batch = None
+        # Lowest sequence number of each key whose record was left out.
+        self._left_out = {}
         self._last_sequence = 0
         self._revisions = {}
         self._failing = False
@@ -92,7 +96,8 @@
 
         Args:
             sequence: the sequence number.
-            key: the only key to look at; None for all.
+            key: the only key to look at; None for all but those left out,
+                see _encode().
         """
         with self._cond:
             return self._written_sequence(key) >= sequence
@@ -103,7 +108,8 @@
         Args:
             sequence: the sequence number.
             timeout_ms: longest wait in milliseconds.
-            key: the only key to look at; None for all.
+            key: the only key to look at; None for all but those left out,
+                see _encode().
 
         Returns:
             True if they are stored.
@@ -156,6 +162,11 @@
         if values and not self._write(values):
             return False
         with self._cond:
+            for key, sequence, _ in batch:
+                if key in values:
+                    self._left_out.pop(key, None)
+                else:
+                    self._left_out.setdefault(key, sequence)
             self._batch = None
             self._cond.notify_all()
         self.on_written()
@@ -164,12 +175,18 @@
     def _encode(self, batch):
         """Yield the keys and values of a batch.
 
-        A record that can't be encoded is left out: a batch that never ends
-        would hold up all others.
+        A record that can't be encoded, or is too large for the store, is left
+        out: a batch that never ends would hold up all others. Its key counts
+        as not stored until a later write of it is stored.
         """
         for key, _, encode in batch:
             with self._unreadable.skip_on_error(key):
-                yield key, encode()
+                value = encode()
+                if value is not None and len(value) > MAX_RECORD_BYTES:
+                    raise ValueError(
+                        f'too large for the store: {len(value)} bytes'
+                    )
+                yield key, value
 
     def _count_queued(self):
         return len(self._urgent) + len(self._pending)
@@ -187,6 +204,8 @@
 
     def _unwritten(self, key):
         """Yield the lowest sequence numbers that are not stored yet."""
+        if key in self._left_out:
+            yield self._left_out[key]
         for batch_key, sequence, _ in self._batch or ():
             if key in (None, batch_key):
                 yield sequence
