Split the end of the adoption from the roster, and name two things for what they are

roster() also dropped what was still unresolved; that is _end_adoption() now. One name stood for a method and for a set of incarnations; the method is _list_unextended(). The roster that a takeover reads is no attribute, as only its log line uses it. No behaviour changes; the tests of figtray/scheduling pass.

--- a/figtray/scheduling/enrolment.py
+++ b/figtray/scheduling/enrolment.py
@@ -31,20 +31,11 @@
     def roster(self):
         """Return the Roster of the incarnations on which tasks may run.
 
-        After adoption the unresolved incarnations are dropped, as all leases
-        of earlier leaders have expired. Adopted runs are recorded, so by then
-        all Placements are, whichever release the earlier leaders ran.
+        Adoption ends here if all leases of earlier leaders have expired.
         """
         with self.lock:
             if not self._is_adopting(self._clock.now_ms()):
-                if self._unresolved:
-                    self._awaited_log.log_expiry(
-                        self._unresolved, self._worker_states
-                    )
-                    self._record_takeover(metrics.TakeoverPhase.ACCOUNTED)
-                self._unresolved.clear()
-                self._are_placements_known = True
-                self._is_roster_complete = True
+                self._end_adoption()
             reported = {
                 incarnation
                 for incarnation, worker_state in self._worker_states.items()
@@ -56,6 +47,19 @@
                 self._is_roster_complete,
             )
 
+    def _end_adoption(self):
+        """Drop the incarnations that are still unresolved.
+
+        Adopted runs are recorded, so by now all Placements are, whichever
+        release the earlier leaders ran.
+        """
+        if self._unresolved:
+            self._awaited_log.log_expiry(self._unresolved, self._worker_states)
+            self._record_takeover(metrics.TakeoverPhase.ACCOUNTED)
+        self._unresolved.clear()
+        self._are_placements_known = True
+        self._is_roster_complete = True
+
     def update_roster(self):
         """Queue a write of the roster if it has changed."""
         with self.lock:
--- a/figtray/scheduling/scheduler_base.py
+++ b/figtray/scheduling/scheduler_base.py
@@ -59,7 +59,7 @@
         # Length of the leases that earlier leaders requested, at most.
         self._earlier_lease_ms = self._lease_ms
         self.lease_horizon = lease_horizon.LeaseHorizon(
-            writer, clock, bounds, self.lock, self._unextended
+            writer, clock, bounds, self.lock, self._list_unextended
         )
         self._is_config_fresh = is_config_fresh
         self._metrics = metrics
@@ -287,7 +287,7 @@
         earlier = self._earlier_leases.get(incarnation[:2])
         return earlier.until_ms if earlier else self._adoption_until_ms
 
-    def _unextended(self):
+    def _list_unextended(self):
         """Return the Unextended incarnations; see lease_horizon."""
         if self._earlier_revision is None:
             return []
--- a/figtray/scheduling/service.py
+++ b/figtray/scheduling/service.py
@@ -109,7 +109,6 @@
         self._sessions = {}
         # WorkerStates whose sessions could not start.
         self._unstarted = []
-        self._roster = rosters.Roster()
         # Local time at which the leases of earlier terms have ended; None
         # until the record of them is read.
         self._earlier_leases_until_ms = None
@@ -201,7 +200,7 @@
         waiting = self._store.get(records.WAITING_KEY)
         if waiting is not None:
             self._writer.set_revision(waiting.key, waiting.mod_revision)
-        self._load_roster()
+        roster = self._load_roster()
         intake = self._store.range(records.INTAKE_PREFIX)
         self._intake_reader.add(intake.items, progress)
         self._update_workers()
@@ -210,7 +209,7 @@
             epoch=self._term.epoch,
             jobs=len(intake.items),
             workers=len(self._sessions),
-            roster=len(self._roster.lives),
+            roster=len(roster.lives),
             duration_ms=self._clock.now_ms() - began_ms,
         )
 
@@ -224,9 +223,10 @@
         return self._service.view
 
     def _load_roster(self):
+        """Begin the adoption of earlier runs; return the stored Roster."""
         item = self._store.get(rosters.ROSTER_KEY)
         if item is None:
-            return
+            return rosters.Roster()
         self._writer.set_revision(item.key, item.mod_revision)
         roster = self._service.unreadable.read(
             item.key, rosters.decode, item.value
@@ -234,11 +234,11 @@
         if roster is None:
             # Any worker may run tasks of earlier terms.
             roster = rosters.UNKNOWN
-        self._roster = roster
         # A takeover that is tried again finds the record of this term.
         if self._earlier_leases_until_ms is None:
             self._earlier_leases_until_ms = self._load_earlier_leases()
         self._scheduler.begin_adoption(roster, self._earlier_leases_until_ms)
+        return roster
 
     def _load_earlier_leases(self):
         """Return the local time at which all earlier leases have ended."""
