--- a/review/1/run.sh
+++ b/review/1/run.sh
@@ -4,4 +4,9 @@
 root=$(cd ../.. && pwd)
 export PYTHONDONTWRITEBYTECODE=1
 export PYTHONPATH="$root/target/deps:$root:$root/review/standins"
-exec timeout -k 5 115 python3 case.py
+python3 case.py
+case $? in
+    0) exit 0 ;;
+    10) exit 1 ;;
+    *) exit 2 ;;
+esac
--- a/review/standins/fleet.py
+++ b/review/standins/fleet.py
@@ -12,6 +12,7 @@
 import pathlib
 import secrets
 import shutil
+import signal
 import socket
 import subprocess
 import sys
@@ -36,6 +37,8 @@
 ROOT = pathlib.Path(__file__).resolve().parents[2]
 CALLER_HOST = 'pule25.example'
 PREFIX = '/puxa400/'
+# Of the queue whose tasks run in the pool `other`.
+OTHER_PREFIX = '/tije37/'
 KEY = 'cugo130key'
 # Time after which a task that lasts is at work.
 STARTUP_S = 0.7
@@ -64,6 +67,12 @@
 }
 
 
+# Longest time of a case.
+MAX_CASE_S = 112
+BROKEN_STATUS = 10
+_processes = []
+
+
 class CannotRun(Exception):
     """The case can't be played on this machine."""
 
@@ -202,6 +211,13 @@
         with self._cond:
             return sum(1 for task, _ in self.active if task.startswith(prefix))
 
+    def inactive_tasks(self, job_id, count):
+        """Return the names of the tasks of a job's only step without a run."""
+        with self._cond:
+            active = {task for task, _ in self.active}
+        names = [f'{job_id}.0.0.{index}' for index in range(count)]
+        return [name for name in names if name not in active]
+
     def _end_runs(self):
         while True:
             with self._cond:
@@ -221,8 +237,9 @@
 class Worker:
     """A worker on a host of its own, whose process crashes and starts."""
 
-    def __init__(self, site, number, cores, labels):
+    def __init__(self, site, number, cores, labels, pool='main'):
         self._site = site
+        self.pool = pool
         self.host_id = f'm-{number:04x}'
         self.worker_id = f'i-{number:08x}'
         # Each host has a rack of its own.
@@ -245,15 +262,7 @@
             self._site.workers, worker
         )
         self.server.start()
-        self._site.hosts.hosts[self.host_id] = fleet.Host(
-            self.host_id,
-            'main',
-            fleet.HostState.UP,
-            'kathmandu',
-            self.labels,
-            self.capacity,
-            self.worker_id,
-        )
+        self._site.hosts.hosts[self.host_id] = self.host(self.worker_id)
         self._site.record.write(
             f'worker {self.worker_id} is up at {self.address}, '
             f'born {self.born_ms}'
@@ -265,23 +274,28 @@
         self.server.stop()
         self.server = None
         self._site.workers.crash(self.address)
-        self._site.hosts.hosts[self.host_id] = fleet.Host(
+        self._site.hosts.hosts[self.host_id] = self.host(
+            '', fleet.HostState.DOWN
+        )
+        self._site.record.write(f'worker {self.worker_id} has ended')
+
+    def host(self, worker_id, state=fleet.HostState.UP):
+        return fleet.Host(
             self.host_id,
-            'main',
-            fleet.HostState.DOWN,
+            self.pool,
+            state,
             'kathmandu',
             self.labels,
             self.capacity,
-            '',
+            worker_id,
         )
-        self._site.record.write(f'worker {self.worker_id} has crashed')
 
     def model(self):
         return fleet.Worker(
             worker_id=self.worker_id,
             born_ms=self.born_ms,
             address=self.address,
-            pool='main',
+            pool=self.pool,
             zone='kathmandu',
             labels=self.labels,
             capacity=self.capacity,
@@ -289,16 +303,46 @@
         )
 
 
+class HostService(standin_services.HostService):
+    """Host service that notes the orders, and carries out moves."""
+
+    def __init__(self, site):
+        super().__init__(site.hosts)
+        self._site = site
+
+    def _execute_order(self, path, data, headers):
+        site, host_id = self._site, data['machine']
+        holder = headers['X-Figtray-Holder']
+        token = int(headers['X-Figtray-Fencing-Token'])
+        with site.orders_lock:
+            host = self.hosts.hosts[host_id]
+            if data.get('pool') == host.pool:
+                accepted = True
+            else:
+                accepted = super()._execute_order(path, data, headers)
+                if accepted:
+                    site.move(host_id, data['pool'])
+            now_s = site.record.now_s()
+            site.orders.append((now_s, host_id, token, holder))
+            site.record.write(
+                f'order {path} {data} of {holder} with token {token}: '
+                f'{"accepted" if accepted else "refused"}'
+            )
+        return accepted
+
+
 class Site:
     """Store, hosts, workers and the operators' configuration.
 
     Args:
         record: the Record.
         run_s: see Runs.
-        workers: (cores, further labels) of each worker.
+        workers: (cores, further labels) of each worker, and its pool if that
+            is not `main`.
+        spare: number of hosts in the spare pool.
     """
 
-    def __init__(self, record, run_s, workers):
+    def __init__(self, record, run_s, workers, spare=0):
         self.record = record
         self.runs = Runs(record, run_s)
         self.clock = clock_lib.SystemClock()
@@ -309,21 +353,49 @@
         self._sequence = 0
         self._last_beat_s = {}
         self._lock = threading.Lock()
+        self.orders_lock = threading.Lock()
+        # Called with (node, address); returns the address that it gets.
+        self.advertise = lambda node, address: address
+        self.orders = []
         self.store_server = standin_services.start_store_server(
             f'{LOOPBACK}:0', self.store
         )
         self.hosts_server = standin_server.Server(
-            f'{LOOPBACK}:0', standin_services.HostService(self.hosts)
+            f'{LOOPBACK}:0', HostService(self)
         )
         self.hosts_server.start()
-        self._write('op/config', json.dumps(_config()).encode())
+        self._write('op/config', json.dumps(_config(spare > 0)).encode())
         self.fleet = []
-        for number, (cores, labels) in enumerate(workers, 1):
-            worker = Worker(self, number, cores, labels)
+        for number, (cores, labels, *pool) in enumerate(workers, 1):
+            worker = Worker(self, number, cores, labels, *pool)
             self.fleet.append(worker)
             worker.start()
+        for number in range(len(workers) + 1, len(workers) + spare + 1):
+            worker = Worker(self, number, workers[0][0], (), 'spare')
+            self.fleet.append(worker)
+            self.hosts.hosts[worker.host_id] = worker.host('')
         threading.Thread(target=self._beat, daemon=True).start()
 
+    def move(self, host_id, pool):
+        """Carry out an accepted move."""
+        worker = next(w for w in self.fleet if w.host_id == host_id)
+        if worker.server is not None:
+            worker.crash()
+            self.store.remove([f'servers/{worker.worker_id}'])
+
+        def finish():
+            worker.pool = pool
+            if pool == 'spare':
+                self.hosts.hosts[host_id] = worker.host('')
+                return
+            worker.worker_id = f'i-{secrets.token_hex(4)}'
+            worker.address = f'{LOOPBACK}:0'
+            worker.start()
+
+        timer = threading.Timer(BOUNDS['move_s'], finish)
+        timer.daemon = True
+        timer.start()
+
     def write_entry(self, worker):
         with self._lock:
             self._sequence += 1
@@ -355,15 +427,23 @@
                     self.store.remove([f'servers/{worker.worker_id}'])
 
 
-def _config():
+def _config(has_spare):
+    pools = {PREFIX: 'main'}
+    services = [{'name': 'main', 'rejects_overload': True}]
+    if has_spare:
+        pools[OTHER_PREFIX] = 'other'
+        services += [
+            {'name': 'other', 'rejects_overload': True},
+            {'name': 'spare', 'spare': True},
+        ]
     return {
         'version': 3,
         'routes': [
             {
-                'name': 'r-tyiikdr',
+                'name': f'r-{pool}',
                 'host': CALLER_HOST,
-                'prefix': PREFIX,
-                'service': 'main',
+                'prefix': prefix,
+                'service': pool,
                 'type': 'non_idempotent',
                 'timeout_ms': 3000,
                 'target_latency_ms': 600,
@@ -372,14 +452,15 @@
                 'stretch': 1.6,
                 'public': False,
             }
+            for prefix, pool in pools.items()
         ],
-        'services': [{'name': 'main', 'rejects_overload': True}],
+        'services': services,
         'tenants': [
             {
                 'name': 'cugo130',
                 'api_keys': [KEY],
                 'weight': 25,
-                'maximum': {'cpu': 0, 'mem_mb': 0, 'gpu': 0},
+                'maximum': {'cpu': 400_000, 'mem_mb': 2_000_000},
             }
         ],
     }
@@ -390,6 +471,7 @@
 
     def __init__(self, site, directory, number):
         self.name = f'edge-kathmandu-{number}'
+        self.links = []
         ports = free_ports(6)
         self.front = f'{LOOPBACK}:{ports[0]}'
         self._ready = f'{LOOPBACK}:{ports[1]}'
@@ -411,8 +493,12 @@
             'heartbeat_ms': int(HEARTBEAT_S * 1000),
             'bounds': BOUNDS,
             'commands': 'request',
-            'platform': {'address': site.store_server.address},
-            'cloud': {'address': site.hosts_server.address},
+            'platform': {
+                'address': site.advertise(self, site.store_server.address)
+            },
+            'cloud': {
+                'address': site.advertise(self, site.hosts_server.address)
+            },
         }
         self._settings_path = directory / f'{self.name}.json'
         self._settings_path.write_text(json.dumps(settings))
@@ -434,6 +520,7 @@
             self.process = subprocess.Popen(
                 command, cwd=ROOT, env=env, stdout=out, stderr=out
             )
+        _processes.append(self.process)
         self._record.write(f'node {self.name} starts')
 
     def signal(self, number):
@@ -455,10 +542,19 @@
 class Deployment:
     """Site and nodes of a case; ends all processes at its end."""
 
-    def __init__(self, case_dir, run_s, workers, nodes=3):
+    def __init__(
+        self,
+        case_dir,
+        run_s,
+        workers,
+        nodes=3,
+        spare=0,
+        advertise=lambda node, address: address,
+    ):
         self.directory = pathlib.Path(tempfile.mkdtemp(prefix='review-'))
         self.record = Record(pathlib.Path(case_dir) / 'record.txt')
-        self.site = Site(self.record, run_s, workers)
+        self.site = Site(self.record, run_s, workers, spare)
+        self.site.advertise = advertise
         self.nodes = [
             Node(self.site, self.directory, number + 1)
             for number in range(nodes)
@@ -503,13 +599,12 @@
                 raise CannotRun(problem)
             time.sleep(0.02)
 
-    def submit(self, steps, node, job_id=None):
+    def submit(self, steps, node, prefix=PREFIX):
         """Submit a job until it is accepted; return its id."""
-        job_id = job_id or secrets.token_hex(8)
+        job_id = secrets.token_hex(8)
+        body = {'spec': f'spec of {job_id}', 'steps': steps}
         for _ in range(20):
-            status, _ = self.request('POST', job_id, node, {
-                'spec': f'spec of {job_id}', 'steps': steps
-            })
+            status, _ = self.request('POST', job_id, node, body, prefix)
             if status == 200:
                 return job_id
             time.sleep(0.2)
@@ -520,12 +615,12 @@
         status, reply = self.request('GET', job_id, node)
         return status, reply.get('state')
 
-    def request(self, method, job_id, node, body=None):
+    def request(self, method, job_id, node, body=None, prefix=PREFIX):
         try:
             status, data = call(
                 node.front,
                 method,
-                PREFIX + job_id,
+                prefix + job_id,
                 body,
                 {
                     'Host': CALLER_HOST,
@@ -575,19 +670,32 @@
 
 
 def main(play):
-    """Run play() and exit: 1 if a rule was broken, 0 if not, 2 if neither.
+    """Run play() and exit: 10 if a rule was broken, 0 if not, else 2.
+
+    run.sh turns 10 into 1, which Python uses for errors of its own.
 
     Args:
         play: called without arguments; returns the list of what broke a
             rule.
     """
+    signal.signal(signal.SIGTERM, lambda *_: _give_up('it was stopped'))
+    watchdog = threading.Timer(MAX_CASE_S, _give_up, ('it takes too long',))
+    watchdog.daemon = True
+    watchdog.start()
     try:
         broken = play()
     except Exception as exc:
-        print(f'the case could not run: {exc!r}', file=sys.stderr)
-        os._exit(2)
+        _give_up(repr(exc))
     for line in broken[:10]:
         print(line)
     print(f'broken: {len(broken)}')
     sys.stdout.flush()
-    os._exit(1 if broken else 0)
+    os._exit(BROKEN_STATUS if broken else 0)
+
+
+def _give_up(reason):
+    """End all processes; the case could not run."""
+    print(f'the case could not run: {reason}', file=sys.stderr)
+    for process in _processes:
+        process.kill()
+    os._exit(2)
