--- a/review/standins/fleet.py
+++ b/review/standins/fleet.py
@@ -113,7 +113,7 @@
         self.active = {}
         # All starts: task -> list of (time, run, worker id).
         self.starts = {}
-        # Ends `done`: (time, task, run, worker id), by (life, end number).
+        # Ends `done`: (time, worker id, time on its clock), by life and run.
         self.done = {}
         self.acknowledged_done = []
         self.overlaps = []
@@ -177,14 +177,19 @@
                 self.done[id(sim), task, run] = (
                     self._record.now_s(),
                     sim.worker.worker_id,
+                    sim.clock_ms(),
                 )
 
     def end_acknowledged(self, sim, ended_run):
         if ended_run.end is messages.EndReason.DONE:
             with self._cond:
-                done_s, worker_id = self.done[
+                done_s, worker_id, done_ms = self.done[
                     id(sim), ended_run.task, ended_run.run
                 ]
+                lapse_ms = sim.last_lapse_ms()
+                # Such an end doesn't count as taken note of.
+                if lapse_ms is not None and lapse_ms >= done_ms:
+                    return
                 self.acknowledged_done.append(
                     (done_s, ended_run.task, ended_run.run, worker_id)
                 )
