--- a/review/standins/fleet.py
+++ b/review/standins/fleet.py
@@ -71,6 +71,7 @@
 MAX_CASE_S = 112
 BROKEN_STATUS = 10
 _processes = []
+_reserved_sockets = []
 
 
 class CannotRun(Exception):
@@ -657,16 +658,26 @@
 
 
 def free_ports(count):
-    """Return adjacent ports below the ephemeral range that are free."""
+    """Reserve and return adjacent ports below the ephemeral range.
+
+    The sockets stay bound without listening, so that no other case takes the
+    ports; a node, which sets SO_REUSEADDR as well, can still listen there.
+    """
     while True:
         first = 10_000 + secrets.randbelow(20_000)
+        ports = list(range(first, first + count))
         try:
-            for port in range(first, first + count + 2):
+            for port in ports:
                 with socket.socket() as probe:
                     probe.bind((LOOPBACK, port))
+            for port in ports:
+                reserved = socket.socket()
+                reserved.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+                reserved.bind((LOOPBACK, port))
+                _reserved_sockets.append(reserved)
         except OSError:
             continue
-        return list(range(first, first + count))
+        return ports
 
 
 def has_trouble():
