--- a/review/2/case.py
+++ b/review/2/case.py
@@ -1,78 +1,57 @@
-"""A worker goes down and up, and the job that lasts there is given up."""
+"""An idle worker starts again under its id, and gets orders for its former life."""
 
 import pathlib
 import time
 
 import fleet
 
-LABEL = 'b'
-UP_S = 5.0
-# srv_crash, for_s: 4.5 s at most.
-DOWN_S = 1.5
-CRASHES = 8
+SHORT_RUN_S, LONG_RUN_S = 0.1, 4.0
+# One worker of fourteen crashes at a time: a share of 0.07.
+WORKERS = 14
+ROUNDS = 10
+# A supervisor starts the process again at once.
+DOWN_S = 0.2
+
+
+def run_s(task):
+    """The first task of a job is short."""
+    return SHORT_RUN_S if task.endswith('.0') else LONG_RUN_S
 
 
 def play():
     case_dir = pathlib.Path(__file__).parent
-    # One worker of seven crashes: a share of 0.143.
-    workers = [(16, (LABEL,))] * 3 + [(16, ())] * 4
-    with fleet.Deployment(case_dir, lambda task: None, workers) as played:
-        record, runs = played.record, played.site.runs
-        flapping, *sound = played.site.fleet[:3]
+    with fleet.Deployment(case_dir, run_s, [(16, ())] * WORKERS) as played:
+        runs, record = played.site.runs, played.record
         caller = played.nodes[0]
-        # One task on each of the three workers that have the label.
-        job_id = played.submit(
-            [
-                {
-                    'count': 3,
-                    'cpu': 1000,
-                    'mem_mb': 1000,
-                    'estimate_ms': 1000,
-                    'long_running': True,
-                    'requires': LABEL,
-                    'max_per_server': 1,
-                    'may_miss': 1,
-                }
-            ],
-            caller,
-        )
-        played.wait_for(
-            lambda: runs.count_active(job_id) == 3,
-            10,
-            'the tasks do not start',
-        )
-        broken = []
-        for _ in range(CRASHES):
-            time.sleep(UP_S)
+        for worker in reversed(played.site.fleet[-ROUNDS:]):
             if fleet.has_trouble():
-                flapping.crash()
+                worker.crash()
                 time.sleep(DOWN_S)
-                flapping.start()
-            _, state = played.state(job_id, caller)
-            if state not in ('queued', 'running'):
-                broken.append(
-                    f'LOST: the job, which lasts, is shown as {state}; none '
-                    'of its runs has ended as failed'
-                )
-                break
-        sound_ids = {worker.worker_id for worker in sound}
-        stopped = [item for item in runs.stopped if item[3] in sound_ids]
-        # One of them may be ended by an order, the other may not then.
-        if len(stopped) > 1:
-            broken.append(
-                'AVAIL: while at work on sound workers, '
-                + ' and '.join(
-                    f'{task} on {worker_id} at {now_s:.3f}'
-                    for now_s, task, _, worker_id in stopped
-                )
-                + ' were stopped; 1 of the step may be away'
+                worker.start()
+            job_id = played.submit(
+                [
+                    {
+                        'count': 3,
+                        'cpu': 1000,
+                        'mem_mb': 500,
+                        'estimate_ms': 4000,
+                        'affinity': worker.rack,
+                    }
+                ],
+                caller,
             )
-        time.sleep(12)
-        if runs.count_active(job_id) < 3:
-            broken.append(
-                f'LOST: {runs.count_active(job_id)} of its 3 tasks run, 12 s '
-                'after the last crash'
+            state, until_s = '', time.monotonic() + 9
+            while state != 'completed' and time.monotonic() < until_s:
+                time.sleep(0.3)
+                _, state = played.state(job_id, caller)
+        broken = [
+            f'{task} run {run} started on {worker_id} at {now_s:.3f} while '
+            + ', '.join(
+                f'run {other} went on on {where[0]}' for other, where in others
             )
+            for now_s, task, run, worker_id, others in runs.overlaps
+        ]
+        broken += runs.starts_after_done()
         for line in broken:
             record.write(f'BROKEN {line}')
         return broken
--- a/review/standins/fleet.py
+++ b/review/standins/fleet.py
@@ -370,7 +370,7 @@
             f'{LOOPBACK}:0', HostService(self)
         )
         self.hosts_server.start()
-        self._write('op/config', json.dumps(_config(spare > 0)).encode())
+        self.write('op/config', json.dumps(config_document(spare > 0)).encode())
         self.fleet = []
         for number, (cores, labels, *pool) in enumerate(workers, 1):
             worker = Worker(self, number, cores, labels, *pool)
@@ -406,14 +406,14 @@
         with self._lock:
             self._sequence += 1
             self._last_beat_s[worker.worker_id] = time.monotonic()
-            self._write(
+            self.write(
                 f'servers/{worker.worker_id}',
                 standin_services.encode_worker_entry(
                     worker.model(), self._sequence
                 ),
             )
 
-    def _write(self, key, value):
+    def write(self, key, value):
         try:
             self.store.txn([], [base.Put(key, value)])
         except errors.StoreUnavailable:
@@ -433,7 +433,7 @@
                     self.store.remove([f'servers/{worker.worker_id}'])
 
 
-def _config(has_spare):
+def config_document(has_spare):
     pools = {PREFIX: 'main'}
     services = [{'name': 'main', 'rejects_overload': True}]
     if has_spare:
@@ -637,7 +637,7 @@
             reply = json.loads(data or b'{}')
         except (OSError, http.client.HTTPException, ValueError) as exc:
             status, reply = 0, {'error': repr(exc)}
-        self.record.write(f'{method} {job_id} at {node.name}: {status} {reply}')
+        self.record.write(f"{method} {prefix}{job_id} at {node.name}: {status} {reply}")
         return status, reply
 
 
