--- a/review/2/case.py
+++ b/review/2/case.py
@@ -1,4 +1,4 @@
-"""An idle worker starts again under its id, and gets orders for its former life."""
+"""An idle worker is back under its id and gets orders for its former life."""
 
 import pathlib
 import time
--- a/review/standins/fleet.py
+++ b/review/standins/fleet.py
@@ -370,7 +370,8 @@
             f'{LOOPBACK}:0', HostService(self)
         )
         self.hosts_server.start()
-        self.write('op/config', json.dumps(config_document(spare > 0)).encode())
+        config = config_document(spare > 0)
+        self.write("op/config", json.dumps(config).encode())
         self.fleet = []
         for number, (cores, labels, *pool) in enumerate(workers, 1):
             worker = Worker(self, number, cores, labels, *pool)
@@ -637,7 +638,9 @@
             reply = json.loads(data or b'{}')
         except (OSError, http.client.HTTPException, ValueError) as exc:
             status, reply = 0, {'error': repr(exc)}
-        self.record.write(f"{method} {prefix}{job_id} at {node.name}: {status} {reply}")
+        self.record.write(
+            f"{method} {prefix}{job_id} at {node.name}: {status} {reply}"
+        )
         return status, reply
 
 
