Hand runs over to the later incarnation that executes their orders

Cause: an order names the id of a worker, which a restart keeps, so the later incarnation executes what its former one was to start. A report with another start time ended the former incarnation with all its runs, and was dropped, so their tasks started elsewhere while they ran. If the new entry was read first, the runs were stopped as stray ones, after their tasks had been released. Also, each request named the last end that the worker may forget by the numbers of the former incarnation, which the later one took for its own.

What was ruled out: a stale entry alone, as the starts are sent before any entry could be read.

Change: a later incarnation gets the runs that it lists and those that it may still get; the latter are stopped there before their tasks start again. Runs that the former one was seen to have are lost with it, and suspected, as before. A worker is told which ends to forget only right after an answered report.

--- a/figtray/events/catalogue/scheduling.py
+++ b/figtray/events/catalogue/scheduling.py
@@ -183,3 +183,11 @@
     'could have crashed them; its job has failed. 1724 names each crash.',
     ('job_id', 'task', 'crashes', 'alone', 'runs'),
 )
+RUN_HANDED_OVER = base.Event(
+    1729,
+    logbook.INFO,
+    'A worker has started again under its id and executes orders that were '
+    'meant for its earlier incarnation; the run goes on there, or is stopped '
+    'there if its start was not confirmed.',
+    ('task', 'run', 'worker', 'earlier_born_ms', 'born_ms', 'reason'),
+)
--- /dev/null
+++ b/figtray/scheduling/hand_over.py
@@ -0,0 +1,159 @@
+"""Runs that a later incarnation of a worker has under the same id.
+
+An order names the id of its worker, which a restart may keep. So an order to
+an incarnation that has ended is executed by the next one.
+"""
+
+import dataclasses
+
+from figtray.events import catalogue
+from figtray.events import log
+from figtray.scheduling import crashes
+from figtray.scheduling import job_lifecycle
+from figtray.scheduling import state
+from figtray.scheduling import trials
+from figtray.scheduling import worker_orders
+from figtray.scheduling import worker_state as worker_state_lib
+
+
+class HandOver(job_lifecycle.JobLifecycle):
+    """Hands runs over to later incarnations of their workers."""
+
+    def _add_later(self, worker_state, born_ms):
+        """Return the WorkerState of a later incarnation that has answered.
+
+        Nothing starts there until its entry is listed.
+
+        Args:
+            worker_state: that of the incarnation that was asked.
+            born_ms: start time of the incarnation that has answered.
+
+        Returns:
+            A WorkerState; None if that incarnation is an earlier one, or has
+            ended as well.
+        """
+        worker = dataclasses.replace(
+            worker_state.worker, born_ms=born_ms, draining=False
+        )
+        if (
+            born_ms < worker_state.worker.born_ms
+            or worker.incarnation in self._ended_incarnations
+        ):
+            return None
+        for known in self._worker_states.values():
+            if (known.worker.worker_id, known.worker.born_ms) == (
+                worker.worker_id,
+                born_ms,
+            ):
+                return known
+        later = worker_state_lib.WorkerState(worker)
+        later.listed = False
+        self._worker_states[worker.incarnation] = later
+        self._without_session.append(later)
+        return later
+
+    def _find_later(self, worker_state):
+        """Return the last later incarnation that has reported, or None."""
+        worker = worker_state.worker
+        return max(
+            (
+                found
+                for found in self._worker_states.values()
+                if found.has_reported
+                and found.worker.worker_id == worker.worker_id
+                and found.worker.born_ms > worker.born_ms
+            ),
+            key=lambda found: found.worker.born_ms,
+            default=None,
+        )
+
+    def _find_earlier(self, worker_state):
+        """Return the WorkerStates of earlier incarnations under an id."""
+        worker = worker_state.worker
+        return [
+            found
+            for found in self._worker_states.values()
+            if found.worker.worker_id == worker.worker_id
+            and found.worker.born_ms < worker.born_ms
+        ]
+
+    def _hand_over_listed(self, earlier, later, report):
+        """Hand over the runs that a later incarnation lists.
+
+        Args:
+            earlier: WorkerState of the incarnation that was to start them.
+            later: WorkerState of the later one.
+            report: the first Report of the later one.
+        """
+        listed = {
+            (item.task, item.run) for item in (*report.running, *report.ended)
+        }
+        for run in list(earlier.runs.values()):
+            if (run.task.name, run.number) in listed:
+                self._hand_over(run, later, 'it is listed there')
+
+    def _hand_over_uncertain(self, earlier, later):
+        """Hand over the runs that a later incarnation may have, or get.
+
+        Those whose starts were not confirmed are stopped there: the order
+        may arrive after any report.
+
+        Args:
+            earlier: WorkerState of the incarnation that was to start them.
+            later: WorkerState of the later one.
+        """
+        for run in list(earlier.runs.values()):
+            if not _may_be_on_later(run, later):
+                continue
+            self._hand_over(run, later, 'its order may arrive there')
+            if run.phase == state.Phase.STOPPING:
+                run.confirmed_ms = None
+                later.orders.put(worker_orders.Stop(run))
+            elif run.confirmed_ms is None:
+                self.stop(run, 'its worker has started again')
+
+    def _hand_over(self, run, later, reason):
+        earlier, task = run.worker_state, run.task
+        log.emit(
+            catalogue.RUN_HANDED_OVER,
+            task=task.name,
+            run=run.number,
+            worker=later.worker.worker_id,
+            earlier_born_ms=earlier.worker.born_ms,
+            born_ms=later.worker.born_ms,
+            reason=reason,
+        )
+        needs = state.occupied(task.step.spec)
+        del earlier.runs[task.name]
+        earlier.used -= needs
+        run.worker_state = later
+        later.runs[task.name] = run
+        later.used += needs
+        # Its lease was set in terms of another clock.
+        if later.clock_ms is not None:
+            later.extend_lease(later.clock_ms + self._longest_worker_lease_ms)
+        self._resume_trial(run)
+        if task.placement is not None:
+            self._record_placement(run)
+
+    def _resume_trial(self, run):
+        """Go on with the trial of a run that starts on trial only."""
+        worker_state = run.worker_state
+        if worker_state.trial is None and crashes.is_tried_each_time(run.task):
+            worker_state.trial = trials.Trial(run.task)
+
+
+def _may_be_on_later(run, later):
+    """Return whether a later incarnation may have a run, or still get it.
+
+    Args:
+        run: the Run, which the later incarnation has not listed.
+        later: the WorkerState of the later incarnation.
+    """
+    if run.sent_ms is None or run.seen_ms is not None:
+        return False
+    return (
+        run.confirmed_ms is None
+        or later.all_listed_ms is None
+        or run.confirmed_ms >= later.all_listed_ms
+    )
--- a/figtray/scheduling/membership.py
+++ b/figtray/scheduling/membership.py
@@ -58,9 +58,9 @@
                 unlisted, so that nothing is started there.
 
         Returns:
-            The new WorkerStates: those of new entries, and of unresolved
-            incarnations without an entry. The latter may still run tasks,
-            and only they can tell.
+            The new WorkerStates: those of new entries, of unresolved
+            incarnations without an entry, which may still run tasks, and of
+            those that have answered for an earlier one.
         """
         with self.lock:
             self._prune_ended_incarnations()
@@ -72,6 +72,8 @@
             self._end_followed()
             self._handle_missing_entries(listed, trust_absence)
             added += self._add_unlisted()
+            added += self._without_session
+            self._without_session = []
         self.changed.set()
         return added
 
--- a/figtray/scheduling/reports.py
+++ b/figtray/scheduling/reports.py
@@ -28,8 +28,9 @@
         """Return the values that the next request for a report contains.
 
         Returns:
-            (number of the last end that the worker may forget, end of the
-            lease on the worker's clock in milliseconds). The latter is None,
+            (number of the last end that the worker may forget, 0 if that is
+            known to it already; end of the lease on the worker's clock in
+            milliseconds). The latter is None,
             which leaves the lease as it is, if the worker's clock is unknown,
             its last report failed, leases may not be extended now, or runs of
             earlier terms may be among those that can't be read.
@@ -38,15 +39,16 @@
             now_ms = self._clock.now_ms()
             worker_clock = worker_state.worker_clock(now_ms)
             lease_ms = self._grantable_lease_ms(worker_state, now_ms)
+            acknowledged = worker_state.next_acknowledged()
             if (
                 worker_clock is None
                 or worker_state.unresponsive
                 or not lease_ms
                 or self._may_hide_earlier_runs(worker_state)
             ):
-                return worker_state.acknowledged, None
+                return acknowledged, None
             worker_state.requested_lease_ms = worker_clock + lease_ms
-            return worker_state.acknowledged, worker_state.requested_lease_ms
+            return acknowledged, worker_state.requested_lease_ms
 
     def handle_report(self, worker_state, report, asked_ms):
         """Record what a worker reports.
@@ -67,16 +69,14 @@
             if worker_state.gone:
                 return 0
             if report.born_ms != worker_state.worker.born_ms:
-                self._end_incarnation(
-                    worker_state,
-                    ends.of_process(
-                        worker_state,
-                        'another incarnation reports',
-                        answered=True,
-                    ),
+                return self._handle_other_incarnation(
+                    worker_state, report, asked_ms
                 )
-                return 0
+            if not report.unreadable:
+                worker_state.all_listed_ms = asked_ms
             if self._note_answer(worker_state, report, now_ms):
+                for earlier in self._find_earlier(worker_state):
+                    self._hand_over_listed(earlier, worker_state, report)
                 self._end_followed()
                 if worker_state.gone:
                     return 0
@@ -121,6 +121,33 @@
         self.changed.set()
         return sequence
 
+    def _handle_other_incarnation(self, worker_state, report, asked_ms):
+        """Record a report of another incarnation under the worker's id.
+
+        A later one may have executed orders that were meant for this one.
+
+        Args:
+            worker_state: the WorkerState of the incarnation that was asked.
+            report: the Report of the other one.
+            asked_ms: see handle_report().
+
+        Returns:
+            See handle_report().
+        """
+        later = self._add_later(worker_state, report.born_ms)
+        end = ends.of_process(
+            worker_state, 'another incarnation reports', answered=True
+        )
+        if later is None:
+            self._end_incarnation(worker_state, end)
+            return 0
+        later.clock_ms = report.clock_ms
+        if not report.unreadable:
+            later.all_listed_ms = asked_ms
+        self._hand_over_listed(worker_state, later, report)
+        self._end_incarnation(worker_state, end, later)
+        return self.handle_report(later, report, asked_ms)
+
     def _note_odd_end(self, worker_state):
         self._odd_entries.note(
             f'ends of {worker_state.worker.worker_id}',
--- a/figtray/scheduling/scheduler_base.py
+++ b/figtray/scheduling/scheduler_base.py
@@ -58,6 +58,8 @@
         self._lease_ms = leases.lease_ms(bounds)
         # Length of the leases that earlier leaders requested, at most.
         self._earlier_lease_ms = self._lease_ms
+        # Length of the leases that workers grant, at most.
+        self._longest_worker_lease_ms = bounds.hold_max_ms
         self.lease_horizon = lease_horizon.LeaseHorizon(
             writer, clock, bounds, self.lock, self._list_unextended
         )
@@ -74,6 +76,8 @@
         self._open_steps = {}
         # WorkerStates by incarnation.
         self._worker_states = {}
+        # WorkerStates that sync_workers() has not returned yet.
+        self._without_session = []
         # Ended incarnations. Their entries stay in the store for a while and
         # are ignored until the local time given here.
         self._ended_incarnations = {}
--- a/figtray/scheduling/session.py
+++ b/figtray/scheduling/session.py
@@ -162,7 +162,7 @@
         acknowledged, lease_until_ms = self._scheduler.report_request(
             worker_state
         )
-        wait_ms = self._wait_ms(acknowledged)
+        wait_ms = self._wait_ms()
         asked_ms = self._clock.now_ms()
         try:
             report = self._client.report(
@@ -181,14 +181,17 @@
             return None
         worker_state.refused_connections = 0
         worker_state.report_error = ''
-        worker_state.sent_acknowledged = acknowledged
+        if report.born_ms == worker_state.worker.born_ms:
+            worker_state.sent_acknowledged = max(
+                worker_state.sent_acknowledged, acknowledged
+            )
         sequence = self._scheduler.handle_report(
             worker_state, report, asked_ms
         )
         self._pacer.adjust(worker_state)
         return sequence
 
-    def _wait_ms(self, acknowledged):
+    def _wait_ms(self):
         """Return how long the worker may wait for an end before it reports."""
         worker_state = self._worker_state
         if (
@@ -198,7 +201,7 @@
             or worker_state.unresponsive
         ):
             return 0
-        if worker_state.seen_end > acknowledged:
+        if worker_state.seen_end > worker_state.acknowledged:
             return 0
         wait_ms = REPORT_WAIT_MS
         if self._pacer.applies_to(worker_state):
--- a/figtray/scheduling/tests/leaders.py
+++ b/figtray/scheduling/tests/leaders.py
@@ -162,7 +162,11 @@
     def _report(self, worker_state):
         if worker_state.gone or self.term.ended.is_set():
             return
-        worker_session = self._sessions[worker_state.worker.incarnation]
+        worker_session = self._sessions.get(worker_state.worker.incarnation)
+        # One that has answered for an earlier one has none before the next
+        # sync_workers().
+        if worker_session is None:
+            return
         sequence = worker_session.report_once()
         self.flush()
         if sequence is not None and self.writer.wait(sequence, 0):
@@ -175,7 +179,9 @@
             self._deliver_orders(worker_state, limit)
 
     def _deliver_orders(self, worker_state, limit=ORDERS_PER_CYCLE):
-        worker_session = self._sessions[worker_state.worker.incarnation]
+        worker_session = self._sessions.get(worker_state.worker.incarnation)
+        if worker_session is None:
+            return
         for _ in range(limit):
             if worker_state.orders.empty():
                 return
--- a/figtray/scheduling/worker_ends.py
+++ b/figtray/scheduling/worker_ends.py
@@ -6,20 +6,22 @@
 from figtray import metrics
 from figtray.scheduling import crashes
 from figtray.scheduling import ends
-from figtray.scheduling import job_lifecycle
+from figtray.scheduling import hand_over
 from figtray.scheduling import scheduler_base
-from figtray.scheduling import trials
 
 
-class WorkerEnds(job_lifecycle.JobLifecycle):
+class WorkerEnds(hand_over.HandOver):
     """Records the ends of workers and suspects the tasks that crash them."""
 
-    def _end_incarnation(self, worker_state, end):
+    def _end_incarnation(self, worker_state, end, later=None):
         """Record that an incarnation has ended, and with it its runs.
 
         Args:
             worker_state: its WorkerState.
             end: the ends.End.
+            later: WorkerState of a later incarnation under its id, which
+                gets the runs that it may have been ordered to start; None if
+                there is none.
         """
         if worker_state.gone:
             return
@@ -38,6 +40,8 @@
         suspects = ()
         if end.kind == ends.Kind.CRASHED:
             suspects = self._suspect_runs(worker_state)
+        if later is not None:
+            self._hand_over_uncertain(worker_state, later)
         for run in list(worker_state.runs.values()):
             self._mark_lost(run, 'its worker is gone')
         for task in suspects:
@@ -99,7 +103,9 @@
                 continue
             if worker_state is not None:
                 self._end_incarnation(
-                    worker_state, ends.of_process(worker_state, reason)
+                    worker_state,
+                    ends.of_process(worker_state, reason),
+                    self._find_later(worker_state),
                 )
             else:
                 self._resolve_incarnation(
@@ -206,12 +212,6 @@
             if not task.done
         ]
 
-    def _resume_trial(self, run):
-        """Go on with the trial of an adopted run that starts on trial only."""
-        worker_state = run.worker_state
-        if worker_state.trial is None and crashes.is_tried_each_time(run.task):
-            worker_state.trial = trials.Trial(run.task)
-
     def _note_running(self, run, asked_ms):
         """End the trial of a run, or clear its task, if it went on.
 
--- a/figtray/scheduling/worker_state.py
+++ b/figtray/scheduling/worker_state.py
@@ -43,6 +43,8 @@
             since the last report; None if the last one was answered.
         report_error: why the last request for a report failed; empty if it
             was answered.
+        all_listed_ms: local time of the last request that was answered by a
+            list of all runs; None if none was.
         gone: whether this incarnation has ended.
         cordon_reasons: why no task may start on it; empty if tasks may.
         cordon_reason: the same in one string.
@@ -52,8 +54,8 @@
         avoid_until_ms: local time until which no task is started on it.
         seen_end: number of the last end that was recorded.
         acknowledged: number of the last end that is stored.
-        sent_acknowledged: number of the last end that the worker was asked to
-            forget.
+        sent_acknowledged: number of the last end that the worker has
+            certainly forgotten.
         clock_ms: the worker's clock in its last report; None before that.
         clock_read_ms: local time at which that report arrived.
         lease_until_ms: latest end of the lease, on the worker's clock, that
@@ -88,6 +90,7 @@
         self.unresponsive = False
         self.silent_since_ms = None
         self.report_error = ''
+        self.all_listed_ms = None
         self.gone = False
         self.cordon_reasons = frozenset()
         self.cordon_reason = ''
@@ -146,6 +149,17 @@
         passed_ms = (now_ms - self.clock_read_ms) * leases.SLOWEST_CLOCK_RATE
         return self.clock_ms + int(passed_ms)
 
+    def next_acknowledged(self):
+        """Return the number of the last end that the worker may forget now.
+
+        It is 0 unless the last request was answered and the worker has ends
+        to forget: numbers begin anew in each incarnation, and a later one
+        under the same id would forget ends that nobody has seen.
+        """
+        if self.unresponsive or self.acknowledged <= self.sent_acknowledged:
+            return 0
+        return self.acknowledged
+
     def extend_lease(self, lease_until_ms):
         """Record that the worker may have been asked for a longer lease."""
         self.lease_until_ms = max(self.lease_until_ms, lease_until_ms)
