Refuse an empty page of the store that says more follow

What a reader of the store lacks it takes for absent, so a range that ends with such a page would hide keys: jobs, workers, progress. It was taken for the last page; it is an error now, like pages that do not end.

test_empty_page_hides_those_that_follow failed before the change.

--- a/figtray/platform/store.py
+++ b/figtray/platform/store.py
@@ -120,7 +120,7 @@
             revision = revision or page.as_of
             found = list(self._key_values(page.items))
             items += found
-            if not page.has_more or not page.items:
+            if not page.has_more:
                 return base.RangeResult(tuple(items), revision)
             if not found or found[-1].key <= after:
                 raise errors.StoreUnavailable(detail='its pages do not end')
--- a/figtray/platform/tests/test_store.py
+++ b/figtray/platform/tests/test_store.py
@@ -201,6 +201,12 @@
         with pytest.raises(errors.StoreUnavailable):
             canned.store.range('/w/')
 
+    # What a reader lacks it takes for absent.
+    def test_empty_page_hides_those_that_follow(self, canned):
+        canned.body = b'{"has_more":true,"items":[]}'
+        with pytest.raises(errors.StoreUnavailable):
+            canned.store.range('/w/')
+
 
 class TestHistory:
     # A watch from a compacted revision must fail, or it would miss changes
