Take a run for lost only by a report that lists all ends

Cause: a worker lists 500 ends at a time, but each report was taken for whole. The first one in a term released the tasks of earlier terms whose ends were not in it; within a term, runs that ended beyond a full list were taken for lost.

Change: Report.more_ends tells that a list of ends is full, and absence acts only on reports that list all runs. A worker with unread ends of earlier terms holds their tasks until the rest is read, the worker ends or its lease is over.

--- a/figtray/fleet/memory.py
+++ b/figtray/fleet/memory.py
@@ -211,6 +211,7 @@
                 for r in self.runs.values()
             ),
             tuple(self.ended[:MAX_REPORTED_ENDS]),
+            more_ends=len(self.ended) >= MAX_REPORTED_ENDS,
         )
 
 
--- a/figtray/fleet/messages.py
+++ b/figtray/fleet/messages.py
@@ -100,10 +100,11 @@
         born_ms: Unix time in ms of the start of the incarnation that reports.
         clock_ms: time of the worker's own clock.
         running: runs that are on the worker.
-        ended: runs whose ends were not acknowledged yet.
+        ended: runs whose ends were not acknowledged yet; see more_ends.
         unreadable: number of the rows of running that can't be read. Any run
             that is missing may be among them.
         last_end: highest number of an end, also of those that can't be read.
+        more_ends: whether later ends may follow once these are acknowledged.
     """
 
     born_ms: int
@@ -112,6 +113,12 @@
     ended: tuple[EndedRun, ...] = ()
     unreadable: int = 0
     last_end: int = 0
+    more_ends: bool = False
+
+    @property
+    def lists_all_runs(self):
+        """Whether a run that is missing is neither running nor has ended."""
+        return not self.unreadable and not self.more_ends
 
 
 @dataclasses.dataclass(frozen=True)
--- a/figtray/platform/tests/test_workers.py
+++ b/figtray/platform/tests/test_workers.py
@@ -73,6 +73,15 @@
         ]
         assert not rig.report(acknowledged=1).ended
 
+    # A worker that has more ends gives no sign of it but a full list.
+    @pytest.mark.parametrize('count', [499, 500, 501])
+    def test_full_list_of_ends_is_taken_for_all_of_them(self, rig, count):
+        for number in range(count):
+            rig.start(task=f'j.0.0.{number}')
+            rig.sim.end(f'j.0.0.{number}', messages.EndReason.DONE)
+        assert rig.report().more_ends == (count >= 500)
+        assert rig.report(acknowledged=500).lists_all_runs
+
     def test_start_of_a_stopped_run_is_refused(self, rig):
         rig.start(run=5)
         rig.client.stop(rig.worker, 'j.0.0.0', 5, 1, 5000)
--- a/figtray/platform/workers.py
+++ b/figtray/platform/workers.py
@@ -17,7 +17,9 @@
 
 INCARNATION_HEADER = 'X-Figtray-Expect-Instance'
 
-# A worker has fewer runs, and lists 500 ends at a time.
+# Ends that a worker lists at a time.
+ENDS_PER_REPORT = 500
+# A worker has fewer runs.
 MAX_ROWS = 10_000
 MAX_REPORT_BYTES = 4_000_000
 # Far longer ones would make a record too large for the store.
@@ -209,6 +211,7 @@
             tuple(sorted(ended, key=lambda end: end.number)),
             len(running) - len(known),
             last_end,
+            len(report.ended) >= ENDS_PER_REPORT,
         )
 
     def _read_run(self, worker, row):
--- a/figtray/scheduling/adoption.py
+++ b/figtray/scheduling/adoption.py
@@ -81,8 +81,9 @@
         else:
             placements = {
                 records.Placement(incarnation.worker_id, incarnation.born_ms)
-                for incarnation in self._unresolved
-                if now_ms < self._leases_end_ms(incarnation)
+                for incarnation in self._unresolved | self._with_unread_ends
+                if incarnation in self._with_unread_ends
+                or now_ms < self._leases_end_ms(incarnation)
             }
             taken = [t for t in step.waiting if t.placement in placements]
             left = [t for t in step.waiting if t.placement not in placements]
--- a/figtray/scheduling/reports.py
+++ b/figtray/scheduling/reports.py
@@ -72,8 +72,10 @@
                 return self._handle_other_incarnation(
                     worker_state, report, asked_ms
                 )
-            if not report.unreadable:
+            if report.lists_all_runs:
                 worker_state.all_listed_ms = asked_ms
+            # Before its first report resolves anything.
+            self._note_unread_ends(worker_state, report.more_ends)
             if self._note_answer(worker_state, report, now_ms):
                 for earlier in self._find_earlier(worker_state):
                     self._hand_over_listed(earlier, worker_state, report)
@@ -107,7 +109,7 @@
                     worker_state.seen_end, report.last_end
                 )
             self._check_tracked(
-                worker_state, reported, asked_ms, not report.unreadable
+                worker_state, reported, asked_ms, report.lists_all_runs
             )
             worker_state.stray_runs = self._stray_runs(
                 worker_state, reported - ended, report.unreadable
@@ -142,7 +144,7 @@
             self._end_incarnation(worker_state, end)
             return 0
         later.clock_ms = report.clock_ms
-        if not report.unreadable:
+        if report.lists_all_runs:
             later.all_listed_ms = asked_ms
         self._hand_over_listed(worker_state, later, report)
         self._end_incarnation(worker_state, end, later)
@@ -154,6 +156,17 @@
             decoding.unreadable('ended', 'its number is out of range'),
         )
 
+    def _note_unread_ends(self, worker_state, more_ends):
+        """Record whether ends of earlier terms may be unread on a worker.
+
+        That is so from a first report with more ends than it lists until
+        they have been read, or the worker or its lease has ended.
+        """
+        if more_ends and self._is_adopting(self._clock.now_ms()):
+            self._with_unread_ends.add(worker_state.worker.incarnation)
+        elif not more_ends:
+            self._end_unread(worker_state.worker.incarnation)
+
     def _may_hide_earlier_runs(self, worker_state):
         """Return whether a worker may have runs of earlier terms, unread.
 
@@ -199,7 +212,7 @@
             if worker_state.silent_since_ms is None:
                 worker_state.silent_since_ms = self._clock.now_ms()
                 self._end_followed()
-            if worker_state.gone or not worker_state.runs:
+            if worker_state.gone:
                 return
             if worker_state.refused_connections:
                 self._record_suspects(worker_state)
@@ -208,6 +221,9 @@
                 leases.SLOWEST_CLOCK_RATE,
                 leases.LEASE_MARGIN_MS,
             ):
+                self._note_unread_ends(worker_state, False)
+                if not worker_state.runs:
+                    return
                 for run in list(worker_state.runs.values()):
                     self._mark_lost(run, 'the lease of its worker has expired')
                 worker_state.avoid_until_ms = (
--- a/figtray/scheduling/scheduler_base.py
+++ b/figtray/scheduling/scheduler_base.py
@@ -88,6 +88,9 @@
         self._work_meter = arrivals.WorkMeter()
         # Incarnations of earlier terms whose runs are not known yet.
         self._unresolved = set()
+        # Incarnations that have reported to this leader, with ends of earlier
+        # terms left that they have not listed yet.
+        self._with_unread_ends = set()
         # Whether no other incarnation may run tasks of earlier terms.
         self._is_roster_complete = True
         self._adoption_until_ms = 0
@@ -279,6 +282,8 @@
 
     def _is_adopting(self, now_ms):
         """Return whether runs of earlier terms may still be unknown."""
+        if self._with_unread_ends:
+            return True
         if not self._is_roster_complete and now_ms < self._adoption_until_ms:
             return True
         return any(
--- a/figtray/scheduling/worker_ends.py
+++ b/figtray/scheduling/worker_ends.py
@@ -51,6 +51,7 @@
             self._clock.now_ms() + scheduler_base.ENDED_INCARNATION_TTL_MS
         )
         self._resolve_incarnation(worker.incarnation, end.reason, end.kind)
+        self._end_unread(worker.incarnation)
         worker_state.orders.put(None)
         worker_state.wake.set()
 
@@ -72,12 +73,26 @@
             reason=reason,
             left=len(self._unresolved),
         )
-        if not self._unresolved and self._is_roster_complete:
-            self._awaited_log.log_all_accounted()
-            self._record_takeover(metrics.TakeoverPhase.ACCOUNTED)
+        self._note_if_accounted()
         if kind in (ends.Kind.CRASHED, ends.Kind.UNKNOWN):
             self._suspect_placed(incarnation, kind)
 
+    def _end_unread(self, incarnation):
+        """Record that no ends of earlier terms are unread there."""
+        if incarnation in self._with_unread_ends:
+            self._with_unread_ends.discard(incarnation)
+            self._note_if_accounted()
+
+    def _note_if_accounted(self):
+        """Log and measure that no runs of earlier terms are awaited."""
+        if (
+            not self._unresolved
+            and not self._with_unread_ends
+            and self._is_roster_complete
+        ):
+            self._awaited_log.log_all_accounted()
+            self._record_takeover(metrics.TakeoverPhase.ACCOUNTED)
+
     def _end_followed(self):
         """End the incarnations that a later one has followed.
 
