Never give up a job with tasks that last

Cause: five crashes of its workers within 10 s of a start, on trial or not, are enough to take a task for their cause, and a worker that flaps gives them. The job ended with all its runs.

Ruled out: the count of crashes is wrong. It is right; no count tells a flapping worker from a deadly task that only one worker may run.

Change: a guilty task of such a job pauses for 4 s after each crash and starts on trial only; its job goes on (1730). The record of crashes keeps the last 20 runs.

--- a/figtray/events/catalogue/scheduling.py
+++ b/figtray/events/catalogue/scheduling.py
@@ -191,3 +191,11 @@
     'there if its start was not confirmed.',
     ('task', 'run', 'worker', 'earlier_born_ms', 'born_ms', 'reason'),
 )
+TASK_PAUSED = base.Event(
+    1730,
+    logbook.WARNING,
+    'A task has crashed workers again and again, but its job has tasks that '
+    'last, and goes on; the task starts on trial only, and pauses after each '
+    'crash. 1724 names each crash.',
+    ('job_id', 'task', 'crashes', 'alone', 'pause_ms'),
+)
--- a/figtray/jobs/records.py
+++ b/figtray/jobs/records.py
@@ -63,15 +63,20 @@
     born_ms: int
 
 
+# Runs that a record of crashes names; a task that is never given up may have
+# any number.
+MAX_CRASHED_RUNS = 20
+
+
 class Crashes(msgspec.Struct, frozen=True, array_like=True):
     """Crashes of workers that a task may have caused.
 
     Attributes:
-        runs: numbers of the runs that are suspected of a crash.
+        runs: numbers of the last runs that are suspected of a crash.
         alone: how many of them were on trial, on a worker of their own, and
             soon after the start.
-        late: numbers of the runs that had gone on for a while when their
-            workers crashed; such a run may be in runs as well.
+        late: numbers of the last runs that had gone on for a while when
+            their workers crashed; such a run may be in runs as well.
         longest_ms: longest time for which one of all these runs had gone on.
     """
 
@@ -94,13 +99,15 @@
         """
         if number in self.runs:
             return self
+        runs = (*self.runs, number)[-MAX_CRASHED_RUNS:]
         return msgspec.structs.replace(
-            self, runs=(*self.runs, number), alone=self.alone + alone
+            self, runs=runs, alone=self.alone + alone
         )
 
     def add_late(self, number):
         """Return the Crashes with one more late run."""
-        return msgspec.structs.replace(self, late=(*self.late, number))
+        late = (*self.late, number)[-MAX_CRASHED_RUNS:]
+        return msgspec.structs.replace(self, late=late)
 
     def note_age(self, age_ms):
         """Return the Crashes with the time for which a run had gone on."""
--- a/figtray/scheduling/crashes.py
+++ b/figtray/scheduling/crashes.py
@@ -2,7 +2,9 @@
 
 A crash makes the tasks that had just started on the worker suspects. Each is
 tried on a worker where nothing else starts meanwhile, so a further crash is
-its own doing. Only such crashes show that a task is guilty.
+its own doing. Only such crashes show that a task is guilty. Its job is given
+up, unless it has tasks that last: those run until the job is cancelled, so the
+guilty task pauses after each crash.
 """
 
 from figtray.events import catalogue
@@ -34,6 +36,9 @@
 # crash by itself during a trial. After a change of the leader it may be
 # unknown that a crash was on trial.
 CRASHES_TO_GIVE_UP = {0: 5, 1: 4, 2: 3}
+# Least time between a crash and the next start of a task that would be given
+# up, but whose job has tasks that last.
+GUILTY_PAUSE_MS = 4000
 # A task that is suspected of this many crashes starts on trial only.
 CRASHES_TO_REQUIRE_TRIAL = 3
 # So does a suspect with this many crashes if the late ones are included.
@@ -108,6 +113,20 @@
     return early >= CRASHES_TO_GIVE_UP[alone]
 
 
+def is_paused(task, now_ms):
+    """Return whether a task waits as it has certainly crashed its workers.
+
+    Args:
+        task: the TaskState.
+        now_ms: local time.
+    """
+    return (
+        is_guilty(task)
+        and task.step.job.lasts
+        and now_ms - task.ready_ms < GUILTY_PAUSE_MS
+    )
+
+
 def is_suspect(task):
     """Return whether a task may have crashed workers."""
     crashes = task.crashes
--- a/figtray/scheduling/job_lifecycle.py
+++ b/figtray/scheduling/job_lifecycle.py
@@ -317,10 +317,24 @@
                     self._give_up_if_guilty(task)
 
     def _give_up_if_guilty(self, task):
-        """Fail the job of a task that certainly crashes its workers."""
+        """Fail the job of a task that certainly crashes its workers.
+
+        A job with tasks that last goes on: its tasks on other workers would
+        end with it, more of them than may be away.
+        """
         job = task.step.job
         if job.ended or task.done or not crashes.is_guilty(task):
             return
+        if job.lasts:
+            log.emit(
+                catalogue.TASK_PAUSED,
+                job_id=job.job_id,
+                task=task.name,
+                crashes=task.crashes.count,
+                alone=task.crashes.alone,
+                pause_ms=crashes.GUILTY_PAUSE_MS,
+            )
+            return
         log.emit(
             catalogue.TASK_GIVEN_UP,
             job_id=job.job_id,
--- a/figtray/scheduling/planner.py
+++ b/figtray/scheduling/planner.py
@@ -200,7 +200,9 @@
 
     def _start_suspect(self, task, worker_states, team, now_ms):
         """Start a suspect if it can start; return whether it does."""
-        if not self._quota.allows(team, task.step.spec.needs):
+        if crashes.is_paused(task, now_ms) or not self._quota.allows(
+            team, task.step.spec.needs
+        ):
             self._release_reserved(task, worker_states)
             return False
         # This also asks for advice on the workers that lack it.
--- a/figtray/scheduling/starts.py
+++ b/figtray/scheduling/starts.py
@@ -25,6 +25,8 @@
             team, step.spec.needs.times(step.spec.count)
         ):
             return state.HeldReason.TEAM_LIMIT
+        if any(crashes.is_paused(task, now_ms) for task in step.tasks):
+            return state.HeldReason.TRIAL
         suspect = trials.most_suspected(step.tasks, now_ms)
         trial_worker = None
         if suspect is not None:
--- a/figtray/scheduling/state.py
+++ b/figtray/scheduling/state.py
@@ -236,6 +236,11 @@
         """Whether it will start no more tasks."""
         return self.state.ended or self.cancelled
 
+    @property
+    def lasts(self):
+        """Whether it has tasks that run until it is cancelled."""
+        return any(step.lasting for step in self.spec.steps)
+
     def runs(self):
         """Yield the runs of all its tasks."""
         for occurrence in self.occurrences.values():
--- a/figtray/scheduling/tests/deadly.py
+++ b/figtray/scheduling/tests/deadly.py
@@ -2,6 +2,7 @@
 
 import collections
 import dataclasses
+import itertools
 
 from figtray.fleet import memory as fleet_memory
 from figtray.fleet import messages
@@ -83,6 +84,11 @@
             if self.crashes[task] > before:
                 return
 
+    def pauses_ms(self, task):
+        """Return the times between the crashes of a task."""
+        times_ms = self.crashed_ms[task]
+        return [b - a for a, b in itertools.pairwise(times_ms)]
+
     def wait_until_back(self):
         """Let time pass without a leader until all workers are back."""
         self.fleet.clock.advance(BACK_MS)
--- a/figtray/scheduling/trials.py
+++ b/figtray/scheduling/trials.py
@@ -99,6 +99,7 @@
             # The planner puts the suspects of a step first.
             for task in itertools.takewhile(crashes.is_suspect, step.waiting)
             if now_ms - task.ready_ms >= MAX_TURN_WAIT_MS
+            and not crashes.is_paused(task, now_ms)
             and crashes.is_trial_needed(task, now_ms)
             and self._quota.allows(
                 self._cfg.teams.get(step.job.spec.team), step.spec.needs
