Let a large response of the store arrive over a narrow link

Cause: a read of a prefix and a watch had a fixed limit for the whole call, 1,200 ms and 800 ms more than the wait, and a failed one was begun anew with the same limit.

Config 14 (1,400 routes more) is written at 36.0 s; 200 for op/ (timed out) at 37.4 s on 30 of 38 nodes, no 201; from then on edge-kirtipur-7, -lalitpur-7, -bhaktapur-5 and -9 receive 400 to 640 KB each second to the end; 1500 at 83.5 s there: 503, the configuration may be outdated, proof_age_ms 48,861; their readiness fails from 39 s on. Ruled out: the sum of a request's store calls (these nodes answer within 1 ms), a silent connection, too few threads, planned work (none in the log).

Change: once a response of unbounded size arrives, it may go on until nothing has come for 1,200 ms, and for 20 s at most. Calls for callers keep their limit.

--- a/figtray/connections.py
+++ b/figtray/connections.py
@@ -98,6 +98,8 @@
     def __init__(self, sock, clock):
         self._sock = sock
         self._clock = clock
+        self._stall_ms = 0
+        self._latest_ms = None
         # The connection and each response file hold a reference: when a
         # response ends the connection, http.client closes the connection
         # before the body is read through the response file.
@@ -114,9 +116,22 @@
             self.sent_bytes += count
             view = view[count:]
 
+    def set_limits(self, deadline_ms, stall_ms, latest_ms):
+        """Set the time limits of a request; see Connection.begin_request()."""
+        self.deadline_ms = deadline_ms
+        self._stall_ms = stall_ms
+        self._latest_ms = latest_ms
+
     def receive_into(self, buffer):
         self._set_timeout()
-        return self._sock.recv_into(buffer)
+        count = self._sock.recv_into(buffer)
+        if count and self._stall_ms:
+            # A large response on a narrow link arrives, only slowly.
+            until_ms = self._clock.now_ms() + self._stall_ms
+            self.deadline_ms = max(
+                self.deadline_ms, min(until_ms, self._latest_ms)
+            )
+        return count
 
     def makefile(self, mode):
         self._references += 1
@@ -194,13 +209,16 @@
         """Bytes of the current request that the kernel has accepted."""
         return self._deadline_socket.sent_bytes if self._deadline_socket else 0
 
-    def begin_request(self, deadline_ms):
+    def begin_request(self, deadline_ms, stall_ms=0, latest_ms=None):
         """Set the deadline of the next request and reset `sent_bytes`.
 
         Args:
             deadline_ms: local time in milliseconds; None = no deadline.
+            stall_ms: time by which each part of the response that arrives
+                extends the deadline; 0 = it does not.
+            latest_ms: local time beyond which it is not extended.
         """
-        self._deadline_socket.deadline_ms = deadline_ms
+        self._deadline_socket.set_limits(deadline_ms, stall_ms, latest_ms)
         self._deadline_socket.sent_bytes = 0
 
     def peek(self):
--- a/figtray/platform/http_client.py
+++ b/figtray/platform/http_client.py
@@ -10,6 +10,8 @@
 MAX_IDLE_CONNECTIONS = 8
 # Servers close idle connections; one that was idle for longer is not reused.
 MAX_IDLE_MS = 10_000
+# Longest time of a call whose response keeps arriving.
+MAX_TRANSFER_MS = 20_000
 
 # An odd address or header raises ValueError, UnicodeError or InvalidURL.
 _CALL_ERRORS = (OSError, http.client.HTTPException, ValueError)
@@ -38,7 +40,9 @@
         self._idle = []
         self._closed = False
 
-    def call(self, method, path, timeout_ms, body=None, headers=()):
+    def call(
+        self, method, path, timeout_ms, body=None, headers=(), stall_ms=0
+    ):
         """Make one call.
 
         Args:
@@ -47,6 +51,9 @@
             timeout_ms: longest time of the whole call in milliseconds.
             body: JSON bytes, or None.
             headers: mapping or pairs of additional headers.
+            stall_ms: once the response arrives, the call goes on until none
+                of it has come for so long, and MAX_TRANSFER_MS at most; 0 =
+                timeout_ms is the limit of the whole call.
 
         Returns:
             A Reply, whatever its status is.
@@ -55,8 +62,10 @@
             CallNotSent: the call did not reach the service.
             ReplyLost: the call may have been executed.
         """
-        deadline_ms = self._clock.now_ms() + timeout_ms
+        began_ms = self._clock.now_ms()
+        deadline_ms = began_ms + timeout_ms
         conn = self._acquire(deadline_ms)
+        conn.begin_request(deadline_ms, stall_ms, began_ms + MAX_TRANSFER_MS)
         all_headers = dict(headers)
         if body is not None:
             all_headers['Content-Type'] = 'application/json'
@@ -104,7 +113,6 @@
             if now_ms - idle_since_ms > MAX_IDLE_MS or conn.peek() is not None:
                 conn.close()
                 continue
-            conn.begin_request(deadline_ms)
             return conn
         try:
             conn = connections.Connection(self.address, self._clock)
--- a/figtray/platform/store.py
+++ b/figtray/platform/store.py
@@ -14,6 +14,10 @@
 
 CALL_TIMEOUT_MS = 1200
 WATCH_TIMEOUT_MARGIN_MS = 800
+# Longest pause in a response whose size has no bound of ours: all keys of a
+# prefix, or all changes below it. A configuration of 1 MB takes a link of
+# 5 Mbit/s over 2 s.
+STALL_MS = 1200
 MAX_TXN_ENTRIES = 32
 # A read whose connection breaks within this time is retried once.
 READ_RETRY_WINDOW_MS = 300
@@ -113,7 +117,7 @@
             if after:
                 query['after'] = after
             path = f'/api/kv-range?{urllib.parse.urlencode(query)}'
-            _, body = self._read(path)
+            _, body = self._read(path, stall_ms=STALL_MS)
             page = _decode(_page_decoder, body)
             # The pages are not one snapshot: a watch from the revision of
             # the first page yields what changed while the others were read.
@@ -208,6 +212,7 @@
                 'GET',
                 f'/api/kv-watch?{query}',
                 wait_ms + WATCH_TIMEOUT_MARGIN_MS,
+                stall_ms=STALL_MS,
             )
         except (errors.CallNotSent, errors.ReplyLost) as exc:
             raise errors.StoreUnavailable(detail=str(exc)) from exc
@@ -238,16 +243,17 @@
             if key:
                 yield base.KeyValue(key, b'', 0)
 
-    def _read(self, path, timeout_ms=None):
+    def _read(self, path, timeout_ms=None, stall_ms=0):
         """Send a GET; retry once if the connection breaks early."""
         began_ms = self.clock.now_ms()
+        limits = {'timeout_ms': timeout_ms, 'stall_ms': stall_ms}
         try:
-            return self._request('GET', path, timeout_ms=timeout_ms)
+            return self._request('GET', path, **limits)
         except errors.WriteUncertain as exc:
             if self.clock.now_ms() - began_ms > READ_RETRY_WINDOW_MS:
                 raise errors.StoreUnavailable(detail=str(exc)) from exc
         try:
-            return self._request('GET', path, timeout_ms=timeout_ms)
+            return self._request('GET', path, **limits)
         except errors.WriteUncertain as exc:
             raise errors.StoreUnavailable(detail=str(exc)) from exc
 
@@ -255,7 +261,7 @@
         data = msgspec.json.encode(body) if body is not None else None
         return self._request('POST', path, data, timeout_ms)
 
-    def _request(self, method, path, body=None, timeout_ms=None):
+    def _request(self, method, path, body=None, timeout_ms=None, stall_ms=0):
         """Send one request.
 
         Raises:
@@ -266,7 +272,9 @@
         """
         limit_ms = min(timeout_ms or self._call_ms, self._call_ms)
         try:
-            reply = self._client.call(method, path, limit_ms, body)
+            reply = self._client.call(
+                method, path, limit_ms, body, stall_ms=stall_ms
+            )
         except errors.CallNotSent as exc:
             raise errors.StoreUnavailable(detail=str(exc)) from exc
         except errors.ReplyLost as exc:
