Answer 503, not 404, for a queue that an outdated view lacks

Cause: the age of the view was looked at only for keyed calls, after the queue had been found. A queue that an old configuration lacks may exist by now, so 404 is not known to be true; a caller gives up on it, where it goes elsewhere with a 503.

test_queue_that_an_outdated_view_lacks_is_unknown failed before the change.

--- a/figtray/platform/job_api.py
+++ b/figtray/platform/job_api.py
@@ -165,7 +165,8 @@
         """Return the Queue and the rest of the path, which is the job id.
 
         Raises:
-            _RequestError: there is no configuration, or no such queue.
+            _RequestError: there is no configuration, no such queue, or an
+                outdated configuration lacks the queue.
         """
         if cfg is None:
             raise _RequestError(503, 'no configuration yet')
@@ -173,6 +174,7 @@
         path = environ['PATH_INFO']
         queue = cfg.find_queue(host, path)
         if queue is None:
+            self._check_view_is_fresh()
             raise _RequestError(404, 'no such queue')
         return queue, path[len(queue.prefix) :]
 
@@ -191,12 +193,15 @@
         if queue.open:
             return team or ''
         # The key may have been withdrawn since the view was confirmed.
-        if not self._view.is_fresh():
-            raise _RequestError(503, 'the configuration may be outdated')
+        self._check_view_is_fresh()
         if team is None:
             raise _RequestError(401, 'unknown key')
         return team
 
+    def _check_view_is_fresh(self):
+        if not self._view.is_fresh():
+            raise _RequestError(503, 'the configuration may be outdated')
+
     def _dispatch(self, method, queue, job_id, team, environ):
         """Return the status, the body and the reason that is logged."""
         if not job_id and method == 'GET':
--- a/figtray/platform/tests/test_job_api.py
+++ b/figtray/platform/tests/test_job_api.py
@@ -111,6 +111,13 @@
     def test_unknown_queue(self, deployment, path, host):
         assert deployment.status('POST', path, JOB, host=host) == 404
 
+    # A node that does not see new configurations told callers for the rest of
+    # the day that their queue does not exist.
+    def test_queue_that_an_outdated_view_lacks_is_unknown(self, deployment):
+        deployment.clock.advance(3501)
+        status, _, headers = deployment.call('POST', f'/none/{ID}', JOB)
+        assert (status, headers['Retry-After']) == (503, '1')
+
 
 class TestKeys:
     def test_unknown_key(self, deployment):
