End the term of a leader that does not see what callers submit

Nobody looked at the age of that view: it was no metric, no log line and no reason to end the term.

Change: the watch begins at the revision of the takeover's read, so nothing is read twice. After an answer that took long, the next watch waits 300 ms at most, so that the view is soon current.

--- a/figtray/events/catalogue/leadership.py
+++ b/figtray/events/catalogue/leadership.py
@@ -95,3 +95,11 @@
     'view of its key was last confirmed.',
     ('leader', 'unconfirmed_ms'),
 )
+INTAKE_OUTDATED = base.Event(
+    1611,
+    logbook.WARNING,
+    'The leader keeps its term, but has not seen for age_ms which jobs and '
+    'cancellations callers submit; it ends the term, so that another node '
+    'can take over.',
+    ('epoch', 'age_ms'),
+)
--- a/figtray/events/catalogue/process.py
+++ b/figtray/events/catalogue/process.py
@@ -93,6 +93,13 @@
 WRITES_SUCCEED = base.Event(
     207, logbook.NOTICE, 'The leader can write its records to the store again.'
 )
+VIEW_OUTDATED = base.Event(
+    208,
+    logbook.WARNING,
+    'What is known below the prefix is still outdated; staleness_ms tells '
+    'since when. It is logged each 10 s while reading fails.',
+    ('prefix', 'staleness_ms', 'detail'),
+)
 
 CONFIG_APPLIED = base.Event(
     302,
--- a/figtray/metrics.py
+++ b/figtray/metrics.py
@@ -124,6 +124,14 @@
             '1',
             'Always 1; the labels name the code of the process.',
         )
+        self._view_ages = {}
+        self._meter.create_observable_gauge(
+            'figtray_view_age',
+            [self._observe_view_ages],
+            'ms',
+            'Time since what is known below a prefix of the store was last '
+            'confirmed.',
+        )
         self._waits = None
         self._waits_gauge(
             'awaited_incarnations',
@@ -225,6 +233,28 @@
         """Remove the series on waits, as this process no longer leads."""
         self._waits = None
 
+    def observe_view_age(self, prefix, read_age_ms):
+        """Show the age of a view of the store from now on.
+
+        Args:
+            prefix: prefix of the keys in the view.
+            read_age_ms: returns the age in milliseconds, or None if the view
+                was never read; None ends the series.
+        """
+        with self._lock:
+            self._view_ages.pop(prefix, None)
+            if read_age_ms is not None:
+                self._view_ages[prefix] = read_age_ms
+
+    def _observe_view_ages(self, _):
+        with self._lock:
+            ages = list(self._view_ages.items())
+        return [
+            api.Observation(age_ms, {'prefix': prefix})
+            for prefix, read_age_ms in ages
+            if (age_ms := read_age_ms()) is not None
+        ]
+
     def count_store_call(self, kind, outcome):
         """Count one call to the store.
 
--- a/figtray/platform/main.py
+++ b/figtray/platform/main.py
@@ -134,6 +134,9 @@
         self._view = views.OperatorView(
             self._store, self._clock, max_staleness_ms(bounds)
         )
+        self._metrics.observe_view_age(
+            documents.OPERATOR_PREFIX, self._view.staleness_ms
+        )
         self._stopping = threading.Event()
         self._ended = threading.Event()
         self._worker_client = workers.PlatformWorkers(self._clock)
--- a/figtray/scheduling/service.py
+++ b/figtray/scheduling/service.py
@@ -8,6 +8,7 @@
 from figtray.events import unreadable
 from figtray.jobs import records
 from figtray.leadership import term as terms
+from figtray.scheduling import intake_view
 from figtray.scheduling import lease_horizon
 from figtray.scheduling import leases
 from figtray.scheduling import pacer as pacers
@@ -17,7 +18,6 @@
 from figtray.scheduling import session
 from figtray.scheduling import stored_records
 from figtray.scheduling import writer as writers
-from figtray.store import prefix_watcher
 
 # Changes within this time are planned together.
 PLAN_DELAY_MS = 12
@@ -100,8 +100,11 @@
             service.view.is_fresh,
             service.metrics,
         )
-        self._intake_reader = stored_records.IntakeReader(
-            self._scheduler, service.unreadable
+        self._intake = intake_view.IntakeView(
+            self._store,
+            self._clock,
+            term,
+            stored_records.IntakeReader(self._scheduler, service.unreadable),
         )
         # Otherwise the planner sleeps on, and the leader keeps its key.
         term.on_end = lambda: self._scheduler.changed.set()
@@ -130,15 +133,13 @@
             return
         self._scheduler.set_loaded()
         self._view.subscribe(self._scheduler.changed.set)
-        intake_watcher = prefix_watcher.PrefixWatcher(
-            self._store,
-            records.INTAKE_PREFIX,
-            self._clock,
-            self._intake_reader.add,
-            self._intake_reader.handle_change,
-        )
+        if self._service.metrics is not None:
+            self._service.metrics.observe_view_age(
+                records.INTAKE_PREFIX, self._intake.age_ms
+            )
         threads = [
-            (lambda: intake_watcher.run(self._term.ended), 'intake watch'),
+            (self._intake.run, 'intake watch'),
+            (self._intake.run_checks, 'intake age'),
             (self._poll_workers, 'worker list'),
             (self._publish_counts, 'counts'),
             (self._remove_expired, 'retention'),
@@ -152,6 +153,10 @@
             self._plan()
         finally:
             self._view.unsubscribe(self._scheduler.changed.set)
+            if self._service.metrics is not None:
+                self._service.metrics.observe_view_age(
+                    records.INTAKE_PREFIX, None
+                )
             self._term.end('the planner ended')
             for worker_session in self._sessions.values():
                 worker_session.close()
@@ -201,13 +206,12 @@
         if waiting is not None:
             self._writer.set_revision(waiting.key, waiting.mod_revision)
         roster = self._load_roster()
-        intake = self._store.range(records.INTAKE_PREFIX)
-        self._intake_reader.add(intake.items, progress)
+        count = self._intake.load(progress)
         self._update_workers()
         log.emit(
             catalogue.TAKEN_OVER,
             epoch=self._term.epoch,
-            jobs=len(intake.items),
+            jobs=count,
             workers=len(self._sessions),
             roster=len(roster.lives),
             duration_ms=self._clock.now_ms() - began_ms,
--- a/figtray/scheduling/tests/test_odd_records.py
+++ b/figtray/scheduling/tests/test_odd_records.py
@@ -59,7 +59,7 @@
 
     def read_intake(self):
         """Apply a full read of the watch of the intake."""
-        self.leader._intake_reader.add(
+        self.leader._intake.reader.add(
             self.fleet.store.range(records.INTAKE_PREFIX).items
         )
 
--- a/figtray/store/prefix_watcher.py
+++ b/figtray/store/prefix_watcher.py
@@ -14,6 +14,11 @@
 # Longest wait of the first watch after a failure. A long one that is sent
 # while the store is still away would hide its return until it times out.
 CONFIRM_WAIT_MS = 300
+# A view that was confirmed longer ago than this by the time of an answer, as
+# that was large, is confirmed again by a short wait.
+SLOW_ANSWER_MS = 2000
+# While a view fails to be confirmed, its age is logged this often.
+OUTDATED_LOG_INTERVAL_MS = 10_000
 
 
 class PrefixWatcher:
@@ -51,6 +56,7 @@
         self._wait_ms = wait_ms
         self._confirmed_ms = None
         self._failing_since_ms = None
+        self._outdated_logged_ms = None
         self._unreadable = unreadable.UnreadableLog(clock)
         self.loaded = threading.Event()
 
@@ -63,9 +69,17 @@
             else self._clock.now_ms() - confirmed_ms
         )
 
-    def run(self, stop):
-        """Watch the prefix in this thread until a threading.Event is set."""
-        revision = None
+    def run(self, stop, revision=None, requested_ms=None):
+        """Watch the prefix in this thread until a threading.Event is set.
+
+        Args:
+            stop: the threading.Event.
+            revision: that of a full read which the view holds already; None
+                reads the prefix first.
+            requested_ms: local time before that read was requested.
+        """
+        if revision is not None:
+            self._confirm(requested_ms)
         while not stop.is_set():
             try:
                 if revision is None:
@@ -110,9 +124,15 @@
     def _watch_changes(self, revision, stop):
         """Yield the revision of each change, after it is reported.
 
-        After a failure, returns as soon as the store has answered once.
+        After a failure, or an answer that took long, returns as soon as the
+        store has answered once.
         """
-        recovering = self._failing_since_ms is not None
+        staleness_ms = self.staleness_ms()
+        recovering = (
+            self._failing_since_ms is not None
+            or staleness_ms is not None
+            and staleness_ms > SLOW_ANSWER_MS
+        )
         wait_ms = self._wait_ms
         if recovering:
             wait_ms = min(wait_ms, CONFIRM_WAIT_MS)
@@ -121,7 +141,7 @@
         for item in watch:
             if item is None:
                 self._confirm(requested_ms)
-                if recovering:
+                if recovering or self.staleness_ms() > SLOW_ANSWER_MS:
                     return
                 requested_ms = self._clock.now_ms()
                 continue
@@ -141,10 +161,19 @@
             self._failing_since_ms = None
 
     def _report_failure(self, exc):
+        now_ms = self._clock.now_ms()
         if self._failing_since_ms is None:
-            self._failing_since_ms = self._clock.now_ms()
+            self._failing_since_ms = self._outdated_logged_ms = now_ms
             log.emit(
                 catalogue.STORE_UNAVAILABLE,
                 prefix=self._prefix,
                 detail=str(exc),
             )
+        elif now_ms - self._outdated_logged_ms >= OUTDATED_LOG_INTERVAL_MS:
+            self._outdated_logged_ms = now_ms
+            log.emit(
+                catalogue.VIEW_OUTDATED,
+                prefix=self._prefix,
+                staleness_ms=self.staleness_ms(),
+                detail=str(exc),
+            )
--- a/figtray/store/tests/test_prefix_watcher.py
+++ b/figtray/store/tests/test_prefix_watcher.py
@@ -205,6 +205,20 @@
         short = store.waits_ms[2:]
         assert all(0 < ms <= self.SHORT_MS for ms in short), short
 
+    # The view is old as a large change arrives, and got older by a whole wait.
+    def test_watch_after_a_slow_answer_waits_long(self, clock):
+        class Store(ScriptedStore):
+            def watch(self, *args, **kwargs):
+                for item in super().watch(*args, **kwargs):
+                    if len(self.waits_ms) == 2:
+                        clock.advance(prefix_watcher.SLOW_ANSWER_MS + 1)
+                    yield item
+
+        store = Store(clock, [()] * 4)
+        self.run_watcher(store, clock)
+        assert 0 < store.waits_ms[2] <= self.SHORT_MS, store.waits_ms
+        assert store.waits_ms[3:] == [self.WAIT_MS] * 2
+
     # Short waits cost calls.
     @pytest.mark.parametrize(
         'items', [(), (base.KeyValue('/w/a', b'', 2),)], ids=['none', 'one']
