Let tasks that last wait for a trial for 3 s at most

Cause: from the third crash on, a task started on trial only, however long it waited, and one trial keeps its worker free of other starts for 5 to 10 s. The waits of tasks that share few workers add up.

Change: a lasting task that no crash on trial speaks against starts without one after 3 s, also beside a trial that has gone on for 3 s. Jobs with such tasks are not given up, so their crashes need no proof.

The tests of deadly tasks and both state machines pass.

--- a/figtray/scheduling/crashes.py
+++ b/figtray/scheduling/crashes.py
@@ -43,6 +43,10 @@
 CRASHES_TO_REQUIRE_TRIAL = 3
 # So does a suspect with this many crashes if the late ones are included.
 ALL_CRASHES_TO_REQUIRE_TRIAL = 4
+# A lasting task starts without a trial after this wait, unless a crash soon
+# after its start on trial speaks against it: the trials of many tasks on few
+# workers would take long one after another.
+MAX_LASTING_TRIAL_WAIT_MS = 3000
 # A suspect with fewer crashes starts without a trial after this wait.
 MAX_TRIAL_WAIT_MS = 1500
 # After this one, it also starts on a worker where another suspect has just
@@ -141,12 +145,27 @@
         now_ms: local time.
     """
     if is_tried_each_time(task):
-        return True
+        return not has_awaited_trial(task, now_ms)
     return is_suspect(task) and now_ms - task.ready_ms < MAX_TRIAL_WAIT_MS
 
 
+def has_awaited_trial(task, now_ms):
+    """Return whether a lasting task has awaited a trial for long enough.
+
+    Args:
+        task: the TaskState.
+        now_ms: local time.
+    """
+    return (
+        task.step.spec.lasting
+        and is_tried_each_time(task)
+        and not task.crashes.alone
+        and now_ms - task.ready_ms >= MAX_LASTING_TRIAL_WAIT_MS
+    )
+
+
 def is_tried_each_time(task):
-    """Return whether a task starts on trial only, however long it waits."""
+    """Return whether a task has enough crashes to start on trial only."""
     return (
         task.crashes.count >= CRASHES_TO_REQUIRE_TRIAL
         or _count_all(task.crashes) >= ALL_CRASHES_TO_REQUIRE_TRIAL
--- a/figtray/scheduling/tests/test_trials.py
+++ b/figtray/scheduling/tests/test_trials.py
@@ -22,6 +22,35 @@
     site.play(leader, 4000)
 
 
+class TestTasksOfAFlappingWorker:
+    # Time from the return of the worker to calm, and until each of its tasks
+    # has to run.
+    CALM_MS = 3000 + 4000
+    MISSING_MS = 3000
+
+    # Their trials, on the only worker that they may use, came one after
+    # another, so that the last of them waited for 50 s.
+    @pytest.mark.parametrize('crashes', range(1, 9))
+    def test_lasting_tasks_wait_for_the_trials_of_one_another(self, crashes):
+        fleet = harness.Fleet(workers=1)
+        leader = fleet.elect_leader()
+        leader.report_all()
+        site = deadly.Site(fleet, run_ms=None)
+        site.keeps_ids = True
+        _, tasks = deadly.submit(fleet, 6, cpu_milli=1000, lasting=True)
+        site.lasting = tasks
+        for _ in range(crashes):
+            site.play(leader, 5000)
+            site.crash(0)
+            site.play(leader, deadly.BACK_MS)
+        site.play(leader, self.CALM_MS)
+        missing = set(tasks)
+        for _ in range(self.MISSING_MS // takeovers.CYCLE_MS):
+            site.play(leader, takeovers.CYCLE_MS)
+            missing -= set(takeovers.running(fleet))
+        assert not missing
+
+
 class TestTrialWorker:
     # The worker with the fewest runs was awaited, however full it was.
     def test_trial_awaits_a_full_worker_though_another_has_room(self):
--- a/figtray/scheduling/trials.py
+++ b/figtray/scheduling/trials.py
@@ -42,21 +42,41 @@
     """Chooses the workers of tasks on trial, and keeps others away."""
 
     def _release_trials(self):
-        """Free the workers whose trials will not go on."""
+        """Free the workers whose trials will not go on, or keep others."""
+        now_ms = self._clock.now_ms()
+        awaited_pools = self._pools_with_awaited_trials(now_ms)
         for worker_state in self._worker_states.values():
             if worker_state.trial is None:
                 continue
             task = worker_state.trial.task
             if task.run is not None and task.run.worker_state is worker_state:
+                if (
+                    worker_state.worker.pool in awaited_pools
+                    and crashes.has_gone_on(
+                        task.run, crashes.LONG_TRIAL_MS, now_ms
+                    )
+                ):
+                    worker_state.trial = None
                 continue
             if (
                 task.run is not None
                 or task not in task.step.waiting
                 or worker_state.worker.draining
-                or not placement.is_usable(worker_state, self._clock.now_ms())
+                or not placement.is_usable(worker_state, now_ms)
             ):
                 worker_state.trial = None
 
+    def _pools_with_awaited_trials(self, now_ms):
+        """Return the pools in which tasks have awaited trials for too long."""
+        return {
+            step.job.queue.pool
+            for step in self._open_steps.values()
+            if step.job.queue is not None and step.spec.lasting
+            # The planner puts the suspects of a step first.
+            for task in itertools.takewhile(crashes.is_suspect, step.waiting)
+            if crashes.has_awaited_trial(task, now_ms)
+        }
+
     def _is_suspect_waiting(self):
         """Return whether a suspect of an open step waits for its start."""
         # The planner puts the suspects of a step first.
@@ -74,7 +94,8 @@
             pools: mapping of pool to its candidate WorkerStates.
             now_ms: local time.
         """
-        full_pools = set()
+        # They start now, without one, wherever there is room.
+        full_pools = self._pools_with_awaited_trials(now_ms)
         for task in sorted(
             self._overdue_suspects(now_ms),
             key=lambda task: (not task.step.spec.lasting, task.ready_ms),
