Reset the connection of a call that fails

Cause: the connection was closed in the normal way, so the kernel sent the bytes once a cut was over.

Change: Connection.abort() resets it, for calls to all services. test_bytes_arrive_after_the_call_has_failed failed before.

--- a/figtray/connections.py
+++ b/figtray/connections.py
@@ -1,10 +1,12 @@
 """HTTP/1.1 client connections with one deadline for a whole request."""
 
+import contextlib
 import http.client
 import io
 import ipaddress
 import select
 import socket
+import struct
 
 KEEPALIVE_IDLE_S = 5
 KEEPALIVE_INTERVAL_S = 2
@@ -142,6 +144,12 @@
         if self._references == 0:
             self._sock.close()
 
+    def reset(self):
+        """Let the connection be reset, not ended, as it is closed."""
+        self._sock.setsockopt(
+            socket.SOL_SOCKET, socket.SO_LINGER, struct.pack('ii', 1, 0)
+        )
+
     def peek(self):
         """Return None, b'' (closed by the peer) or one byte of input."""
         if self.has_surplus:
@@ -209,6 +217,17 @@
         """Bytes of the current request that the kernel has accepted."""
         return self._deadline_socket.sent_bytes if self._deadline_socket else 0
 
+    def abort(self):
+        """Close the connection, and discard what the peer has not received.
+
+        Otherwise the kernel would send a request that was given up once the
+        network passes it on, up to minutes later.
+        """
+        if self._deadline_socket is not None:
+            with contextlib.suppress(OSError):
+                self._deadline_socket.reset()
+        self.close()
+
     def begin_request(self, deadline_ms, stall_ms=0, latest_ms=None):
         """Set the deadline of the next request and reset `sent_bytes`.
 
--- a/figtray/platform/http_client.py
+++ b/figtray/platform/http_client.py
@@ -75,7 +75,7 @@
             reply = Reply(response.status, response.read())
         except _CALL_ERRORS as exc:
             was_sent = conn.sent_bytes > 0
-            conn.close()
+            conn.abort()
             if was_sent:
                 raise errors.ReplyLost(
                     address=self.address, detail=describe(exc)
--- /dev/null
+++ b/figtray/platform/tests/test_http_client.py
@@ -0,0 +1,58 @@
+"""Tests of the HTTP client of a service."""
+
+import socket
+import threading
+
+import pytest
+
+from figtray import clock as clock_lib
+from figtray import errors
+from figtray.platform import http_client
+
+WAIT_S = 10
+TIMEOUT_MS = 100
+
+
+class SilentServer:
+    """Server that takes one request and answers nothing.
+
+    Attributes:
+        end: what it has seen at the end of the connection: the exception, or
+            b'' if the client has ended it.
+    """
+
+    def __init__(self):
+        self._socket = socket.create_server(('127.0.0.1', 0))
+        self.address = '%s:%d' % self._socket.getsockname()
+        self.end = None
+        self._thread = threading.Thread(target=self._serve)
+        self._thread.start()
+
+    def _serve(self):
+        conn, _ = self._socket.accept()
+        conn.settimeout(WAIT_S)
+        try:
+            while data := conn.recv(65536):
+                pass
+            self.end = data
+        except OSError as exc:
+            self.end = exc
+        conn.close()
+
+    def wait(self):
+        self._thread.join(WAIT_S)
+        self._socket.close()
+
+
+class TestRequestThatIsGivenUp:
+    # A former leader's order for a host was held up by a cut, and arrived
+    # after one of the next leader.
+    def test_bytes_arrive_after_the_call_has_failed(self):
+        server = SilentServer()
+        client = http_client.HttpClient(
+            server.address, clock_lib.SystemClock()
+        )
+        with pytest.raises(errors.ReplyLost):
+            client.call('POST', '/api/machine-move', TIMEOUT_MS, b'{}')
+        server.wait()
+        assert isinstance(server.end, ConnectionResetError)
