Split the stray runs from the reports of workers

What is adopted or stopped of the runs that the leader does not track is a module of its own now, and the adopted run is handled on by the caller, not by a call back into the reports.

--- a/figtray/scheduling/tests/test_session.py
+++ b/figtray/scheduling/tests/test_session.py
@@ -9,9 +9,9 @@
 from figtray.events import catalogue
 from figtray.fleet import messages
 from figtray.scheduling import outcomes
-from figtray.scheduling import reports
 from figtray.scheduling import session as sessions
 from figtray.scheduling import state
+from figtray.scheduling import stray_runs
 from figtray.scheduling.tests import harness
 from figtray.store.tests import outages
 
@@ -108,7 +108,7 @@
         assert sim.runs
         fleet.client.choose_fault = lambda *_: 'ok'
         # Long enough for another order, and within the lease of the run.
-        leader.advance(reports.STRAY_STOP_INTERVAL_MS)
+        leader.advance(stray_runs.STRAY_STOP_INTERVAL_MS)
         [session] = leader._sessions.values()
         session.start()
         try:
