Let a lasting task without room hold up no trials

Nobody has seen it; a test that was tried for it passed on both sides, so none is added.

The tests of trials and of deadly tasks pass.

--- a/figtray/scheduling/crashes.py
+++ b/figtray/scheduling/crashes.py
@@ -164,6 +164,21 @@
     )
 
 
+def is_held_by_trials(task, now_ms):
+    """Return whether the trials of others may be all that a task waits for.
+
+    One that waits on after the longest of them has no room.
+
+    Args:
+        task: the TaskState.
+        now_ms: local time.
+    """
+    longest_ms = MAX_LASTING_TRIAL_WAIT_MS + LONG_TRIAL_MS
+    return has_awaited_trial(task, now_ms) and (
+        now_ms - task.ready_ms <= max(longest_ms, GUILTY_PAUSE_MS)
+    )
+
+
 def is_tried_each_time(task):
     """Return whether a task has enough crashes to start on trial only."""
     return (
--- a/figtray/scheduling/reports.py
+++ b/figtray/scheduling/reports.py
@@ -22,12 +22,12 @@
         """Return the values that the next request for a report contains.
 
         Returns:
-            (number of the last end that the worker may forget, 0 if that is
-            known to it already; end of the lease on the worker's clock in
-            milliseconds). The latter is None,
-            which leaves the lease as it is, if the worker's clock is unknown,
-            its last report failed, leases may not be extended now, or runs of
-            earlier terms may be among those that can't be read.
+            (number of the last end that the worker may forget, see
+            WorkerState.next_acknowledged(); end of the lease on the worker's
+            clock in milliseconds). The latter is None, which leaves the lease
+            as it is, if the worker's clock is unknown, its last report failed,
+            leases may not be extended now, or runs of earlier terms may be
+            among those that can't be read.
         """
         with self.lock:
             now_ms = self._clock.now_ms()
--- a/figtray/scheduling/trials.py
+++ b/figtray/scheduling/trials.py
@@ -44,14 +44,14 @@
     def _release_trials(self):
         """Free the workers whose trials will not go on, or keep others."""
         now_ms = self._clock.now_ms()
-        awaited_pools = self._pools_with_awaited_trials(now_ms)
+        held_pools = self._pools_held_by_trials(now_ms)
         for worker_state in self._worker_states.values():
             if worker_state.trial is None:
                 continue
             task = worker_state.trial.task
             if task.run is not None and task.run.worker_state is worker_state:
                 if (
-                    worker_state.worker.pool in awaited_pools
+                    worker_state.worker.pool in held_pools
                     and crashes.has_gone_on(
                         task.run, crashes.LONG_TRIAL_MS, now_ms
                     )
@@ -66,15 +66,15 @@
             ):
                 worker_state.trial = None
 
-    def _pools_with_awaited_trials(self, now_ms):
-        """Return the pools in which tasks have awaited trials for too long."""
+    def _pools_held_by_trials(self, now_ms):
+        """Return the pools in which lasting tasks wait for others' trials."""
         return {
             step.job.queue.pool
             for step in self._open_steps.values()
             if step.job.queue is not None and step.spec.lasting
             # The planner puts the suspects of a step first.
             for task in itertools.takewhile(crashes.is_suspect, step.waiting)
-            if crashes.has_awaited_trial(task, now_ms)
+            if crashes.is_held_by_trials(task, now_ms)
         }
 
     def _is_suspect_waiting(self):
@@ -94,8 +94,8 @@
             pools: mapping of pool to its candidate WorkerStates.
             now_ms: local time.
         """
-        # They start now, without one, wherever there is room.
-        full_pools = self._pools_with_awaited_trials(now_ms)
+        # Those tasks start without a trial, so no further one begins first.
+        full_pools = self._pools_held_by_trials(now_ms)
         for task in sorted(
             self._overdue_suspects(now_ms),
             key=lambda task: (not task.step.spec.lasting, task.ready_ms),
