End the term of a leader whose order for a host is refused for its token

Cause: a refusal for a later epoch (409, fence) was taken for a busy host, so a leader that had been paused went on to order with its old token. And the check of the term came before the connection was opened, so that a process that was paused in between sent an order after its term, where tokens are not checked. Ruled out: workers, whose refusals have ended the term before. Change: HostClient raises StaleEpoch, and TermContext ends the term, which ends the orders to workers too. An order names the local time from which on nothing of it is sent; each write to the socket checks it. Tests: TestRefusedToken, TestHostOrders (both refusals and the pause) and test_upkeeps_go_on_after_a_refused_token failed before.

--- a/figtray/connections.py
+++ b/figtray/connections.py
@@ -102,6 +102,7 @@
         self._clock = clock
         self._stall_ms = 0
         self._latest_ms = None
+        self._send_by_ms = None
         # The connection and each response file hold a reference: when a
         # response ends the connection, http.client closes the connection
         # before the body is read through the response file.
@@ -113,16 +114,18 @@
     def sendall(self, data):
         view = memoryview(data)
         while view:
+            self._check_send_time()
             self._set_timeout()
             count = self._sock.send(view)
             self.sent_bytes += count
             view = view[count:]
 
-    def set_limits(self, deadline_ms, stall_ms, latest_ms):
+    def set_limits(self, deadline_ms, stall_ms, latest_ms, send_by_ms):
         """Set the time limits of a request; see Connection.begin_request()."""
         self.deadline_ms = deadline_ms
         self._stall_ms = stall_ms
         self._latest_ms = latest_ms
+        self._send_by_ms = send_by_ms
 
     def receive_into(self, buffer):
         self._set_timeout()
@@ -163,6 +166,13 @@
         except OSError:
             return b''
 
+    def _check_send_time(self):
+        if (
+            self._send_by_ms is not None
+            and self._clock.now_ms() >= self._send_by_ms
+        ):
+            raise TimeoutError('too late to be sent')
+
     def _set_timeout(self):
         if self.deadline_ms is None:
             self._sock.settimeout(None)
@@ -228,7 +238,9 @@
                 self._deadline_socket.reset()
         self.close()
 
-    def begin_request(self, deadline_ms, stall_ms=0, latest_ms=None):
+    def begin_request(
+        self, deadline_ms, stall_ms=0, latest_ms=None, send_by_ms=None
+    ):
         """Set the deadline of the next request and reset `sent_bytes`.
 
         Args:
@@ -236,8 +248,12 @@
             stall_ms: time by which each part of the response that arrives
                 extends the deadline; 0 = it does not.
             latest_ms: local time beyond which it is not extended.
+            send_by_ms: local time from which on nothing of the request is
+                sent, as its sender may lose its right to it; None = no limit.
         """
-        self._deadline_socket.set_limits(deadline_ms, stall_ms, latest_ms)
+        self._deadline_socket.set_limits(
+            deadline_ms, stall_ms, latest_ms, send_by_ms
+        )
         self._deadline_socket.sent_bytes = 0
 
     def peek(self):
--- a/figtray/errors.py
+++ b/figtray/errors.py
@@ -76,9 +76,9 @@
 
 
 class StaleEpoch(FigtrayError):
-    """A worker refused an order because it has seen a later epoch."""
+    """An order was refused, as one with a later epoch had come before it."""
 
-    msg_fmt = 'An order with a stale epoch was refused {detail}.'
+    msg_fmt = 'An order with a stale epoch was refused: {detail}.'
 
 
 class HostListUnavailable(FigtrayError):
--- a/figtray/fleet/base.py
+++ b/figtray/fleet/base.py
@@ -83,8 +83,11 @@
     """Client of the platform's host service, for its list and for orders.
 
     All orders raise:
-        CallNotSent: the service did not receive the order.
+        CallNotSent: the service did not receive the order, or it was too
+            late to send it.
         ReplyLost: the order may have been executed.
+        StaleEpoch: the host has had an order with a later epoch, and this
+            one did nothing; only where the platform checks epochs.
     """
 
     def list_hosts(self):
@@ -96,28 +99,26 @@
         """
         raise NotImplementedError
 
-    def move(self, host_id, pool, node_name, epoch):
+    def move(self, host_id, pool, sender):
         """Move a host to another pool; all runs on it end at once.
 
         Args:
             host_id: the host.
             pool: name of its new pool.
-            node_name: name of the calling node.
-            epoch: number of the leader's term.
+            sender: the messages.OrderSender.
 
         Returns:
             True if the move is under way or done; False if it was refused.
         """
         raise NotImplementedError
 
-    def begin_upkeep(self, host_id, wave, node_name, epoch):
+    def begin_upkeep(self, host_id, wave, sender):
         """Begin the upkeep of a host; all runs on it end at once.
 
         Args:
             host_id: the host.
             wave: number of the Wave.
-            node_name: name of the calling node.
-            epoch: number of the leader's term.
+            sender: the messages.OrderSender.
 
         Returns:
             True if the upkeep is under way or done; False if it was refused.
--- a/figtray/fleet/memory.py
+++ b/figtray/fleet/memory.py
@@ -145,7 +145,9 @@
             StaleEpoch: the worker has seen a later epoch.
         """
         if epoch < self.epoch:
-            raise errors.StaleEpoch(detail=f'by {self.worker.worker_id}')
+            raise errors.StaleEpoch(
+                detail=f'{self.worker.worker_id} has seen a later epoch'
+            )
         self.epoch = epoch
 
     def last_lapse_ms(self):
--- a/figtray/fleet/memory_hosts.py
+++ b/figtray/fleet/memory_hosts.py
@@ -17,6 +17,10 @@
         down: whether the service fails all calls.
         on_worker_end: called with the Host whose worker ends.
         replies_to_lose: number of next replies that are lost.
+        highest_epochs: mapping of host id to the highest epoch of an order
+            for it; None if epochs are not checked.
+        stale_orders: (host id, epoch) of the orders that were refused for a
+            lower epoch.
     """
 
     def __init__(self, hosts=()):
@@ -25,20 +29,22 @@
         self.down = False
         self.on_worker_end = lambda host: None
         self.replies_to_lose = 0
+        self.highest_epochs = None
+        self.stale_orders = []
 
     def list_hosts(self):
         if self.down:
             raise errors.HostListUnavailable(detail='injected')
         return tuple(self.hosts.values())
 
-    def move(self, host_id, pool, node_name, epoch):
+    def move(self, host_id, pool, sender):
         return self._accept_order(
-            'move', host_id, pool, node_name, epoch, model.HostState.MOVING
+            'move', host_id, pool, sender, model.HostState.MOVING
         )
 
-    def begin_upkeep(self, host_id, wave, node_name, epoch):
+    def begin_upkeep(self, host_id, wave, sender):
         return self._accept_order(
-            'upkeep', host_id, wave, node_name, epoch, model.HostState.UPKEEP
+            'upkeep', host_id, wave, sender, model.HostState.UPKEEP
         )
 
     def finish(self, host_id, pool=None, worker_id=''):
@@ -51,14 +57,24 @@
             worker_id=worker_id,
         )
 
-    def _accept_order(self, kind, host_id, argument, node_name, epoch, state):
+    def _check_epoch(self, host_id, epoch):
+        if epoch < self.highest_epochs.get(host_id, 0):
+            self.stale_orders.append((host_id, epoch))
+            raise errors.StaleEpoch(
+                detail=f'{host_id} has had an order with a later epoch'
+            )
+        self.highest_epochs[host_id] = epoch
+
+    def _accept_order(self, kind, host_id, argument, sender, state):
         if self.down:
             raise errors.CallNotSent(address='hosts', detail='injected')
         host = self.hosts[host_id]
+        if self.highest_epochs is not None:
+            self._check_epoch(host_id, sender.epoch)
         if host.state != model.HostState.UP:
             return False
         self.accepted_orders.append(
-            (kind, host_id, argument, node_name, epoch)
+            (kind, host_id, argument, sender.node_name, sender.epoch)
         )
         self.on_worker_end(host)
         self.hosts[host_id] = dataclasses.replace(
--- a/figtray/fleet/messages.py
+++ b/figtray/fleet/messages.py
@@ -20,6 +20,22 @@
     GANG_INCOMPLETE = 'alone'
 
 
+@dataclasses.dataclass(frozen=True)
+class OrderSender:
+    """Who gives an order for a host, and until when it may be sent.
+
+    Attributes:
+        node_name: name of the node that leads.
+        epoch: number of its term, which is the fencing token.
+        valid_until_ms: local time from which on another node may lead, so
+            that nothing of the order is sent any more.
+    """
+
+    node_name: str
+    epoch: int
+    valid_until_ms: int
+
+
 class ActiveRun(msgspec.Struct, frozen=True, array_like=True):
     """A run that is on a worker.
 
--- a/figtray/leadership/term.py
+++ b/figtray/leadership/term.py
@@ -90,6 +90,11 @@
             and self._clock.now_ms() < self._valid_until_ms
         )
 
+    @property
+    def valid_until_ms(self):
+        """Local time from which on another node may be the leader."""
+        return self._valid_until_ms
+
     def record_renewal(self, requested_ms, ttl_ms):
         """Extend the validity of the term after a renewal of its lease.
 
--- a/figtray/platform/hosts.py
+++ b/figtray/platform/hosts.py
@@ -38,6 +38,10 @@
     next_token: str | int | None = None
 
 
+class _Refusal(msgspec.Struct, frozen=True):
+    reason: str = ''
+
+
 class _MachineId(msgspec.Struct, frozen=True):
     """What can be told of a host that is odd otherwise."""
 
@@ -47,6 +51,7 @@
 _machine_decoder = msgspec.json.Decoder(_Machine)
 _machine_id_decoder = msgspec.json.Decoder(_MachineId)
 _page_decoder = msgspec.json.Decoder(_Page)
+_refusal_decoder = msgspec.json.Decoder(_Refusal)
 
 
 class PlatformHosts(base.HostClient):
@@ -78,13 +83,13 @@
                 return self._complete(hosts)
         raise errors.HostListUnavailable(detail='its pages do not end')
 
-    def move(self, host_id, pool, node_name, epoch):
+    def move(self, host_id, pool, sender):
         body = {'machine': host_id, 'pool': pool}
-        return self._send_order('/api/machine-move', body, node_name, epoch)
+        return self._send_order('/api/machine-move', body, sender)
 
-    def begin_upkeep(self, host_id, wave, node_name, epoch):
+    def begin_upkeep(self, host_id, wave, sender):
         body = {'machine': host_id, 'wave': wave}
-        return self._send_order('/api/machine-upkeep', body, node_name, epoch)
+        return self._send_order('/api/machine-upkeep', body, sender)
 
     def _read_page(self, path):
         try:
@@ -126,16 +131,38 @@
         self._last_ids = frozenset(host.host_id for host in found)
         return tuple(found)
 
-    def _send_order(self, path, body, node_name, epoch):
+    def _send_order(self, path, body, sender):
+        """Send an order for a host and return whether it was accepted.
+
+        Raises:
+            StaleEpoch: the service has seen a later epoch for this host.
+        """
         reply = self._client.call(
             'POST',
             path,
             CALL_TIMEOUT_MS,
             msgspec.json.encode(body),
-            {HOLDER_HEADER: node_name, TOKEN_HEADER: str(epoch)},
+            {
+                HOLDER_HEADER: sender.node_name,
+                TOKEN_HEADER: str(sender.epoch),
+            },
+            send_by_ms=sender.valid_until_ms,
         )
+        if reply.status == 409 and self._read_reason(body, reply) == 'fence':
+            raise errors.StaleEpoch(
+                detail=f'{body["machine"]} has had an order with a later epoch'
+            )
         return reply.status == 200
 
+    def _read_reason(self, body, reply):
+        """Return the reason of a refusal; empty if it is unreadable."""
+        try:
+            refusal = decoding.decode('refusal', _refusal_decoder, reply.body)
+            return refusal.reason
+        except errors.UnreadableMessage as exc:
+            self._unreadable.note(f'refusal for host {body["machine"]}', exc)
+            return ''
+
 
 def _build_host(machine):
     capacity = machine.capacity.to_resources()
--- a/figtray/platform/http_client.py
+++ b/figtray/platform/http_client.py
@@ -41,7 +41,14 @@
         self._closed = False
 
     def call(
-        self, method, path, timeout_ms, body=None, headers=(), stall_ms=0
+        self,
+        method,
+        path,
+        timeout_ms,
+        body=None,
+        headers=(),
+        stall_ms=0,
+        send_by_ms=None,
     ):
         """Make one call.
 
@@ -54,6 +61,9 @@
             stall_ms: once the response arrives, the call goes on until none
                 of it has come for so long, and MAX_TRANSFER_MS at most; 0 =
                 timeout_ms is the limit of the whole call.
+            send_by_ms: local time from which on nothing of the call is sent;
+                None = no limit of its own. A service that has received a
+                part of a call only does not execute it.
 
         Returns:
             A Reply, whatever its status is.
@@ -65,7 +75,9 @@
         began_ms = self._clock.now_ms()
         deadline_ms = began_ms + timeout_ms
         conn = self._acquire(deadline_ms)
-        conn.begin_request(deadline_ms, stall_ms, began_ms + MAX_TRANSFER_MS)
+        conn.begin_request(
+            deadline_ms, stall_ms, began_ms + MAX_TRANSFER_MS, send_by_ms
+        )
         all_headers = dict(headers)
         if body is not None:
             all_headers['Content-Type'] = 'application/json'
--- a/figtray/platform/standin_services.py
+++ b/figtray/platform/standin_services.py
@@ -250,6 +250,9 @@
         except errors.ReplyLost:
             handler.drop()
             return
+        except errors.StaleEpoch:
+            handler.reply_json(409, {'reason': 'fence'})
+            return
         reply = {} if accepted else {'reason': 'busy'}
         handler.reply_json(200 if accepted else 409, reply)
 
@@ -264,15 +267,14 @@
         }
 
     def _execute_order(self, path, data, headers):
-        node_name = headers['X-Figtray-Holder']
-        epoch = int(headers['X-Figtray-Fencing-Token'])
-        if path == '/api/machine-move':
-            return self.hosts.move(
-                data['machine'], data['pool'], node_name, epoch
-            )
-        return self.hosts.begin_upkeep(
-            data['machine'], data['wave'], node_name, epoch
+        sender = messages.OrderSender(
+            headers['X-Figtray-Holder'],
+            int(headers['X-Figtray-Fencing-Token']),
+            valid_until_ms=0,
         )
+        if path == '/api/machine-move':
+            return self.hosts.move(data['machine'], data['pool'], sender)
+        return self.hosts.begin_upkeep(data['machine'], data['wave'], sender)
 
 
 def encode_worker_entry(worker, sequence=1):
--- a/figtray/platform/tests/canned.py
+++ b/figtray/platform/tests/canned.py
@@ -9,9 +9,14 @@
     Attributes:
         status: HTTP status of the replies.
         body: their body.
+        calls: bodies of the requests.
     """
 
     status, body = 200, b''
 
+    def __init__(self):
+        self.calls = []
+
     def handle(self, handler, body):
+        self.calls.append(body)
         handler.reply(self.status, self.body)
--- a/figtray/platform/tests/test_odd_replies.py
+++ b/figtray/platform/tests/test_odd_replies.py
@@ -6,8 +6,10 @@
 import pytest
 
 from figtray import clock as clock_lib
+from figtray import connections
 from figtray import errors
 from figtray.fleet import memory
+from figtray.fleet import messages
 from figtray.fleet import model as fleet
 from figtray.platform import adviser
 from figtray.platform import hosts
@@ -95,6 +97,60 @@
             host_client.list_hosts()
 
 
+class TestHostOrders:
+    SENDER = messages.OrderSender('node', 3, valid_until_ms=2_000_000)
+    ORDERS = {
+        'move': lambda client, by: client.move('good', 'main', by),
+        'upkeep': lambda client, by: client.begin_upkeep('good', 1, by),
+    }
+
+    # The leader took it for a host that is busy, and went on to order with
+    # its token for as long as its lease in the store lasted.
+    @pytest.mark.parametrize('order', ORDERS)
+    def test_refused_token_is_taken_for_a_busy_host(
+        self, canned, host_client, order
+    ):
+        canned.status, canned.body = 409, b'{"reason":"fence"}'
+        with pytest.raises(errors.StaleEpoch):
+            self.ORDERS[order](host_client, self.SENDER)
+
+    # Guards against a term that ends because a host is busy or leaves.
+    @pytest.mark.parametrize('order', ORDERS)
+    @pytest.mark.parametrize(
+        'status, body',
+        [
+            (409, b'{"reason":"busy"}'),
+            (409, b'{"reason":"wave"}'),
+            (400, b'{"reason":"fence"}'),
+            *((409, body) for body in UNREADABLE.values()),
+        ],
+    )
+    def test_busy_host_is_taken_for_a_refused_token(
+        self, canned, host_client, order, status, body
+    ):
+        canned.status, canned.body = status, body
+        assert not self.ORDERS[order](host_client, self.SENDER)
+
+    # The process was paused while it connected; by then another leader had
+    # given orders.
+    @pytest.mark.parametrize('order', ORDERS)
+    def test_order_is_sent_after_the_end_of_its_term(
+        self, canned, host_client, order, monkeypatch
+    ):
+        clock = clock_lib.ManualClock(self.SENDER.valid_until_ms - 1000)
+        host_client = hosts.PlatformHosts(canned.address, clock)
+        open_connection = connections.Connection.open
+
+        def open_and_pause(conn, deadline_ms):
+            open_connection(conn, deadline_ms)
+            clock.advance(1000)
+
+        monkeypatch.setattr(connections.Connection, 'open', open_and_pause)
+        with pytest.raises(errors.CallNotSent):
+            self.ORDERS[order](host_client, self.SENDER)
+        assert not canned.calls
+
+
 class TestAdviser:
     @pytest.fixture
     def client(self, canned):
--- a/figtray/platform/tests/test_workers.py
+++ b/figtray/platform/tests/test_workers.py
@@ -162,14 +162,24 @@
 
     def test_orders_carry_node_name_and_epoch(self, hosts):
         backing, client = hosts
-        assert client.move('h001', 'spare', 'node', 7)
-        assert client.begin_upkeep('h002', 3, 'node', 7)
-        assert not client.begin_upkeep('h002', 3, 'node', 7)
+        valid_until_ms = clock_lib.SystemClock().now_ms() + 60_000
+        sender = messages.OrderSender('node', 7, valid_until_ms)
+        assert client.move('h001', 'spare', sender)
+        assert client.begin_upkeep('h002', 3, sender)
+        assert not client.begin_upkeep('h002', 3, sender)
         assert backing.accepted_orders == [
             ('move', 'h001', 'spare', 'node', 7),
             ('upkeep', 'h002', 3, 'node', 7),
         ]
 
+    def test_stale_epoch_is_taken_for_a_busy_host(self, hosts):
+        backing, client = hosts
+        backing.highest_epochs = {'h001': 8}
+        valid_until_ms = clock_lib.SystemClock().now_ms() + 60_000
+        sender = messages.OrderSender('node', 7, valid_until_ms)
+        with pytest.raises(errors.StaleEpoch):
+            client.move('h001', 'spare', sender)
+
     def test_outage(self, hosts):
         backing, client = hosts
         backing.down = True
--- a/figtray/upkeep/tests/test_controller.py
+++ b/figtray/upkeep/tests/test_controller.py
@@ -249,6 +249,44 @@
         }
 
 
+class TestRefusedToken:
+    # A leader that was paused went on to order after a later one had, with a
+    # token that the platform refuses.
+    def test_moves_go_on_after_a_refused_token(self, site):
+        site.hosts.highest_epochs = dict.fromkeys(
+            site.hosts.hosts, site.leader.term.epoch + 1
+        )
+        host_controller = make_controller(site)
+        parts = build_parts(site, host_controller)
+        site.fleet.submit(harness.make_step(60, 4000))
+        site.leader.run_cycle()
+        for _ in range(3):
+            host_controller._reconcile(site.leader.scheduler, parts)
+            site.leader.advance(harness.BOUNDS.lease_ms)
+        assert site.leader.term.ended.is_set()
+        # Of the moves that were recorded together, one is sent.
+        assert len(site.hosts.stale_orders) == 1
+        assert not site.moves()
+
+    # Threads and queued orders of the term outlasted it.
+    def test_workers_get_orders_after_a_refused_token(self, site):
+        site.fleet.submit(harness.make_step(4, 1000))
+        site.leader.sync_intake()
+        site.leader.scheduler.plan()
+        queued = [
+            site.leader.worker_state(number).orders.qsize()
+            for number in range(4)
+        ]
+        assert sum(queued) == 4
+        site.hosts.highest_epochs = {'host-8': site.leader.term.epoch + 1}
+        assert not site.context.move('host-8', 'main')
+        for number in range(4):
+            site.leader.deliver_orders(number)
+            site.leader.report(number)
+        site.leader.scheduler.plan()
+        assert not harness.running(site.fleet)
+
+
 class TestCordons:
     # An error ends the parts of the controller, and with them what they know
     # about cordoned workers. Tasks then waited although workers were idle.
--- a/figtray/upkeep/tests/test_rebalancer.py
+++ b/figtray/upkeep/tests/test_rebalancer.py
@@ -43,10 +43,10 @@
         site.hosts.hosts['host-8'] = support.make_host(8, 'spare')
         move_host = site.hosts.move
 
-        def move(host_id, pool, node_name, epoch):
+        def move(host_id, pool, sender):
             if host_id == host.host_id:
                 return False
-            return move_host(host_id, pool, node_name, epoch)
+            return move_host(host_id, pool, sender)
 
         site.hosts.move = move
         site.fleet.submit(harness.make_step(60, 4000))
--- a/figtray/upkeep/tests/test_waves.py
+++ b/figtray/upkeep/tests/test_waves.py
@@ -127,6 +127,20 @@
         site.run_cycle()
         assert len(site.hosts.accepted_orders) == 1
 
+    # A leader that was paused ordered further upkeeps with a token that the
+    # platform had refused.
+    def test_upkeeps_go_on_after_a_refused_token(self):
+        site = WaveSite(4)
+        site.hosts.highest_epochs = dict.fromkeys(
+            site.hosts.hosts, site.leader.term.epoch + 1
+        )
+        for _ in range(3):
+            site.run_cycle()
+            site.leader.advance(3000)
+        assert site.leader.term.ended.is_set()
+        assert len(site.hosts.stale_orders) == 1
+        assert not site.hosts.accepted_orders
+
     # A second upkeep would end the runs on the host once more.
     def test_next_leader_does_not_repeat_upkeeps(self):
         site = WaveSite(4)
