Count only the work of arriving jobs that runs by the time hosts arrive

What operators saw: a pool got all hosts of the site for a few seconds (25 to 34 of 40, when 5 to 9 had work), paid for them and for moving them there and back. Cause: the forecast divides the whole work of the jobs of the last half second by that time. That is what runs once such jobs have arrived for as long as one of them takes; long jobs (two steps of 2.1 s) take twice the time in which hosts arrive, and two or three of them at once counted as a rush. Change: of a job, the part of its critical path within HORIZON_MS counts. Tests: test_all_work_of_long_jobs_counts_at_once fails before; test_short_jobs_count_in_part guards the rush of short jobs.

--- a/figtray/scheduling/arrivals.py
+++ b/figtray/scheduling/arrivals.py
@@ -3,6 +3,8 @@
 import collections
 import math
 
+from figtray.scheduling import state
+
 # Capacity of a team's bucket: jobs of this many seconds at its rate.
 BURST_S = 2
 
@@ -40,6 +42,9 @@
 WORK_WINDOW_MS = 500
 # Weight of one run in the moving average of a queue's run times.
 LEARNING_RATE = 0.05
+# Time until a host that is asked for now runs tasks. Of a job that takes
+# longer, only this part runs by then, even if such jobs go on arriving.
+HORIZON_MS = 2500
 MIN_FACTOR, MAX_FACTOR = 0.1, 10.0
 
 
@@ -62,12 +67,16 @@
             steps: the model.Steps of the job.
             now_ms: local time in milliseconds.
         """
-        work = sum(
+        steps = [s for s in steps if not s.lasting and not s.fills]
+        if not steps:
+            return
+        factor = self.estimate_factor(queue.name)
+        work = factor * sum(
             step.count * step.needs.cpu_milli * step.estimate_ms
             for step in steps
-            if not step.lasting and not step.fills
         )
-        work *= self.estimate_factor(queue.name)
+        critical_path_ms = factor * max(state.critical_paths_ms(steps))
+        work *= min(1, HORIZON_MS / critical_path_ms)
         self._arrived.setdefault(queue.pool, collections.deque()).append(
             (now_ms, work)
         )
--- a/figtray/scheduling/tests/test_arrivals.py
+++ b/figtray/scheduling/tests/test_arrivals.py
@@ -124,6 +124,37 @@
         meter.add(queue, [harness.make_step(16, 4000, estimate_ms=9000)], 0)
         assert meter.needed_milli(queue.pool, 0) == 0
 
+    # A few long jobs at the same time made a pool ask for three times the
+    # hosts that their tasks could use before they arrive.
+    def test_all_work_of_long_jobs_counts_at_once(self):
+        meter = arrivals.WorkMeter()
+        queue = harness.make_config().queues['q']
+        steps = [
+            harness.make_step(8, 1000, estimate_ms=arrivals.HORIZON_MS),
+            harness.make_step(
+                8, 1000, estimate_ms=3 * arrivals.HORIZON_MS, after=(0,)
+            ),
+        ]
+        for _ in range(4):
+            meter.add(queue, steps, 0)
+        # By then, jobs at this rate have run for HORIZON_MS each at most, of
+        # four times as long a path.
+        work = 8 * 1000 * 4 * arrivals.HORIZON_MS
+        expected = (4 - 2) * work / 4 / arrivals.WORK_WINDOW_MS
+        assert meter.needed_milli(queue.pool, 0) == pytest.approx(expected)
+
+    # Guards against hosts that are missing for jobs that end by then.
+    def test_short_jobs_count_in_part(self):
+        meter = arrivals.WorkMeter()
+        queue = harness.make_config().queues['q']
+        step = harness.make_step(8, 1000, estimate_ms=arrivals.HORIZON_MS)
+        lasting = harness.make_step(1, 1000, estimate_ms=60_000, lasting=True)
+        for _ in range(4):
+            meter.add(queue, [lasting, step], 0)
+        work = 8 * 1000 * arrivals.HORIZON_MS
+        expected = (4 - 2) * work / arrivals.WORK_WINDOW_MS
+        assert meter.needed_milli(queue.pool, 0) == pytest.approx(expected)
+
     # Declared run times may be wrong by a factor that is common to a queue.
     def test_run_times_correct_the_estimates(self):
         meter = arrivals.WorkMeter()
