Log many starts and ends of a step in one line

Ruled out: a higher limit, as each line costs the leader's processor time at the peak. Change: starts of a step, and its runs that are done, are collected and written once a second (1731, 1732). Starts of tasks that last or resume, and all other ends, keep a line each.

--- a/figtray/events/catalogue/scheduling.py
+++ b/figtray/events/catalogue/scheduling.py
@@ -53,7 +53,8 @@
 TASK_STARTED = base.Event(
     1710,
     logbook.INFO,
-    'A worker has confirmed the start of a task.',
+    'A worker has confirmed the start of a lasting task, or of one that '
+    'resumes; 1731 has those of other tasks.',
     ('task', 'run', 'worker', 'waited_ms', 'resumed'),
 )
 START_REFUSED = base.Event(
@@ -88,7 +89,7 @@
     1715,
     logbook.INFO,
     'A worker has reported the end of a run; known is false if the leader '
-    'had no such run.',
+    'had no such run. 1732 has the runs that are done.',
     ('task', 'run', 'worker', 'end', 'duration_ms', 'known'),
 )
 RUN_LOST = base.Event(
@@ -199,3 +200,19 @@
     'crash. 1724 names each crash.',
     ('job_id', 'task', 'crashes', 'alone', 'pause_ms'),
 )
+TASKS_STARTED = base.Event(
+    1731,
+    logbook.INFO,
+    'Workers have confirmed the starts of tasks of a step in the last second; '
+    'runs has INDEX:RUN@WORKER for each, where the task is STEP.INDEX. '
+    'longest_ms is the longest time for which one of them was ready.',
+    ('step', 'runs', 'longest_ms'),
+)
+TASKS_DONE = base.Event(
+    1732,
+    logbook.INFO,
+    'Workers have reported that runs of a step are done, in the last second; '
+    'runs has INDEX:RUN@WORKER for each. longest_ms is the longest time from '
+    'an order to start to the report.',
+    ('step', 'runs', 'longest_ms'),
+)
--- a/figtray/scheduling/outcomes.py
+++ b/figtray/scheduling/outcomes.py
@@ -86,14 +86,7 @@
                 if task.step.spec.lasting:
                     self._metrics.record_lasting_start(now_ms - task.ready_ms)
             self._record_takeover(metrics.TakeoverPhase.FIRST_START)
-            log.emit(
-                catalogue.TASK_STARTED,
-                task=task.name,
-                run=run.number,
-                worker=run.worker_state.worker.worker_id,
-                waited_ms=now_ms - task.ready_ms,
-                resumed=bool(task.checkpoint),
-            )
+            self._run_log.log_start(task, run, now_ms - task.ready_ms)
             if not job.started and not job.ended:
                 job.state = records.State.RUNNING
                 self._store_progress(job)
--- a/figtray/scheduling/reports.py
+++ b/figtray/scheduling/reports.py
@@ -287,14 +287,8 @@
         if task is None:
             return
         job = task.step.job
-        log.emit(
-            catalogue.RUN_ENDED,
-            task=item.task,
-            run=item.run,
-            worker=worker_state.worker.worker_id,
-            end=item.end.value,
-            duration_ms=duration_ms,
-            known=tracked,
+        self._run_log.log_end(
+            task, worker_state.worker.worker_id, item, duration_ms, tracked
         )
         if tracked:
             self._detach(run)
--- a/figtray/scheduling/scheduler_base.py
+++ b/figtray/scheduling/scheduler_base.py
@@ -16,6 +16,7 @@
 from figtray.scheduling import lease_horizon
 from figtray.scheduling import leases
 from figtray.scheduling import quota
+from figtray.scheduling import run_log
 from figtray.scheduling import state
 from figtray.scheduling import worker_orders
 
@@ -115,6 +116,7 @@
         self._odd_entries = unreadable.UnreadableLog(clock)
         self._awaited_log = awaited.AwaitedLog()
         self._held_log = held.HeldLog()
+        self._run_log = run_log.RunLog()
         self._failure_log = unreadable.UnreadableLog(clock)
         # Ids of jobs whose records were removed, with the Unix time of the
         # removal.
--- a/figtray/scheduling/waits.py
+++ b/figtray/scheduling/waits.py
@@ -1,4 +1,4 @@
-"""Periodic log lines and metrics on what the leader's tasks wait for."""
+"""Periodic log lines and metrics on the runs and waits of tasks."""
 
 from figtray.scheduling import held
 from figtray.scheduling import scheduler_base
@@ -9,7 +9,7 @@
 
 
 class Waits(scheduler_base.SchedulerBase):
-    """Reports awaited incarnations and held tasks; it decides nothing."""
+    """Reports awaited incarnations, held tasks and runs; decides nothing."""
 
     def run_wait_reports(self):
         """Report each REPORT_INTERVAL_MS until the term has ended."""
@@ -17,6 +17,8 @@
             while not self._clock.wait(self._term.ended, REPORT_INTERVAL_MS):
                 self.report_waits()
         finally:
+            with self.lock:
+                self._run_log.flush()
             if self._metrics is not None:
                 self._metrics.clear_waits()
 
@@ -24,6 +26,7 @@
         """Log and measure what is awaited and held now."""
         with self.lock:
             now_ms = self._clock.now_ms()
+            self._run_log.flush()
             self._awaited_log.name_if_due(
                 self._unresolved,
                 self._worker_states,
