--- a/figtray/soak/main.py
+++ b/figtray/soak/main.py
@@ -8,6 +8,7 @@
 
 import typer
 
+from figtray import program
 from figtray.soak import report
 from figtray.soak import soak
 
@@ -32,7 +33,7 @@
     for offset in range(seeds):
         run_seed = seed + offset if seed else random.getrandbits(31)
         seed_directory = pathlib.Path(directory) / f'seed-{run_seed}'
-        seed_directory.mkdir(parents=True, exist_ok=True)
+        _make_directory(seed_directory)
         result = soak.Soak(
             run_seed,
             length_s,
@@ -48,6 +49,14 @@
     sys.exit(1 if failed_seeds else 0)
 
 
+def _make_directory(path):
+    try:
+        path.mkdir(parents=True, exist_ok=True)
+    except OSError as exc:
+        typer.echo(f'figtray-soak: {exc}', err=True)
+        raise typer.Exit(program.ExitStatus.INVALID) from exc
+
+
 def run():
     """Run the program."""
     typer.run(main)
