Find the steps of a job that follow best-effort steps

What callers would have seen: a job with a step after a best-effort one is never scheduled. Change: the paths are those of all steps; the counted ones are chosen after it. Test: test_step_after_a_best_effort_step_is_not_found fails before.

--- a/figtray/scheduling/arrivals.py
+++ b/figtray/scheduling/arrivals.py
@@ -67,15 +67,19 @@
             steps: the model.Steps of the job.
             now_ms: local time in milliseconds.
         """
-        steps = [s for s in steps if not s.lasting and not s.fills]
-        if not steps:
+        counted = [
+            (step, path_ms)
+            for step, path_ms in zip(steps, state.critical_paths_ms(steps))
+            if not step.lasting and not step.fills
+        ]
+        if not counted:
             return
         factor = self.estimate_factor(queue.name)
         work = factor * sum(
             step.count * step.needs.cpu_milli * step.estimate_ms
-            for step in steps
+            for step, _ in counted
         )
-        critical_path_ms = factor * max(state.critical_paths_ms(steps))
+        critical_path_ms = factor * max(path_ms for _, path_ms in counted)
         work *= min(1, HORIZON_MS / critical_path_ms)
         self._arrived.setdefault(queue.pool, collections.deque()).append(
             (now_ms, work)
--- a/figtray/scheduling/tests/test_arrivals.py
+++ b/figtray/scheduling/tests/test_arrivals.py
@@ -155,6 +155,21 @@
         expected = (4 - 2) * work / arrivals.WORK_WINDOW_MS
         assert meter.needed_milli(queue.pool, 0) == pytest.approx(expected)
 
+    # The step after a best-effort one was looked up in a list without it, so
+    # that its job was never scheduled.
+    def test_step_after_a_best_effort_step_is_not_found(self):
+        meter = arrivals.WorkMeter()
+        queue = harness.make_config().queues['q']
+        steps = [
+            harness.make_step(4, 1000, estimate_ms=100, fills=True),
+            harness.make_step(4, 1000, estimate_ms=100, fills=True),
+            harness.make_step(4, 1000, estimate_ms=100, after=(1,)),
+        ]
+        for _ in range(4):
+            meter.add(queue, steps, 0)
+        expected = (4 - 2) * 4 * 1000 * 100 / arrivals.WORK_WINDOW_MS
+        assert meter.needed_milli(queue.pool, 0) == pytest.approx(expected)
+
     # Declared run times may be wrong by a factor that is common to a queue.
     def test_run_times_correct_the_estimates(self):
         meter = arrivals.WorkMeter()
