review: the stand-in store loses no change at the end of a watch

A change that came as the wait of a watch ended was left out of the answer, but counted in its as_of. Calls may carry another key.

--- a/review/standins-2/standin_site.py
+++ b/review/standins-2/standin_site.py
@@ -260,7 +260,7 @@
             ]
 
         async with self._changed:
-            while not (events := found()):
+            while not found():
                 left_s = until - time.monotonic()
                 if left_s <= 0:
                     break
@@ -268,7 +268,8 @@
                     await asyncio.wait_for(self._changed.wait(), left_s)
                 except TimeoutError:
                     break
-        return {'events': events, 'as_of': self.revision}
+            # The wait may have ended as a change came.
+            return {'events': found(), 'as_of': self.revision}
 
     def _txn(self, data):
         writes, deletes = data.get('writes', []), data.get('deletes', [])
@@ -901,20 +902,20 @@
     # Clients.
 
     async def call(self, method, job_id, body=None, node=None, route=None,
-                   timeout_s=3.0):
+                   timeout_s=3.0, key=KEY):
         route = route or self.config['routes'][0]
         node = node or random.choice([n for n in self.nodes if n.running()])
         status, reply = await http_call(
             node.ports[0], method, route['prefix'] + job_id,
             {
                 'Host': route['host'],
-                'Authorization': f'Token {KEY}',
+                'Authorization': f'Token {key}',
                 'X-Figtray-Deadline-Ms': str(int(timeout_s * 1000)),
             },
             body, timeout_s,
         )
-        self.note('call', method=method, job=job_id, node=node.name,
-                  status=status, reply=reply)
+        self.note('call', method=method, path=route['prefix'] + job_id,
+                  key=key, node=node.name, status=status, reply=reply)
         return status, reply
 
     def new_job(self, steps, route=None, **fields):
