--- a/review/standins-2/standin_site.py
+++ b/review/standins-2/standin_site.py
@@ -618,6 +618,7 @@
         self.nodes = []
         self._tasks = set()
         self._servers = []
+        self.is_closing = False
         # Called with (name of a node, path); returns 'ok' or a status.
         self.store_fault = lambda node, method, target: 'ok'
 
@@ -886,6 +887,8 @@
         return next((n for n in self.nodes if n.name == name), None)
 
     async def close(self):
+        """End all processes and servers; no node starts from now on."""
+        self.is_closing = True
         for node in self.nodes:
             node.kill()
         for node in self.nodes:
@@ -1039,6 +1042,8 @@
         self.path.write_text(json.dumps(settings))
 
     def start(self):
+        if self.site.is_closing:
+            return
         self._starts += 1
         with open(ROOT / 'deploy/system.toml', 'rb') as file:
             command = tomllib.load(file)['roles']['node']['run']
@@ -1134,6 +1139,10 @@
     trouble = os.environ.get('TROUBLE') != '0'
 
     async def run():
+        # The nodes are ended as well if this process is told to stop.
+        asyncio.get_running_loop().add_signal_handler(
+            signal.SIGTERM, asyncio.current_task().cancel
+        )
         with tempfile.TemporaryDirectory() as directory:
             with open(pathlib.Path(folder) / 'record.txt', 'w') as record:
                 site = Site(directory, workers, routes, record, services)
@@ -1149,7 +1158,7 @@
 
     try:
         status = asyncio.run(run())
-    except Exception as exc:
+    except (Exception, asyncio.CancelledError) as exc:
         print(f'the case could not run: {exc!r}')
         status = 2
     print({0: 'held', 1: 'BROKEN', 2: 'not run'}[status])
