logs: for how long the leader counts the leases on a worker

Of the hypotheses, the log could tell none apart: it had neither the age of an incarnation at its first report, nor the lease that the leader counts there, and left_ms of 1609 was the same for all that are awaited.

1701 has born_ms, clock_ms and lease_ms now, 1729 has lease_ms, and left_ms is counted for each incarnation. No decision changes.

--- a/figtray/events/catalogue/scheduling.py
+++ b/figtray/events/catalogue/scheduling.py
@@ -13,8 +13,10 @@
 WORKER_REACHED = base.Event(
     1701,
     logbook.INFO,
-    'A worker has reported to this leader for the first time.',
-    ('worker', 'running', 'ended'),
+    'A worker has reported to this leader for the first time. clock_ms is the '
+    'time of its own clock, which begins with each incarnation; lease_ms tells '
+    'how long the leases that it may hold last by the count of the leader.',
+    ('worker', 'born_ms', 'clock_ms', 'lease_ms', 'running', 'ended'),
 )
 WORKER_DRAINING = base.Event(
     1702,
@@ -190,7 +192,15 @@
     'A worker has started again under its id and executes orders that were '
     'meant for its earlier incarnation; the run goes on there, or is stopped '
     'there if its start was not confirmed.',
-    ('task', 'run', 'worker', 'earlier_born_ms', 'born_ms', 'reason'),
+    (
+        'task',
+        'run',
+        'worker',
+        'earlier_born_ms',
+        'born_ms',
+        'lease_ms',
+        'reason',
+    ),
 )
 TASK_PAUSED = base.Event(
     1730,
--- a/figtray/scheduling/awaited.py
+++ b/figtray/scheduling/awaited.py
@@ -37,14 +37,15 @@
             if incarnation.host_id
         }
 
-    def name_if_due(self, incarnations, worker_states, now_ms, until_ms):
+    def name_if_due(self, incarnations, worker_states, now_ms, leases_end_ms):
         """Name the incarnations, at most each NAMING_INTERVAL_MS.
 
         Args:
             incarnations: the awaited Incarnations.
             worker_states: mapping of Incarnation to its WorkerState.
             now_ms: local time.
-            until_ms: local time at which the wait ends.
+            leases_end_ms: returns the local time at which an Incarnation
+                has no lease any more.
         """
         if not incarnations or (
             self._named_ms is not None
@@ -52,7 +53,11 @@
         ):
             return
         self._named_ms = now_ms
-        self._name(incarnations, worker_states, max(0, until_ms - now_ms))
+        self._name(
+            incarnations,
+            worker_states,
+            lambda incarnation: max(0, leases_end_ms(incarnation) - now_ms),
+        )
 
     def log_expiry(self, incarnations, worker_states):
         """Log that the wait has ended by time.
@@ -61,7 +66,7 @@
             incarnations: the Incarnations that were awaited to the end.
             worker_states: mapping of Incarnation to its WorkerState.
         """
-        self._name(incarnations, worker_states, 0)
+        self._name(incarnations, worker_states, lambda _: 0)
         log.emit(
             catalogue.WORKERS_ACCOUNTED,
             reason=LEASES_ENDED,
@@ -92,7 +97,7 @@
                 host_state=host_state,
                 host_worker=host_worker,
                 report_error=worker_state.report_error if worker_state else '',
-                left_ms=left_ms,
+                left_ms=left_ms(incarnation),
                 unnamed=max(0, len(ordered) - MAX_NAMED),
             )
 
--- a/figtray/scheduling/hand_over.py
+++ b/figtray/scheduling/hand_over.py
@@ -114,15 +114,6 @@
 
     def _hand_over(self, run, later, reason):
         earlier, task = run.worker_state, run.task
-        log.emit(
-            catalogue.RUN_HANDED_OVER,
-            task=task.name,
-            run=run.number,
-            worker=later.worker.worker_id,
-            earlier_born_ms=earlier.worker.born_ms,
-            born_ms=later.worker.born_ms,
-            reason=reason,
-        )
         needs = state.occupied(task.step.spec)
         del earlier.runs[task.name]
         earlier.used -= needs
@@ -132,6 +123,16 @@
         # Its lease was set in terms of another clock.
         if later.clock_ms is not None:
             later.extend_lease(later.clock_ms + self._longest_worker_lease_ms)
+        log.emit(
+            catalogue.RUN_HANDED_OVER,
+            task=task.name,
+            run=run.number,
+            worker=later.worker.worker_id,
+            earlier_born_ms=earlier.worker.born_ms,
+            born_ms=later.worker.born_ms,
+            lease_ms=later.counted_lease_ms(),
+            reason=reason,
+        )
         self._resume_trial(run)
         if task.placement is not None:
             self._record_placement(run)
--- a/figtray/scheduling/reports.py
+++ b/figtray/scheduling/reports.py
@@ -234,6 +234,9 @@
         log.emit(
             catalogue.WORKER_REACHED,
             worker=worker_state.worker.worker_id,
+            born_ms=worker_state.worker.born_ms,
+            clock_ms=report.clock_ms,
+            lease_ms=worker_state.counted_lease_ms(),
             running=len(report.running),
             ended=len(report.ended),
         )
--- a/figtray/scheduling/waits.py
+++ b/figtray/scheduling/waits.py
@@ -31,7 +31,7 @@
                 self._unresolved,
                 self._worker_states,
                 now_ms,
-                self._adoption_until_ms,
+                self._leases_end_ms,
             )
             steps = [s for s in self._open_steps.values() if s.waiting]
             self._held_log.update(steps, now_ms)
--- a/figtray/scheduling/worker_state.py
+++ b/figtray/scheduling/worker_state.py
@@ -164,6 +164,12 @@
         """Record that the worker may have been asked for a longer lease."""
         self.lease_until_ms = max(self.lease_until_ms, lease_until_ms)
 
+    def counted_lease_ms(self):
+        """Return how long its lease may last after its last report."""
+        if self.clock_ms is None:
+            return 0
+        return max(0, self.lease_until_ms - self.clock_ms)
+
     def settle_requested_lease(self, was_sent):
         """Record whether the request for a report under way was sent.
 
