--- a/figtray/events/catalogue/scheduling.py
+++ b/figtray/events/catalogue/scheduling.py
@@ -14,8 +14,8 @@
     1701,
     logbook.INFO,
     'A worker has reported to this leader for the first time. clock_ms is the '
-    'time of its own clock, which begins with each incarnation; lease_ms tells '
-    'how long the leases that it may hold last by the count of the leader.',
+    'time of its own clock, which begins with each incarnation; lease_ms is '
+    'how long a lease there may last by the count of the leader.',
     ('worker', 'born_ms', 'clock_ms', 'lease_ms', 'running', 'ended'),
 )
 WORKER_DRAINING = base.Event(
--- a/figtray/scheduling/tests/harness.py
+++ b/figtray/scheduling/tests/harness.py
@@ -100,7 +100,10 @@
 class Fleet:
     """Store, workers and clock, which outlive a leader."""
 
-    def __init__(self, workers=3, cfg=None, rate=1.0, store=None):
+    def __init__(
+        self, workers=3, cfg=None, rate=1.0, store=None, bounds=BOUNDS
+    ):
+        self.bounds = bounds
         self.clock = store.clock if store else clock_lib.ManualClock()
         self.store = store or store_memory.MemoryStore(self.clock)
         self.capacities = CapacityObserver()
@@ -126,7 +129,7 @@
             capacity=worker.capacity,
             worker_id=worker.worker_id,
         )
-        return self.client.add(worker, rate)
+        return self.client.add(worker, rate, self.bounds.hold_max_ms)
 
     def sim(self, number):
         """Return the SimWorker with a number."""
--- a/figtray/scheduling/tests/leaders.py
+++ b/figtray/scheduling/tests/leaders.py
@@ -62,7 +62,7 @@
             term,
             fleet.clock,
             self.writer,
-            BOUNDS,
+            fleet.bounds,
             self.view.is_fresh,
             fleet.metrics,
         )
@@ -92,7 +92,7 @@
                     lease_horizon.earlier_leases(
                         self.term,
                         lease_horizon.decode(leases_item.value),
-                        BOUNDS,
+                        fleet.bounds,
                     ),
                 )
             self.scheduler.begin_adoption(
@@ -100,7 +100,7 @@
                 lease_horizon.earlier_leases_end_ms(
                     self.term,
                     leases_item and leases_item.mod_revision,
-                    BOUNDS,
+                    fleet.bounds,
                 ),
             )
         self.sync_intake(progress)
--- a/figtray/scheduling/tests/takeovers.py
+++ b/figtray/scheduling/tests/takeovers.py
@@ -3,6 +3,7 @@
 import dataclasses
 
 from figtray import errors
+from figtray.fleet import memory
 from figtray.fleet import model as fleet_model
 from figtray.scheduling import leases
 from figtray.scheduling.tests import harness
@@ -47,6 +48,15 @@
         assert all(len(runs) == 1 for runs in found.values()), found
 
 
+def restart(fleet, number, is_listed, born_ms=2):
+    """Start a worker again under its id, with a new entry or the old one."""
+    fleet.client.crash(f'10.0.0.{number}:80')
+    worker = memory.make_worker(number, born_ms=born_ms)
+    fleet.client.add(worker, hold_max_ms=fleet.bounds.hold_max_ms)
+    if is_listed:
+        fleet.workers[worker.worker_id] = worker
+
+
 def leave(fleet, number):
     """End a worker for good, with its entry in the store and its host."""
     fleet.workers.pop(f'worker-{number}', None)
--- a/figtray/scheduling/tests/test_hand_over.py
+++ b/figtray/scheduling/tests/test_hand_over.py
@@ -49,15 +49,6 @@
     return leader
 
 
-def restart(fleet, number, is_listed, born_ms=2):
-    """Start a worker again under its id, with a new entry or the old one."""
-    fleet.client.crash(f'10.0.0.{number}:80')
-    worker = memory.make_worker(number, born_ms=born_ms)
-    fleet.client.add(worker)
-    if is_listed:
-        fleet.workers[worker.worker_id] = worker
-
-
 def list_new_entries(fleet):
     """List each worker with the incarnation that goes on."""
     for sim in harness.sims(fleet):
@@ -93,7 +84,7 @@
     leader.scheduler.plan()
     leader.flush()
     set_cordoned(leader, 1, False)
-    restart(fleet, 0, is_listed)
+    takeovers.restart(fleet, 0, is_listed)
     leader.deliver_orders(0)
     tasks = [f'{job_id}.0.0.{index}' for index in range(2)]
     assert sorted(takeovers.running(fleet)) == tasks
@@ -136,7 +127,7 @@
         order(leader)
         fleet.client.choose_fault = lambda *_: 'ok'
         set_cordoned(leader, 1, False)
-        restart(fleet, 0, is_listed)
+        takeovers.restart(fleet, 0, is_listed)
         report_all(leader, is_listed)
         fleet.client.execute_late_orders()
         list_new_entries(fleet)
@@ -168,7 +159,7 @@
         job_id = fleet.submit(harness.make_step())
         leader.run_cycle()
         set_cordoned(leader, 1, False)
-        restart(fleet, 0, is_listed)
+        takeovers.restart(fleet, 0, is_listed)
         play(leader, 10)
         assert not observer.twice
         assert takeovers.running(fleet)[f'{job_id}.0.0.0']
@@ -181,7 +172,7 @@
         job_id = fleet.submit(harness.make_step())
         order(leader)
         leader.advance(50)
-        restart(fleet, 0, False)
+        takeovers.restart(fleet, 0, False)
         leader.report_all()
         task = leader.scheduler.find_task(f'{job_id}.0.0.0')
         assert task.crashes.count == 1
@@ -205,7 +196,7 @@
             leader.report(0)
             assert leader.state(job_id) is records.State.COMPLETED
             assert not fleet.sim(0).ended
-        restart(fleet, 0, False)
+        takeovers.restart(fleet, 0, False)
         job_id = fleet.submit(harness.make_step())
         order(leader)
         fleet.sim(0).end(f'{job_id}.0.0.0', messages.EndReason.DONE)
