--- a/figtray/events/catalogue/scheduling.py
+++ b/figtray/events/catalogue/scheduling.py
@@ -226,3 +226,9 @@
     'an order to start to the report.',
     ('step', 'runs', 'longest_ms'),
 )
+ORDER_FOR_EARLIER = base.Event(
+    1733,
+    logbook.WARNING,
+    'An order did nothing, as a later incarnation of its worker is there.',
+    ('worker', 'born_ms', 'detail'),
+)
--- a/figtray/scheduling/enrolment.py
+++ b/figtray/scheduling/enrolment.py
@@ -27,6 +27,8 @@
             self._are_placements_known = roster.placements_recorded
             self._is_roster_complete = roster.complete
             self._last_roster = roster
+            for incarnation in roster.restarted:
+                self._restarts.note_lease(incarnation, self._term.began_ms)
 
     def roster(self):
         """Return the Roster of the incarnations on which tasks may run.
@@ -34,17 +36,20 @@
         Adoption ends here if all leases of earlier leaders have expired.
         """
         with self.lock:
-            if not self._is_adopting(self._clock.now_ms()):
+            now_ms = self._clock.now_ms()
+            if not self._is_adopting(now_ms):
                 self._end_adoption()
             reported = {
                 incarnation
                 for incarnation, worker_state in self._worker_states.items()
                 if worker_state.has_reported
             }
+            lives = reported | self._unresolved
             return rosters.Roster(
-                tuple(sorted(reported | self._unresolved)),
+                tuple(sorted(lives)),
                 self._are_placements_known,
                 self._is_roster_complete,
+                tuple(sorted(lives & self._restarts.holders(now_ms))),
             )
 
     def _end_adoption(self):
--- a/figtray/scheduling/hand_over.py
+++ b/figtray/scheduling/hand_over.py
@@ -19,6 +19,32 @@
 class HandOver(job_lifecycle.JobLifecycle):
     """Hands runs over to later incarnations of their workers."""
 
+    def _new_worker_state(self, worker):
+        """Keep and return the WorkerState of a new incarnation.
+
+        Its fencing token is the revision of the newest record of this term,
+        so it is higher than those of incarnations that were found before.
+        """
+        worker_state = worker_state_lib.WorkerState(
+            worker, self._writer.last_revision()
+        )
+        self._worker_states[worker.incarnation] = worker_state
+        return worker_state
+
+    def is_outranked(self, worker_state, fence):
+        """Return whether this leader has used a higher fencing token.
+
+        Args:
+            worker_state: the WorkerState that an order was for.
+            fence: the fencing token of the order.
+        """
+        with self.lock:
+            return worker_state.gone or any(
+                found.fence > fence
+                for found in self._worker_states.values()
+                if found.worker.worker_id == worker_state.worker.worker_id
+            )
+
     def _add_later(self, worker_state, born_ms):
         """Return the WorkerState of a later incarnation that has answered.
 
@@ -46,12 +72,26 @@
                 born_ms,
             ):
                 return known
-        later = worker_state_lib.WorkerState(worker)
+        later = self._new_worker_state(worker)
         later.listed = False
-        self._worker_states[worker.incarnation] = later
         self._without_session.append(later)
         return later
 
+    def _raise_fence(self, worker_state, born_ms):
+        """Record which fencing token another incarnation has seen.
+
+        Args:
+            worker_state: that of the incarnation that was asked.
+            born_ms: start time of the incarnation that has answered.
+        """
+        for found in self._worker_states.values():
+            worker = found.worker
+            if (worker.worker_id, worker.born_ms) == (
+                worker_state.worker.worker_id,
+                born_ms,
+            ):
+                found.fence = max(found.fence, worker_state.fence)
+
     def _find_later(self, worker_state):
         """Return the last later incarnation that has reported, or None."""
         worker = worker_state.worker
@@ -77,6 +117,65 @@
             and found.worker.born_ms < worker.born_ms
         ]
 
+    def _follows_another(self, worker_state):
+        """Return whether orders for an earlier incarnation may reach it.
+
+        Without a complete roster, any worker may have had an earlier one.
+        """
+        incarnation = worker_state.worker.incarnation
+        now_ms = self._clock.now_ms()
+        return (
+            not self._is_roster_complete
+            or incarnation in self._restarts.holders(now_ms)
+            or self._restarts.follows_ended(incarnation.worker_id, now_ms)
+            or any(self._earlier_incarnations(incarnation))
+        )
+
+    def _earlier_incarnations(self, incarnation):
+        """Yield the earlier incarnations under an id that may go on."""
+        for found in {*self._worker_states, *self._unresolved}:
+            if (
+                found.worker_id == incarnation.worker_id
+                and found.born_ms < incarnation.born_ms
+            ):
+                yield found
+
+    def _count_longest_lease(self, worker_state):
+        """Count a lease that orders for an earlier one may have extended.
+
+        None of them is executed once it has seen its own fencing token.
+
+        Args:
+            worker_state: the WorkerState of a worker that has just answered.
+        """
+        worker_state.extend_lease(
+            worker_state.clock_ms + self._longest_worker_lease_ms
+        )
+        self._restarts.note_lease(
+            worker_state.worker.incarnation, self._clock.now_ms()
+        )
+
+    def _note_listed_follower(self, worker_state):
+        """Count leases that a later incarnation may hold, unseen.
+
+        It is listed and has not reported, so it may run what was ordered of
+        the earlier ones.
+
+        Args:
+            worker_state: its WorkerState.
+        """
+        now_ms = self._clock.now_ms()
+        for incarnation in list(
+            self._earlier_incarnations(worker_state.worker.incarnation)
+        ):
+            self._restarts.note_lease(incarnation, self._term.began_ms)
+            earlier = self._worker_states.get(incarnation)
+            if earlier is not None and earlier.clock_ms is not None:
+                earlier.extend_lease(
+                    earlier.worker_clock(now_ms)
+                    + self._longest_worker_lease_ms
+                )
+
     def _hand_over_listed(self, earlier, later, report):
         """Hand over the runs that a later incarnation lists.
 
@@ -120,9 +219,6 @@
         run.worker_state = later
         later.runs[task.name] = run
         later.used += needs
-        # Its lease was set in terms of another clock.
-        if later.clock_ms is not None:
-            later.extend_lease(later.clock_ms + self._longest_worker_lease_ms)
         log.emit(
             catalogue.RUN_HANDED_OVER,
             task=task.name,
--- a/figtray/scheduling/leases.py
+++ b/figtray/scheduling/leases.py
@@ -22,6 +22,11 @@
     return _on_slowest_clock_ms(lease_ms(bounds))
 
 
+def longest_worker_lease_ms(bounds):
+    """Return how long any lease can last that a worker grants."""
+    return _on_slowest_clock_ms(bounds.hold_max_ms)
+
+
 def longest_earlier_release_lease_ms():
     """Return how long a lease of another release can last on a worker."""
     return _on_slowest_clock_ms(EARLIER_RELEASE_LEASE_MS)
--- a/figtray/scheduling/membership.py
+++ b/figtray/scheduling/membership.py
@@ -9,7 +9,6 @@
 from figtray.jobs import model
 from figtray.scheduling import ends
 from figtray.scheduling import worker_ends
-from figtray.scheduling import worker_state as worker_state_lib
 
 # A single refused connection may be a fault of the network.
 REFUSALS_TO_END = 2
@@ -120,8 +119,8 @@
                 continue
             worker_state = self._worker_states.get(incarnation)
             if worker_state is None:
-                worker_state = worker_state_lib.WorkerState(worker)
-                self._worker_states[incarnation] = worker_state
+                worker_state = self._new_worker_state(worker)
+                self._note_listed_follower(worker_state)
                 added.append(worker_state)
                 _log_seen(worker)
             elif worker.draining and not worker_state.worker.draining:
@@ -165,11 +164,10 @@
         added = []
         for incarnation in self._unresolved:
             if incarnation not in self._worker_states:
-                worker_state = worker_state_lib.WorkerState(
+                worker_state = self._new_worker_state(
                     _unlisted_worker(incarnation)
                 )
                 worker_state.listed = False
-                self._worker_states[incarnation] = worker_state
                 added.append(worker_state)
         return added
 
--- a/figtray/scheduling/outcomes.py
+++ b/figtray/scheduling/outcomes.py
@@ -57,7 +57,7 @@
                 task=task.name,
                 run=run.number,
                 payload=task.step.job.spec.payload,
-                epoch=self._term.epoch,
+                epoch=worker_state.fence,
                 lease_until_ms=min(
                     worker_state.lease_until_ms, worker_clock + lease_ms
                 ),
--- a/figtray/scheduling/reports.py
+++ b/figtray/scheduling/reports.py
@@ -44,7 +44,9 @@
             worker_state.requested_lease_ms = worker_clock + lease_ms
             return acknowledged, worker_state.requested_lease_ms
 
-    def handle_report(self, worker_state, report, asked_ms):
+    def handle_report(
+        self, worker_state, report, asked_ms, has_seen_fence=True
+    ):
         """Record what a worker reports.
 
         Args:
@@ -53,6 +55,8 @@
             asked_ms: local time before the report was requested; a run that
                 is missing from the report is lost only if the worker had
                 confirmed its last order before.
+            has_seen_fence: whether it was requested with the fencing token
+                of the incarnation that reports.
 
         Returns:
             Sequence number of the Writer that must be written before the
@@ -70,7 +74,9 @@
                 worker_state.all_listed_ms = asked_ms
             # Before its first report resolves anything.
             self._note_unread_ends(worker_state, report.more_ends)
-            if self._note_answer(worker_state, report, now_ms):
+            is_first = self._note_answer(worker_state, report, now_ms)
+            worker_state.has_seen_fence |= has_seen_fence
+            if is_first:
                 for earlier in self._find_earlier(worker_state):
                     self._hand_over_listed(earlier, worker_state, report)
                 self._end_followed()
@@ -130,6 +136,7 @@
         Returns:
             See handle_report().
         """
+        self._raise_fence(worker_state, report.born_ms)
         later = self._add_later(worker_state, report.born_ms)
         end = ends.of_process(
             worker_state, 'another incarnation reports', answered=True
@@ -140,9 +147,12 @@
         later.clock_ms = report.clock_ms
         if report.lists_all_runs:
             later.all_listed_ms = asked_ms
+        self._count_longest_lease(later)
         self._hand_over_listed(worker_state, later, report)
         self._end_incarnation(worker_state, end, later)
-        return self.handle_report(later, report, asked_ms)
+        return self.handle_report(
+            later, report, asked_ms, has_seen_fence=False
+        )
 
     def _note_odd_end(self, worker_state):
         self._odd_entries.note(
@@ -226,11 +236,16 @@
         worker_state.clock_read_ms = now_ms
         worker_state.unresponsive = False
         worker_state.silent_since_ms = None
-        if worker_state.has_reported:
+        is_first = not worker_state.has_reported
+        if is_first:
+            worker_state.has_reported = True
+            worker_state.follows_another = self._follows_another(worker_state)
+            # An earlier leader may have extended the lease this far.
+            worker_state.extend_lease(report.clock_ms + self._earlier_lease_ms)
+        if worker_state.follows_another and not worker_state.has_seen_fence:
+            self._count_longest_lease(worker_state)
+        if not is_first:
             return False
-        worker_state.has_reported = True
-        # An earlier leader may have extended the lease this far.
-        worker_state.extend_lease(report.clock_ms + self._earlier_lease_ms)
         log.emit(
             catalogue.WORKER_REACHED,
             worker=worker_state.worker.worker_id,
--- a/figtray/scheduling/roster.py
+++ b/figtray/scheduling/roster.py
@@ -17,11 +17,14 @@
             recorded before they start. Earlier releases did not do so.
         complete: whether no other incarnation may run tasks of earlier terms.
             It is not after a roster that could not be read.
+        restarted: those of the incarnations on which orders for an earlier
+            one may have extended a lease; see restarts.
     """
 
     lives: tuple[fleet.Incarnation, ...] = ()
     placements_recorded: bool = False
     complete: bool = True
+    restarted: tuple[fleet.Incarnation, ...] = ()
 
 
 # What is known if the stored roster can't be read.
--- a/figtray/scheduling/scheduler_base.py
+++ b/figtray/scheduling/scheduler_base.py
@@ -16,6 +16,7 @@
 from figtray.scheduling import lease_horizon
 from figtray.scheduling import leases
 from figtray.scheduling import quota
+from figtray.scheduling import restarts
 from figtray.scheduling import run_log
 from figtray.scheduling import state
 from figtray.scheduling import worker_orders
@@ -64,6 +65,7 @@
         self.lease_horizon = lease_horizon.LeaseHorizon(
             writer, clock, bounds, self.lock, self._list_unextended
         )
+        self._restarts = restarts.Restarts(bounds)
         self._is_config_fresh = is_config_fresh
         self._metrics = metrics
         # Parts of the takeover of this term that are over.
@@ -296,7 +298,10 @@
     def _leases_end_ms(self, incarnation):
         """Return the local time at which an unresolved one has no lease."""
         earlier = self._earlier_leases.get(incarnation[:2])
-        return earlier.until_ms if earlier else self._adoption_until_ms
+        return max(
+            earlier.until_ms if earlier else self._adoption_until_ms,
+            self._restarts.lease_until_ms(incarnation),
+        )
 
     def _list_unextended(self):
         """Return the Unextended incarnations; see lease_horizon."""
--- a/figtray/scheduling/session.py
+++ b/figtray/scheduling/session.py
@@ -1,5 +1,6 @@
 """Session with one worker: threads that get its reports and send orders."""
 
+import contextlib
 import threading
 
 from figtray import errors
@@ -165,14 +166,15 @@
         wait_ms = self._wait_ms()
         asked_ms = self._clock.now_ms()
         try:
-            report = self._client.report(
-                worker_state.worker,
-                self._term.epoch,
-                acknowledged,
-                lease_until_ms,
-                wait_ms,
-                wait_ms + REPORT_GRACE_MS,
-            )
+            with self._sending(worker_state.fence) as fence:
+                report = self._client.report(
+                    worker_state.worker,
+                    fence,
+                    acknowledged,
+                    lease_until_ms,
+                    wait_ms,
+                    wait_ms + REPORT_GRACE_MS,
+                )
         except (errors.IncarnationMismatch, errors.StaleEpoch) as exc:
             self._handle_mismatch(exc)
             return None
@@ -191,6 +193,37 @@
         self._pacer.adjust(worker_state)
         return sequence
 
+    @contextlib.contextmanager
+    def _sending(self, fence):
+        """Send an order, or a request for a report, with a fencing token.
+
+        One that a later incarnation refuses has done nothing.
+
+        Args:
+            fence: the fencing token, which is returned.
+
+        Raises:
+            CallNotSent: also if this leader has used a higher token.
+        """
+        try:
+            yield fence
+        except errors.StaleEpoch as exc:
+            if not self._scheduler.is_outranked(self._worker_state, fence):
+                raise
+            self._note_other_incarnation(exc)
+            raise errors.CallNotSent(
+                address=self._worker_state.worker.address, detail=str(exc)
+            ) from exc
+
+    def _note_other_incarnation(self, exc):
+        worker = self._worker_state.worker
+        log.emit(
+            catalogue.ORDER_FOR_EARLIER,
+            worker=worker.worker_id,
+            born_ms=worker.born_ms,
+            detail=str(exc),
+        )
+
     def _wait_ms(self):
         """Return how long the worker may wait for an end before it reports."""
         worker_state = self._worker_state
@@ -285,7 +318,7 @@
             case worker_orders.Stop(run=run):
                 self._stop(run)
             case worker_orders.StopStray(task=task, run=number):
-                self._stop_stray(task, number)
+                self._send_stop(task, number)
             case worker_orders.Pace(run=run, percent=percent):
                 self._pace(run, percent)
 
@@ -294,9 +327,10 @@
         if order is None:
             return
         try:
-            outcome = self._client.start(
-                self._worker_state.worker, order, START_TIMEOUT_MS
-            )
+            with self._sending(order.epoch):
+                outcome = self._client.start(
+                    self._worker_state.worker, order, START_TIMEOUT_MS
+                )
         except errors.CallNotSent as exc:
             outcome = verdict.NotRun(
                 verdict.RefusalReason.CONNECT_FAILED, str(exc)
@@ -314,39 +348,28 @@
     def _stop(self, run):
         if not self._scheduler.is_stop_pending(run):
             return
-        try:
-            self._client.stop(
-                self._worker_state.worker,
-                run.task.name,
-                run.number,
-                self._term.epoch,
-                STOP_TIMEOUT_MS,
-            )
-        except (errors.CallNotSent, errors.ReplyLost) as exc:
-            log.emit(
-                catalogue.STOP_UNANSWERED,
-                task=run.task.name,
-                run=run.number,
-                worker=self._worker_state.worker.worker_id,
-                detail=str(exc),
-            )
-            self._clock.wait(self._term.ended, RETRY_MS)
-            self._worker_state.orders.put(worker_orders.Stop(run))
+        if self._send_stop(run.task.name, run.number):
+            self._scheduler.handle_stopped(run)
             return
-        self._scheduler.handle_stopped(run)
+        self._clock.wait(self._term.ended, RETRY_MS)
+        self._worker_state.orders.put(worker_orders.Stop(run))
 
-    def _stop_stray(self, task, number):
+    def _send_stop(self, task, number):
+        """Send an order to stop a run; return whether it was answered.
+
+        Without an answer to the order to stop a stray run, the next report
+        lists the run again, and another order is given.
+        """
         try:
-            self._client.stop(
-                self._worker_state.worker,
-                task,
-                number,
-                self._term.epoch,
-                STOP_TIMEOUT_MS,
-            )
+            with self._sending(self._worker_state.fence) as fence:
+                self._client.stop(
+                    self._worker_state.worker,
+                    task,
+                    number,
+                    fence,
+                    STOP_TIMEOUT_MS,
+                )
         except (errors.CallNotSent, errors.ReplyLost) as exc:
-            # If the run is still there, the next report lists it again and
-            # another order is given.
             log.emit(
                 catalogue.STOP_UNANSWERED,
                 task=task,
@@ -354,17 +377,20 @@
                 worker=self._worker_state.worker.worker_id,
                 detail=str(exc),
             )
+            return False
+        return True
 
     def _pace(self, run, percent):
         try:
-            self._client.pace(
-                self._worker_state.worker,
-                run.task.name,
-                run.number,
-                percent,
-                self._term.epoch,
-                STOP_TIMEOUT_MS,
-            )
+            with self._sending(self._worker_state.fence) as fence:
+                self._client.pace(
+                    self._worker_state.worker,
+                    run.task.name,
+                    run.number,
+                    percent,
+                    fence,
+                    STOP_TIMEOUT_MS,
+                )
         except (errors.CallNotSent, errors.ReplyLost) as exc:
             log.emit(
                 catalogue.PACE_UNANSWERED,
--- a/figtray/scheduling/tests/test_restarted_worker.py
+++ b/figtray/scheduling/tests/test_restarted_worker.py
@@ -3,6 +3,8 @@
 Times in such an order are those of a clock that the later one doesn't have.
 """
 
+import dataclasses
+
 import pytest
 
 from figtray.platform import settings
@@ -165,3 +167,50 @@
         fleet.client.execute_late_orders()
         takeovers.silence(fleet, 0)
         wait_until_moved(fleet, leader, task)
+
+
+class TestOrdersAfterTheFirstReport:
+    # A worker refuses what is sent to its former incarnation, as the later
+    # one has had a higher token. That is no sign of another leader.
+    @pytest.mark.parametrize('kind', ['start', 'report'])
+    def test_refused_order_ends_the_term(self, fleet, leader, kind):
+        [task] = plan_on(fleet, leader, 0)
+        former = leader.worker_state(0)
+        former_session = leader._sessions[former.worker.incarnation]
+        order = former.orders.get()
+        takeovers.restart(fleet, 0, True)
+        leader.sync_workers()
+        [later] = [
+            found
+            for found in leader.scheduler.worker_states()
+            if found.worker == fleet.sim(0).worker
+        ]
+        report = fleet.client.report(later.worker, later.fence, 0, None, 0, 0)
+        assert report.born_ms == later.worker.born_ms
+        if kind == 'start':
+            former_session.execute(order)
+        else:
+            former_session.report_once()
+        assert not leader.term.ended.is_set()
+        takeovers.play(leader, 1000)
+        assert takeovers.running(fleet)[task]
+
+    def test_refusal_by_another_leader_is_ignored(self, fleet, leader):
+        worker_state = leader.worker_state(0)
+        fleet.client.report(
+            worker_state.worker, leader.term.epoch + 100, 0, None, 0, 0
+        )
+        leader.report(0)
+        assert leader.term.ended.is_set()
+
+    # An entry of another writer made the worker refuse its own orders: it had
+    # seen the token of the incarnation that the entry named.
+    def test_odd_entry_locks_its_worker_out(self, fleet, leader):
+        worker = fleet.workers['worker-0']
+        fleet.workers['worker-0'] = dataclasses.replace(worker, born_ms=9)
+        takeovers.play(leader, 500)
+        fleet.workers['worker-0'] = worker
+        takeovers.play(leader, 500)
+        [task] = plan_on(fleet, leader, 0)
+        takeovers.play(leader, 500)
+        assert takeovers.place(fleet, task) == 0
--- a/figtray/scheduling/worker_ends.py
+++ b/figtray/scheduling/worker_ends.py
@@ -47,9 +47,11 @@
         for task in suspects:
             self._give_up_if_guilty(task)
         self._worker_states.pop(worker.incarnation, None)
+        now_ms = self._clock.now_ms()
         self._ended_incarnations[worker.incarnation] = (
-            self._clock.now_ms() + scheduler_base.ENDED_INCARNATION_TTL_MS
+            now_ms + scheduler_base.ENDED_INCARNATION_TTL_MS
         )
+        self._restarts.note_end(worker.worker_id, now_ms)
         self._resolve_incarnation(worker.incarnation, end.reason, end.kind)
         self._end_unread(worker.incarnation)
         worker_state.orders.put(None)
--- a/figtray/scheduling/worker_state.py
+++ b/figtray/scheduling/worker_state.py
@@ -31,9 +31,14 @@
 
     Attributes:
         worker: the fleet Worker.
+        fence: the fencing token of all orders for it. Later incarnations have
+            higher ones, and refuse the orders for this one.
         runs: mapping of task name to its Run.
         used: Resources that the runs occupy; see occupied().
         has_reported: whether it has reported in the present term.
+        has_seen_fence: whether it has answered a request with its fence.
+        follows_another: whether it may have executed orders that were meant
+            for an earlier incarnation under its id.
         on_roster: whether the stored roster has it, so that a later leader
             knows that tasks may run on it.
         listed: whether its entry is in the store.
@@ -80,11 +85,14 @@
         failed_jobs: ids of the jobs of these runs.
     """
 
-    def __init__(self, worker):
+    def __init__(self, worker, fence=0):
         self.worker = worker
+        self.fence = fence
         self.runs = {}
         self.used = model.NO_RESOURCES
         self.has_reported = False
+        self.has_seen_fence = False
+        self.follows_another = False
         self.on_roster = False
         self.listed = True
         self.unresponsive = False
--- a/figtray/scheduling/writer.py
+++ b/figtray/scheduling/writer.py
@@ -52,6 +52,7 @@
         self._left_out = {}
         self._last_sequence = 0
         self._revisions = {}
+        self._last_revision = term.epoch
         self._failing = False
         self._unreadable = unreadable.UnreadableLog(clock)
 
@@ -91,6 +92,15 @@
         with self._cond:
             return self._last_sequence
 
+    def last_revision(self):
+        """Return the revision of the last batch that is stored.
+
+        It is at least the epoch of this term, and less than that of each
+        later one, as each batch is conditional on the term.
+        """
+        with self._cond:
+            return self._last_revision
+
     def is_written(self, sequence, key=None):
         """Return whether all writes up to a sequence number are stored.
 
@@ -242,6 +252,7 @@
         current = {item.key: item.mod_revision for item in result.current}
         with self._cond:
             if result.succeeded:
+                self._last_revision = max(self._last_revision, result.revision)
                 for key in values:
                     self._revisions[key] = result.revision
                 for key in deletes:
