--- a/figtray/errors.py
+++ b/figtray/errors.py
@@ -107,6 +107,23 @@
         return bool(self.fields.get('refused'))
 
 
+class OtherIncarnation(CallNotSent):
+    """A call was not sent, as another incarnation answers at its address.
+
+    Attributes:
+        report: the fleet Report of the one that answers.
+    """
+
+    msg_fmt = (
+        'Nothing was sent to {address}: another incarnation of {worker_id} '
+        'answers there.'
+    )
+
+    def __init__(self, report, **fields):
+        super().__init__(**fields)
+        self.report = report
+
+
 class ReplyLost(FigtrayError):
     """A call may have been executed, but there is no usable reply."""
 
--- a/figtray/fleet/base.py
+++ b/figtray/fleet/base.py
@@ -4,8 +4,14 @@
 class WorkerClient:
     """Client of all workers; an order names the id of the worker it is for.
 
+    A call is sent on a connection on which the incarnation has answered that
+    it is for, so that no other one under its id executes it. That holds if
+    the worker keeps its connections open, and carries orders out at once.
+
     All calls to a worker raise:
         CallNotSent: the worker did not receive the order.
+        OtherIncarnation: the same, as another incarnation under its id has
+            answered; not raised by report().
         ReplyLost: the order may have been executed, or may be executed
             seconds later.
         IncarnationMismatch: a worker with another id answered and did
@@ -55,7 +61,8 @@
             timeout_ms: limit of the call in milliseconds.
 
         Returns:
-            A Report.
+            A Report; that of another incarnation under the id, without any
+            effect on it, if that has answered.
         """
         raise NotImplementedError
 
--- a/figtray/platform/http_client.py
+++ b/figtray/platform/http_client.py
@@ -28,6 +28,9 @@
 class HttpClient:
     """Client of one address; safe for use by several threads.
 
+    A connection reaches one process: if that ends, so does the connection. A
+    caller that has to know which process it calls checks each new one.
+
     Args:
         address: `host:port`.
         clock: the Clock.
@@ -39,6 +42,8 @@
         self._lock = threading.Lock()
         self._idle = []
         self._closed = False
+        # Whether the service has closed a connection after a response.
+        self._is_closing = False
 
     def call(
         self,
@@ -49,6 +54,8 @@
         headers=(),
         stall_ms=0,
         send_by_ms=None,
+        check=None,
+        is_expected=None,
     ):
         """Make one call.
 
@@ -64,6 +71,14 @@
             send_by_ms: local time from which on nothing of the call is sent;
                 None = no limit of its own. A service that has received a
                 part of a call only does not execute it.
+            check: called before this call on a new connection, with a
+                function that makes a call there and takes method, path, body
+                and headers; raises an error if another process answers. None
+                = there is nothing to check. A service that closes its
+                connections is not checked.
+            is_expected: returns whether a Reply came from the expected
+                process, so that its connection may be used again; None = any
+                may be.
 
         Returns:
             A Reply, whatever its status is.
@@ -74,17 +89,14 @@
         """
         began_ms = self._clock.now_ms()
         deadline_ms = began_ms + timeout_ms
-        conn = self._acquire(deadline_ms)
+        conn, is_new = self._acquire(deadline_ms)
+        if is_new and check is not None and not self._is_closing:
+            conn = self._check(conn, check, deadline_ms)
         conn.begin_request(
             deadline_ms, stall_ms, began_ms + MAX_TRANSFER_MS, send_by_ms
         )
-        all_headers = dict(headers)
-        if body is not None:
-            all_headers['Content-Type'] = 'application/json'
         try:
-            conn.request(method, path, body, all_headers)
-            response = conn.getresponse()
-            reply = Reply(response.status, response.read())
+            reply, will_close = _exchange(conn, method, path, body, headers)
         except _CALL_ERRORS as exc:
             was_sent = conn.sent_bytes > 0
             conn.abort()
@@ -95,12 +107,36 @@
             raise errors.CallNotSent(
                 address=self.address, detail=describe(exc)
             ) from exc
-        if response.will_close:
+        if will_close or not (is_expected is None or is_expected(reply)):
             conn.close()
         else:
             self._release(conn)
         return reply
 
+    def _check(self, conn, check, deadline_ms):
+        """Check a new connection; return the one to use."""
+
+        def exchange(method, path, body, headers):
+            conn.begin_request(deadline_ms)
+            reply, will_close = _exchange(conn, method, path, body, headers)
+            self._is_closing |= will_close
+            return reply
+
+        try:
+            check(exchange)
+        except _CALL_ERRORS as exc:
+            conn.abort()
+            raise errors.CallNotSent(
+                address=self.address, detail=describe(exc)
+            ) from exc
+        except errors.FigtrayError:
+            conn.abort()
+            raise
+        if not self._is_closing:
+            return conn
+        conn.close()
+        return self._open(deadline_ms)
+
     def close(self):
         """Close all idle connections; later calls keep none open."""
         with self._lock:
@@ -115,6 +151,7 @@
             conn.close()
 
     def _acquire(self, deadline_ms):
+        """Return a connection, and whether it is new."""
         now_ms = self._clock.now_ms()
         while True:
             with self._lock:
@@ -125,7 +162,10 @@
             if now_ms - idle_since_ms > MAX_IDLE_MS or conn.peek() is not None:
                 conn.close()
                 continue
-            return conn
+            return conn, False
+        return self._open(deadline_ms), True
+
+    def _open(self, deadline_ms):
         try:
             conn = connections.Connection(self.address, self._clock)
             conn.open(deadline_ms)
@@ -146,6 +186,17 @@
             conn.close()
 
 
+def _exchange(conn, method, path, body, headers):
+    """Make a call; return its Reply, and whether the connection ends."""
+    all_headers = dict(headers)
+    if body is not None:
+        all_headers['Content-Type'] = 'application/json'
+    conn.request(method, path, body, all_headers)
+    response = conn.getresponse()
+    reply = Reply(response.status, response.read())
+    return reply, response.will_close
+
+
 def describe(exc):
     """Return an exception's message, or its type if it has none."""
     return str(exc) or type(exc).__name__
--- a/figtray/platform/workers.py
+++ b/figtray/platform/workers.py
@@ -16,6 +16,7 @@
 from figtray import verdict
 
 INCARNATION_HEADER = 'X-Figtray-Expect-Instance'
+REPORT_PATH = '/api/hold'
 
 # Ends that a worker lists at a time.
 ENDS_PER_REPORT = 500
@@ -109,7 +110,9 @@
             last_checkpoint=order.checkpoint,
             ticket=order.ticket,
         )
-        reply = self._post(worker, '/api/run-start', body, timeout_ms)
+        reply = self._post(
+            worker, '/api/run-start', body, timeout_ms, order.epoch
+        )
         if reply.status == 200:
             return messages.Started(_decode_reply(worker, reply).clock_ms)
         if reply.status == 409:
@@ -132,7 +135,7 @@
 
     def stop(self, worker, task, run, epoch, timeout_ms):
         body = {'task': task, 'run': run, 'fence': epoch}
-        self._send_order(worker, '/api/run-stop', body, timeout_ms)
+        self._send_order(worker, '/api/run-stop', body, timeout_ms, epoch)
 
     def report(
         self, worker, epoch, acknowledged, lease_until_ms, wait_ms, timeout_ms
@@ -142,7 +145,18 @@
             body['deadline_ms'] = lease_until_ms
         if wait_ms:
             body['wait_ms'] = wait_ms
-        reply = self._send_order(worker, '/api/hold', body, timeout_ms)
+        if lease_until_ms is None and not acknowledged:
+            reply = self._ask(worker, body, timeout_ms)
+            return self._read_report(worker, reply)
+        try:
+            reply = self._send_order(
+                worker, REPORT_PATH, body, timeout_ms, epoch
+            )
+        except errors.OtherIncarnation as exc:
+            return exc.report
+        return self._read_report(worker, reply)
+
+    def _read_report(self, worker, reply):
         if len(reply.body) > MAX_REPORT_BYTES:
             raise errors.ReplyLost(
                 address=worker.address, detail='malformed: it is too large'
@@ -152,7 +166,7 @@
 
     def pace(self, worker, task, run, percent, epoch, timeout_ms):
         body = {'task': task, 'run': run, 'percent': percent, 'fence': epoch}
-        self._send_order(worker, '/api/pace', body, timeout_ms)
+        self._send_order(worker, '/api/pace', body, timeout_ms, epoch)
 
     def disconnect(self, worker):
         with self._lock:
@@ -166,32 +180,67 @@
         for client in clients:
             client.close()
 
-    def _send_order(self, worker, path, body, timeout_ms):
-        reply = self._post(worker, path, body, timeout_ms)
-        if reply.status != 200:
-            raise errors.ReplyLost(
-                address=worker.address,
-                detail=f'status {reply.status}: {reply.body[:200]}',
-            )
+    def _send_order(self, worker, path, body, timeout_ms, fence):
+        reply = self._post(worker, path, body, timeout_ms, fence)
+        _raise_unless_ok(worker, reply)
         return reply
 
-    def _post(self, worker, path, body, timeout_ms):
+    def _post(self, worker, path, body, timeout_ms, fence):
+        """Make a call on a connection to the incarnation that it is for.
+
+        Its header has the id of the worker, which a restart may keep.
+        """
         reply = self._client_of(worker).call(
             'POST',
             path,
             timeout_ms,
             msgspec.json.encode(body),
-            {INCARNATION_HEADER: worker.worker_id},
+            _headers(worker),
+            check=lambda exchange: self._check(worker, fence, exchange),
         )
-        if reply.status == 421:
-            raise errors.IncarnationMismatch(
-                worker_id=worker.worker_id, address=worker.address
+        _raise_refusal(worker, reply)
+        return reply
+
+    def _check(self, worker, fence, exchange):
+        """Check which incarnation answers on a new connection.
+
+        Args:
+            worker: the Worker.
+            fence: the fencing token of the call that follows.
+            exchange: makes a call there; see http_client.HttpClient.call().
+
+        Raises:
+            OtherIncarnation: another one than that of the Worker.
+            CallNotSent: the reply does not tell.
+        """
+        body = {'fence': fence, 'ack_cursor': 0}
+        data = msgspec.json.encode(body)
+        reply = exchange('POST', REPORT_PATH, data, _headers(worker))
+        _raise_refusal(worker, reply)
+        try:
+            _raise_unless_ok(worker, reply)
+            report = self._read_report(worker, reply)
+        except errors.ReplyLost as exc:
+            raise errors.CallNotSent(
+                address=worker.address, detail=str(exc)
+            ) from exc
+        if report.born_ms != worker.born_ms:
+            raise errors.OtherIncarnation(
+                report, address=worker.address, worker_id=worker.worker_id
             )
-        if reply.status == 409:
-            if _decode_reply(worker, reply).reason == 'fence':
-                raise errors.StaleEpoch(
-                    detail=f'{worker.worker_id} has seen a later epoch'
-                )
+
+    def _ask(self, worker, body, timeout_ms):
+        """Ask for a report by a call without effect; return the Reply."""
+        reply = self._client_of(worker).call(
+            'POST',
+            REPORT_PATH,
+            timeout_ms,
+            msgspec.json.encode(body),
+            _headers(worker),
+            is_expected=lambda reply: _is_from(worker, reply),
+        )
+        _raise_refusal(worker, reply)
+        _raise_unless_ok(worker, reply)
         return reply
 
     def _build_report(self, worker, report):
@@ -258,6 +307,39 @@
             return client
 
 
+def _headers(worker):
+    return {INCARNATION_HEADER: worker.worker_id}
+
+
+def _raise_refusal(worker, reply):
+    """Raise the error of a reply by which a worker refuses any order."""
+    if reply.status == 421:
+        raise errors.IncarnationMismatch(
+            worker_id=worker.worker_id, address=worker.address
+        )
+    if reply.status == 409 and _decode_reply(worker, reply).reason == 'fence':
+        raise errors.StaleEpoch(
+            detail=f'{worker.worker_id} has seen a later epoch'
+        )
+
+
+def _raise_unless_ok(worker, reply):
+    if reply.status != 200:
+        raise errors.ReplyLost(
+            address=worker.address,
+            detail=f'status {reply.status}: {reply.body[:200]}',
+        )
+
+
+def _is_from(worker, reply):
+    """Return whether a report is one of the incarnation of a Worker."""
+    try:
+        report = decoding.decode('report', _report_decoder, reply.body)
+    except errors.UnreadableMessage:
+        return False
+    return reply.status == 200 and report.born == worker.born_ms
+
+
 def _check_checkpoint(what, checkpoint):
     if len(checkpoint) > MAX_CHECKPOINT_CHARS:
         raise decoding.unreadable(what, 'its checkpoint is too long')
--- a/figtray/scheduling/reports.py
+++ b/figtray/scheduling/reports.py
@@ -235,6 +235,7 @@
         worker_state.clock_ms = report.clock_ms
         worker_state.clock_read_ms = now_ms
         worker_state.unresponsive = False
+        worker_state.is_doubted = False
         worker_state.silent_since_ms = None
         is_first = not worker_state.has_reported
         if is_first:
--- a/figtray/scheduling/session.py
+++ b/figtray/scheduling/session.py
@@ -145,6 +145,7 @@
         return (
             not worker_state.has_reported
             or worker_state.unresponsive
+            or worker_state.is_doubted
             or bool(worker_state.runs)
             or worker_state.stray_runs.count > 0
             or worker_state.sent_acknowledged < worker_state.acknowledged
@@ -207,6 +208,9 @@
         """
         try:
             yield fence
+        except errors.OtherIncarnation as exc:
+            self._note_other_incarnation(exc)
+            raise
         except errors.StaleEpoch as exc:
             if not self._scheduler.is_outranked(self._worker_state, fence):
                 raise
@@ -223,6 +227,8 @@
             born_ms=worker.born_ms,
             detail=str(exc),
         )
+        self._worker_state.is_doubted = True
+        self._worker_state.wake.set()
 
     def _wait_ms(self):
         """Return how long the worker may wait for an end before it reports."""
--- a/figtray/scheduling/tests/test_session.py
+++ b/figtray/scheduling/tests/test_session.py
@@ -13,6 +13,7 @@
 from figtray.scheduling import state
 from figtray.scheduling import stray_runs
 from figtray.scheduling.tests import harness
+from figtray.scheduling import worker_orders
 from figtray.store.tests import outages
 
 WAIT_S = 10
@@ -322,3 +323,39 @@
         assert fleet.clock.now_ms() - session._client.back_ms <= (
             sessions.STOP_TIMEOUT_MS + sessions.RETRY_MS
         )
+
+
+class TestOtherIncarnation:
+    # A later incarnation was found by its entry or by the next run there.
+    @pytest.mark.parametrize('kind', ['start', 'pace'])
+    def test_idle_worker_is_not_asked_who_answers(
+        self, fleet, leader, handler, kind
+    ):
+        worker_state = leader.worker_state(0)
+        [session] = [
+            session
+            for session in leader._sessions.values()
+            if session._worker_state is worker_state
+        ]
+        later = messages.Report(2, 0)
+
+        def refuse(worker, *args):
+            raise errors.OtherIncarnation(
+                later, address=worker.address, worker_id=worker.worker_id
+            )
+
+        fleet.client.start = fleet.client.pace = refuse
+        fleet.submit(harness.make_step(4, cpu_milli=8000))
+        leader.sync_intake()
+        leader.scheduler.plan()
+        order = worker_state.orders.get()
+        if kind == 'pace':
+            order = worker_orders.Pace(order.run, 50)
+        session.execute(order)
+        [line] = harness.logged(handler, catalogue.ORDER_FOR_EARLIER)
+        assert line['worker'] == 'worker-0'
+        assert worker_state.wake.is_set()
+        worker_state.runs.clear()
+        assert session._is_report_needed()
+        leader.report(0)
+        assert not session._is_report_needed()
--- a/figtray/scheduling/worker_state.py
+++ b/figtray/scheduling/worker_state.py
@@ -44,6 +44,8 @@
         listed: whether its entry is in the store.
         unresponsive: whether the last request for a report failed; its lease
             is not extended then, so that the end of the lease is known.
+        is_doubted: whether another incarnation has answered for it since its
+            last report.
         silent_since_ms: local time of the first failed request for a report
             since the last report; None if the last one was answered.
         report_error: why the last request for a report failed; empty if it
@@ -96,6 +98,7 @@
         self.on_roster = False
         self.listed = True
         self.unresponsive = False
+        self.is_doubted = False
         self.silent_since_ms = None
         self.report_error = ''
         self.all_listed_ms = None
