scheduling: the orders of a session get a module of their own

Sending, with its refusals and outcomes, is in order_sender.py now; the session keeps the threads and the reports. No behaviour changes; the tests name the constants where they are now, and SilentClient stands in for both.

--- a/figtray/platform/tests/test_node.py
+++ b/figtray/platform/tests/test_node.py
@@ -19,13 +19,13 @@
 from figtray.platform import standin_services
 from figtray.platform import standin_site as sites
 from figtray import release
-from figtray.scheduling import session
+from figtray.scheduling import order_sender
 from figtray.soak import proxies
 
 LIMIT_S = 60
 # An order for a start that waits for this long in the process of the tests is
 # answered late: its leader has given up.
-LATE_ANSWER_MS = session.START_TIMEOUT_MS
+LATE_ANSWER_MS = order_sender.START_TIMEOUT_MS
 # Place of tcpi_last_data_recv in the tcp_info of Linux, in bytes.
 LAST_RECEIVED = slice(52, 56)
 
--- a/figtray/scheduling/tests/test_session.py
+++ b/figtray/scheduling/tests/test_session.py
@@ -8,6 +8,7 @@
 from figtray import errors
 from figtray.events import catalogue
 from figtray.fleet import messages
+from figtray.scheduling import order_sender
 from figtray.scheduling import outcomes
 from figtray.scheduling import session as sessions
 from figtray.scheduling import state
@@ -268,7 +269,8 @@
         # The leader renews its lease meanwhile.
         leader.term.valid = lambda: True
         [session] = leader._sessions.values()
-        session._client = SilentClient(fleet.clock, fleet.client, silent_ms)
+        client = SilentClient(fleet.clock, fleet.client, silent_ms)
+        session._client = session._sender._client = client
         return session
 
     # No task starts on a worker before its first report in a term.
@@ -303,7 +305,7 @@
         calls = outcomes.UNANSWERED_STARTS_TO_AVOID
         assert session._client.sent == ['start'] * calls
         assert fleet.clock.now_ms() - began_ms <= (
-            calls * sessions.START_TIMEOUT_MS
+            calls * order_sender.START_TIMEOUT_MS
         )
         step = leader.scheduler.find_task(f'{job_id}.0.0.0').step
         assert len(step.waiting) == orders - calls
@@ -321,7 +323,7 @@
         while run.confirmed_ms is None:
             leader.deliver_orders(0, 1)
         assert fleet.clock.now_ms() - session._client.back_ms <= (
-            sessions.STOP_TIMEOUT_MS + sessions.RETRY_MS
+            order_sender.STOP_TIMEOUT_MS + order_sender.RETRY_MS
         )
 
 
--- a/figtray/scheduling/tests/test_sum_of_waits.py
+++ b/figtray/scheduling/tests/test_sum_of_waits.py
@@ -15,6 +15,7 @@
 from figtray.scheduling import lease_horizon
 from figtray.scheduling import leases
 from figtray.scheduling import membership
+from figtray.scheduling import order_sender
 from figtray.scheduling import outcomes
 from figtray.scheduling import planner
 from figtray.scheduling import scheduler_base
@@ -152,8 +153,8 @@
     W13_MS = planner.ADOPTION_RETRY_MS + service.PLAN_DELAY_MS
     W14_MS = writers.BATCH_DELAY_MS
     W15_MS = max(
-        session.START_TIMEOUT_MS,
-        session.STOP_TIMEOUT_MS + session.RETRY_MS,
+        order_sender.START_TIMEOUT_MS,
+        order_sender.STOP_TIMEOUT_MS + order_sender.RETRY_MS,
     )
     W22_TURN_MS = (
         trials.MAX_TURN_WAIT_MS + crashes.LONG_TRIAL_MS + trials.TRIAL_RETRY_MS
@@ -217,12 +218,15 @@
         ),
         'W14 calls for 150 records': (-(-150 // writers.KEYS_PER_TXN), 10),
         'W15 starts': (
-            session.START_TIMEOUT_MS
+            order_sender.START_TIMEOUT_MS
             * outcomes.UNANSWERED_STARTS_TO_AVOID
             // session.ORDER_THREADS,
             450,
         ),
-        'W15 stops': (session.STOP_TIMEOUT_MS + session.RETRY_MS, 650),
+        'W15 stops': (
+            order_sender.STOP_TIMEOUT_MS + order_sender.RETRY_MS,
+            650,
+        ),
         'W16 no room': (outcomes.MAX_NO_CAPACITY_BACKOFF_MS, 1200),
         'W16 unhealthy': (scheduler_base.UNHEALTHY_BACKOFF_MS, 1000),
         'W16 failing': (job_lifecycle.FAILING_BACKOFF_MS, 4000),
