--- a/figtray/scheduling/tests/test_sum_of_waits.py
+++ b/figtray/scheduling/tests/test_sum_of_waits.py
@@ -238,6 +238,12 @@
         'W21': (W21_MS, 1700),
         'W22': (crashes.MAX_APART_WAIT_MS + trials.TRIAL_RETRY_MS, 2600),
         'W22 turn': (W22_TURN_MS, 5100),
+        'W24': (
+            leases.longest_worker_lease_ms(
+                settings.Bounds(hold_max_ms=10_000)
+            ),
+            10504,
+        ),
         'W23': (service.ADVICE_TIMEOUT_MS + service.RETRY_MS, 2700),
     }
 
