hand_over: look for earlier incarnations without a copy of all workers

A first report built a set of all incarnations to find those under one id; the leader of a large site gets hundreds of them at a takeover. No behaviour changes.

--- a/figtray/scheduling/hand_over.py
+++ b/figtray/scheduling/hand_over.py
@@ -5,6 +5,7 @@
 """
 
 import dataclasses
+import itertools
 
 from figtray.events import catalogue
 from figtray.events import log
@@ -133,7 +134,7 @@
 
     def _earlier_incarnations(self, incarnation):
         """Yield the earlier incarnations under an id that may go on."""
-        for found in {*self._worker_states, *self._unresolved}:
+        for found in itertools.chain(self._worker_states, self._unresolved):
             if (
                 found.worker_id == incarnation.worker_id
                 and found.born_ms < incarnation.born_ms
