--- a/figtray/scheduling/session.py
+++ b/figtray/scheduling/session.py
@@ -142,6 +142,7 @@
         worker_state = self._worker_state
         return (
             not worker_state.has_reported
+            or not worker_state.has_seen_fence
             or worker_state.unresponsive
             or worker_state.is_doubted
             or bool(worker_state.runs)
--- a/figtray/scheduling/tests/test_session.py
+++ b/figtray/scheduling/tests/test_session.py
@@ -14,6 +14,7 @@
 from figtray.scheduling import state
 from figtray.scheduling import stray_runs
 from figtray.scheduling.tests import harness
+from figtray.scheduling.tests import takeovers
 from figtray.scheduling import worker_orders
 from figtray.store.tests import outages
 
@@ -361,3 +362,20 @@
         assert session._is_report_needed()
         leader.report(0)
         assert not session._is_report_needed()
+
+    # Without runs it had no call of its own, and executed a start that was
+    # late and meant for the former incarnation.
+    def test_later_incarnation_is_never_told_its_token(self, fleet, leader):
+        former = leader.worker_state(0)
+        takeovers.restart(fleet, 0, False)
+        leader.report(0)
+        assert former.gone
+        fleet.workers['worker-0'] = fleet.sim(0).worker
+        leader.sync_workers()
+        later = leader.worker_state(0)
+        assert later.worker.born_ms != former.worker.born_ms
+        session = leader._sessions[later.worker.incarnation]
+        assert session._is_report_needed()
+        session.report_once()
+        assert fleet.sim(0).epoch == later.fence > former.fence
+        assert not session._is_report_needed()
