--- a/figtray/scheduling/tests/test_session.py
+++ b/figtray/scheduling/tests/test_session.py
@@ -8,11 +8,14 @@
 from figtray import errors
 from figtray.events import catalogue
 from figtray.fleet import messages
+from figtray.scheduling import order_sender
 from figtray.scheduling import outcomes
 from figtray.scheduling import session as sessions
 from figtray.scheduling import state
 from figtray.scheduling import stray_runs
 from figtray.scheduling.tests import harness
+from figtray.scheduling.tests import takeovers
+from figtray.scheduling import worker_orders
 from figtray.store.tests import outages
 
 WAIT_S = 10
@@ -267,7 +270,8 @@
         # The leader renews its lease meanwhile.
         leader.term.valid = lambda: True
         [session] = leader._sessions.values()
-        session._client = SilentClient(fleet.clock, fleet.client, silent_ms)
+        client = SilentClient(fleet.clock, fleet.client, silent_ms)
+        session._client = session._sender._client = client
         return session
 
     # No task starts on a worker before its first report in a term.
@@ -302,7 +306,7 @@
         calls = outcomes.UNANSWERED_STARTS_TO_AVOID
         assert session._client.sent == ['start'] * calls
         assert fleet.clock.now_ms() - began_ms <= (
-            calls * sessions.START_TIMEOUT_MS
+            calls * order_sender.START_TIMEOUT_MS
         )
         step = leader.scheduler.find_task(f'{job_id}.0.0.0').step
         assert len(step.waiting) == orders - calls
@@ -320,5 +324,58 @@
         while run.confirmed_ms is None:
             leader.deliver_orders(0, 1)
         assert fleet.clock.now_ms() - session._client.back_ms <= (
-            sessions.STOP_TIMEOUT_MS + sessions.RETRY_MS
+            order_sender.STOP_TIMEOUT_MS + order_sender.RETRY_MS
         )
+
+
+class TestOtherIncarnation:
+    # A later incarnation was found by its entry or by the next run there.
+    @pytest.mark.parametrize('kind', ['start', 'pace'])
+    def test_idle_worker_is_not_asked_who_answers(
+        self, fleet, leader, handler, kind
+    ):
+        worker_state = leader.worker_state(0)
+        [session] = [
+            session
+            for session in leader._sessions.values()
+            if session._worker_state is worker_state
+        ]
+        later = messages.Report(2, 0)
+
+        def refuse(worker, *args):
+            raise errors.OtherIncarnation(
+                later, address=worker.address, worker_id=worker.worker_id
+            )
+
+        fleet.client.start = fleet.client.pace = refuse
+        fleet.submit(harness.make_step(4, cpu_milli=8000))
+        leader.sync_intake()
+        leader.scheduler.plan()
+        order = worker_state.orders.get()
+        if kind == 'pace':
+            order = worker_orders.Pace(order.run, 50)
+        session.execute(order)
+        [line] = harness.logged(handler, catalogue.ORDER_FOR_EARLIER)
+        assert line['worker'] == 'worker-0'
+        assert worker_state.wake.is_set()
+        worker_state.runs.clear()
+        assert session._is_report_needed()
+        leader.report(0)
+        assert not session._is_report_needed()
+
+    # Without runs it had no call of its own, and executed a start that was
+    # late and meant for the former incarnation.
+    def test_later_incarnation_is_never_told_its_token(self, fleet, leader):
+        former = leader.worker_state(0)
+        takeovers.restart(fleet, 0, False)
+        leader.report(0)
+        assert former.gone
+        fleet.workers['worker-0'] = fleet.sim(0).worker
+        leader.sync_workers()
+        later = leader.worker_state(0)
+        assert later.worker.born_ms != former.worker.born_ms
+        session = leader._sessions[later.worker.incarnation]
+        assert session._is_report_needed()
+        session.report_once()
+        assert fleet.sim(0).epoch == later.fence > former.fence
+        assert not session._is_report_needed()
--- a/figtray/scheduling/worker_state.py
+++ b/figtray/scheduling/worker_state.py
@@ -31,14 +31,21 @@
 
     Attributes:
         worker: the fleet Worker.
+        fence: the fencing token of all orders for it. Later incarnations have
+            higher ones, and refuse the orders for this one.
         runs: mapping of task name to its Run.
         used: Resources that the runs occupy; see occupied().
         has_reported: whether it has reported in the present term.
+        has_seen_fence: whether it has answered a request with its fence.
+        follows_another: whether it may have executed orders that were meant
+            for an earlier incarnation under its id.
         on_roster: whether the stored roster has it, so that a later leader
             knows that tasks may run on it.
         listed: whether its entry is in the store.
         unresponsive: whether the last request for a report failed; its lease
             is not extended then, so that the end of the lease is known.
+        is_doubted: whether another incarnation has answered for it since its
+            last report.
         silent_since_ms: local time of the first failed request for a report
             since the last report; None if the last one was answered.
         report_error: why the last request for a report failed; empty if it
@@ -80,14 +87,18 @@
         failed_jobs: ids of the jobs of these runs.
     """
 
-    def __init__(self, worker):
+    def __init__(self, worker, fence=0):
         self.worker = worker
+        self.fence = fence
         self.runs = {}
         self.used = model.NO_RESOURCES
         self.has_reported = False
+        self.has_seen_fence = False
+        self.follows_another = False
         self.on_roster = False
         self.listed = True
         self.unresponsive = False
+        self.is_doubted = False
         self.silent_since_ms = None
         self.report_error = ''
         self.all_listed_ms = None
@@ -164,6 +175,12 @@
         """Record that the worker may have been asked for a longer lease."""
         self.lease_until_ms = max(self.lease_until_ms, lease_until_ms)
 
+    def counted_lease_ms(self):
+        """Return how long its lease may last after its last report."""
+        if self.clock_ms is None:
+            return 0
+        return max(0, self.lease_until_ms - self.clock_ms)
+
     def settle_requested_lease(self, was_sent):
         """Record whether the request for a report under way was sent.
 
