--- a/figtray/scheduling/tests/test_restart_review.py
+++ b/figtray/scheduling/tests/test_restart_review.py
@@ -237,9 +237,11 @@
     # orders for the second, which the leader has found late.
     def test_both_have_the_same_token(self, fleet, leader):
         plan_on(fleet, leader, 0, lasting=True)
-        takeovers.restart(fleet, 0, True)
+        takeovers.restart(fleet, 0, False)
         leader.deliver_orders(0)
-        leader.advance(5000)
+        for _ in range(10):
+            leader.advance(500)
+            leader.sync_workers()
         flush, leader.flush = leader.flush, lambda: None
         leader.report(0)
         leader.sync_workers()
@@ -253,7 +255,7 @@
         third = incarnation(leader, 3)
         leader._report(third)
         leader.flush = flush
-        leader.advance(1000)
+        leader.advance(2000)
         fleet.client.execute_late_orders()
         leader._report(third)
         assert fleet.sim(0).lease_until_ms <= third.lease_until_ms
