--- a/figtray/platform/http_client.py
+++ b/figtray/platform/http_client.py
@@ -42,8 +42,6 @@
         self._lock = threading.Lock()
         self._idle = []
         self._closed = False
-        # Whether the service has closed a connection after a response.
-        self._is_closing = False
 
     def call(
         self,
@@ -62,7 +60,8 @@
         Args:
             method: HTTP method.
             path: path and query.
-            timeout_ms: longest time of the whole call in milliseconds.
+            timeout_ms: longest time of the whole call in milliseconds, and
+                of a check before it.
             body: JSON bytes, or None.
             headers: mapping or pairs of additional headers.
             stall_ms: once the response arrives, the call goes on until none
@@ -74,8 +73,8 @@
             check: called before this call on a new connection, with a
                 function that makes a call there and takes method, path, body
                 and headers; raises an error if another process answers. None
-                = there is nothing to check. A service that closes its
-                connections is not checked.
+                = there is nothing to check. If the service closes the
+                connection after that, the call is made on the next one.
             is_expected: returns whether a Reply came from the expected
                 process, so that its connection may be used again; None = any
                 may be.
@@ -90,8 +89,10 @@
         began_ms = self._clock.now_ms()
         deadline_ms = began_ms + timeout_ms
         conn, is_new = self._acquire(deadline_ms)
-        if is_new and check is not None and not self._is_closing:
+        if is_new and check is not None:
             conn = self._check(conn, check, deadline_ms)
+            # Else a slow service might answer the check alone in time.
+            deadline_ms = self._clock.now_ms() + timeout_ms
         conn.begin_request(
             deadline_ms, stall_ms, began_ms + MAX_TRANSFER_MS, send_by_ms
         )
@@ -115,11 +116,12 @@
 
     def _check(self, conn, check, deadline_ms):
         """Check a new connection; return the one to use."""
+        ends = []
 
         def exchange(method, path, body, headers):
             conn.begin_request(deadline_ms)
             reply, will_close = _exchange(conn, method, path, body, headers)
-            self._is_closing |= will_close
+            ends.append(will_close)
             return reply
 
         try:
@@ -132,7 +134,7 @@
         except errors.FigtrayError:
             conn.abort()
             raise
-        if not self._is_closing:
+        if not any(ends):
             return conn
         conn.close()
         return self._open(deadline_ms)
--- a/figtray/platform/tests/test_workers.py
+++ b/figtray/platform/tests/test_workers.py
@@ -236,7 +236,7 @@
         rig.start()
         assert len(reports) == 1
 
-    # No connection of such a worker shows who executes the next order.
+    # Each order needs a check of its own.
     def test_worker_that_closes_its_connections_gets_no_order(
         self, rig, reports, monkeypatch
     ):
@@ -245,7 +245,7 @@
         )
         for number in range(3):
             assert rig.start(task=f'j.0.0.{number}')
-        assert len(reports) == 1
+        assert len(reports) == 3
 
 
 class TestHosts:
