--- a/figtray/scheduling/adoption.py
+++ b/figtray/scheduling/adoption.py
@@ -4,7 +4,6 @@
 import contextlib
 
 from figtray.jobs import model
-from figtray.jobs import records
 from figtray.scheduling import job_lifecycle
 from figtray.scheduling import leases
 from figtray.scheduling import state
@@ -63,9 +62,11 @@
     def _take_uncertain_tasks(self, step, now_ms):
         """Take the tasks that may still run out of the queue of a step.
 
-        A lasting task may if its placement is unresolved. Other tasks have no
-        recorded placement, so each of an earlier term may: a record before
-        each of their starts would put the store into the path of all starts.
+        A lasting task may if its placement is unresolved, or that of another
+        incarnation under the id: a run is handed over before the roster and
+        its placement are stored. Other tasks have no recorded placement, so
+        each of an earlier term may: a record before each of their starts
+        would put the store into the path of all starts.
 
         Args:
             step: the StepState.
@@ -79,14 +80,19 @@
         if not (step.spec.lasting and self._are_placements_known):
             taken, left = list(step.waiting), ()
         else:
-            placements = {
-                records.Placement(incarnation.worker_id, incarnation.born_ms)
+            worker_ids = {
+                incarnation.worker_id
                 for incarnation in self._unresolved | self._with_unread_ends
                 if incarnation in self._with_unread_ends
                 or now_ms < self._leases_end_ms(incarnation)
             }
-            taken = [t for t in step.waiting if t.placement in placements]
-            left = [t for t in step.waiting if t.placement not in placements]
+            taken, left = [], []
+            for task in step.waiting:
+                is_held = (
+                    task.placement is not None
+                    and task.placement.worker_id in worker_ids
+                )
+                (taken if is_held else left).append(task)
         if taken:
             step.waiting = collections.deque(left)
             step.held_reason = state.HeldReason.TAKEOVER
