--- a/figtray/scheduling/enrolment.py
+++ b/figtray/scheduling/enrolment.py
@@ -27,8 +27,25 @@
             self._are_placements_known = roster.placements_recorded
             self._is_roster_complete = roster.complete
             self._last_roster = roster
-            for incarnation in roster.restarted:
-                self._restarts.note_lease(incarnation, self._term.began_ms)
+            self._adopt_restarts(roster)
+
+    def _adopt_restarts(self, roster):
+        """Record what the last leader knew of restarts.
+
+        Its orders were given until this term began.
+        """
+        began_ms = self._term.began_ms
+        restarted = roster.restarted
+        if restarted is None:
+            restarted = roster.lives
+            self._adoption_until_ms = max(
+                self._adoption_until_ms,
+                began_ms + self._restarts.longest_lease_ms,
+            )
+        for incarnation in restarted:
+            self._restarts.note_lease(incarnation, began_ms)
+        for incarnation in roster.ended:
+            self._restarts.note_end(incarnation, -1, began_ms)
 
     def roster(self):
         """Return the Roster of the incarnations on which tasks may run.
@@ -50,6 +67,7 @@
                 self._are_placements_known,
                 self._is_roster_complete,
                 tuple(sorted(lives & self._restarts.holders(now_ms))),
+                self._restarts.ended(now_ms),
             )
 
     def _end_adoption(self):
--- a/figtray/scheduling/hand_over.py
+++ b/figtray/scheduling/hand_over.py
@@ -4,6 +4,7 @@
 an incarnation that has ended is executed by the next one.
 """
 
+import collections
 import dataclasses
 import itertools
 
@@ -24,27 +25,60 @@
         """Keep and return the WorkerState of a new incarnation.
 
         Its fencing token is the revision of the newest record of this term,
-        so it is higher than those of incarnations that were found before.
+        so it is higher than those of incarnations that were found before. If
+        nothing was stored since, it gets a higher one with the next record.
         """
-        worker_state = worker_state_lib.WorkerState(
-            worker, self._writer.last_revision()
-        )
+        fence = self._writer.last_revision()
+        worker_state = worker_state_lib.WorkerState(worker, fence)
         self._worker_states[worker.incarnation] = worker_state
+        if not self._restarts.assign_fence(worker.worker_id, fence):
+            worker_state.is_fence_new = False
+            self._with_old_fences.append(worker_state)
         return worker_state
 
-    def is_outranked(self, worker_state, fence):
-        """Return whether this leader has used a higher fencing token.
+    def handle_written(self):
+        super().handle_written()
+        with self.lock:
+            self._renew_fences()
+
+    def _renew_fences(self):
+        """Give higher fencing tokens to those that have none yet."""
+        fence, left = self._writer.last_revision(), []
+        for worker_state in self._with_old_fences:
+            if worker_state.gone:
+                continue
+            if not self._restarts.assign_fence(
+                worker_state.worker.worker_id, fence
+            ):
+                left.append(worker_state)
+                continue
+            worker_state.fence = fence
+            worker_state.is_fence_new = True
+            worker_state.wake.set()
+        self._with_old_fences = left
+
+    def is_refusal_own(self, worker_state, fence):
+        """Return whether a fencing token of this leader explains a refusal.
+
+        A worker that goes on may have seen that of an incarnation that an odd
+        entry has named. It is its own from then on.
 
         Args:
-            worker_state: the WorkerState that an order was for.
+            worker_state: the WorkerState that the order was for.
             fence: the fencing token of the order.
         """
         with self.lock:
-            return worker_state.gone or any(
-                found.fence > fence
+            worker = worker_state.worker
+            highest = self._restarts.highest_fence(worker.worker_id)
+            if not worker_state.gone and highest <= fence:
+                return False
+            if not any(
+                found.worker.worker_id == worker.worker_id
+                and found.worker.born_ms > worker.born_ms
                 for found in self._worker_states.values()
-                if found.worker.worker_id == worker_state.worker.worker_id
-            )
+            ):
+                worker_state.fence = max(worker_state.fence, highest)
+            return True
 
     def _add_later(self, worker_state, born_ms):
         """Return the WorkerState of a later incarnation that has answered.
@@ -128,7 +162,7 @@
         return (
             not self._is_roster_complete
             or incarnation in self._restarts.holders(now_ms)
-            or self._restarts.follows_ended(incarnation.worker_id, now_ms)
+            or self._restarts.follows_ended(incarnation, now_ms)
             or any(self._earlier_incarnations(incarnation))
         )
 
@@ -156,26 +190,27 @@
             worker_state.worker.incarnation, self._clock.now_ms()
         )
 
-    def _note_listed_follower(self, worker_state):
-        """Count leases that a later incarnation may hold, unseen.
+    def _note_listed_followers(self, added):
+        """Count leases that later incarnations may hold, unseen.
 
-        It is listed and has not reported, so it may run what was ordered of
-        the earlier ones.
+        They are listed and have not reported, so they may run what was
+        ordered of earlier ones.
 
         Args:
-            worker_state: its WorkerState.
+            added: the WorkerStates of new entries.
         """
-        now_ms = self._clock.now_ms()
-        for incarnation in list(
-            self._earlier_incarnations(worker_state.worker.incarnation)
-        ):
-            self._restarts.note_lease(incarnation, self._term.began_ms)
-            earlier = self._worker_states.get(incarnation)
-            if earlier is not None and earlier.clock_ms is not None:
-                earlier.extend_lease(
-                    earlier.worker_clock(now_ms)
-                    + self._longest_worker_lease_ms
-                )
+        known = {*self._worker_states, *self._unresolved}
+        counts = collections.Counter(found.worker_id for found in known)
+        for worker_state in added:
+            incarnation = worker_state.worker.incarnation
+            if counts[incarnation.worker_id] == 1:
+                continue
+            for earlier in set(self._earlier_incarnations(incarnation)):
+                # Earlier leaders gave orders until this term began.
+                ordered_ms = self._term.began_ms
+                if earlier not in self._unresolved:
+                    ordered_ms = self._clock.now_ms()
+                self._restarts.note_unseen(earlier, ordered_ms)
 
     def _hand_over_listed(self, earlier, later, report):
         """Hand over the runs that a later incarnation lists.
@@ -250,6 +285,9 @@
     """
     if run.sent_ms is None or run.seen_ms is not None:
         return False
+    # A stop that the earlier one has confirmed tells nothing of the later.
+    if run.started_ms is None and not later.has_seen_fence:
+        return True
     return (
         run.confirmed_ms is None
         or later.all_listed_ms is None
--- a/figtray/scheduling/membership.py
+++ b/figtray/scheduling/membership.py
@@ -120,7 +120,6 @@
             worker_state = self._worker_states.get(incarnation)
             if worker_state is None:
                 worker_state = self._new_worker_state(worker)
-                self._note_listed_follower(worker_state)
                 added.append(worker_state)
                 _log_seen(worker)
             elif worker.draining and not worker_state.worker.draining:
@@ -133,6 +132,8 @@
             if worker_state.has_reported or incarnation in self._unresolved:
                 self._note_capacity(worker.capacity)
             worker_state.listed = True
+        if added:
+            self._note_listed_followers(added)
         return added
 
     def _handle_missing_entries(self, listed, trust_absence):
--- a/figtray/scheduling/order_sender.py
+++ b/figtray/scheduling/order_sender.py
@@ -71,7 +71,7 @@
             self._note_other_incarnation(exc)
             raise
         except errors.StaleEpoch as exc:
-            if not self._scheduler.is_outranked(self._worker_state, fence):
+            if not self._scheduler.is_refusal_own(self._worker_state, fence):
                 raise
             self._note_other_incarnation(exc)
             raise errors.CallNotSent(
--- a/figtray/scheduling/reports.py
+++ b/figtray/scheduling/reports.py
@@ -44,9 +44,7 @@
             worker_state.requested_lease_ms = worker_clock + lease_ms
             return acknowledged, worker_state.requested_lease_ms
 
-    def handle_report(
-        self, worker_state, report, asked_ms, has_seen_fence=True
-    ):
+    def handle_report(self, worker_state, report, asked_ms, fence=None):
         """Record what a worker reports.
 
         Args:
@@ -55,8 +53,8 @@
             asked_ms: local time before the report was requested; a run that
                 is missing from the report is lost only if the worker had
                 confirmed its last order before.
-            has_seen_fence: whether it was requested with the fencing token
-                of the incarnation that reports.
+            fence: the fencing token of the request; None for that of the
+                incarnation that reports.
 
         Returns:
             Sequence number of the Writer that must be written before the
@@ -75,7 +73,10 @@
             # Before its first report resolves anything.
             self._note_unread_ends(worker_state, report.more_ends)
             is_first = self._note_answer(worker_state, report, now_ms)
-            worker_state.has_seen_fence |= has_seen_fence
+            worker_state.has_seen_fence |= (
+                worker_state.is_fence_new
+                and fence in (None, worker_state.fence)
+            )
             if is_first:
                 for earlier in self._find_earlier(worker_state):
                     self._hand_over_listed(earlier, worker_state, report)
@@ -150,9 +151,7 @@
         self._count_longest_lease(later)
         self._hand_over_listed(worker_state, later, report)
         self._end_incarnation(worker_state, end, later)
-        return self.handle_report(
-            later, report, asked_ms, has_seen_fence=False
-        )
+        return self.handle_report(later, report, asked_ms, worker_state.fence)
 
     def _note_odd_end(self, worker_state):
         self._odd_entries.note(
@@ -210,11 +209,7 @@
                 return
             if worker_state.refused_connections:
                 self._record_suspects(worker_state)
-            if worker_state.is_lease_over(
-                self._clock.now_ms(),
-                leases.SLOWEST_CLOCK_RATE,
-                leases.LEASE_MARGIN_MS,
-            ):
+            if self._is_lease_over(worker_state):
                 self._note_unread_ends(worker_state, False)
                 if not worker_state.runs:
                     return
@@ -225,6 +220,14 @@
                 )
                 self.changed.set()
 
+    def _is_lease_over(self, worker_state):
+        """Return whether no run of a worker can go on, nor one after it."""
+        now_ms = self._clock.now_ms()
+        incarnation = worker_state.worker.incarnation
+        return worker_state.is_lease_over(
+            now_ms, leases.SLOWEST_CLOCK_RATE, leases.LEASE_MARGIN_MS
+        ) and now_ms >= self._restarts.unseen_until_ms(incarnation)
+
     def _note_answer(self, worker_state, report, now_ms):
         """Record that a worker answers, and what its clock shows.
 
@@ -236,6 +239,7 @@
         worker_state.clock_read_ms = now_ms
         worker_state.unresponsive = False
         worker_state.is_doubted = False
+        self._restarts.forget_unseen(worker_state.worker.incarnation)
         worker_state.silent_since_ms = None
         is_first = not worker_state.has_reported
         if is_first:
--- a/figtray/scheduling/roster.py
+++ b/figtray/scheduling/roster.py
@@ -18,13 +18,16 @@
         complete: whether no other incarnation may run tasks of earlier terms.
             It is not after a roster that could not be read.
         restarted: those of the incarnations on which orders for an earlier
-            one may have extended a lease; see restarts.
+            one may have extended a lease; see restarts. Any may be one if it
+            is None, as in a roster of a release that doesn't tell.
+        ended: incarnations whose orders may still be executed by later ones.
     """
 
     lives: tuple[fleet.Incarnation, ...] = ()
     placements_recorded: bool = False
     complete: bool = True
-    restarted: tuple[fleet.Incarnation, ...] = ()
+    restarted: tuple[fleet.Incarnation, ...] | None = None
+    ended: tuple[fleet.Incarnation, ...] = ()
 
 
 # What is known if the stored roster can't be read.
--- a/figtray/scheduling/scheduler_base.py
+++ b/figtray/scheduling/scheduler_base.py
@@ -66,6 +66,8 @@
             writer, clock, bounds, self.lock, self._list_unextended
         )
         self._restarts = restarts.Restarts(bounds)
+        # WorkerStates whose fencing tokens an earlier incarnation has, too.
+        self._with_old_fences = []
         self._is_config_fresh = is_config_fresh
         self._metrics = metrics
         # Parts of the takeover of this term that are over.
--- a/figtray/scheduling/session.py
+++ b/figtray/scheduling/session.py
@@ -166,7 +166,8 @@
         wait_ms = self._wait_ms()
         asked_ms = self._clock.now_ms()
         try:
-            with self._sender.sending(worker_state.fence) as fence:
+            fence = worker_state.fence
+            with self._sender.sending(fence):
                 report = self._client.report(
                     worker_state.worker,
                     fence,
@@ -188,7 +189,7 @@
                 worker_state.sent_acknowledged, acknowledged
             )
         sequence = self._scheduler.handle_report(
-            worker_state, report, asked_ms
+            worker_state, report, asked_ms, fence
         )
         self._pacer.adjust(worker_state)
         return sequence
--- a/figtray/scheduling/tests/test_restart_review.py
+++ b/figtray/scheduling/tests/test_restart_review.py
@@ -146,10 +146,10 @@
         item = fleet.store.get(rosters.ROSTER_KEY)
         roster = rosters.decode(item.value)
         assert roster.restarted
-        roster = msgspec.structs.replace(roster, restarted=())
-        fleet.store.txn(
-            (), [base.Put(rosters.ROSTER_KEY, rosters.encode(roster))]
+        roster = msgspec.json.encode(
+            {'lives': roster.lives, 'placements_recorded': True}
         )
+        fleet.store.txn((), [base.Put(rosters.ROSTER_KEY, roster)])
         wait_until_moved(fleet, fleet.elect_leader(), task)
 
     # Any worker may be a later incarnation.
--- a/figtray/scheduling/worker_ends.py
+++ b/figtray/scheduling/worker_ends.py
@@ -51,7 +51,10 @@
         self._ended_incarnations[worker.incarnation] = (
             now_ms + scheduler_base.ENDED_INCARNATION_TTL_MS
         )
-        self._restarts.note_end(worker.worker_id, now_ms)
+        if end.kind != ends.Kind.REASSIGNED:
+            self._restarts.note_end(
+                worker.incarnation, worker_state.fence, now_ms
+            )
         self._resolve_incarnation(worker.incarnation, end.reason, end.kind)
         self._end_unread(worker.incarnation)
         worker_state.orders.put(None)
--- a/figtray/scheduling/worker_state.py
+++ b/figtray/scheduling/worker_state.py
@@ -36,6 +36,8 @@
         runs: mapping of task name to its Run.
         used: Resources that the runs occupy; see occupied().
         has_reported: whether it has reported in the present term.
+        is_fence_new: whether no earlier incarnation under its id has its
+            fence.
         has_seen_fence: whether it has answered a request with its fence.
         follows_another: whether it may have executed orders that were meant
             for an earlier incarnation under its id.
@@ -93,6 +95,7 @@
         self.runs = {}
         self.used = model.NO_RESOURCES
         self.has_reported = False
+        self.is_fence_new = True
         self.has_seen_fence = False
         self.follows_another = False
         self.on_roster = False
