advice: tickets for one life of a worker, used while they are valid

Callers of a queue with advice saw tasks wait for further calls of the adviser: workers refused starts whose tickets were of no use (409, `ticket`).

Cause: StepAdvice kept tickets by the id of a worker, which a restart may keep, while a ticket is valid for one life. All tickets of a step lapsed with the first of them, counted from the request, so an adviser that took as long as its tickets last was asked without end. Nothing was checked as a start was sent: its ticket may have lapsed while it waited, or its queue may have gained advice since. One refused ticket voided all tickets of the step. An answer whose tickets last no time was followed by a call with each plan.

Change: figtray/scheduling/advice.py keeps a ticket for each life, with its own end. A start is planned with a ticket that stays valid for a while, and sent only while it is valid; else the task waits and the adviser is asked. A worker is not asked about again within 500 ms. A new policy of the queue voids earlier answers. Steps without an approved worker are held for `advice`. trials.py: one line, as the ticket of a worker needs its life and the time.

--- a/figtray/scheduling/outcomes.py
+++ b/figtray/scheduling/outcomes.py
@@ -48,6 +48,11 @@
             ):
                 self._revert_start(run)
                 return None
+            if _lacks_ticket(run, now_ms):
+                self._revert_start(run)
+                # The adviser has to be asked.
+                self.changed.set()
+                return None
             # A start extends the lease only if reports don't: a worker that
             # has fallen silent would be awaited for longer.
             if worker_state.lease_until_ms < worker_clock + self._lease_ms / 2:
@@ -62,7 +67,7 @@
                     worker_state.lease_until_ms, worker_clock + lease_ms
                 ),
                 checkpoint=task.checkpoint,
-                ticket=run.ticket,
+                ticket=run.ticket.text if run.ticket else '',
             )
 
     def handle_started(self, run):
@@ -120,7 +125,8 @@
                     )
                     worker_state.room_refusals += 1
                 case verdict.RefusalReason.TICKET:
-                    run.task.step.advice = None
+                    if run.task.step.advice is not None:
+                        run.task.step.advice.drop(worker_state, now_ms)
                 case verdict.RefusalReason.STALE_RUN:
                     # The worker may know a higher run number, so the next
                     # start skips some numbers.
@@ -188,6 +194,17 @@
         )
 
 
+def _lacks_ticket(run, now_ms):
+    """Return whether a worker would refuse a run for want of a ticket.
+
+    The queue may have gained advice since the start was planned, or the order
+    may have waited until the ticket lapsed.
+    """
+    if run.task.step.job.queue.advice is None:
+        return False
+    return run.ticket is None or now_ms >= run.ticket.until_ms
+
+
 def _no_capacity_backoff_ms(worker_state):
     """Return for how long a worker is avoided after one more refusal."""
     return min(
--- a/figtray/scheduling/planner.py
+++ b/figtray/scheduling/planner.py
@@ -9,7 +9,6 @@
 from figtray.scheduling import starts
 from figtray.scheduling import state
 from figtray.scheduling import trials
-from figtray.scheduling import worker_orders
 
 # Planning is suspended while the term or the configuration may be outdated.
 SUSPENDED_RETRY_MS = 50
@@ -191,7 +190,7 @@
                 return state.HeldReason.TEAM_LIMIT
             worker_state = self._choose(step, worker_states, now_ms)
             if worker_state is None:
-                return state.HeldReason.NO_ROOM
+                return self._no_room_reason(step, worker_states, now_ms)
             task = step.waiting.popleft()
             self._start(
                 task, worker_state, self._next_run_number(task), now_ms
@@ -205,7 +204,6 @@
         ):
             self._release_reserved(task, worker_states)
             return False
-        # This also asks for advice on the workers that lack it.
         worker_state = self._choose(
             task.step,
             worker_states,
@@ -229,10 +227,9 @@
         """
         with self.lock:
             for step in self._open_steps.values():
-                if step.advice is not None and step.advice.candidates:
-                    if step.waiting:
-                        step.advice.request_pending = True
-                        return step, step.advice
+                if _wants_advice(step):
+                    step.advice.note_request()
+                    return step, step.advice
             return None, None
 
     def record_advice(self, step, advice, answer, asked_ids, asked_ms):
@@ -246,10 +243,10 @@
             asked_ms: local time before the request was sent.
         """
         with self.lock:
-            advice.request_pending = False
-            advice.candidates = ()
-            if answer is not None:
-                advice.record(answer, asked_ids, asked_ms)
+            if answer is None:
+                advice.record_failure()
+            else:
+                advice.record(answer, asked_ms, self._clock.now_ms())
                 log.emit(
                     catalogue.ADVICE_LEARNED,
                     step=step.name,
@@ -259,8 +256,26 @@
         self.changed.set()
 
     def _choose(self, step, worker_states, now_ms, apart=False):
-        if step.job.queue.advice is None:
+        """Return the best worker for a task; ask for advice if needed."""
+        advice = self._advice(step)
+        if advice is None:
             return placement.choose(step, worker_states, now_ms, apart)
-        if step.advice is None:
-            step.advice = worker_orders.StepAdvice()
-        return step.advice.choose(step, worker_states, now_ms, apart)
+        return advice.choose(step, worker_states, now_ms, apart)
+
+    def _no_room_reason(self, step, worker_states, now_ms):
+        """Return the HeldReason of a step that no worker can start."""
+        if step.advice is not None and any(
+            placement.fits(step, worker_state, now_ms)
+            for worker_state in worker_states
+        ):
+            return state.HeldReason.ADVICE
+        return state.HeldReason.NO_ROOM
+
+
+def _wants_advice(step):
+    return (
+        step.job.queue.advice is not None
+        and step.advice is not None
+        and bool(step.advice.candidates)
+        and bool(step.waiting)
+    )
--- a/figtray/scheduling/starts.py
+++ b/figtray/scheduling/starts.py
@@ -3,6 +3,7 @@
 import collections
 
 from figtray.jobs import records
+from figtray.scheduling import advice as advice_lib
 from figtray.scheduling import crashes
 from figtray.scheduling import placement
 from figtray.scheduling import scheduler_base
@@ -109,6 +110,17 @@
             assigned.append(chosen)
         return assigned
 
+    def _advice(self, step):
+        """Return the StepAdvice of a step; None if its queue needs none."""
+        policy = step.job.queue.advice
+        if policy is None:
+            step.advice = None
+            return None
+        if step.advice is None:
+            step.advice = advice_lib.StepAdvice()
+        step.advice.set_policy(policy)
+        return step.advice
+
     def _next_run_number(self, task):
         """Return the number of the next run; later terms have higher ones."""
         return (
@@ -122,9 +134,8 @@
         A start whose placement must be stored is ordered after the write.
         """
         step = task.step
-        ticket = ''
-        if step.advice is not None:
-            ticket = step.advice.ticket(worker_state.worker.worker_id)
+        advice = self._advice(step)
+        ticket = advice and advice.ticket(worker_state, now_ms)
         run = state.Run(task, worker_state, number, now_ms, ticket)
         self._attach(run)
         if crashes.run_on_trial(worker_state) is run:
--- a/figtray/scheduling/state.py
+++ b/figtray/scheduling/state.py
@@ -17,6 +17,7 @@
     NO_WORKERS = 'the pool has no worker in use'
     NO_ROOM = 'no worker has room'
     TEAM_LIMIT = 'the team is at its limit'
+    ADVICE = 'the adviser has approved no worker with room'
     GANG_INCOMPLETE = 'not all members of the gang are ready'
     TRIAL = 'the task may crash its worker and waits for one of its own'
 
@@ -53,8 +54,8 @@
             if the order may be lost.
         full_speed_since_ms: local time since which it works at full speed;
             None if it doesn't.
-        ticket: the adviser's ticket for the worker; empty if the queue needs
-            none.
+        ticket: the advice.Ticket of the worker; None if the queue needed none
+            when the start was planned.
         sent_ms: local time from which the worker may have run it; None if
             its start was not sent.
         started_ms: local time by which it had certainly started; None while
@@ -82,7 +83,7 @@
         'adopted',
     )
 
-    def __init__(self, task, worker_state, number, ordered_ms, ticket=''):
+    def __init__(self, task, worker_state, number, ordered_ms, ticket=None):
         self.task = task
         self.worker_state = worker_state
         self.number = number
--- a/figtray/scheduling/tests/test_advice.py
+++ b/figtray/scheduling/tests/test_advice.py
@@ -4,6 +4,8 @@
 
 from figtray.fleet import messages
 from figtray.jobs import queues
+from figtray.scheduling import advice
+from figtray.scheduling.tests import advised
 from figtray.scheduling.tests import harness
 
 VALID_MS = 3000
@@ -26,17 +28,17 @@
 
     def next_request(self):
         """Return the step that needs advice and the workers to ask about."""
-        step, advice = self.leader.scheduler.next_advice_request()
-        return step, advice, advice.candidates if advice else ()
+        step, found = self.leader.scheduler.next_advice_request()
+        return step, found, found.candidates if found else ()
 
     def approve(self, approved):
         """Answer the pending request with the approved workers."""
-        step, advice, asked = self.next_request()
+        step, found, asked = self.next_request()
         answer = messages.Advice(
             {worker: f'ticket-{worker}' for worker in approved}, VALID_MS
         )
         self.leader.scheduler.record_advice(
-            step, advice, answer, asked, self.fleet.clock.now_ms()
+            step, found, answer, asked, self.fleet.clock.now_ms()
         )
 
     def running(self):
@@ -83,3 +85,70 @@
         site.leader.advance(VALID_MS)
         site.leader.run_cycle()
         assert 'worker-0' in site.next_request()[2]
+
+
+class TestTickets:
+    # A ticket is valid for one life of a worker, whose id stays the same.
+    def test_ticket_of_a_former_life_is_used(self):
+        site = advised.Site()
+        site.adviser.approves = 'worker-0'.__eq__
+        site.submit(gang=False)
+        site.play(200)
+        site.restart(0)
+        tasks = site.submit(gang=False)
+        site.play(VALID_MS + 1000)
+        assert len(site.runs_of(tasks)) == 3
+        assert site.refused == []
+
+    # A start that is held up was sent when its ticket had lapsed.
+    def test_start_is_sent_with_a_lapsed_ticket(self):
+        site = advised.Site()
+        tasks = site.submit(gang=False)
+        site.leader.run_cycle()
+        site.ask()
+        site.leader.scheduler.plan()
+        site.leader.advance(VALID_MS)
+        site.play(1000)
+        assert len(site.runs_of(tasks)) == 3
+        assert site.refused == []
+
+    # One that was planned before the queue had advice was sent without one.
+    def test_start_is_sent_without_a_ticket(self):
+        site = advised.Site(policy=None)
+        tasks = site.submit(gang=False)
+        site.leader.sync_intake()
+        site.leader.scheduler.plan()
+        site.set_advice(advised.POLICY, True)
+        site.play(1000)
+        assert len(site.runs_of(tasks)) == 3
+        assert site.refused == []
+
+    # Tickets were counted from the request, so they had lapsed on arrival.
+    def test_adviser_takes_longer_than_tickets_last(self):
+        site = advised.Site()
+        site.adviser.call_ms = VALID_MS + 500
+        tasks = site.submit(gang=False)
+        site.play(3 * VALID_MS)
+        assert len(site.runs_of(tasks)) == 3
+        assert site.refused == []
+
+    # Without a limit, each plan is followed by a call.
+    def test_tickets_that_last_no_time_are_asked_for_without_end(self):
+        site = advised.Site()
+        site.adviser.valid_ms = 0
+        site.submit(gang=False)
+        site.play(3000, cycle_ms=20)
+        assert len(site.adviser.calls) <= 3000 // advice.MIN_ANSWER_MS + 1
+
+    # A ticket that one worker refuses doesn't void those of the others.
+    def test_all_tickets_are_lost_with_one(self):
+        site = advised.Site()
+        tasks = site.submit(2, gang=False, max_per_worker=1)
+        site.leader.run_cycle()
+        site.ask()
+        site.adviser.revoke('worker-0')
+        site.leader.run_cycle()
+        assert len(site.refused) == 1
+        site.leader.run_cycle()
+        assert len(site.runs_of(tasks)) == 2
+        assert len(site.adviser.calls) == 1
--- a/figtray/scheduling/trials.py
+++ b/figtray/scheduling/trials.py
@@ -198,7 +198,7 @@
         if step.job.queue.advice is None:
             return True
         return step.advice is not None and bool(
-            step.advice.ticket(worker_state.worker.worker_id)
+            step.advice.ticket(worker_state, self._clock.now_ms())
         )
 
     def _log_trial(self, run):
