starts: gangs on queues with advice get a ticket for each member

Callers saw: once a queue has `advice`, its gangs never start; the workers refuse each member several times a second (409, `ticket`).

Cause: Starts._start_gang() chose workers by room only. Single tasks alone passed through Planner._choose(), which makes a step ask for advice.

Change: a gang is placed on approved workers, by rack as before, and starts only if they have room for all its members. Else the adviser is asked about those with room, in the order of the racks: up to 30, for gangs with many members 100 (the most that the platform allows), if together they have room for the gang.

--- a/figtray/scheduling/service.py
+++ b/figtray/scheduling/service.py
@@ -36,7 +36,6 @@
 RETENTION_POLL_MS = 5000
 ADVICE_TIMEOUT_MS = 2500
 ADVICE_POLL_MS = 10
-MAX_ADVICE_WORKERS = 30
 
 
 class LeaderService:
@@ -379,7 +378,7 @@
             step, advice = self._scheduler.next_advice_request()
             if step is None:
                 continue
-            asked_ids = advice.candidates[:MAX_ADVICE_WORKERS]
+            asked_ids = advice.candidates
             asked_ms = self._clock.now_ms()
             try:
                 answer = self._service.adviser.advise(
--- a/figtray/scheduling/starts.py
+++ b/figtray/scheduling/starts.py
@@ -17,6 +17,8 @@
     def _start_gang(self, step, worker_states, team, now_ms):
         """Start all members of a gang together, on one rack if possible.
 
+        On a queue with advice, each worker needs a ticket before any starts.
+
         Returns:
             The HeldReason of the gang, or None if it starts.
         """
@@ -28,6 +30,45 @@
             return state.HeldReason.TEAM_LIMIT
         if any(crashes.is_paused(task, now_ms) for task in step.tasks):
             return state.HeldReason.TRIAL
+        advice = self._advice(step)
+        if advice is None:
+            return self._place_gang(step, worker_states, now_ms)
+        return self._start_advised_gang(step, advice, worker_states, now_ms)
+
+    def _start_advised_gang(self, step, advice, worker_states, now_ms):
+        """Start a gang on approved workers, or let the adviser be asked."""
+        for worker_state in worker_states:
+            trial = worker_state.trial
+            # Its ticket may have lapsed while the worker was kept free.
+            if trial is not None and trial.task.step is step:
+                if advice.ticket(worker_state, now_ms) is None:
+                    worker_state.trial = None
+        approved = advice.approved(worker_states, now_ms)
+        reason = self._place_gang(step, approved, now_ms)
+        if reason is None:
+            return None
+        wanted = self._gang_candidates(step, worker_states, now_ms)
+        advice.want(wanted, now_ms, _gang_call_size(step))
+        return state.HeldReason.ADVICE if wanted else reason
+
+    def _gang_candidates(self, step, worker_states, now_ms):
+        """Return the WorkerStates that the adviser may let a gang use.
+
+        There are none if even all of them have no room for the gang. The
+        racks follow one another, as in _place_gang().
+        """
+        suspect = trials.most_suspected(step.tasks, now_ms)
+        # Workers are kept free for trials before they have room.
+        can_start = placement.fits if suspect is None else placement.suits
+        usable = [w for w in worker_states if can_start(step, w, now_ms)]
+        if suspect is None and (
+            self._assign_gang(step, usable, now_ms, None, None, False) is None
+        ):
+            return []
+        return [w for group in placement.by_rack(step, usable) for w in group]
+
+    def _place_gang(self, step, worker_states, now_ms):
+        """Start a gang on some workers; see _start_gang()."""
         suspect = trials.most_suspected(step.tasks, now_ms)
         trial_worker = None
         if suspect is not None:
@@ -145,3 +186,11 @@
             self._unrecorded_runs.append((sequence, run))
         else:
             self._order_start(run)
+
+
+def _gang_call_size(step):
+    """Return how many workers one call of the adviser names for a gang."""
+    return min(
+        advice_lib.MAX_GANG_WORKERS,
+        max(advice_lib.MAX_WORKERS, 2 * step.spec.count),
+    )
--- a/figtray/scheduling/tests/advised.py
+++ b/figtray/scheduling/tests/advised.py
@@ -102,6 +102,8 @@
         self.is_checked = policy is not None
         self.refused = []
         self.sent = 0
+        # Ids of the jobs on a queue without advice.
+        self._plain = set()
         self._start = self.fleet.client.start
         self.fleet.client.start = self._check_start
         self.elect_leader()
@@ -113,6 +115,8 @@
 
     def _check_start(self, worker, order, timeout_ms):
         self.sent += 1
+        if order.task[:16] in self._plain:
+            return self._start(worker, order, timeout_ms)
         sim = self.fleet.client.sims[worker.address]
         step = order.task.rsplit('.', 1)[0]
         if self.is_checked and not self.adviser.is_good(
@@ -165,6 +169,12 @@
         job_id = self.fleet.submit(harness.make_step(count, **fields))
         return [f'{job_id}.0.0.{index}' for index in range(count)]
 
+    def submit_plain(self, *steps):
+        """Submit a job to a queue without advice; returns its id."""
+        job_id = self.fleet.submit(*steps, queue='other')
+        self._plain.add(job_id)
+        return job_id
+
     def restart(self, number):
         """Start the next life of a worker under its id."""
         worker = self.fleet.sim(number).worker
