refusals: starts that are refused again are repeated with pauses

Callers saw nothing run while workers refused each start of a step with `ticket`, `old`, `late` or an unknown reason; operators saw the same start refused with each plan, up to 50 times a second and once for each task and worker. A job whose starts are answered 400 made the leader avoid all workers of its pool in turn, so other jobs waited.

Cause: handle_refused() let the task wait again at once. Only a refusal for want of room and a worker that is unhealthy had a pause; that of a 400 was the worker's, though the step is the likelier cause.

Ruled out: a pause of the worker for all reasons. `ticket`, `old` and `late` concern one step or task, and others can start there.

The step starts nothing on the worker for 150 ms, doubled to 1.2 s. After three refusals in a row, on any workers, the whole step pauses as long and then starts one task at a time until a start is confirmed. The planner wakes at the end of each pause.

--- a/figtray/scheduling/outcomes.py
+++ b/figtray/scheduling/outcomes.py
@@ -5,6 +5,7 @@
 from figtray.fleet import messages
 from figtray.jobs import records
 from figtray import metrics
+from figtray.scheduling import refusals
 from figtray.scheduling import scheduler_base
 from figtray.scheduling import state
 from figtray import verdict
@@ -84,6 +85,8 @@
                 run.phase = state.Phase.RUNNING
             task = run.task
             job = task.step.job
+            if task.step.refusals is not None:
+                task.step.refusals.note_start(run.worker_state)
             if self._metrics:
                 self._metrics.record_start(
                     job.spec.team, now_ms - task.ready_ms
@@ -125,17 +128,23 @@
                     )
                     worker_state.room_refusals += 1
                 case verdict.RefusalReason.TICKET:
+                    _note_refusal(run, now_ms)
                     if run.task.step.advice is not None:
                         run.task.step.advice.drop(worker_state, now_ms)
                 case verdict.RefusalReason.STALE_RUN:
                     # The worker may know a higher run number, so the next
                     # start skips some numbers.
                     run.task.last_run += scheduler_base.RUNS_PER_TERM // 64
+                    _note_refusal(run, now_ms)
+                case verdict.RefusalReason.LATE | verdict.RefusalReason.BUSY:
+                    _note_refusal(run, now_ms)
                 case (
                     verdict.RefusalReason.UNHEALTHY
                     | verdict.RefusalReason.CONNECT_FAILED
                     | verdict.RefusalReason.BAD_REQUEST
                 ):
+                    if outcome.reason == verdict.RefusalReason.BAD_REQUEST:
+                        _note_refusal(run, now_ms)
                     worker_state.avoid_until_ms = (
                         now_ms + scheduler_base.UNHEALTHY_BACKOFF_MS
                     )
@@ -194,6 +203,14 @@
         )
 
 
+def _note_refusal(run, now_ms):
+    """Record a refusal that may concern the step, and may be repeated."""
+    step = run.task.step
+    if step.refusals is None:
+        step.refusals = refusals.Refusals()
+    step.refusals.note(run.worker_state, now_ms)
+
+
 def _lacks_ticket(run, now_ms):
     """Return whether a worker would refuse a run for want of a ticket.
 
--- a/figtray/scheduling/placement.py
+++ b/figtray/scheduling/placement.py
@@ -38,7 +38,11 @@
 
 def suits(step, worker_state, now_ms):
     """Return whether a worker that runs nothing else may run a task."""
-    return is_usable(worker_state, now_ms) and _can_hold(step, worker_state)
+    return (
+        is_usable(worker_state, now_ms)
+        and _can_hold(step, worker_state)
+        and not _is_paused(step, worker_state, now_ms)
+    )
 
 
 def has_room(step, worker_state, now_ms, planned=0):
@@ -61,6 +65,8 @@
     spec = step.spec
     if not (_is_sound(worker_state, now_ms) and _can_hold(step, worker_state)):
         return False
+    if _is_paused(step, worker_state, now_ms):
+        return False
     if not worker_state.free_resources().covers(state.occupied(spec)):
         return False
     if spec.max_per_worker:
@@ -121,6 +127,13 @@
     )
 
 
+def _is_paused(step, worker_state, now_ms):
+    """Return whether a worker has just refused a start of a step."""
+    return step.refusals is not None and step.refusals.is_paused(
+        worker_state, now_ms
+    )
+
+
 def _can_hold(step, worker_state):
     """Return whether the capacity of a worker suffices for a task."""
     return step.spec.label in (
--- a/figtray/scheduling/planner.py
+++ b/figtray/scheduling/planner.py
@@ -66,14 +66,18 @@
             self._release_trials()
             if self._is_suspect_waiting():
                 next_ms = min(next_ms, now_ms + trials.TRIAL_RETRY_MS)
-            return min(
-                [next_ms]
-                + [
-                    worker_state.avoid_until_ms
-                    for worker_state in self._worker_states.values()
-                    if worker_state.avoid_until_ms > now_ms
-                ]
-            )
+            return min([next_ms, *self._ends_of_pauses(now_ms)])
+
+    def _ends_of_pauses(self, now_ms):
+        """Yield when workers and steps may be used again after refusals."""
+        for worker_state in self._worker_states.values():
+            if worker_state.avoid_until_ms > now_ms:
+                yield worker_state.avoid_until_ms
+        for step in self._open_steps.values():
+            if step.waiting and step.refusals is not None:
+                end_ms = step.refusals.next_end_ms(now_ms)
+                if end_ms is not None:
+                    yield end_ms
 
     def _start_steps(self, pools, now_ms):
         """Start what can start of all steps, most urgent first."""
@@ -169,6 +173,11 @@
         """
         job = step.job
         team = self._cfg.teams.get(job.spec.team)
+        if (
+            step.refusals is not None
+            and now_ms < step.refusals.step_paused_until_ms
+        ):
+            return state.HeldReason.REFUSED
         if step.spec.gang:
             return self._start_gang(step, worker_states, team, now_ms)
         suspects = [t for t in step.waiting if crashes.is_suspect(t)]
@@ -186,6 +195,8 @@
     def _start_each(self, step, worker_states, team, now_ms):
         """Start as many waiting tasks as can start; see _start_step()."""
         while step.waiting:
+            if _awaits_answer(step):
+                return state.HeldReason.REFUSED
             if not self._quota.allows(team, step.spec.needs):
                 return state.HeldReason.TEAM_LIMIT
             worker_state = self._choose(step, worker_states, now_ms)
@@ -272,6 +283,18 @@
         return state.HeldReason.NO_ROOM
 
 
+def _awaits_answer(step):
+    """Return whether one start shows first whether others are refused."""
+    return (
+        step.refusals is not None
+        and step.refusals.is_step_refused
+        and any(
+            task.run is not None and task.run.phase == state.Phase.STARTING
+            for task in step.tasks
+        )
+    )
+
+
 def _wants_advice(step):
     return (
         step.job.queue.advice is not None
--- a/figtray/scheduling/state.py
+++ b/figtray/scheduling/state.py
@@ -16,6 +16,7 @@
     TAKEOVER = 'workers of the former leader are awaited'
     NO_WORKERS = 'the pool has no worker in use'
     NO_ROOM = 'no worker has room'
+    REFUSED = 'workers have refused its starts'
     TEAM_LIMIT = 'the team is at its limit'
     ADVICE = 'the adviser has approved no worker with room'
     GANG_INCOMPLETE = 'not all members of the gang are ready'
@@ -164,6 +165,7 @@
             job.
         open: whether the steps before it are done.
         advice: the StepAdvice, or None.
+        refusals: the refusals.Refusals; None if no start was refused.
     """
 
     def __init__(self, job, occurrence, number, spec, critical_path_ms):
@@ -178,6 +180,7 @@
         self.open = False
         self.held_reason = None
         self.advice = None
+        self.refusals = None
 
     @property
     def name(self):
--- a/figtray/scheduling/tests/test_advised_gangs.py
+++ b/figtray/scheduling/tests/test_advised_gangs.py
@@ -242,6 +242,19 @@
         site.play(START_MS)
         self.check_started(site, tasks, gang)
 
+    # The workers may know a version before the leader does. A start that they
+    # refuse was sent again with each plan.
+    def test_workers_gain_advice_before_the_leader(self, gang):
+        site = advised.Site(policy=None)
+        site.is_checked = True
+        tasks = site.submit(gang=gang)
+        site.play(3000, cycle_ms=20)
+        assert 0 < len(site.refused) <= 3 * 8
+        site.set_advice(advised.POLICY, True)
+        site.refused.clear()
+        site.play(START_MS)
+        self.check_started(site, tasks, gang)
+
     def test_queue_changes_advice_as_steps_wait(self, gang):
         site = advised.Site()
         site.adviser.approves = lambda worker_id: False
--- a/figtray/scheduling/tests/test_sum_of_waits.py
+++ b/figtray/scheduling/tests/test_sum_of_waits.py
@@ -17,6 +17,7 @@
 from figtray.scheduling import membership
 from figtray.scheduling import outcomes
 from figtray.scheduling import planner
+from figtray.scheduling import refusals
 from figtray.scheduling import scheduler_base
 from figtray.scheduling import service
 from figtray.scheduling import session
@@ -224,6 +225,7 @@
         ),
         'W15 stops': (session.STOP_TIMEOUT_MS + session.RETRY_MS, 650),
         'W16 no room': (outcomes.MAX_NO_CAPACITY_BACKOFF_MS, 1200),
+        'W16 refused': (refusals.MAX_PAUSE_MS, 1200),
         'W16 unhealthy': (scheduler_base.UNHEALTHY_BACKOFF_MS, 1000),
         'W16 failing': (job_lifecycle.FAILING_BACKOFF_MS, 4000),
         'W17': (scheduler_base.ENDED_INCARNATION_TTL_MS, 5000),
