advice: steps are asked about in turn, and calls may take their time

Callers saw the tasks of all queues with advice wait while the adviser gave no answer about one step, and those of a queue for ever if a call needed more than 2.5 s by its policy.

Cause: the leader asked about the first open step that wanted advice, so a step whose calls fail was asked about again before all others. The time limit of a call did not depend on `decide_ms` and `each_ms`.

Change: the step that has wanted advice for longest is next; after a call it asks behind the others. The time limit is twice the time that the policy states, at least 2.5 s as before. A call names no more workers than the adviser can decide on in 5 s by the policy, as it handles one call at a time.

test_step_that_gets_no_advice_holds_up_others and the three of test_call_ends_before_the_adviser_can_answer fail on: no member of the gang runs within 2 s, no task in 60 s.

--- a/figtray/scheduling/advice.py
+++ b/figtray/scheduling/advice.py
@@ -13,6 +13,11 @@
 # Most workers in one call, and in one for a gang with many members.
 MAX_WORKERS = 30
 MAX_GANG_WORKERS = 100
+# Longest time that a call may take by the policy of its queue. It names fewer
+# workers then, as the adviser handles one call at a time.
+MAX_CALL_MS = 5000
+# A call may take this multiple of the time that the policy states.
+CALL_TOLERANCE = 2
 
 
 @dataclasses.dataclass(frozen=True)
@@ -119,7 +124,10 @@
             key=self._rank,
         )
         lives = {}
-        for worker_state in unknown[: min(max_workers, self._max_workers)]:
+        count = min(
+            max_workers, self._max_workers, _most_in_time(self._policy)
+        )
+        for worker_state in unknown[:count]:
             worker_id, born_ms = _life(worker_state)
             lives[worker_id] = max(lives.get(worker_id, 0), born_ms)
         if not self.candidates:
@@ -127,6 +135,13 @@
         self._lives = lives
         self.candidates = tuple(lives)
 
+    @property
+    def longest_call_ms(self):
+        """Time limit of a call about the candidates, by the policy."""
+        policy = self._policy
+        needed_ms = policy.decide_ms + policy.each_ms * len(self.candidates)
+        return CALL_TOLERANCE * min(needed_ms, MAX_CALL_MS)
+
     def note_request(self):
         """Record that the adviser is being asked about the candidates."""
         self._is_pending = True
@@ -183,6 +198,13 @@
         return 0 if ticket.text else 2
 
 
+def _most_in_time(policy):
+    """Return how many workers a call can name to end within MAX_CALL_MS."""
+    if not policy.each_ms:
+        return MAX_GANG_WORKERS
+    return max(1, (MAX_CALL_MS - policy.decide_ms) // policy.each_ms)
+
+
 def _life(worker_state):
     """Return what a ticket is valid for: one start of a worker's process."""
     return worker_state.worker.worker_id, worker_state.worker.born_ms
--- a/figtray/scheduling/planner.py
+++ b/figtray/scheduling/planner.py
@@ -229,7 +229,7 @@
         return True
 
     def next_advice_request(self):
-        """Return a step to ask the adviser about.
+        """Return the step that has waited longest for a call of the adviser.
 
         The candidates of the step stay the same until record_advice().
 
@@ -237,11 +237,15 @@
             (StepState, StepAdvice), or (None, None) if no step needs advice.
         """
         with self.lock:
-            for step in self._open_steps.values():
-                if _wants_advice(step):
-                    step.advice.note_request()
-                    return step, step.advice
-            return None, None
+            step = min(
+                filter(_wants_advice, self._open_steps.values()),
+                key=lambda step: step.advice.wanted_since_ms,
+                default=None,
+            )
+            if step is None:
+                return None, None
+            step.advice.note_request()
+            return step, step.advice
 
     def record_advice(self, step, advice, answer, asked_ids, asked_ms):
         """Record the adviser's answer on a step, and plan again.
--- a/figtray/scheduling/service.py
+++ b/figtray/scheduling/service.py
@@ -34,6 +34,7 @@
 # so that a repeated submission still finds them.
 RETENTION_MARGIN_MS = 60_000
 RETENTION_POLL_MS = 5000
+# Least time limit of a call of the adviser.
 ADVICE_TIMEOUT_MS = 2500
 ADVICE_POLL_MS = 10
 
@@ -382,7 +383,9 @@
             asked_ms = self._clock.now_ms()
             try:
                 answer = self._service.adviser.advise(
-                    step.name, asked_ids, ADVICE_TIMEOUT_MS
+                    step.name,
+                    asked_ids,
+                    max(ADVICE_TIMEOUT_MS, advice.longest_call_ms),
                 )
             except (errors.CallNotSent, errors.ReplyLost) as exc:
                 log.emit(
--- a/figtray/scheduling/tests/test_advised_gangs.py
+++ b/figtray/scheduling/tests/test_advised_gangs.py
@@ -111,6 +111,36 @@
         site.play(3 * VALID_MS)
         assert len(site.runs_of(tasks)) == 3
 
+    # An adviser that is always silent about one step was asked about it again
+    # and again, before all others.
+    def test_step_that_gets_no_advice_holds_up_others(self, site):
+        silent = site.submit(gang=False)[0].rsplit('.', 1)[0]
+        decide = site.adviser.decide
+
+        def decide_others(step, worker_ids):
+            site.adviser.answers = step != silent
+            return decide(step, worker_ids)
+
+        site.adviser.decide = decide_others
+        tasks = site.submit()
+        site.play(START_MS)
+        assert site.whole(tasks)
+
+    # A call that names many workers may take longer than its time limit.
+    @pytest.mark.parametrize('gang', [True, False])
+    def test_slow_adviser_is_asked_about_as_many_workers_again(self, gang):
+        site = advised.Site(workers=30)
+        decide = site.adviser.decide
+
+        def decide_few(step, worker_ids):
+            site.adviser.answers = len(worker_ids) <= 8
+            return decide(step, worker_ids)
+
+        site.adviser.decide = decide_few
+        tasks = site.submit(20, gang=gang, max_per_worker=1)
+        site.play(START_MS)
+        assert len(site.runs_of(tasks)) == 20
+
     # Without a limit, each plan is followed by a call.
     def test_tickets_that_last_no_time_are_asked_for_without_end(self, site):
         site.adviser.valid_ms = 0
--- a/figtray/scheduling/tests/test_service.py
+++ b/figtray/scheduling/tests/test_service.py
@@ -279,37 +279,80 @@
         return messages.Advice(dict.fromkeys(worker_ids, 'ticket'), 60_000)
 
 
+class SlowAdviser:
+    """Adviser that takes as long as a policy says, and approves all."""
+
+    def __init__(self, clock, policy):
+        self._clock = clock
+        self._policy = policy
+
+    def advise(self, step, worker_ids, timeout_ms):
+        needed_ms = self._policy.decide_ms + self._policy.each_ms * len(
+            worker_ids
+        )
+        self._clock.advance(min(needed_ms, timeout_ms))
+        if needed_ms > timeout_ms:
+            raise errors.ReplyLost(address='adviser', detail='injected')
+        return messages.Advice(
+            dict.fromkeys(worker_ids, 'ticket'), self._policy.valid_ms
+        )
+
+
 class TestAdvice:
+    # A call that needs longer than its time limit is repeated in vain.
+    @pytest.mark.parametrize(
+        'policy',
+        [
+            queues.AdvicePolicy(2600, 10, 60_000),
+            queues.AdvicePolicy(10, 2600, 60_000),
+            queues.AdvicePolicy(4900, 0, 3000),
+        ],
+    )
+    def test_call_ends_before_the_adviser_can_answer(self, site, policy):
+        task = self.lead(site, policy)
+        until_ms = site.clock.now_ms() + 60_000
+        self.ask_until(
+            site,
+            SlowAdviser(site.clock, policy),
+            lambda: task.run or site.clock.now_ms() > until_ms,
+        )
+        assert task.run is not None
+
     # A call that hangs, or is repeated too late, keeps the tasks of queues
     # with advice waiting.
     @pytest.mark.parametrize('silent_ms', range(50, 6000, 250))
     def test_adviser_is_asked_late(self, site, silent_ms):
-        cfg = site.fleet.cfg
-        advised = dataclasses.replace(
-            cfg.queues['q'], advice=queues.AdvicePolicy(10, 1, 60_000)
+        task = self.lead(site, queues.AdvicePolicy(10, 1, 60_000))
+        adviser = SilentAdviser(site.clock, silent_ms)
+        self.ask_until(site, adviser, lambda: task.run is not None)
+        assert task.run.ordered_ms - adviser.back_ms <= (
+            service.ADVICE_TIMEOUT_MS
+            + service.RETRY_MS
+            + 2 * service.ADVICE_POLL_MS
         )
+
+    def lead(self, site, policy):
+        """Let the queue have a policy; return its waiting TaskState."""
+        cfg = site.fleet.cfg
+        advised = dataclasses.replace(cfg.queues['q'], advice=policy)
         site.fleet.cfg = queues.Config(
             2, [advised], cfg.pools.values(), cfg.teams.values()
         )
         assert site.leader._load()
-        scheduler = site.leader._scheduler
         site.leader._term.valid = lambda: True
         site.report(0)
-        adviser = SilentAdviser(site.clock, silent_ms)
+        return site.leader._scheduler.find_task(f'{1:016x}.0.0.0')
+
+    def ask_until(self, site, adviser, is_over):
+        """Ask an adviser, and plan, until a condition holds."""
         site.leader._service.adviser = adviser
-        task = scheduler.find_task(f'{1:016x}.0.0.0')
 
-        def is_over():
-            scheduler.plan()
-            return task.run is not None
+        def plan_and_check():
+            site.leader._scheduler.plan()
+            return is_over()
 
-        site.leader._term.ended = outages.Condition(is_over)
+        site.leader._term.ended = outages.Condition(plan_and_check)
         site.leader._ask_advice()
-        assert task.run.ordered_ms - adviser.back_ms <= (
-            service.ADVICE_TIMEOUT_MS
-            + service.RETRY_MS
-            + 2 * service.ADVICE_POLL_MS
-        )
 
 
 class TestLoad:
