planner: the worker for a trial is approved before it is kept free

Callers of a queue with advice saw a task under which workers had crashed wait for ever in a full pool, though its turn for a trial had come.

Cause: a worker is kept free for a trial before it has room, but the adviser was asked only about workers with room, so none was approved. If a ticket lapsed while its worker was kept free, the trial started without one.

Change: for a trial the adviser is asked about the worker that is kept free, or about all that suit. A worker without a valid ticket is kept, and nothing starts there. StepAdvice.want() keeps its candidates if nothing is to be added, so that several suspects of a step don't undo each other's questions.

Both tests of TestTrial in test_advice.py fail on: the task never runs; a run is planned without a ticket.

--- a/figtray/scheduling/advice.py
+++ b/figtray/scheduling/advice.py
@@ -65,34 +65,19 @@
             self._policy = policy
             self._tickets.clear()
 
-    def choose(
-        self,
-        step,
-        worker_states,
-        now_ms,
-        apart=False,
-        can_start=placement.fits,
-    ):
+    def choose(self, step, worker_states, now_ms, apart=False):
         """Return the best approved worker for a task of a step, or None.
 
         If there is none, the workers to ask about become the candidates.
-
-        Args:
-            step: the StepState.
-            worker_states: candidate WorkerStates of the pool.
-            now_ms: local time in milliseconds.
-            apart: see placement.choose().
-            can_start: called with the step, a WorkerState and the local time;
-                returns whether to ask about it.
+        See placement.choose().
         """
         approved = self.approved(worker_states, now_ms)
         best = placement.choose(step, approved, now_ms, apart)
-        wanted = (
-            worker_state
-            for worker_state in worker_states
-            if best is None and can_start(step, worker_state, now_ms)
-        )
-        self.want(wanted, now_ms)
+        if best is None:
+            self.want(
+                (w for w in worker_states if placement.fits(step, w, now_ms)),
+                now_ms,
+            )
         return best
 
     def approved(self, worker_states, now_ms):
@@ -117,12 +102,12 @@
             now_ms: local time in milliseconds.
             max_workers: number of workers to ask about, at most.
         """
-        if self._is_pending:
-            return
         unknown = sorted(
             (w for w in worker_states if not self._is_known(w, now_ms)),
             key=self._rank,
         )
+        if self._is_pending or not unknown:
+            return
         lives = {}
         count = min(
             max_workers, self._max_workers, _most_in_time(self._policy)
@@ -130,6 +115,7 @@
         for worker_state in unknown[:count]:
             worker_id, born_ms = _life(worker_state)
             lives[worker_id] = max(lives.get(worker_id, 0), born_ms)
+        # Kept from plan to plan, so that the step has its turn.
         if not self.candidates:
             self.wanted_since_ms = now_ms
         self._lives = lives
--- a/figtray/scheduling/planner.py
+++ b/figtray/scheduling/planner.py
@@ -215,19 +215,39 @@
         ):
             self._release_reserved(task, worker_states)
             return False
-        worker_state = self._choose(
-            task.step,
-            worker_states,
-            now_ms,
-            crashes.must_start_apart(task, now_ms),
-        )
         if crashes.is_trial_needed(task, now_ms):
+            self._want_trial_advice(task, worker_states, now_ms)
             worker_state = self._trial_worker(task, worker_states, now_ms)
-        if worker_state is None:
+        else:
+            worker_state = self._choose(
+                task.step,
+                worker_states,
+                now_ms,
+                crashes.must_start_apart(task, now_ms),
+            )
+        # The ticket of a worker may lapse while it is kept free.
+        if worker_state is None or not self._is_approved(
+            task.step, worker_state
+        ):
             return False
         self._start(task, worker_state, self._next_run_number(task), now_ms)
         return True
 
+    def _want_trial_advice(self, task, worker_states, now_ms):
+        """Let the adviser be asked about workers for a trial.
+
+        They are kept free for it before they have room.
+        """
+        step = task.step
+        advice = self._advice(step)
+        if advice is None:
+            return
+        reserved = self._find_reserved(task, worker_states)
+        usable = [reserved] if reserved else worker_states
+        usable = [w for w in usable if placement.suits(step, w, now_ms)]
+        if not advice.approved(usable, now_ms):
+            advice.want(usable, now_ms)
+
     def next_advice_request(self):
         """Return the step that has waited longest for a call of the adviser.
 
--- a/figtray/scheduling/tests/test_advice.py
+++ b/figtray/scheduling/tests/test_advice.py
@@ -4,6 +4,7 @@
 
 from figtray.fleet import messages
 from figtray.jobs import queues
+from figtray.jobs import records
 from figtray.scheduling import advice
 from figtray.scheduling.tests import advised
 from figtray.scheduling.tests import harness
@@ -152,3 +153,62 @@
         site.leader.run_cycle()
         assert len(site.runs_of(tasks)) == 2
         assert len(site.adviser.calls) == 1
+
+
+class TestTrial:
+    """The task may have crashed its worker, so it is tried on one."""
+
+    def suspect(self, site, task):
+        site.leader.sync_intake()
+        found = site.leader.scheduler.find_task(task)
+        found.crashes = records.Crashes((1, 2, 3))
+        found.ready_ms = site.fleet.clock.now_ms()
+
+    def fill(self, site, cpu_milli):
+        """Let a job occupy a part of each worker; returns its tasks."""
+        job_id = site.submit_plain(
+            harness.make_step(3, cpu_milli, max_per_worker=1)
+        )
+        site.play(200)
+        return [f'{job_id}.0.0.{index}' for index in range(3)]
+
+    def kept(self, site):
+        """Return the WorkerStates that are kept free for trials."""
+        found = site.leader.scheduler.worker_states()
+        return [w for w in found if w.trial]
+
+    # The ticket of the worker that is kept free may lapse before the trial.
+    def test_trial_starts_with_a_lapsed_ticket(self):
+        site = advised.Site()
+        self.fill(site, 1000)
+        [task] = site.submit(1, gang=False)
+        self.suspect(site, task)
+        site.leader.run_cycle()
+        site.ask()
+        site.leader.scheduler.plan()
+        kept = self.kept(site)
+        assert len(kept) == 1
+        site.adviser.answers = False
+        site.leader.advance(VALID_MS)
+        site.leader.scheduler.plan()
+        assert site.leader.scheduler.find_task(task).run is None
+        assert self.kept(site) == kept
+        site.adviser.answers = True
+        site.play(1000)
+        assert site.runs_of([task])
+        assert site.refused == []
+
+    # No worker had room when it could have been kept free, so none was asked
+    # about, and others filled each that had room for a moment.
+    def test_no_worker_is_asked_about_while_all_are_full(self):
+        site = advised.Site()
+        full = self.fill(site, 8000)
+        [task] = site.submit(1, gang=False)
+        self.suspect(site, task)
+        site.play(200)
+        other = site.submit_plain(harness.make_step(3, 8000))
+        for name in full:
+            harness.finish(site.fleet, name)
+        site.play(2000)
+        assert site.runs_of([task])
+        assert len(site.runs_of(f'{other}.0.0.{n}' for n in range(3))) == 2
