advice: ask ahead about full workers for the most urgent steps

Callers of an urgent queue with advice saw their tasks wait without end in a full pool, while tasks of a less urgent queue without advice started.

Cause: the adviser was asked about workers with room only. In the plan that found room without a ticket, a less urgent step took it; as the worker had room the next time, the ticket had lapsed.

Ruled out: keeping the room until the answer is there. It would stand idle whenever the adviser is slow, silent or approves nobody.

Change: for the four most urgent steps of a plan that find no room, gangs as well, the adviser is asked about full workers until 10 of them, or one for each waiting task, have tickets. docs/design.md, 4.2.

test_less_urgent_tasks_take_all_room fails on with advice: no start while a worker gets room every 2 s for 18 s; without advice it passes.

--- a/figtray/scheduling/advice.py
+++ b/figtray/scheduling/advice.py
@@ -44,6 +44,8 @@
     Attributes:
         candidates: ids of workers to ask about; empty if none are needed.
         wanted_since_ms: local time since which there are candidates.
+        is_room_unapproved: whether choose() last found room on workers
+            without tickets only.
     """
 
     def __init__(self):
@@ -58,6 +60,7 @@
         self._is_pending = False
         self.candidates = ()
         self.wanted_since_ms = 0
+        self.is_room_unapproved = False
 
     def set_policy(self, policy):
         """Set the queues.AdvicePolicy; a new one voids earlier answers."""
@@ -74,10 +77,11 @@
         approved = self.approved(worker_states, now_ms)
         best = placement.choose(step, approved, now_ms, apart)
         if best is None:
-            self.want(
-                (w for w in worker_states if placement.fits(step, w, now_ms)),
-                now_ms,
-            )
+            with_room = [
+                w for w in worker_states if placement.fits(step, w, now_ms)
+            ]
+            self.is_room_unapproved = bool(with_room)
+            self.want(with_room, now_ms)
         return best
 
     def approved(self, worker_states, now_ms):
--- a/figtray/scheduling/planner.py
+++ b/figtray/scheduling/planner.py
@@ -82,6 +82,7 @@
     def _start_steps(self, pools, now_ms):
         """Start what can start of all steps, most urgent first."""
         self._keep_workers_for_overdue(pools, now_ms)
+        self._steps_ahead_left = starts.MAX_STEPS_AHEAD
         for step in self._steps_by_urgency(now_ms):
             worker_states = pools.get(step.job.queue.pool)
             if not worker_states:
@@ -201,7 +202,7 @@
                 return state.HeldReason.TEAM_LIMIT
             worker_state = self._choose(step, worker_states, now_ms)
             if worker_state is None:
-                return self._no_room_reason(step, worker_states, now_ms)
+                return self._hold_without_room(step, worker_states, now_ms)
             task = step.waiting.popleft()
             self._start(
                 task, worker_state, self._next_run_number(task), now_ms
@@ -297,13 +298,11 @@
             return placement.choose(step, worker_states, now_ms, apart)
         return advice.choose(step, worker_states, now_ms, apart)
 
-    def _no_room_reason(self, step, worker_states, now_ms):
-        """Return the HeldReason of a step that no worker can start."""
-        if step.advice is not None and any(
-            placement.fits(step, worker_state, now_ms)
-            for worker_state in worker_states
-        ):
+    def _hold_without_room(self, step, worker_states, now_ms):
+        """Return the HeldReason of a step that no worker can start now."""
+        if step.advice is not None and step.advice.is_room_unapproved:
             return state.HeldReason.ADVICE
+        self._ask_ahead(step, worker_states, now_ms)
         return state.HeldReason.NO_ROOM
 
 
--- a/figtray/scheduling/starts.py
+++ b/figtray/scheduling/starts.py
@@ -10,10 +10,18 @@
 from figtray.scheduling import state
 from figtray.scheduling import trials
 
+# The adviser is asked ahead about full workers for so many steps of each plan,
+# the most urgent ones, until so many workers have tickets.
+MAX_STEPS_AHEAD = 4
+ENOUGH_TICKETS = 10
+
 
 class Starts(trials.Trials):
     """Starts tasks on the workers that the planner has chosen, and gangs."""
 
+    # Steps of the present plan for which it may still be asked ahead.
+    _steps_ahead_left = 0
+
     def _start_gang(self, step, worker_states, team, now_ms):
         """Start all members of a gang together, on one rack if possible.
 
@@ -48,8 +56,31 @@
         if reason is None:
             return None
         wanted = self._gang_candidates(step, worker_states, now_ms)
+        if not wanted:
+            self._ask_ahead(step, worker_states, now_ms)
+            return reason
         advice.want(wanted, now_ms, _gang_call_size(step))
-        return state.HeldReason.ADVICE if wanted else reason
+        return state.HeldReason.ADVICE
+
+    def _ask_ahead(self, step, worker_states, now_ms):
+        """Let the adviser be asked about workers that have no room yet.
+
+        If it were asked only once they have, less urgent tasks would take the
+        room meanwhile.
+        """
+        advice = self._advice(step)
+        if advice is None or not self._steps_ahead_left:
+            return
+        self._steps_ahead_left -= 1
+        suitable = [
+            worker_state
+            for worker_state in worker_states
+            if placement.suits(step, worker_state, now_ms)
+        ]
+        approved = advice.approved(suitable, now_ms)
+        most = min(len(step.waiting), advice_lib.MAX_GANG_WORKERS)
+        if len(approved) < max(ENOUGH_TICKETS, most):
+            advice.want(suitable, now_ms)
 
     def _gang_candidates(self, step, worker_states, now_ms):
         """Return the WorkerStates that the adviser may let a gang use.
--- a/figtray/scheduling/tests/advised.py
+++ b/figtray/scheduling/tests/advised.py
@@ -15,11 +15,16 @@
 
 def set_advice(fleet, policy):
     """Give the queue `q` a policy, or none."""
+    change_queue(fleet, 'q', advice=policy)
+
+
+def change_queue(fleet, name, **fields):
+    """Write a version of the configuration that changes one queue."""
     cfg = fleet.cfg
-    advised = dataclasses.replace(cfg.queues['q'], advice=policy)
+    changed = dataclasses.replace(cfg.queues[name], **fields)
     fleet.cfg = queues.Config(
         cfg.version + 1,
-        [{**cfg.queues, 'q': advised}[name] for name in cfg.queues],
+        list({**cfg.queues, name: changed}.values()),
         cfg.pools.values(),
         cfg.teams.values(),
     )
--- a/figtray/scheduling/tests/test_advice.py
+++ b/figtray/scheduling/tests/test_advice.py
@@ -2,6 +2,8 @@
 
 import dataclasses
 
+import pytest
+
 from figtray.fleet import messages
 from figtray.jobs import queues
 from figtray.jobs import records
@@ -212,3 +214,28 @@
         site.play(2000)
         assert site.runs_of([task])
         assert len(site.runs_of(f'{other}.0.0.{n}' for n in range(3))) == 2
+
+
+@pytest.mark.parametrize('gang', [True, False])
+class TestFullPool:
+    # Less urgent tasks took each room while the adviser was being asked,
+    # and the ticket had lapsed when the worker had room again.
+    @pytest.mark.parametrize('policy', [None, advised.POLICY])
+    def test_less_urgent_tasks_take_all_room(self, gang, policy):
+        site = advised.Site(policy=policy)
+        advised.change_queue(site.fleet, 'other', priority=1)
+        site.configure()
+        plain = site.submit_plain(
+            harness.make_step(60, 8000, max_per_worker=1)
+        )
+        site.play(200)
+        tasks = site.submit(1, gang=gang, cpu_milli=8000)
+        site.play(200)
+        for round_ in range(9):
+            site.play(2 * VALID_MS // 3)
+            if site.runs_of(tasks):
+                return
+            [task] = site.fleet.sim(round_ % 3).runs
+            assert task.startswith(plain)
+            harness.finish(site.fleet, task)
+        pytest.fail('it has not started')
