waves: a refused upkeep pauses, and other hosts go first

Operators saw a wave stand still when the platform refused the upkeep of one of its hosts for good, and the order sent with each pass, eight times a second out of the rate that all orders share.

Cause: the hosts that are ready are taken in the same order in each pass, and a refusal left no trace.

Change: the upkeep of a host is ordered again 250 ms after a refusal, doubled to 1 s, and the next hosts have their turn meanwhile. An order without an answer is repeated as before.

With the pause set to 0 two tests of TestRefusedUpkeep fail: 400 orders for four hosts in 12 s, now 68 at most; none of three other hosts begins its upkeep in 10 s. All tests of figtray/upkeep pass.

--- a/figtray/upkeep/tests/test_waves.py
+++ b/figtray/upkeep/tests/test_waves.py
@@ -9,6 +9,7 @@
 from figtray.fleet import model as fleet_model
 from figtray.scheduling.tests import harness
 from figtray.scheduling.tests import takeovers
+from figtray.upkeep import controller
 from figtray.upkeep.tests import support
 from figtray.upkeep import waves
 
@@ -212,6 +213,53 @@
         assert site.leader.scheduler.pool_loads()['main'].due == 0
 
 
+class TestRefusedUpkeep:
+    def refuse(self, site, host_ids):
+        """Let the platform refuse upkeeps; return the list of them."""
+        refused = []
+        begin_upkeep = site.hosts.begin_upkeep
+
+        def refuse(host_id, *args):
+            if host_id not in host_ids:
+                return begin_upkeep(host_id, *args)
+            refused.append(host_id)
+            return False
+
+        site.hosts.begin_upkeep = refuse
+        return refused
+
+    def play(self, site, ms):
+        for _ in range(ms // controller.RECONCILE_INTERVAL_MS):
+            site.leader.advance(controller.RECONCILE_INTERVAL_MS)
+            site.run_cycle()
+
+    # The host whose turn it was got all orders, and the others none.
+    def test_refused_host_holds_up_the_others(self):
+        site = WaveSite()
+        self.refuse(site, {'host-0'})
+        self.play(site, 10_000)
+        assert site.hosts_in_upkeep()
+
+    # Each pass sent the order again, and used up the platform's rate.
+    def test_refused_order_is_repeated_with_each_pass(self):
+        site = WaveSite(max_down=4)
+        refused = self.refuse(site, set(site.wave.host_ids))
+        self.play(site, 12_000)
+        passes = 12_000 // waves.MAX_REFUSED_PAUSE_MS
+        assert 4 * 2 < len(refused) <= 4 * (passes + 5)
+
+    # A pause that outlasts the cause delays the wave.
+    def test_order_is_repeated_late(self):
+        site = WaveSite()
+        self.refuse(site, set(site.wave.host_ids))
+        self.play(site, 5000)
+        site.hosts.begin_upkeep = type(site.hosts).begin_upkeep.__get__(
+            site.hosts
+        )
+        self.play(site, waves.MAX_REFUSED_PAUSE_MS + 500)
+        assert site.hosts_in_upkeep()
+
+
 class TestCordons:
     @pytest.fixture
     def site(self):
--- a/figtray/upkeep/wave_state.py
+++ b/figtray/upkeep/wave_state.py
@@ -63,6 +63,9 @@
             by host id.
         postponed_until_ms: local time until which a host is not cordoned
             again, by host id.
+        refusals: number of refused upkeeps in a row, by host id.
+        refused_until_ms: local time until which the upkeep of a host is not
+            ordered again, by host id.
         short_until_ms: local time until which hosts of a pool are cordoned
             only when it is their turn, by pool.
     """
@@ -76,6 +79,8 @@
     worker_ids: dict = dataclasses.field(default_factory=dict)
     postponed_until_ms: dict = dataclasses.field(default_factory=dict)
     short_until_ms: dict = dataclasses.field(default_factory=dict)
+    refusals: dict = dataclasses.field(default_factory=dict)
+    refused_until_ms: dict = dataclasses.field(default_factory=dict)
 
     def turns_left(self):
         """Return how many upkeeps may begin now."""
--- a/figtray/upkeep/waves.py
+++ b/figtray/upkeep/waves.py
@@ -22,6 +22,9 @@
 POSTPONE_MS = 5000
 # The host list may lag this much behind an accepted upkeep.
 HOST_LIST_LAG_MS = 500
+# Pause after the platform has refused an upkeep; doubled by each refusal.
+REFUSED_PAUSE_MS = 250
+MAX_REFUSED_PAUSE_MS = 1000
 UPKEEP_REASON = 'upkeep'
 
 
@@ -133,6 +136,7 @@
             host
             for host in pending
             if host.host_id in state.cordoned_ms
+            and state.refused_until_ms.get(host.host_id, 0) <= now_ms
             and self._drain_host(state, host, now_ms)
         ]
         ready = ready[: state.turns_left()]
@@ -278,6 +282,7 @@
         try:
             if self._context.begin_upkeep(host.host_id, state.wave.number):
                 return True
+            self._note_refusal(state, host, now_ms)
         except errors.CallNotSent as exc:
             detail = str(exc)
         except errors.ReplyLost as exc:
@@ -286,6 +291,14 @@
         log.emit(catalogue.UPKEEP_REFUSED, host=host.host_id, detail=detail)
         return False
 
+    def _note_refusal(self, state, host, now_ms):
+        """Let other hosts go first for a while."""
+        count = state.refusals.get(host.host_id, 0)
+        state.refusals[host.host_id] = count + 1
+        state.refused_until_ms[host.host_id] = now_ms + min(
+            REFUSED_PAUSE_MS << min(count, 10), MAX_REFUSED_PAUSE_MS
+        )
+
     def _store_record(self, state, completed=False):
         record = wave_state.WaveRecord(tuple(sorted(state.begun)), completed)
         self._records[state.wave.number] = record
