--- a/figtray/scheduling/planner.py
+++ b/figtray/scheduling/planner.py
@@ -9,7 +9,6 @@
 from figtray.scheduling import starts
 from figtray.scheduling import state
 from figtray.scheduling import trials
-from figtray.scheduling import worker_orders
 
 # Planning is suspended while the term or the configuration may be outdated.
 SUSPENDED_RETRY_MS = 50
@@ -67,18 +66,23 @@
             self._release_trials()
             if self._is_suspect_waiting():
                 next_ms = min(next_ms, now_ms + trials.TRIAL_RETRY_MS)
-            return min(
-                [next_ms]
-                + [
-                    worker_state.avoid_until_ms
-                    for worker_state in self._worker_states.values()
-                    if worker_state.avoid_until_ms > now_ms
-                ]
-            )
+            return min([next_ms, *self._ends_of_pauses(now_ms)])
+
+    def _ends_of_pauses(self, now_ms):
+        """Yield when workers and steps may be used again after refusals."""
+        for worker_state in self._worker_states.values():
+            if worker_state.avoid_until_ms > now_ms:
+                yield worker_state.avoid_until_ms
+        for step in self._open_steps.values():
+            if step.waiting and step.refusals is not None:
+                end_ms = step.refusals.next_end_ms(now_ms)
+                if end_ms is not None:
+                    yield end_ms
 
     def _start_steps(self, pools, now_ms):
         """Start what can start of all steps, most urgent first."""
         self._keep_workers_for_overdue(pools, now_ms)
+        self._steps_ahead_left = starts.MAX_STEPS_AHEAD
         for step in self._steps_by_urgency(now_ms):
             worker_states = pools.get(step.job.queue.pool)
             if not worker_states:
@@ -170,6 +174,11 @@
         """
         job = step.job
         team = self._cfg.teams.get(job.spec.team)
+        if (
+            step.refusals is not None
+            and now_ms < step.refusals.step_paused_until_ms
+        ):
+            return state.HeldReason.REFUSED
         if step.spec.gang:
             return self._start_gang(step, worker_states, team, now_ms)
         suspects = [t for t in step.waiting if crashes.is_suspect(t)]
@@ -187,11 +196,13 @@
     def _start_each(self, step, worker_states, team, now_ms):
         """Start as many waiting tasks as can start; see _start_step()."""
         while step.waiting:
+            if _awaits_answer(step):
+                return state.HeldReason.REFUSED
             if not self._quota.allows(team, step.spec.needs):
                 return state.HeldReason.TEAM_LIMIT
             worker_state = self._choose(step, worker_states, now_ms)
             if worker_state is None:
-                return state.HeldReason.NO_ROOM
+                return self._hold_without_room(step, worker_states, now_ms)
             task = step.waiting.popleft()
             self._start(
                 task, worker_state, self._next_run_number(task), now_ms
@@ -205,22 +216,41 @@
         ):
             self._release_reserved(task, worker_states)
             return False
-        # This also asks for advice on the workers that lack it.
-        worker_state = self._choose(
-            task.step,
-            worker_states,
-            now_ms,
-            crashes.must_start_apart(task, now_ms),
-        )
         if crashes.is_trial_needed(task, now_ms):
+            self._want_trial_advice(task, worker_states, now_ms)
             worker_state = self._trial_worker(task, worker_states, now_ms)
-        if worker_state is None:
+        else:
+            worker_state = self._choose(
+                task.step,
+                worker_states,
+                now_ms,
+                crashes.must_start_apart(task, now_ms),
+            )
+        # The ticket of a worker may lapse while it is kept free.
+        if worker_state is None or not self._is_approved(
+            task.step, worker_state
+        ):
             return False
         self._start(task, worker_state, self._next_run_number(task), now_ms)
         return True
 
+    def _want_trial_advice(self, task, worker_states, now_ms):
+        """Let the adviser be asked about workers for a trial.
+
+        They are kept free for it before they have room.
+        """
+        step = task.step
+        advice = self._advice(step)
+        if advice is None:
+            return
+        reserved = self._find_reserved(task, worker_states)
+        usable = [reserved] if reserved else worker_states
+        usable = [w for w in usable if placement.suits(step, w, now_ms)]
+        if not advice.approved(usable, now_ms):
+            advice.want(usable, now_ms)
+
     def next_advice_request(self):
-        """Return a step to ask the adviser about.
+        """Return the step that has waited longest for a call of the adviser.
 
         The candidates of the step stay the same until record_advice().
 
@@ -228,12 +258,15 @@
             (StepState, StepAdvice), or (None, None) if no step needs advice.
         """
         with self.lock:
-            for step in self._open_steps.values():
-                if step.advice is not None and step.advice.candidates:
-                    if step.waiting:
-                        step.advice.request_pending = True
-                        return step, step.advice
-            return None, None
+            step = min(
+                filter(_wants_advice, self._open_steps.values()),
+                key=lambda step: step.advice.wanted_since_ms,
+                default=None,
+            )
+            if step is None:
+                return None, None
+            step.advice.note_request()
+            return step, step.advice
 
     def record_advice(self, step, advice, answer, asked_ids, asked_ms):
         """Record the adviser's answer on a step, and plan again.
@@ -246,10 +279,10 @@
             asked_ms: local time before the request was sent.
         """
         with self.lock:
-            advice.request_pending = False
-            advice.candidates = ()
-            if answer is not None:
-                advice.record(answer, asked_ids, asked_ms)
+            if answer is None:
+                advice.record_failure()
+            else:
+                advice.record(answer, asked_ms, self._clock.now_ms())
                 log.emit(
                     catalogue.ADVICE_LEARNED,
                     step=step.name,
@@ -259,8 +292,36 @@
         self.changed.set()
 
     def _choose(self, step, worker_states, now_ms, apart=False):
-        if step.job.queue.advice is None:
+        """Return the best worker for a task; ask for advice if needed."""
+        advice = self._advice(step)
+        if advice is None:
             return placement.choose(step, worker_states, now_ms, apart)
-        if step.advice is None:
-            step.advice = worker_orders.StepAdvice()
-        return step.advice.choose(step, worker_states, now_ms, apart)
+        return advice.choose(step, worker_states, now_ms, apart)
+
+    def _hold_without_room(self, step, worker_states, now_ms):
+        """Return the HeldReason of a step that no worker can start now."""
+        if step.advice is not None and step.advice.is_room_unapproved:
+            return state.HeldReason.ADVICE
+        self._ask_ahead(step, worker_states, now_ms)
+        return state.HeldReason.NO_ROOM
+
+
+def _awaits_answer(step):
+    """Return whether one start shows first whether others are refused."""
+    return (
+        step.refusals is not None
+        and step.refusals.is_step_refused
+        and any(
+            task.run is not None and task.run.phase == state.Phase.STARTING
+            for task in step.tasks
+        )
+    )
+
+
+def _wants_advice(step):
+    return (
+        step.job.queue.advice is not None
+        and step.advice is not None
+        and bool(step.advice.candidates)
+        and bool(step.waiting)
+    )
--- a/figtray/scheduling/service.py
+++ b/figtray/scheduling/service.py
@@ -34,9 +34,9 @@
 # so that a repeated submission still finds them.
 RETENTION_MARGIN_MS = 60_000
 RETENTION_POLL_MS = 5000
+# Least time limit of a call of the adviser.
 ADVICE_TIMEOUT_MS = 2500
 ADVICE_POLL_MS = 10
-MAX_ADVICE_WORKERS = 30
 
 
 class LeaderService:
@@ -379,11 +379,13 @@
             step, advice = self._scheduler.next_advice_request()
             if step is None:
                 continue
-            asked_ids = advice.candidates[:MAX_ADVICE_WORKERS]
+            asked_ids = advice.candidates
             asked_ms = self._clock.now_ms()
             try:
                 answer = self._service.adviser.advise(
-                    step.name, asked_ids, ADVICE_TIMEOUT_MS
+                    step.name,
+                    asked_ids,
+                    max(ADVICE_TIMEOUT_MS, advice.longest_call_ms),
                 )
             except (errors.CallNotSent, errors.ReplyLost) as exc:
                 log.emit(
