jobs: find a job under its own queue and with its team's key only

Cause: an unknown key counted as none under an open queue, and a call without a team was compared with nothing; no call compared the queue of the job with its own. By the same class, a DELETE without a key kept a job of another caller from being stored (its POST got 200, it never ran), and a POST under a taken id got 200.

Change: a key that is sent has to be valid under open queues too (401; 503 on an outdated view). GET, DELETE and POST find a job under its own queue (same name or same address, so renamed queues keep their callers) and with its team's key (jobs/ownership.py); else 410, and 409 for a POST. A cancellation names its caller, holds for the jobs that this one could cancel and gives way to others, in the transaction that stores the job. The cancellation of an unknown job is stored only if there still is none.

The tests of a stop call the open queue without a key now, as they meant to: with one, a view that is out of date answers before the store is called.

--- a/figtray/jobs/intake.py
+++ b/figtray/jobs/intake.py
@@ -5,6 +5,7 @@
 
 from figtray import errors
 from figtray.events import unreadable
+from figtray.jobs import ownership
 from figtray.jobs import records
 from figtray.store import base
 
@@ -13,6 +14,11 @@
 MAX_WRITE_ATTEMPTS = 2
 # A store call of a stopping node for which less time is left is not made.
 MIN_CALL_MS = 100
+# Tries of a write whose conditions other callers of the id undo meanwhile.
+MAX_CONFLICTS = 3
+# Callers that can cancel one job before it exists.
+MAX_CANCELLERS = 8
+TOO_MANY_CONFLICTS = 'too many calls with this id'
 
 
 class Outcome(enum.Enum):
@@ -21,6 +27,7 @@
     STORED = 'stored'
     EXISTS = 'exists'
     UNKNOWN_JOB = 'unknown-job'
+    ID_TAKEN = 'id-taken'
     NOT_STORED = 'not-stored'
     UNCERTAIN = 'uncertain'
 
@@ -58,86 +65,162 @@
         """
         self._calls_end_ms = end_ms
 
-    def submit(self, job_id, job, timeout_ms=None):
+    def submit(self, job_id, job, timeout_ms=None, place=None):
         """Store a job once.
 
-        If a cancellation of the job is already stored, the job is not stored
-        and never runs; it is reported as EXISTS.
+        If its caller has cancelled the job before, the job is not stored and
+        never runs; it is reported as EXISTS. A cancellation of others gives
+        way: it was not of this job.
 
         Args:
             job_id: id chosen by the caller.
             job: the Job.
             timeout_ms: time limit of each store call; None for its default.
+            place: the ownership.Place of the call; None for any queue.
 
         Returns:
-            A Result: STORED, EXISTS, NOT_STORED (the job never runs) or
-            UNCERTAIN (the job may be stored).
+            A Result: STORED, EXISTS, ID_TAKEN (the id is that of a job of
+            another caller), NOT_STORED (the job never runs) or UNCERTAIN
+            (the job may be stored).
         """
         job_key = records.JOB_PREFIX + job_id
-        return self._create_once(
-            [job_key, records.CANCEL_PREFIX + job_id],
-            base.Put(job_key, records.encode(job)),
-            timeout_ms,
-        )
-
-    def cancel(self, job_id, team, timeout_ms=None):
+        cancel_key = records.CANCEL_PREFIX + job_id
+        put = base.Put(job_key, records.encode(job))
+        revision = 0
+        for _ in range(MAX_CONFLICTS):
+            result, current = self._write_if(
+                {job_key: 0, cancel_key: revision},
+                put,
+                [cancel_key] if revision else [],
+                timeout_ms,
+            )
+            if result.outcome != Outcome.EXISTS:
+                return result
+            if job_key in current:
+                return self._existing_job(current[job_key], job.team, place)
+            cancel_item = current.get(cancel_key)
+            if cancel_item is None:
+                revision = 0
+            elif self._is_cancelled(cancel_item, job):
+                return result
+            else:
+                revision = cancel_item.mod_revision
+        return Result(Outcome.UNCERTAIN, TOO_MANY_CONFLICTS)
+
+    def cancel(self, job_id, team, timeout_ms=None, place=None):
         """Store a cancellation, also of a job that doesn't exist yet.
 
         The submission of a job may arrive after its cancellation. The stored
-        cancellation then prevents the job from running.
+        cancellation then prevents the job from running, if its caller is the
+        one that has cancelled it.
 
         Args:
             job_id: id of the job.
-            team: name of the team that cancels; empty on open queues.
+            team: name of the team that cancels; empty without a key.
             timeout_ms: time limit of each store call; None for its default.
+            place: the ownership.Place of the call; None for any queue.
 
         Returns:
             A Result: STORED, EXISTS, UNKNOWN_JOB, NOT_STORED or UNCERTAIN.
             With UNKNOWN_JOB, the job doesn't exist and the cancellation is
-            stored, or the job is another team's and nothing is stored.
+            stored, or the job is of another team or queue and nothing is
+            stored.
 
         Raises:
             UnreadableMessage: the job can't be read, so its team is unknown.
         """
-        try:
-            job_item = self._get(records.JOB_PREFIX + job_id, timeout_ms)
-        except errors.StoreUnavailable as exc:
-            return Result(Outcome.NOT_STORED, str(exc))
-        if job_item is not None and team:
-            owner = self._decode(job_item, records.decode_job).team
-            if owner and owner != team:
-                return Result(Outcome.UNKNOWN_JOB, 'job of another team')
+        for _ in range(MAX_CONFLICTS):
+            try:
+                item = self._get(records.JOB_PREFIX + job_id, timeout_ms)
+            except errors.StoreUnavailable as exc:
+                return Result(Outcome.NOT_STORED, str(exc))
+            if item is None:
+                result = self._cancel_early(job_id, team, timeout_ms, place)
+                if result is not None:
+                    return result
+                continue
+            job = self._decode(item, records.decode_job)
+            if not ownership.owns(job, team, place):
+                return Result(Outcome.UNKNOWN_JOB, 'job of another caller')
+            key = records.CANCEL_PREFIX + job_id
+            put = self._put_cancellation(key, [_canceller(team, place)])
+            return self._write_if({key: 0}, put, [], timeout_ms)[0]
+        return Result(Outcome.UNCERTAIN, TOO_MANY_CONFLICTS)
+
+    def _cancel_early(self, job_id, team, timeout_ms, place):
+        """Store the cancellation of a job that doesn't exist yet.
+
+        Others may have cancelled a job of theirs with the same id, so each
+        of them is kept.
+
+        Returns:
+            A Result, or None if the job has been stored meanwhile.
+        """
+        job_key = records.JOB_PREFIX + job_id
         key = records.CANCEL_PREFIX + job_id
-        cancellation = records.Cancellation(team, self._clock.wall_ms())
-        result = self._create_once(
-            [key], base.Put(key, records.encode(cancellation)), timeout_ms
+        caller = _canceller(team, place)
+        others, revision = (), 0
+        for _ in range(MAX_CONFLICTS):
+            result, current = self._write_if(
+                {key: revision, job_key: 0},
+                self._put_cancellation(key, [*others, caller]),
+                [],
+                timeout_ms,
+            )
+            if result.outcome == Outcome.STORED:
+                return Result(Outcome.UNKNOWN_JOB, 'no such job yet')
+            if result.outcome != Outcome.EXISTS:
+                return result
+            if job_key in current:
+                return None
+            others, revision = (), 0
+            if key in current:
+                if self._is_cancelled(current[key], caller):
+                    return Result(Outcome.UNKNOWN_JOB, 'no such job yet')
+                others = self._cancellers(current[key])
+                revision = current[key].mod_revision
+            if len(others) >= MAX_CANCELLERS:
+                break
+        return Result(Outcome.UNCERTAIN, TOO_MANY_CONFLICTS)
+
+    def _put_cancellation(self, key, cancellers):
+        """Return the Put of a cancellation by the last of its Cancellers."""
+        record = records.Cancellation(
+            cancellers[-1].team, self._clock.wall_ms(), tuple(cancellers)
         )
-        if job_item is None and result.outcome in (
-            Outcome.STORED,
-            Outcome.EXISTS,
-        ):
-            return Result(Outcome.UNKNOWN_JOB, 'no such job yet')
-        return result
+        return base.Put(key, records.encode(record))
 
-    def state(self, job_id, timeout_ms=None):
-        """Return the State of a job, or None if it doesn't exist.
+    def state(self, job_id, timeout_ms=None, team=None, place=None):
+        """Return the State of a job, or None if the caller has no such job.
 
         Args:
             job_id: id of the job.
             timeout_ms: time limit of each store call; None for its default.
+            team: name of the caller's team, empty without a key; None finds
+                the jobs of all teams.
+            place: the ownership.Place of the call; None for any queue.
 
         Raises:
             StoreUnavailable: the store did not answer.
             UnreadableMessage: the job exists, but can't be read.
         """
-        item = self._get(records.PROGRESS_PREFIX + job_id, timeout_ms)
-        if item is not None:
-            return self._stored_state(item, job_id, timeout_ms)
+        # Records of jobs that ended are removed in the opposite order.
+        progress = self._get(records.PROGRESS_PREFIX + job_id, timeout_ms)
         item = self._get(records.JOB_PREFIX + job_id, timeout_ms)
-        if item is not None:
-            self._decode(item, records.decode_job)
+        if item is None:
+            return self._state_without_job(job_id, timeout_ms, team, place)
+        job = self._decode(item, records.decode_job)
+        if not _is_found(job, team, place):
+            return None
+        if progress is None:
             return records.State.QUEUED
-        if self._get(records.CANCEL_PREFIX + job_id, timeout_ms):
+        return self._stored_state(progress, job_id, timeout_ms)
+
+    def _state_without_job(self, job_id, timeout_ms, team, place):
+        item = self._get(records.CANCEL_PREFIX + job_id, timeout_ms)
+        if item is None:
+            return None
+        if team is None or self._is_cancelled(item, _canceller(team, place)):
             return records.State.CANCELLED
         return None
 
@@ -186,30 +269,81 @@
             self._unreadable.note(item.key, exc)
             raise
 
-    def _create_once(self, absent_keys, put, timeout_ms):
-        """Create a key unless one of some keys exists.
+    def _existing_job(self, item, team, place):
+        """Return the Result of a submission under the id of a stored job."""
+        if place is None:
+            return Result(Outcome.EXISTS)
+        try:
+            job = self._decode(item, records.decode_job)
+        except errors.UnreadableMessage as exc:
+            return Result(Outcome.UNCERTAIN, str(exc))
+        if ownership.owns(job, team, place):
+            return Result(Outcome.EXISTS)
+        return Result(Outcome.ID_TAKEN, 'job of another caller')
+
+    def _is_cancelled(self, item, record):
+        """Return whether a stored cancellation is one of a certain job.
+
+        It is if one of its callers could cancel the job. The cancellations of
+        earlier releases do not tell who they are of, and hold for any job.
+
+        Args:
+            item: the KeyValue of the cancellation.
+            record: the model.Job, or the Canceller that would submit it.
+        """
+        cancellers = self._cancellers(item)
+        return not cancellers or any(
+            ownership.owns(record, canceller.team, _place(canceller))
+            for canceller in cancellers
+        )
+
+    def _cancellers(self, item):
+        """Return the Cancellers of a KeyValue; none if it is unreadable."""
+        try:
+            return self._decode(item, records.decode_cancellation).cancellers
+        except errors.UnreadableMessage:
+            return ()
+
+    def _write_if(self, revisions, put, deletes, timeout_ms):
+        """Write a key if some keys have the given revisions.
 
         The write is repeated if its reply is lost. If the lost attempt took
         effect, the result is EXISTS.
+
+        Args:
+            revisions: by key, its revision; 0 = the key is absent.
+            put: the Put.
+            deletes: keys to delete.
+            timeout_ms: time limit of each store call; None for its default.
+
+        Returns:
+            (Result, mapping of key to its KeyValue if the outcome is EXISTS).
         """
-        compares = [base.Compare(k, 'mod_revision', 0) for k in absent_keys]
+        compares = [
+            base.Compare(key, 'mod_revision', revision)
+            for key, revision in revisions.items()
+        ]
         lost_detail = ''
         for _ in range(MAX_WRITE_ATTEMPTS):
             try:
                 result = self._store.txn(
-                    compares, [put], timeout_ms=self._limit_ms(timeout_ms)
+                    compares,
+                    [put],
+                    deletes,
+                    timeout_ms=self._limit_ms(timeout_ms),
                 )
             except errors.StoreUnavailable as exc:
                 if lost_detail:
-                    return Result(Outcome.UNCERTAIN, lost_detail)
-                return Result(Outcome.NOT_STORED, str(exc))
+                    return Result(Outcome.UNCERTAIN, lost_detail), {}
+                return Result(Outcome.NOT_STORED, str(exc)), {}
             except errors.WriteUncertain as exc:
                 lost_detail = str(exc)
                 continue
             if result.succeeded:
-                return Result(Outcome.STORED)
-            return Result(Outcome.EXISTS)
-        return Result(Outcome.UNCERTAIN, lost_detail)
+                return Result(Outcome.STORED), {}
+            current = {item.key: item for item in result.current}
+            return Result(Outcome.EXISTS), current
+        return Result(Outcome.UNCERTAIN, lost_detail), {}
 
     def _get(self, key, timeout_ms):
         return self._store.get(key, timeout_ms=self._limit_ms(timeout_ms))
@@ -226,3 +360,22 @@
         if left_ms < MIN_CALL_MS:
             raise errors.StoreUnavailable(detail='the node stops')
         return left_ms if timeout_ms is None else min(timeout_ms, left_ms)
+
+
+def _canceller(team, place):
+    """Return the Canceller for a caller."""
+    if place is None:
+        return records.Canceller(team)
+    return records.Canceller(team, place.queue, place.host, place.prefix)
+
+
+def _place(canceller):
+    """Return the Place of a Canceller's call, or None."""
+    if not canceller.queue:
+        return None
+    return ownership.Place(canceller.queue, canceller.host, canceller.prefix)
+
+
+def _is_found(job, team, place):
+    """Return whether a caller finds a job; see Intake.state()."""
+    return team is None or ownership.owns(job, team, place)
--- a/figtray/jobs/model.py
+++ b/figtray/jobs/model.py
@@ -121,6 +121,9 @@
         start_ms: Unix time in milliseconds of the first occurrence.
         interval_ms: time between the occurrences.
         accepted_ms: Unix time in milliseconds of the acceptance.
+        host: `Host` header of the queue's callers at the acceptance; empty
+            in records of earlier releases, as the prefix is.
+        prefix: prefix of its URL paths.
     """
 
     queue: str
@@ -131,6 +134,8 @@
     start_ms: int = 0
     interval_ms: int = 0
     accepted_ms: int = 0
+    host: str = ''
+    prefix: str = ''
 
 
 class TaskId(typing.NamedTuple):
--- a/figtray/jobs/records.py
+++ b/figtray/jobs/records.py
@@ -39,16 +39,36 @@
 _ENDED = frozenset({State.COMPLETED, State.FAILED, State.CANCELLED})
 
 
+class Canceller(msgspec.Struct, frozen=True, omit_defaults=True):
+    """Caller that cancelled a job, which may have been stored only later.
+
+    Attributes:
+        team: name of the team whose key was sent; empty without a key.
+        queue: name of the queue under which it called.
+        host: `Host` header of the queue's callers.
+        prefix: prefix of the queue's URL paths.
+    """
+
+    team: str = ''
+    queue: str = ''
+    host: str = ''
+    prefix: str = ''
+
+
 class Cancellation(msgspec.Struct, frozen=True, omit_defaults=True):
     """Record that a job was cancelled.
 
     Attributes:
         team: name of the team whose key was sent; empty on open queues.
         cancelled_ms: Unix time in milliseconds of the cancellation.
+        cancellers: the Cancellers; several if the job does not exist, as a
+            job with the id may be that of any of them. Empty in records of
+            earlier releases.
     """
 
     team: str = ''
     cancelled_ms: int = 0
+    cancellers: tuple[Canceller, ...] = ()
 
 
 class Placement(msgspec.Struct, frozen=True, array_like=True):
--- a/figtray/platform/job_api.py
+++ b/figtray/platform/job_api.py
@@ -11,6 +11,7 @@
 from figtray.jobs import intake as intakes
 from figtray.jobs import limits
 from figtray.jobs import model
+from figtray.jobs import ownership
 from figtray import listener
 
 JOB_ID_PATTERN = re.compile(r'[0-9a-f]{16}')
@@ -124,7 +125,11 @@
             queue, job_id = self._find_queue(cfg, environ)
             team = self._authenticate(cfg, queue, environ)
             status, body, reason = self._dispatch(
-                method, queue, job_id, team, environ
+                method,
+                ownership.place_of(cfg, queue),
+                job_id,
+                team,
+                environ,
             )
         except _RequestError as exc:
             reason = exc.reason
@@ -181,17 +186,17 @@
     def _authenticate(self, cfg, queue, environ):
         """Return the name of the caller's team.
 
-        It is empty on an open queue if the key is missing or unknown.
+        It is empty on an open queue without a key. A key that is sent has to
+        be valid there as well: a withdrawn one gives no rights anywhere.
 
         Raises:
             _RequestError: the key is unknown or can't be checked.
         """
         scheme, _, key = environ.get('HTTP_AUTHORIZATION', '').partition(' ')
-        team = None
-        if scheme.lower() == 'token':
-            team = cfg.team_of_key(key.strip())
-        if queue.open:
-            return team or ''
+        has_key = scheme.lower() == 'token'
+        if queue.open and not has_key:
+            return ''
+        team = cfg.team_of_key(key.strip()) if has_key else None
         # The key may have been withdrawn since the view was confirmed.
         self._check_view_is_fresh()
         if team is None:
@@ -202,28 +207,28 @@
         if not self._view.is_fresh():
             raise _RequestError(503, 'the configuration may be outdated')
 
-    def _dispatch(self, method, queue, job_id, team, environ):
+    def _dispatch(self, method, place, job_id, team, environ):
         """Return the status, the body and the reason that is logged."""
         if not job_id and method == 'GET':
             count = self._intake.count_waiting(
-                queue.name, self._store_timeout_ms(environ)
+                place.queue, self._store_timeout_ms(environ)
             )
             return 200, {'pending': count}, 'counted'
         if not JOB_ID_PATTERN.fullmatch(job_id):
             raise _RequestError(404, 'no such job id')
         match method:
             case 'POST':
-                return self._submit(queue, job_id, team, environ)
+                return self._submit(place, job_id, team, environ)
             case 'GET':
-                return self._read_state(job_id, environ)
+                return self._read_state(place, job_id, team, environ)
             case 'DELETE':
-                return self._cancel(job_id, team, environ)
+                return self._cancel(place, job_id, team, environ)
         raise _RequestError(405, 'method not allowed')
 
-    def _submit(self, queue, job_id, team, environ):
+    def _submit(self, place, job_id, team, environ):
         submission = _parse_submission(environ)
         job = model.Job(
-            queue=queue.name,
+            queue=place.queue,
             team=team,
             payload=submission.spec,
             steps=tuple(step.to_step() for step in submission.steps),
@@ -231,22 +236,30 @@
             start_ms=submission.start_ms,
             interval_ms=submission.interval_ms,
             accepted_ms=self._clock.wall_ms(),
+            host=place.host,
+            prefix=place.prefix,
         )
         if problem := limits.problem(job):
             raise _RequestError(400, _in_platform_names(problem))
         return _describe_result(
-            self._intake.submit(job_id, job, self._store_timeout_ms(environ))
+            self._intake.submit(
+                job_id, job, self._store_timeout_ms(environ), place
+            )
         )
 
-    def _read_state(self, job_id, environ):
-        state = self._intake.state(job_id, self._store_timeout_ms(environ))
+    def _read_state(self, place, job_id, team, environ):
+        state = self._intake.state(
+            job_id, self._store_timeout_ms(environ), team, place
+        )
         if state is None:
             return 410, {'error': 'no such job'}, 'unknown'
         return 200, {'state': state.value}, state.value
 
-    def _cancel(self, job_id, team, environ):
+    def _cancel(self, place, job_id, team, environ):
         return _describe_result(
-            self._intake.cancel(job_id, team, self._store_timeout_ms(environ))
+            self._intake.cancel(
+                job_id, team, self._store_timeout_ms(environ), place
+            )
         )
 
     def _store_timeout_ms(self, environ):
@@ -296,6 +309,8 @@
             return 200, {}, result.outcome.value
         case intakes.Outcome.UNKNOWN_JOB:
             return 410, {'error': 'no such job'}, result.detail
+        case intakes.Outcome.ID_TAKEN:
+            return 409, {'error': 'the id is taken'}, result.detail
         case intakes.Outcome.NOT_STORED:
             return 503, {'error': 'not stored'}, result.detail
     return 504, {'error': 'may have been stored'}, result.detail
--- a/figtray/platform/tests/test_job_api.py
+++ b/figtray/platform/tests/test_job_api.py
@@ -149,6 +149,162 @@
         assert not deployment.store.range(records.CANCEL_PREFIX).items
 
 
+class TestOpenQueue:
+    """Rights of callers under a queue that is open to all."""
+
+    METHODS = pytest.mark.parametrize('method', ['POST', 'GET', 'DELETE'])
+
+    # A key that had been withdrawn gave its holder rights under an open queue
+    # that it never had with the key in force.
+    @METHODS
+    def test_withdrawn_key_works_under_an_open_queue(self, deployment, method):
+        deployment.call('POST', f'/q/open/{ID}', JOB, key='')
+        later = CONFIG | {'version': 4, 'tenants': CONFIG['tenants'][1:]}
+        deployment.write_config(later)
+        before = deployment.store.range(records.INTAKE_PREFIX)
+        body = JOB if method == 'POST' else None
+        assert deployment.status(method, f'/q/open/{ID}', body) == 401
+        assert deployment.status('GET', '/q/open/') == 401
+        assert deployment.store.range(records.INTAKE_PREFIX) == before
+
+    # A node that is cut off from the store could accept a withdrawn key.
+    def test_outdated_view_accepts_a_key_under_an_open_queue(self, deployment):
+        deployment.clock.advance(3501)
+        assert deployment.status('POST', f'/q/open/{ID}', JOB) == 503
+        assert deployment.status('POST', f'/q/open/{ID}', JOB, key='') == 200
+
+    # A caller without a key could read and cancel the jobs of all teams.
+    @pytest.mark.parametrize('key', ['', 'other', 'k'])
+    @pytest.mark.parametrize('method', ['GET', 'DELETE'])
+    def test_job_of_a_keyed_queue_is_found_under_an_open_one(
+        self, deployment, key, method
+    ):
+        deployment.call('POST', f'/q/{ID}', JOB)
+        assert deployment.status(method, f'/q/open/{ID}', key=key) == 410
+        assert not deployment.store.range(records.CANCEL_PREFIX).items
+        assert deployment.call('GET', f'/q/{ID}')[1] == {'state': 'queued'}
+
+    @pytest.mark.parametrize('key', ['', 'other'])
+    @pytest.mark.parametrize('method', ['GET', 'DELETE'])
+    def test_job_of_a_team_is_found_without_its_key(
+        self, deployment, key, method
+    ):
+        deployment.call('POST', f'/q/open/{ID}', JOB, key='k')
+        assert deployment.status(method, f'/q/open/{ID}', key=key) == 410
+        assert deployment.status('GET', f'/q/open/{ID}', key='k') == 200
+        assert deployment.status('DELETE', f'/q/open/{ID}', key='k') == 200
+
+    # What is stored without a key is anyone's who calls under the queue; a
+    # valid key takes no right away.
+    @pytest.mark.parametrize('key', ['', 'k'])
+    def test_job_without_a_team_is_lost_to_a_caller(self, deployment, key):
+        path = f'/q/open/{ID}'
+        deployment.call('POST', path, JOB, key='')
+        assert deployment.status('POST', path, JOB, key=key) == 200
+        assert deployment.status('GET', path, key=key) == 200
+        assert deployment.status('DELETE', path, key=key) == 200
+
+    # A job was told to be accepted, and never ran.
+    @pytest.mark.parametrize('key', ['', 'other'])
+    @pytest.mark.parametrize('path', ['/q/', '/q/open/'])
+    def test_id_is_blocked_by_the_cancellation_of_another(
+        self, deployment, key, path
+    ):
+        early = deployment.status('DELETE', f'/q/open/{ID}', key=key)
+        assert early == 410
+        assert deployment.status('POST', f'{path}{ID}', JOB) == 200
+        assert deployment.call('GET', f'{path}{ID}')[1] == {'state': 'queued'}
+        assert not deployment.store.range(records.CANCEL_PREFIX).items
+
+
+class TestOwnQueue:
+    """A job is found under its own queue, and nowhere else."""
+
+    RENAMED = CONFIG['routes'][0] | {'name': 'renamed'}
+    MOVED = CONFIG['routes'][0] | {'prefix': '/elsewhere/'}
+
+    def set_routes(self, deployment, version, *routes):
+        deployment.write_config(
+            CONFIG | {'version': version, 'routes': list(routes)}
+        )
+
+    def forget_address(self, deployment):
+        """Store the job as an earlier release did."""
+        key = records.JOB_PREFIX + ID
+        job = json.loads(deployment.store.get(key).value)
+        del job['host'], job['prefix']
+        deployment.store.txn([], [base.Put(key, json.dumps(job).encode())])
+
+    def check_found(self, deployment, prefix):
+        path = f'{prefix}{ID}'
+        assert deployment.call('GET', path)[1] == {'state': 'queued'}
+        assert deployment.status('POST', path, JOB) == 200
+        assert deployment.status('GET', path, key='other') == 410
+        assert deployment.status('DELETE', path, key='other') == 410
+        assert not deployment.store.range(records.CANCEL_PREFIX).items
+        assert deployment.status('DELETE', path) == 200
+        assert deployment.store.get(records.CANCEL_PREFIX + ID)
+
+    @pytest.mark.parametrize('method', ['GET', 'DELETE'])
+    def test_job_is_found_under_another_queue(self, deployment, method):
+        deployment.call('POST', f'/q/open/{ID}', JOB, key='')
+        assert deployment.status(method, f'/q/{ID}') == 410
+        assert not deployment.store.range(records.CANCEL_PREFIX).items
+
+    def test_other_team_reads_the_state(self, deployment):
+        deployment.call('POST', f'/q/{ID}', JOB)
+        assert deployment.status('GET', f'/q/{ID}', key='other') == 410
+
+    # A caller was told that its job was accepted, and it never ran.
+    @pytest.mark.parametrize(
+        ('path', 'key'), [('/q/', 'other'), ('/q/open/', 'k')]
+    )
+    def test_submission_under_a_taken_id_is_accepted(
+        self, deployment, path, key
+    ):
+        deployment.call('POST', f'/q/{ID}', JOB)
+        assert deployment.status('POST', f'{path}{ID}', JOB, key=key) == 409
+        job = deployment.store.get(records.JOB_PREFIX + ID)
+        assert records.decode_job(job.value).team == 't'
+
+    # The queue of an accepted job gets a new name, or a new address.
+    @pytest.mark.parametrize('route', [RENAMED, MOVED])
+    def test_job_of_a_renamed_queue_is_unknown(self, deployment, route):
+        deployment.call('POST', f'/q/{ID}', JOB)
+        self.set_routes(deployment, 4, route)
+        self.check_found(deployment, route['prefix'])
+
+    # Records of earlier releases lack the address of their queue.
+    @pytest.mark.parametrize('route', [RENAMED, MOVED])
+    def test_stored_job_of_a_renamed_queue_is_unknown(self, deployment, route):
+        deployment.call('POST', f'/q/{ID}', JOB)
+        self.forget_address(deployment)
+        self.set_routes(deployment, 4, route)
+        self.check_found(deployment, route['prefix'])
+
+    def test_stored_job_is_found_under_another_queue(self, deployment):
+        deployment.call('POST', f'/q/{ID}', JOB)
+        self.forget_address(deployment)
+        assert deployment.status('GET', f'/q/open/{ID}') == 410
+
+    # The address of its queue is that of another one for a while.
+    def test_job_of_a_queue_that_returns_is_unknown(self, deployment):
+        deployment.call('POST', f'/q/{ID}', JOB)
+        self.set_routes(deployment, 4, CONFIG['routes'][1])
+        assert deployment.status('GET', f'/q/{ID}') == 404
+        assert deployment.status('GET', f'/q/open/{ID}') == 410
+        self.set_routes(deployment, 5, *CONFIG['routes'])
+        self.check_found(deployment, '/q/')
+
+    # Its cancellation was sent under the former name of the queue.
+    def test_cancellation_before_a_renaming_is_forgotten(self, deployment):
+        assert deployment.status('DELETE', f'/q/{ID}') == 410
+        self.set_routes(deployment, 4, self.RENAMED)
+        assert deployment.status('POST', f'/q/{ID}', JOB) == 200
+        assert deployment.call('GET', f'/q/{ID}')[1] == {'state': 'cancelled'}
+        assert deployment.store.get(records.JOB_PREFIX + ID) is None
+
+
 class TestSubmission:
     def test_job_is_stored_once(self, deployment):
         assert deployment.status('POST', f'/q/{ID}', JOB) == 200
@@ -294,6 +450,12 @@
         )
         assert deployment.call('GET', '/q/')[1] == {'pending': 4}
 
+    # The job may be that of the caller, and may be readable for the leader.
+    def test_unreadable_job_is_accepted_again(self, deployment):
+        put = base.Put(records.JOB_PREFIX + ID, b'odd')
+        deployment.store.txn([], [put])
+        assert deployment.status('POST', f'/q/{ID}', JOB) == 504
+
 
 class TestCancel:
     def test_cancel(self, deployment):
@@ -308,6 +470,58 @@
         assert deployment.store.get(records.JOB_PREFIX + ID) is None
         assert deployment.call('GET', f'/q/{ID}')[1] == {'state': 'cancelled'}
 
+    # Two callers cancel a job of theirs before it is stored.
+    @pytest.mark.parametrize('other', [('/q/', 'other'), ('/q/open/', '')])
+    def test_cancellation_replaces_that_of_another(self, deployment, other):
+        path, key = other
+        calls = [(path, key), ('/q/', 'k')]
+        for path, key in [*calls, *calls]:
+            status = deployment.status('DELETE', f'{path}{ID}', key=key)
+            assert status == 410
+        assert deployment.status('POST', f'/q/{ID}', JOB) == 200
+        assert deployment.store.get(records.JOB_PREFIX + ID) is None
+        item = deployment.store.get(records.CANCEL_PREFIX + ID)
+        record = records.decode_cancellation(item.value)
+        assert len(record.cancellers) == 2
+
+    # The job is stored between the two calls of its cancellation.
+    @pytest.mark.parametrize(('key', 'cancelled'), [('k', 1), ('other', 0)])
+    def test_cancellation_overlooks_a_job_that_is_just_stored(
+        self, deployment, monkeypatch, key, cancelled
+    ):
+        write = deployment.store.txn
+        posted = []
+
+        def submit_first(compares, puts, *args, **kwargs):
+            if not posted:
+                posted.append(True)
+                assert deployment.status('POST', f'/q/{ID}', JOB) == 200
+            return write(compares, puts, *args, **kwargs)
+
+        monkeypatch.setattr(deployment.store, 'txn', submit_first)
+        status = deployment.status('DELETE', f'/q/{ID}', key=key)
+        assert status == (200 if cancelled else 410)
+        found = deployment.store.range(records.CANCEL_PREFIX).items
+        assert len(found) == cancelled
+
+    # Records of earlier releases do not tell under which queue a job was
+    # cancelled.
+    def test_stored_cancellation_of_an_earlier_release_is_ignored(
+        self, deployment
+    ):
+        put = base.Put(records.CANCEL_PREFIX + ID, b'{"team":"t"}')
+        deployment.store.txn([], [put])
+        assert deployment.status('POST', f'/q/{ID}', JOB) == 200
+        assert deployment.store.get(records.JOB_PREFIX + ID) is None
+
+    # A reply is lost while the cancellation of another gives way.
+    def test_job_is_stored_twice_after_a_lost_reply(self, deployment):
+        deployment.call('DELETE', f'/q/open/{ID}', key='')
+        deployment.store.replies_to_lose = 1
+        assert deployment.status('POST', f'/q/{ID}', JOB) == 200
+        assert deployment.call('GET', f'/q/{ID}')[1] == {'state': 'queued'}
+        assert not deployment.store.range(records.CANCEL_PREFIX).items
+
 
 class TestStop:
     BOUNDS = settings_lib.Bounds()
@@ -333,7 +547,9 @@
         deployment.clock.advance(begins_ms)
         began_ms = deployment.clock.now_ms()
         body = JOB if method == 'POST' else None
-        status, _, headers = deployment.call(method, f'/q/open/{ID}', body)
+        status, _, headers = deployment.call(
+            method, f'/q/open/{ID}', body, key=''
+        )
         now_ms = deployment.clock.now_ms()
         left_ms = main.front_closes_ms(stopped_ms, self.BOUNDS) - now_ms
         return status, headers, now_ms - began_ms, left_ms
