scheduling: run accepted jobs by the last policies of their queue and team

If the leader stayed, the job ran. The same held for later steps, due occurrences and lasting tasks. Jobs of a removed team ran without a limit under each leader (QUOTA).

Cause: a job stored the name of its queue only; the last known queue was kept in the memory of the leader that had seen it, and a removed team in none. A decision rested on a fact that its owner, a process, may lose.

Change: a job carries the policies of its queue and team at the acceptance (`queue_policy`, `team_policy`). The leader stores later ones (`waiting-jobs-policies`, with the version that they are from), where a job that has not ended carries others; the next leader uses the newest of both (scheduling/known_policies.py, job_policies.py). Earlier releases read the new records, and their records are read; jobs without policies get theirs from the record.

The record is read by the call that read `waiting-jobs` so far, so that a takeover makes no more calls (TestLoad). membership.py: besides configure(), its base class. scheduling/service.py: the call.

Ruled out: keeping the last known queues in each node's view (a restart loses them); a field of each job's progress (a write for each job on each change).

--- a/figtray/jobs/model.py
+++ b/figtray/jobs/model.py
@@ -4,6 +4,12 @@
 
 import msgspec
 
+# Of the figures of operators; larger ones are not exact as floats.
+MAX_FIGURE = 10**12
+
+_Number = typing.Annotated[int, msgspec.Meta(ge=-MAX_FIGURE, le=MAX_FIGURE)]
+_Figure = typing.Annotated[float, msgspec.Meta(ge=-MAX_FIGURE, le=MAX_FIGURE)]
+
 
 class Resources(msgspec.Struct, frozen=True, omit_defaults=True):
     """Capacity of a host, or needs of tasks.
@@ -109,6 +115,35 @@
     may_be_away: int = 0
 
 
+class QueuePolicy(msgspec.Struct, frozen=True, omit_defaults=True):
+    """What a configuration says of the work of a queue; see queues.Queue.
+
+    Attributes:
+        version: version of the configuration.
+        advice: decide_ms, each_ms and valid_ms of its AdvicePolicy, or None.
+    """
+
+    version: int
+    pool: str
+    priority: _Number = 0
+    attempts: _Number = 1
+    stretch: _Figure = 1.0
+    slack_ms: _Number = 0
+    advice: tuple[_Number, _Number, _Number] | None = None
+
+
+class TeamPolicy(msgspec.Struct, frozen=True, omit_defaults=True):
+    """What a configuration says of the work of a team; see queues.Team.
+
+    Attributes:
+        version: version of the configuration.
+    """
+
+    version: int
+    weight: _Figure = 1.0
+    limit: Resources = NO_RESOURCES
+
+
 class Job(msgspec.Struct, frozen=True, omit_defaults=True):
     """A job as it was accepted; it never changes afterwards.
 
@@ -124,6 +159,9 @@
         host: `Host` header of the queue's callers at the acceptance; empty
             in records of earlier releases, as the prefix is.
         prefix: prefix of its URL paths.
+        queue_policy: the QueuePolicy at the acceptance; None in records of
+            earlier releases.
+        team_policy: the TeamPolicy; None also without a team.
     """
 
     queue: str
@@ -136,6 +174,8 @@
     accepted_ms: int = 0
     host: str = ''
     prefix: str = ''
+    queue_policy: QueuePolicy | None = None
+    team_policy: TeamPolicy | None = None
 
 
 class TaskId(typing.NamedTuple):
--- a/figtray/jobs/queues.py
+++ b/figtray/jobs/queues.py
@@ -1,5 +1,6 @@
 """The operators' configuration of queues, pools and teams."""
 
+import copy
 import dataclasses
 
 from figtray.jobs import model
@@ -104,6 +105,18 @@
             key: team.name for team in teams for key in team.keys
         }
 
+    def extended(self, queues, teams):
+        """Return a copy that also has some queues and teams of earlier ones.
+
+        Args:
+            queues: the Queues; find_queue() finds none of them.
+            teams: the Teams.
+        """
+        cfg = copy.copy(self)
+        cfg.queues = {queue.name: queue for queue in queues} | self.queues
+        cfg.teams = {team.name: team for team in teams} | self.teams
+        return cfg
+
     def find_queue(self, host, path):
         """Return the queue of a request, or None.
 
--- a/figtray/jobs/records.py
+++ b/figtray/jobs/records.py
@@ -19,6 +19,8 @@
 CANCEL_PREFIX = f'{INTAKE_PREFIX}cancel/'
 PROGRESS_PREFIX = 'progress/'
 WAITING_KEY = 'waiting-jobs'
+# Both are read by one call, as they begin with the same text.
+POLICIES_KEY = f'{WAITING_KEY}-policies'
 
 
 class State(enum.Enum):
@@ -179,6 +181,18 @@
     held: dict[str, dict[str, int]] = {}
 
 
+class LastPolicies(msgspec.Struct, frozen=True, omit_defaults=True):
+    """Last known policies of queues and teams, where a job carries others.
+
+    Attributes:
+        queues: by name, the model.QueuePolicy.
+        teams: by name, the model.TeamPolicy.
+    """
+
+    queues: dict[str, model.QueuePolicy] = {}
+    teams: dict[str, model.TeamPolicy] = {}
+
+
 def encode(record):
     """Return the stored bytes of a record."""
     return msgspec.json.encode(record)
@@ -191,6 +205,7 @@
 _progress_decoder = msgspec.json.Decoder(Progress)
 _cancellation_decoder = msgspec.json.Decoder(Cancellation)
 _waiting_jobs_decoder = msgspec.json.Decoder(WaitingJobs)
+_last_policies_decoder = msgspec.json.Decoder(LastPolicies)
 
 
 def decode_job(data):
@@ -224,6 +239,11 @@
     return decoding.decode('waiting jobs', _waiting_jobs_decoder, data)
 
 
+def decode_last_policies(data):
+    """Return the LastPolicies of stored bytes."""
+    return decoding.decode('policies', _last_policies_decoder, data)
+
+
 def _progress_problems(progress):
     """Yield what no leader stores, and would end its user by an error."""
     for key, mask in progress.done.items():
--- a/figtray/platform/job_api.py
+++ b/figtray/platform/job_api.py
@@ -12,6 +12,7 @@
 from figtray.jobs import limits
 from figtray.jobs import model
 from figtray.jobs import ownership
+from figtray.jobs import policies
 from figtray import listener
 
 JOB_ID_PATTERN = re.compile(r'[0-9a-f]{16}')
@@ -125,11 +126,7 @@
             queue, job_id = self._find_queue(cfg, environ)
             team = self._authenticate(cfg, queue, environ)
             status, body, reason = self._dispatch(
-                method,
-                ownership.place_of(cfg, queue),
-                job_id,
-                team,
-                environ,
+                method, cfg, queue, job_id, team, environ
             )
         except _RequestError as exc:
             reason = exc.reason
@@ -207,8 +204,9 @@
         if not self._view.is_fresh():
             raise _RequestError(503, 'the configuration may be outdated')
 
-    def _dispatch(self, method, place, job_id, team, environ):
+    def _dispatch(self, method, cfg, queue, job_id, team, environ):
         """Return the status, the body and the reason that is logged."""
+        place = ownership.place_of(cfg, queue)
         if not job_id and method == 'GET':
             count = self._intake.count_waiting(
                 place.queue, self._store_timeout_ms(environ)
@@ -218,14 +216,14 @@
             raise _RequestError(404, 'no such job id')
         match method:
             case 'POST':
-                return self._submit(place, job_id, team, environ)
+                return self._submit(cfg, place, job_id, team, environ)
             case 'GET':
                 return self._read_state(place, job_id, team, environ)
             case 'DELETE':
                 return self._cancel(place, job_id, team, environ)
         raise _RequestError(405, 'method not allowed')
 
-    def _submit(self, place, job_id, team, environ):
+    def _submit(self, cfg, place, job_id, team, environ):
         submission = _parse_submission(environ)
         job = model.Job(
             queue=place.queue,
@@ -238,6 +236,8 @@
             accepted_ms=self._clock.wall_ms(),
             host=place.host,
             prefix=place.prefix,
+            queue_policy=policies.of_queue(cfg, place.queue),
+            team_policy=policies.of_team(cfg, team),
         )
         if problem := limits.problem(job):
             raise _RequestError(400, _in_platform_names(problem))
--- a/figtray/scheduling/membership.py
+++ b/figtray/scheduling/membership.py
@@ -8,6 +8,7 @@
 from figtray.fleet import model as fleet
 from figtray.jobs import model
 from figtray.scheduling import ends
+from figtray.scheduling import job_policies
 from figtray.scheduling import worker_ends
 from figtray.scheduling import worker_state as worker_state_lib
 
@@ -18,7 +19,7 @@
 HOST_LOST_TO_END_MS = 500
 
 
-class Membership(worker_ends.WorkerEnds):
+class Membership(job_policies.JobPolicies, worker_ends.WorkerEnds):
     """Keeps the configuration, the zones out of service and the workers."""
 
     def configure(self, cfg, evacuated_zones):
@@ -36,14 +37,8 @@
                     zones=sorted(evacuated_zones),
                 )
             self._evacuated_zones = evacuated_zones
-            if cfg is self._cfg:
-                return
-            self._cfg = cfg
-            for job in list(self._jobs.values()):
-                is_queue_new = job.queue is None
-                job.queue = cfg.queues.get(job.spec.queue, job.queue)
-                if is_queue_new:
-                    self._fail_exhausted(job)
+            if cfg is not self._newest_cfg:
+                self._use_config(cfg)
 
     def set_workers_expected(self, expected):
         """Set whether new workers will be listed soon."""
--- a/figtray/scheduling/service.py
+++ b/figtray/scheduling/service.py
@@ -202,9 +202,12 @@
             progress[job_id] = self._service.unreadable.read(
                 item.key, records.decode_progress, item.value
             )
-        waiting = self._store.get(records.WAITING_KEY)
-        if waiting is not None:
-            self._writer.set_revision(waiting.key, waiting.mod_revision)
+        stored_records.load_policies(
+            self._store,
+            self._writer,
+            self._scheduler,
+            self._service.unreadable,
+        )
         roster = self._load_roster()
         count = self._intake.load(progress)
         self._update_workers()
--- a/figtray/scheduling/stored_records.py
+++ b/figtray/scheduling/stored_records.py
@@ -74,6 +74,30 @@
                 self._scheduler.cancel(job_id, cancel.cancelled_ms)
 
 
+def load_policies(store, writer, scheduler, unreadable_log):
+    """Read what the last leader knew of removed queues and teams.
+
+    The call also reads the record of waiting jobs, which is written over.
+
+    Args:
+        store: the Store.
+        writer: the Writer.
+        scheduler: the Scheduler.
+        unreadable_log: the UnreadableLog.
+
+    Raises:
+        StoreUnavailable: the store did not answer.
+    """
+    for item in store.range(records.WAITING_KEY).items:
+        writer.set_revision(item.key, item.mod_revision)
+        if item.key == records.POLICIES_KEY:
+            last = unreadable_log.read(
+                item.key, records.decode_last_policies, item.value
+            )
+            if last is not None:
+                scheduler.begin_policies(last)
+
+
 def _decode_job(job_id, data):
     # The names of its tasks could not be told apart.
     if not job_id or '.' in job_id:
--- a/figtray/scheduling/tests/harness.py
+++ b/figtray/scheduling/tests/harness.py
@@ -11,6 +11,7 @@
 from figtray.fleet import model as fleet_model
 from figtray.jobs import intake as intakes
 from figtray.jobs import model
+from figtray.jobs import policies
 from figtray.jobs import queues
 from figtray.leadership import term as terms
 from figtray.scheduling import state
@@ -157,7 +158,11 @@
             payload='p',
             steps=steps,
             accepted_ms=self.clock.wall_ms(),
-            **fields,
+            **{
+                'queue_policy': policies.of_queue(self.cfg, queue),
+                'team_policy': policies.of_team(self.cfg, team),
+            }
+            | fields,
         )
         self.intake.submit(job_id, job)
         self.capacities.steps[job_id] = steps
--- a/figtray/scheduling/tests/leaders.py
+++ b/figtray/scheduling/tests/leaders.py
@@ -1,6 +1,7 @@
 """Leader that tests drive step by step, without threads."""
 
 from figtray import errors
+from figtray.events import unreadable
 from figtray.jobs import records
 from figtray.leadership import term as terms
 from figtray.platform import settings
@@ -9,6 +10,7 @@
 from figtray.scheduling import roster as rosters
 from figtray.scheduling import scheduler as schedulers
 from figtray.scheduling import session
+from figtray.scheduling import stored_records
 from figtray.scheduling import writer as writers
 
 BOUNDS = settings.Bounds()
@@ -74,6 +76,12 @@
     def _load(self):
         fleet = self.fleet
         self.scheduler.configure(fleet.cfg, self.view.evacuated_zones())
+        stored_records.load_policies(
+            fleet.store,
+            self.writer,
+            self.scheduler,
+            unreadable.UnreadableLog(fleet.clock),
+        )
         progress = {}
         for item in fleet.store.range(records.PROGRESS_PREFIX).items:
             self.writer.set_revision(item.key, item.mod_revision)
--- a/figtray/tests/test_odd_records.py
+++ b/figtray/tests/test_odd_records.py
@@ -34,6 +34,7 @@
     'progress': records.decode_progress,
     'cancellation': records.decode_cancellation,
     'waiting-jobs': records.decode_waiting_jobs,
+    'policies': records.decode_last_policies,
     'roster': rosters.decode,
     'leader': terms.decode,
     'host-orders': host_orders.decode,
@@ -42,11 +43,20 @@
 }
 
 JOB = {'queue': 'q', 'team': 't', 'payload': 'p', 'steps': [{'count': 2}]}
+POLICY = {'version': 1, 'pool': 'p'}
 ROUTE = {'name': 'q', 'host': 'h', 'prefix': '/', 'service': 's'}
 # What each entry refuses, or no leader writes; the decoders of the type take
 # all of it.
 ODD_CONTENT = {
+    'policies': [
+        {'queues': {'q': POLICY | {'attempts': 10**400}}},
+        {'queues': {'q': POLICY | {'stretch': 1e300}}},
+        {'queues': {'q': POLICY | {'advice': [1, 2]}}},
+        {'teams': {'t': {'version': 1, 'weight': 1e300}}},
+    ],
     'job': [
+        JOB | {'queue_policy': POLICY | {'slack_ms': 10**20}},
+        JOB | {'queue_policy': POLICY | {'stretch': 1e300}},
         JOB | {'steps': []},
         JOB | {'steps': [{'count': 0}]},
         JOB | {'steps': [{'count': 10**9}]},
