scheduling: fail a job at once after a lower limit of attempts

Cause: configure() looked at the failures only of jobs whose queue it had not known, a takeover at those of all jobs.

Change: a queue with fewer attempts than before counts like a new one.

--- a/figtray/scheduling/job_policies.py
+++ b/figtray/scheduling/job_policies.py
@@ -83,12 +83,18 @@
                 yield job.spec
 
     def _apply_policies(self):
-        """Let all jobs have their queues as they are known now."""
+        """Let all jobs have their queues as they are known now.
+
+        A new leader fails a job whose tasks have failed more often than
+        allowed by now, so a leader that goes on does so, too.
+        """
         if self._newest_cfg is None:
             return
         self._cfg = self._known_policies.extend(self._newest_cfg)
         for job in list(self._jobs.values()):
             former = job.queue
             job.queue = self._cfg.queues.get(job.spec.queue, former)
-            if job.queue is not None and former is None:
+            if job.queue is not None and (
+                former is None or job.queue.attempts < former.attempts
+            ):
                 self._fail_exhausted(job)
--- a/figtray/scheduling/tests/test_job_policies.py
+++ b/figtray/scheduling/tests/test_job_policies.py
@@ -237,6 +237,16 @@
 
 @EACH_LEADER
 class TestChangedQueue:
+    # The next leader failed such a job at once, and a leader that went on
+    # started its task again.
+    def test_job_that_has_failed_by_now_goes_on(self, site, succeeds):
+        job_id = site.submit(harness.make_step())
+        site.leader.run_cycle()
+        site.fail(f'{job_id}.0.0.0')
+        site.configure(queue_fields={'attempts': 1}, team_fields={})
+        site.go_on(succeeds)
+        assert site.leader.state(job_id) == records.State.FAILED
+
     # The jobs were accepted by different configurations.
     def test_jobs_run_in_different_pools(self, site, succeeds):
         first = site.submit(harness.make_step())
