scheduling: count waiting jobs for the queue at their address

Cause: jobs were counted by the name that their queue had at the acceptance.

Change: if no queue has this name, a job counts for the queue at the address of its acceptance, under which its caller finds it.

Measured: test_jobs_count_for_no_queue_after_a_renaming failed with the scheduling of ({'other': 1}), and holds now.

--- a/figtray/scheduling/job_lifecycle.py
+++ b/figtray/scheduling/job_lifecycle.py
@@ -145,7 +145,8 @@
             counts, held = {}, {}
             for job in self._jobs.values():
                 if not job.started and not job.ended and not job.spec.repeats:
-                    counts[job.spec.queue] = counts.get(job.spec.queue, 0) + 1
+                    queue = self._present_queue(job.spec)
+                    counts[queue] = counts.get(queue, 0) + 1
             for step in self._open_steps.values():
                 if step.waiting and step.held_reason is not None:
                     reasons = held.setdefault(step.job.spec.queue, {})
@@ -155,6 +156,10 @@
                     )
             return records.WaitingJobs(counts, held)
 
+    def _present_queue(self, spec):
+        """Return the name of the queue under which callers find a job."""
+        return spec.queue
+
     def _open_due_occurrences(self, job, now_ms):
         """Open occurrences of a timed job that are due.
 
--- a/figtray/scheduling/job_policies.py
+++ b/figtray/scheduling/job_policies.py
@@ -16,6 +16,8 @@
         super().__init__(*args, **kwargs)
         # The newest queues.Config; `_cfg` also has removed queues and teams.
         self._newest_cfg = None
+        # Names of its queues by host and prefix.
+        self._queues_by_address = {}
         self._known_policies = known_policies.KnownPolicies()
         # The records.LastPolicies that was read, or queued for the last write.
         self._stored_policies = records.LastPolicies()
@@ -66,6 +68,10 @@
     def _use_config(self, cfg):
         """Use a queues.Config, and what is known of removed queues."""
         self._newest_cfg = cfg
+        self._queues_by_address = {
+            (queue.host, queue.prefix): name
+            for name, queue in cfg.queues.items()
+        }
         self._known_policies.learn_config(cfg)
         if self.loaded.is_set():
             specs = list(self._open_specs())
@@ -76,6 +82,13 @@
         self._apply_policies()
         self.update_policies()
 
+    def _present_queue(self, spec):
+        if self._newest_cfg and spec.queue in self._newest_cfg.queues:
+            return spec.queue
+        return self._queues_by_address.get(
+            (spec.host, spec.prefix), spec.queue
+        )
+
     def _open_specs(self):
         """Yield the model.Jobs that have not ended."""
         for job in self._jobs.values():
--- a/figtray/scheduling/tests/test_job_policies.py
+++ b/figtray/scheduling/tests/test_job_policies.py
@@ -376,3 +376,13 @@
         site.leader = site.fleet.elect_leader()
         site.configure(queue_fields={'pool': 'spare'}, team_fields={})
         assert self.stored(site).queues['other'].pool == 'spare'
+
+
+class TestWaitingCounts:
+    # Callers of a queue with a new name were told that nothing waits.
+    def test_jobs_count_for_no_queue_after_a_renaming(self, site):
+        fields = {'host': 'h', 'prefix': '/o/'}
+        site.submit(harness.make_step(), **fields)
+        assert site.leader.scheduler.waiting_jobs().counts == {'other': 1}
+        site.configure(queue_fields={'name': 'new'}, team_fields={})
+        assert site.leader.scheduler.waiting_jobs().counts == {'new': 1}
