scheduling: skip a cancellation that is not one of its job

Callers would see: a job `cancelled` that only others had cancelled, before it was stored.

Cause: the cancellation gives way in the transaction that stores the job, but a takeover reads `intake/` by pages, cancellations first. A page that was read before that transaction, and one read after it, have both records.

Change: the reader compares the callers of a cancellation with the job (ownership.is_cancelled, as the entries do).

--- a/figtray/jobs/intake.py
+++ b/figtray/jobs/intake.py
@@ -282,20 +282,8 @@
         return Result(Outcome.ID_TAKEN, 'job of another caller')
 
     def _is_cancelled(self, item, record):
-        """Return whether a stored cancellation is one of a certain job.
-
-        It is if one of its callers could cancel the job. The cancellations of
-        earlier releases do not tell who they are of, and hold for any job.
-
-        Args:
-            item: the KeyValue of the cancellation.
-            record: the model.Job, or the Canceller that would submit it.
-        """
-        cancellers = self._cancellers(item)
-        return not cancellers or any(
-            ownership.owns(record, canceller.team, _place(canceller))
-            for canceller in cancellers
-        )
+        """Return whether a stored cancellation is one of a certain job."""
+        return ownership.is_cancelled(record, self._cancellers(item))
 
     def _cancellers(self, item):
         """Return the Cancellers of a KeyValue; none if it is unreadable."""
@@ -369,13 +357,6 @@
     return records.Canceller(team, place.queue, place.host, place.prefix)
 
 
-def _place(canceller):
-    """Return the Place of a Canceller's call, or None."""
-    if not canceller.queue:
-        return None
-    return ownership.Place(canceller.queue, canceller.host, canceller.prefix)
-
-
 def _is_found(job, team, place):
     """Return whether a caller finds a job; see Intake.state()."""
     return team is None or ownership.owns(job, team, place)
--- a/figtray/jobs/ownership.py
+++ b/figtray/jobs/ownership.py
@@ -46,6 +46,29 @@
     return place is None or _is_under(record, place)
 
 
+def is_cancelled(record, cancellers):
+    """Return whether a cancellation is one of a certain job.
+
+    It is if one of its callers could cancel the job. The cancellations of
+    earlier releases do not tell whose they are, and hold for any job.
+
+    Args:
+        record: the model.Job, or the Canceller that would submit it.
+        cancellers: the Cancellers of the records.Cancellation.
+    """
+    return not cancellers or any(
+        owns(record, canceller.team, _place_of_call(canceller))
+        for canceller in cancellers
+    )
+
+
+def _place_of_call(canceller):
+    """Return the Place of a Canceller's call, or None."""
+    if not canceller.queue:
+        return None
+    return Place(canceller.queue, canceller.host, canceller.prefix)
+
+
 def _is_under(record, place):
     """Return whether a record was stored under the queue of a call.
 
--- a/figtray/platform/documents.py
+++ b/figtray/platform/documents.py
@@ -27,7 +27,7 @@
 MAX_NAME_CHARS = 200
 MAX_LABELS = 100
 # Of the other figures of operators; all sums and products of them are exact.
-MAX_FIGURE = 10**12
+MAX_FIGURE = model.MAX_FIGURE
 MAX_WAVE_HOSTS = 100_000
 
 _Amount = typing.Annotated[int, msgspec.Meta(ge=0, le=MAX_AMOUNT)]
--- a/figtray/scheduling/job_lifecycle.py
+++ b/figtray/scheduling/job_lifecycle.py
@@ -80,6 +80,12 @@
                 if step.job.job_id == job_id:
                     del self._open_steps[name]
 
+    def spec_of(self, job_id):
+        """Return the model.Job with an id, or None."""
+        with self.lock:
+            job = self._jobs.get(job_id)
+            return job and job.spec
+
     def cancel(self, job_id, cancelled_ms):
         """Cancel a job and stop its runs.
 
--- a/figtray/scheduling/stored_records.py
+++ b/figtray/scheduling/stored_records.py
@@ -1,6 +1,7 @@
 """Reading of the records that callers and earlier leaders have stored."""
 
 from figtray import decoding
+from figtray.jobs import ownership
 from figtray.jobs import records
 
 
@@ -68,8 +69,12 @@
         cancel = self._unreadable.read(
             item.key, records.decode_cancellation, item.value
         )
-        if cancel is not None:
-            job_id = item.key.removeprefix(records.CANCEL_PREFIX)
+        if cancel is None:
+            return
+        job_id = item.key.removeprefix(records.CANCEL_PREFIX)
+        job = self._scheduler.spec_of(job_id)
+        # A read by pages may show a cancellation that has given way.
+        if job is None or ownership.is_cancelled(job, cancel.cancellers):
             with self._unreadable.skip_on_error(item.key):
                 self._scheduler.cancel(job_id, cancel.cancelled_ms)
 
