jobs: name the owner of a job in its progress

Change: the leader writes the owner (team, queue, address) with the progress. Progress of earlier releases lacks it, and is read as before; they ignore it. The type is the one that cancellations use for their callers.

Measured: test_state_takes_more_calls counts two reads for a job that hasn't begun and one for another; TestProgress shows that the leader writes the owner, and test_state_of_a_begun_job_is_told_to_others that others don't find the job with either kind of progress.

--- a/figtray/jobs/intake.py
+++ b/figtray/jobs/intake.py
@@ -143,7 +143,7 @@
             if not ownership.owns(job, team, place):
                 return Result(Outcome.UNKNOWN_JOB, 'job of another caller')
             key = records.CANCEL_PREFIX + job_id
-            put = self._put_cancellation(key, [_canceller(team, place)])
+            put = self._put_cancellation(key, [_caller(team, place)])
             return self._write_if({key: 0}, put, [], timeout_ms)[0]
         return Result(Outcome.UNCERTAIN, TOO_MANY_CONFLICTS)
 
@@ -158,7 +158,7 @@
         """
         job_key = records.JOB_PREFIX + job_id
         key = records.CANCEL_PREFIX + job_id
-        caller = _canceller(team, place)
+        caller = _caller(team, place)
         others, revision = (), 0
         for _ in range(MAX_CONFLICTS):
             result, current = self._write_if(
@@ -184,7 +184,7 @@
         return Result(Outcome.UNCERTAIN, TOO_MANY_CONFLICTS)
 
     def _put_cancellation(self, key, cancellers):
-        """Return the Put of a cancellation by the last of its Cancellers."""
+        """Return the Put of a cancellation by the last of its Callers."""
         record = records.Cancellation(
             cancellers[-1].team, self._clock.wall_ms(), tuple(cancellers)
         )
@@ -204,23 +204,25 @@
             StoreUnavailable: the store did not answer.
             UnreadableMessage: the job exists, but can't be read.
         """
-        # Records of jobs that ended are removed in the opposite order.
-        progress = self._get(records.PROGRESS_PREFIX + job_id, timeout_ms)
-        item = self._get(records.JOB_PREFIX + job_id, timeout_ms)
-        if item is None:
-            return self._state_without_job(job_id, timeout_ms, team, place)
-        job = self._decode(item, records.decode_job)
-        if not _is_found(job, team, place):
+        item = self._get(records.PROGRESS_PREFIX + job_id, timeout_ms)
+        progress, error = self._read_progress(item)
+        owner = progress and progress.owner
+        if owner is None:
+            job_item = self._get(records.JOB_PREFIX + job_id, timeout_ms)
+            if job_item is None:
+                return self._state_without_job(job_id, timeout_ms, team, place)
+            owner = self._decode(job_item, records.decode_job)
+        if team is not None and not ownership.owns(owner, team, place):
             return None
-        if progress is None:
-            return records.State.QUEUED
-        return self._stored_state(progress, job_id, timeout_ms)
+        if error is not None:
+            return self._state_of_unreadable(job_id, timeout_ms, error)
+        return progress.state if progress else records.State.QUEUED
 
     def _state_without_job(self, job_id, timeout_ms, team, place):
         item = self._get(records.CANCEL_PREFIX + job_id, timeout_ms)
         if item is None:
             return None
-        if team is None or self._is_cancelled(item, _canceller(team, place)):
+        if team is None or self._is_cancelled(item, _caller(team, place)):
             return records.State.CANCELLED
         return None
 
@@ -244,18 +246,24 @@
             raise errors.StoreUnavailable(detail=str(exc)) from exc
         return waiting.counts.get(queue, 0)
 
-    def _stored_state(self, item, job_id, timeout_ms):
-        """Return the State in a job's progress.
+    def _read_progress(self, item):
+        """Return the Progress of a KeyValue or None, and its error or None."""
+        if item is None:
+            return None, None
+        try:
+            return self._decode(item, records.decode_progress), None
+        except errors.UnreadableMessage as exc:
+            return None, exc
+
+    def _state_of_unreadable(self, job_id, timeout_ms, error):
+        """Return the State of a job whose progress is unreadable.
 
-        A leader starts no task of a job whose progress is unreadable, so it
-        is as cancelled as any other once its cancellation is stored.
+        A leader starts no task of such a job, so it is as cancelled as any
+        other once its cancellation is stored.
         """
-        try:
-            return self._decode(item, records.decode_progress).state
-        except errors.UnreadableMessage:
-            if self._get(records.CANCEL_PREFIX + job_id, timeout_ms):
-                return records.State.CANCELLED
-            raise
+        if self._get(records.CANCEL_PREFIX + job_id, timeout_ms):
+            return records.State.CANCELLED
+        raise error
 
     def _decode(self, item, decode):
         """Return the record of a KeyValue; one that is unreadable is logged.
@@ -286,7 +294,7 @@
         return ownership.is_cancelled(record, self._cancellers(item))
 
     def _cancellers(self, item):
-        """Return the Cancellers of a KeyValue; none if it is unreadable."""
+        """Return the Callers in a KeyValue; none if it is unreadable."""
         try:
             return self._decode(item, records.decode_cancellation).cancellers
         except errors.UnreadableMessage:
@@ -350,13 +358,8 @@
         return left_ms if timeout_ms is None else min(timeout_ms, left_ms)
 
 
-def _canceller(team, place):
-    """Return the Canceller for a caller."""
+def _caller(team, place):
+    """Return the records.Caller of a call; place is None for any queue."""
     if place is None:
-        return records.Canceller(team)
-    return records.Canceller(team, place.queue, place.host, place.prefix)
-
-
-def _is_found(job, team, place):
-    """Return whether a caller finds a job; see Intake.state()."""
-    return team is None or ownership.owns(job, team, place)
+        return records.Caller(team)
+    return records.Caller(team, place.queue, place.host, place.prefix)
--- a/figtray/jobs/ownership.py
+++ b/figtray/jobs/ownership.py
@@ -37,7 +37,7 @@
     a team has stored is found with a key of that team only.
 
     Args:
-        record: the model.Job, or a records.Canceller.
+        record: the model.Job, or a records.Caller.
         team: name of the caller's team; empty without a key.
         place: the Place of the call; None finds it under each queue.
     """
@@ -53,8 +53,8 @@
     earlier releases do not tell whose they are, and hold for any job.
 
     Args:
-        record: the model.Job, or the Canceller that would submit it.
-        cancellers: the Cancellers of the records.Cancellation.
+        record: the model.Job, or the records.Caller that would submit it.
+        cancellers: the records.Callers that have cancelled it.
     """
     return not cancellers or any(
         owns(record, canceller.team, _place_of_call(canceller))
@@ -63,7 +63,7 @@
 
 
 def _place_of_call(canceller):
-    """Return the Place of a Canceller's call, or None."""
+    """Return the Place of a records.Caller, or None."""
     if not canceller.queue:
         return None
     return Place(canceller.queue, canceller.host, canceller.prefix)
--- a/figtray/jobs/records.py
+++ b/figtray/jobs/records.py
@@ -41,8 +41,8 @@
 _ENDED = frozenset({State.COMPLETED, State.FAILED, State.CANCELLED})
 
 
-class Canceller(msgspec.Struct, frozen=True, omit_defaults=True):
-    """Caller that cancelled a job, which may have been stored only later.
+class Caller(msgspec.Struct, frozen=True, omit_defaults=True):
+    """Who has submitted or cancelled a job.
 
     Attributes:
         team: name of the team whose key was sent; empty without a key.
@@ -63,14 +63,14 @@
     Attributes:
         team: name of the team whose key was sent; empty on open queues.
         cancelled_ms: Unix time in milliseconds of the cancellation.
-        cancellers: the Cancellers; several if the job does not exist, as a
-            job with the id may be that of any of them. Empty in records of
-            earlier releases.
+        cancellers: the Callers that have cancelled it; several if the job
+            does not exist, as a job with the id may be that of any of them.
+            Empty in records of earlier releases.
     """
 
     team: str = ''
     cancelled_ms: int = 0
-    cancellers: tuple[Canceller, ...] = ()
+    cancellers: tuple[Caller, ...] = ()
 
 
 class Placement(msgspec.Struct, frozen=True, array_like=True):
@@ -158,6 +158,8 @@
         crashes: by `OCCURRENCE.STEP.INDEX`, the Crashes that a task may have
             caused; those of a suspect are stored before its next run starts.
         ended_ms: Unix time in milliseconds of the end; 0 = not ended.
+        owner: the Caller that has submitted the job; None in records of
+            earlier releases.
     """
 
     state: State = State.QUEUED
@@ -167,6 +169,7 @@
     placements: dict[str, Placement] = {}
     crashes: dict[str, Crashes] = {}
     ended_ms: int = 0
+    owner: Caller | None = None
 
 
 class WaitingJobs(msgspec.Struct, frozen=True, omit_defaults=True):
--- a/figtray/jobs/tests/test_records.py
+++ b/figtray/jobs/tests/test_records.py
@@ -76,7 +76,7 @@
         earlier = msgspec.defstruct(
             'Cancellation', [('team', str, ''), ('cancelled_ms', int, 0)]
         )
-        canceller = records.Canceller('t', 'q', 'h', '/q/')
+        canceller = records.Caller('t', 'q', 'h', '/q/')
         record = records.Cancellation('t', 7, (canceller,))
         data = records.encode(record)
         assert records.decode_cancellation(data) == record
--- a/figtray/platform/tests/test_job_api.py
+++ b/figtray/platform/tests/test_job_api.py
@@ -402,6 +402,39 @@
         )
         assert deployment.call('GET', f'/q/{ID}')[1] == {'state': 'completed'}
 
+    # Each further call to a slow store may come too late for the caller.
+    @pytest.mark.parametrize('calls', [2, 1])
+    def test_state_takes_more_calls(self, deployment, monkeypatch, calls):
+        deployment.call('POST', f'/q/{ID}', JOB)
+        if calls == 1:
+            self.begin(deployment, owner=records.Caller('t', 'keyed'))
+        keys = []
+        read = deployment.store.get
+
+        def get(key, **kwargs):
+            keys.append(key)
+            return read(key, **kwargs)
+
+        monkeypatch.setattr(deployment.store, 'get', get)
+        assert deployment.status('GET', f'/q/{ID}') == 200
+        assert len(keys) == calls
+
+    # The progress of earlier releases does not tell whose the job is.
+    @pytest.mark.parametrize('owner', [records.Caller('t', 'keyed'), None])
+    def test_state_of_a_begun_job_is_told_to_others(self, deployment, owner):
+        deployment.call('POST', f'/q/{ID}', JOB)
+        self.begin(deployment, owner=owner)
+        assert deployment.call('GET', f'/q/{ID}')[1] == {'state': 'running'}
+        assert deployment.status('GET', f'/q/{ID}', key='other') == 410
+        assert deployment.status('GET', f'/q/open/{ID}') == 410
+        assert deployment.status('GET', f'/q/open/{ID}', key='') == 410
+
+    def begin(self, deployment, **fields):
+        """Store the progress of a job that runs."""
+        progress = records.Progress(records.State.RUNNING, **fields)
+        put = base.Put(records.PROGRESS_PREFIX + ID, records.encode(progress))
+        deployment.store.txn([], [put])
+
     # A stored job must not be reported as unknown during a store outage.
     def test_outage_is_not_reported_as_unknown_job(self, deployment):
         deployment.call('POST', f'/q/{ID}', JOB)
--- a/figtray/scheduling/state.py
+++ b/figtray/scheduling/state.py
@@ -303,6 +303,12 @@
             placements=placements,
             crashes=crashes,
             ended_ms=self.ended_ms,
+            owner=records.Caller(
+                self.spec.team,
+                self.spec.queue,
+                self.spec.host,
+                self.spec.prefix,
+            ),
         )
 
 
--- a/figtray/scheduling/tests/test_stored_records.py
+++ b/figtray/scheduling/tests/test_stored_records.py
@@ -40,13 +40,24 @@
     def test_job_is_cancelled_by_another_caller(
         self, fleet, leader, team, place
     ):
-        other = records.Canceller(team, place.queue, place.host, place.prefix)
+        other = records.Caller(team, place.queue, place.host, place.prefix)
         assert not self.read(fleet, leader, other)
 
     def test_job_that_its_caller_has_cancelled_runs(self, fleet, leader):
-        caller = records.Canceller('t', 'q', 'h', '/q/')
-        assert self.read(fleet, leader, records.Canceller(), caller)
+        caller = records.Caller('t', 'q', 'h', '/q/')
+        assert self.read(fleet, leader, records.Caller(), caller)
 
     # Its record does not tell who has cancelled it.
     def test_job_cancelled_by_an_earlier_release_runs(self, fleet, leader):
         assert self.read(fleet, leader)
+
+
+class TestProgress:
+    # Each question for the state of the job would cost one more call.
+    def test_progress_does_not_tell_whose_the_job_is(self, fleet, leader):
+        job_id = fleet.submit(harness.make_step(), host='h', prefix='/q/')
+        leader.run_cycle()
+        leader.flush()
+        item = fleet.store.get(records.PROGRESS_PREFIX + job_id)
+        owner = records.decode_progress(item.value).owner
+        assert owner == records.Caller('t', 'q', 'h', '/q/')
