--- a/figtray/jobs/records.py
+++ b/figtray/jobs/records.py
@@ -19,6 +19,8 @@
 CANCEL_PREFIX = f'{INTAKE_PREFIX}cancel/'
 PROGRESS_PREFIX = 'progress/'
 WAITING_KEY = 'waiting-jobs'
+# Both are read by one call, as they begin with the same text.
+POLICIES_KEY = f'{WAITING_KEY}-policies'
 
 
 class State(enum.Enum):
@@ -39,16 +41,36 @@
 _ENDED = frozenset({State.COMPLETED, State.FAILED, State.CANCELLED})
 
 
+class Caller(msgspec.Struct, frozen=True, omit_defaults=True):
+    """Who has submitted or cancelled a job.
+
+    Attributes:
+        team: name of the team whose key was sent; empty without a key.
+        queue: name of the queue under which it called.
+        host: `Host` header of the queue's callers.
+        prefix: prefix of the queue's URL paths.
+    """
+
+    team: str = ''
+    queue: str = ''
+    host: str = ''
+    prefix: str = ''
+
+
 class Cancellation(msgspec.Struct, frozen=True, omit_defaults=True):
     """Record that a job was cancelled.
 
     Attributes:
         team: name of the team whose key was sent; empty on open queues.
         cancelled_ms: Unix time in milliseconds of the cancellation.
+        cancellers: the Callers that have cancelled it; several if the job
+            does not exist, as a job with the id may be that of any of them.
+            Empty in records of earlier releases.
     """
 
     team: str = ''
     cancelled_ms: int = 0
+    cancellers: tuple[Caller, ...] = ()
 
 
 class Placement(msgspec.Struct, frozen=True, array_like=True):
@@ -136,6 +158,8 @@
         crashes: by `OCCURRENCE.STEP.INDEX`, the Crashes that a task may have
             caused; those of a suspect are stored before its next run starts.
         ended_ms: Unix time in milliseconds of the end; 0 = not ended.
+        owner: the Caller that has submitted the job; None in records of
+            earlier releases.
     """
 
     state: State = State.QUEUED
@@ -145,6 +169,7 @@
     placements: dict[str, Placement] = {}
     crashes: dict[str, Crashes] = {}
     ended_ms: int = 0
+    owner: Caller | None = None
 
 
 class WaitingJobs(msgspec.Struct, frozen=True, omit_defaults=True):
@@ -159,6 +184,18 @@
     held: dict[str, dict[str, int]] = {}
 
 
+class LastPolicies(msgspec.Struct, frozen=True, omit_defaults=True):
+    """Last known policies of queues and teams, where a job carries others.
+
+    Attributes:
+        queues: by name, the model.QueuePolicy.
+        teams: by name, the model.TeamPolicy.
+    """
+
+    queues: dict[str, model.QueuePolicy] = {}
+    teams: dict[str, model.TeamPolicy] = {}
+
+
 def encode(record):
     """Return the stored bytes of a record."""
     return msgspec.json.encode(record)
@@ -171,6 +208,7 @@
 _progress_decoder = msgspec.json.Decoder(Progress)
 _cancellation_decoder = msgspec.json.Decoder(Cancellation)
 _waiting_jobs_decoder = msgspec.json.Decoder(WaitingJobs)
+_last_policies_decoder = msgspec.json.Decoder(LastPolicies)
 
 
 def decode_job(data):
@@ -204,6 +242,11 @@
     return decoding.decode('waiting jobs', _waiting_jobs_decoder, data)
 
 
+def decode_last_policies(data):
+    """Return the LastPolicies of stored bytes."""
+    return decoding.decode('policies', _last_policies_decoder, data)
+
+
 def _progress_problems(progress):
     """Yield what no leader stores, and would end its user by an error."""
     for key, mask in progress.done.items():
