soak: delayed orders, restarts under an id, and cuts soon after

The soak could not find it: its late orders reached the same incarnation, each worker that came back had a new id at a new address, and nothing cut off a worker that had just come back.

Change, in a series of restarts with a seed of its own, so that a seed keeps its other faults and its callers: - half of the starts and requests for reports get no answer and are carried out 2 to 12 s later, also by a later incarnation at the address; - one worker or two crash and start again within 0.5 s under their ids, at their addresses; their connections are reset or fall silent; - most of these are cut off 0.2 to 3 s later, for 6.5 to 11 s, in half of the cases with a kill of the leader in between; - the workers of half of the seeds grant leases of 10 s, and the nodes know.

A proxy of a worker has one network fault at a time, as the end of one would end the other. A request that waits for an end is dropped if its worker starts again meanwhile; the timer of a run no longer ends one of a later incarnation. `one run at a time` names the incarnations; tests show that it sees a run on an incarnation that is cut off.

--- a/figtray/fleet/memory.py
+++ b/figtray/fleet/memory.py
@@ -1,5 +1,6 @@
 """In-memory workers with faults, for tests and the stand-in site."""
 
+import contextlib
 import dataclasses
 import threading
 
@@ -224,8 +225,11 @@
         sims: the SimWorkers by address.
         late_orders: orders that are executed by execute_late_orders().
         choose_fault: called with (kind of order, worker) for each order;
-            returns `ok`, `not sent`, `lost` (executed without a reply) or
-            `late` (executed by execute_late_orders(), without a reply).
+            returns `ok`, `not sent`, `lost` (executed without a reply),
+            `late` (executed by execute_late_orders(), without a reply), or a
+            function that gets one without arguments and has to call it once,
+            from another thread: that executes the order, and there is no
+            reply until then and none after.
 
     Args:
         clock: the Clock.
@@ -264,6 +268,9 @@
         with self._lock:
             sim = self.sims[worker.address]
             current = sim.runs.get(task)
+            # A later incarnation may have the run, too.
+            if sim.worker.incarnation != worker.incarnation:
+                return
             if current is not None and current.run == run:
                 sim.end(task, reason)
                 self._changed.notify_all()
@@ -317,15 +324,28 @@
         with self._lock:
             orders, self.late_orders = self.late_orders, []
             for worker, action in orders:
-                sim = self.sims.get(worker.address)
-                if sim is None or not sim.up:
-                    continue
-                if sim.worker.worker_id != worker.worker_id:
-                    continue
-                try:
-                    action(sim)
-                except errors.StaleEpoch:
-                    continue
+                self._execute_late(worker, action)
+
+    def _execute_late(self, worker, action):
+        sim = self.sims.get(worker.address)
+        if sim is None or not sim.up:
+            return
+        if sim.worker.worker_id == worker.worker_id:
+            with contextlib.suppress(errors.StaleEpoch):
+                action(sim)
+
+    def _wait_for_late_order(self, defer, worker, action):
+        """Wait without the lock until a deferred order was executed."""
+        executed = []
+
+        def execute():
+            with self._lock:
+                executed.append(True)
+                self._execute_late(worker, action)
+                self._changed.notify_all()
+
+        defer(execute)
+        self._changed.wait_for(lambda: executed)
 
     def _call(self, kind, worker, action):
         with self._lock:
@@ -337,6 +357,9 @@
                 )
             if fault == 'late':
                 self.late_orders.append((worker, action))
+            if callable(fault):
+                self._wait_for_late_order(fault, worker, action)
+            if fault == 'late' or callable(fault):
                 raise errors.ReplyLost(
                     address=worker.address, detail='injected'
                 )
--- a/figtray/platform/standin_services.py
+++ b/figtray/platform/standin_services.py
@@ -190,6 +190,11 @@
             lambda: any(e.number > acknowledged for e in sim.ended),
             data.get('wait_ms', 0),
         )
+        if self.workers.sims[self.worker.address] is not sim:
+            # The request has ended with its process.
+            raise errors.ReplyLost(
+                address=self.worker.address, detail='the worker has crashed'
+            )
         report = self.workers.report(
             self.worker,
             data['fence'],
--- a/figtray/platform/standin_site.py
+++ b/figtray/platform/standin_site.py
@@ -53,6 +53,7 @@
             in `run_ms`.
         other_teams: further Teams.
         on_crash: called with a fleet Worker that a run has crashed.
+        hold_max_ms: longest lease that a worker grants.
     """
 
     def __init__(
@@ -67,6 +68,7 @@
         choose_end=None,
         other_teams=(),
         on_crash=lambda worker: None,
+        hold_max_ms=fleet_memory.HOLD_MAX_MS,
     ):
         self.clock = clock_lib.SystemClock()
         self.store = store_memory.MemoryStore(self.clock)
@@ -89,6 +91,7 @@
         self._on_crash = on_crash
         self._advertise = advertise
         self._clock_rate = clock_rate
+        self._hold_max_ms = hold_max_ms
         self.hosts = memory_hosts.MemoryHosts()
         self._stop = threading.Event()
         self._servers = []
@@ -131,7 +134,7 @@
             name,
             self._advertise(name, self._store_server.address),
             self._advertise(name, self._hosts_server.address),
-        )
+        ) | {'bounds': {'hold_max_ms': self._hold_max_ms}}
 
     def started_runs(self):
         """Return the (task, run) pairs that the workers have started."""
@@ -151,6 +154,21 @@
         self._entries.end(former)
         self._start_worker(self.hosts.hosts[host_id])
 
+    def start_again(self, worker):
+        """Start an incarnation of a worker under its id, at its address.
+
+        Args:
+            worker: the fleet Worker; nothing happens if it was replaced.
+        """
+        current = self._workers_by_host.get(worker.host_id)
+        if current is None or current.incarnation != worker.incarnation:
+            return
+        restarted = dataclasses.replace(
+            current, born_ms=self.clock.wall_ms(), draining=False
+        )
+        self.workers.add(restarted, self._clock_rate, self._hold_max_ms)
+        self._workers_by_host[worker.host_id] = restarted
+
     def crash_for_a_while(self, worker):
         """End a worker; its host has another one after CRASH_S."""
         host_id = worker.host_id
@@ -279,7 +297,7 @@
             host_id=host.host_id,
         )
         server.service = standin_services.WorkerService(self.workers, worker)
-        self.workers.add(worker, self._clock_rate)
+        self.workers.add(worker, self._clock_rate, self._hold_max_ms)
         self._workers_by_host[host.host_id] = worker
         self._servers_by_worker_id[worker.worker_id] = server
         self.hosts.hosts[host.host_id] = dataclasses.replace(
--- a/figtray/soak/capacities.py
+++ b/figtray/soak/capacities.py
@@ -19,12 +19,13 @@
 
     def __init__(self, jobs):
         self._jobs = jobs
-        # By incarnation, its former capacities and when they were replaced.
+        # By worker id, its former capacities and when they were replaced. A
+        # worker that starts again under its id has what it had.
         self._former = collections.defaultdict(list)
 
     def record_resize(self, worker, now_ms):
         """Record that the capacity of a fleet Worker is about to change."""
-        self._former[worker.incarnation].append((now_ms, worker.capacity))
+        self._former[worker.worker_id].append((now_ms, worker.capacity))
 
     def covers(self, sim, now_ms, stable):
         """Return whether the runs on a SimWorker are within its capacity.
@@ -39,7 +40,7 @@
         since_ms = now_ms - SHRUNK_BOUND_MS if stable else 0
         return sim.worker.capacity.covers(used) or any(
             until_ms >= since_ms and capacity.covers(used)
-            for until_ms, capacity in self._former[sim.worker.incarnation]
+            for until_ms, capacity in self._former[sim.worker.worker_id]
         )
 
     def _used_by(self, tasks):
--- a/figtray/soak/faults.py
+++ b/figtray/soak/faults.py
@@ -49,6 +49,10 @@
     # These come only in series of changes.
     SIGNALS = 'a node gets signals one right after the other, and restarts'
     KEY_CHANGES = 'a key is withdrawn, given back and withdrawn'
+    # These come only in series of restarts.
+    ORDERS_DELAYED = 'orders get no answer, and are carried out seconds later'
+    WORKER_RESTART = 'workers crash and start again under their ids'
+    WORKER_RESTART_CUT = 'workers start again and are cut off soon after'
     # These come beside the others.
     WORKER_SHRINKS = 'the capacity of a worker shrinks and grows again'
     ODD_ENTRIES = 'odd entries are stored among those of the workers'
@@ -60,9 +64,19 @@
     FaultKind.WORKER_SILENT_CRASH,
 )
 CHANGE_KINDS = (FaultKind.SIGNALS, FaultKind.KEY_CHANGES)
+RESTART_KINDS = (
+    FaultKind.ORDERS_DELAYED,
+    FaultKind.WORKER_RESTART,
+    FaultKind.WORKER_RESTART_CUT,
+)
 # All promises hold meanwhile.
 HARMLESS_KINDS = (FaultKind.WORKER_SHRINKS, FaultKind.ODD_ENTRIES)
-OTHER_KINDS = (*SERIES_KINDS, *CHANGE_KINDS, *HARMLESS_KINDS)
+OTHER_KINDS = (
+    *SERIES_KINDS,
+    *CHANGE_KINDS,
+    *RESTART_KINDS,
+    *HARMLESS_KINDS,
+)
 # A kind that is added here changes the schedule of each seed.
 SINGLE_KINDS = tuple(kind for kind in FaultKind if kind not in OTHER_KINDS)
 
--- a/figtray/soak/injector.py
+++ b/figtray/soak/injector.py
@@ -12,8 +12,10 @@
 from figtray.platform import standin_config
 from figtray.platform import standin_site as sites
 from figtray.soak import faults
+from figtray.soak import late_orders
 from figtray.soak import odd_entries
 from figtray.soak import proxies as proxies_lib
+from figtray.soak import restarts
 from figtray.store import base
 
 LOST_REPLY_COUNT = 4
@@ -110,62 +112,71 @@
         if fault.kind in faults.NETWORK_FAULTS:
             return self._resolve_network_fault(fault, node)
         store, process = self._site.store, {f'process {node.name}'}
+        kinds = faults.FaultKind
         begin, end, targets = _no_action, _no_action, process
         match fault.kind:
-            case faults.FaultKind.KILL | faults.FaultKind.KILL_ALL:
-                is_single = fault.kind is faults.FaultKind.KILL
+            case kinds.KILL | kinds.KILL_ALL:
+                is_single = fault.kind is kinds.KILL
                 nodes = [node] if is_single else self._nodes
                 targets = {f'process {item.name}' for item in nodes}
                 begin = functools.partial(
                     _call_all, nodes, 'stop', signal.SIGKILL
                 )
                 end = functools.partial(_call_all, nodes, 'start')
-            case faults.FaultKind.TERMINATE:
+            case kinds.TERMINATE:
                 begin, end = node.stop, node.start
-            case faults.FaultKind.RELOAD:
+            case kinds.RELOAD:
                 begin = functools.partial(node.send_signal, signal.SIGHUP)
-            case faults.FaultKind.SIGNALS:
+            case kinds.SIGNALS:
                 begin, end = self._signal_actions(fault, node)
-            case faults.FaultKind.PAUSE:
+            case kinds.PAUSE:
                 begin = functools.partial(node.send_signal, signal.SIGSTOP)
                 end = functools.partial(node.send_signal, signal.SIGCONT)
-            case faults.FaultKind.STORE_DOWN:
+            case kinds.STORE_DOWN:
                 targets, begin = {'store'}, functools.partial(
                     store.set_down, True
                 )
                 end = functools.partial(store.set_down, False)
-            case faults.FaultKind.STORE_LOSES_REPLIES:
+            case kinds.STORE_LOSES_REPLIES:
                 begin, targets = self._lose_replies, {'replies of the store'}
-            case faults.FaultKind.STORE_FORGETS:
+            case kinds.STORE_FORGETS:
                 begin, targets = store.compact_history, {'history'}
-            case faults.FaultKind.STORE_SILENT_OUTAGE:
+            case kinds.STORE_SILENT_OUTAGE:
                 begin, end = self._silent_outage_actions()
                 stores = {f'store of {item.name}' for item in self._nodes}
                 targets = {'store', *stores}
-            case faults.FaultKind.ORDERS_LATE:
-                begin, end = self._late_order_actions(fault)
-                targets = {'orders'}
-            case faults.FaultKind.WORKER_CRASH:
+            case kinds.ORDERS_LATE:
+                targets, workers = {'orders'}, self._site.workers
+                begin, end = late_orders.make_late(workers, fault)
+            case kinds.ORDERS_DELAYED:
+                targets, workers = {'orders'}, self._site.workers
+                begin, end = late_orders.make_delayed(workers, fault)
+            case kinds.WORKER_RESTART | kinds.WORKER_RESTART_CUT:
+                restart = restarts.Restart(
+                    self._site, self._proxies, fault, self._stop
+                )
+                begin, end, targets = restart.begin, restart.end, restart.names
+            case kinds.WORKER_CRASH:
                 targets, host_id = {'crash'}, self._select_host(fault)
                 begin = functools.partial(self._site.crash_worker, host_id)
-            case faults.FaultKind.WORKER_LEAVES:
+            case kinds.WORKER_LEAVES:
                 begin, end = self._leave_actions(fault)
                 targets = {'leaving worker'}
-            case faults.FaultKind.WORKER_SILENT_CRASH:
+            case kinds.WORKER_SILENT_CRASH:
                 targets = {'silent crash'}
                 begin = functools.partial(self._crash_silently, fault)
-            case faults.FaultKind.WORKER_SHRINKS:
+            case kinds.WORKER_SHRINKS:
                 begin, end, host_id = self._shrink_actions(fault)
                 targets = {f'capacity of {host_id}'}
-            case faults.FaultKind.ODD_ENTRIES:
+            case kinds.ODD_ENTRIES:
                 begin, end = self._odd_entry_actions(fault)
                 targets = {'odd entries'}
-            case faults.FaultKind.KEY_WITHDRAWN:
+            case kinds.KEY_WITHDRAWN:
                 begin, targets = self._withdraw_key, {'keys'}
-            case faults.FaultKind.KEY_CHANGES:
+            case kinds.KEY_CHANGES:
                 begin = functools.partial(self._change_keys, fault)
                 targets = {'keys'}
-            case faults.FaultKind.ZONE_OUT:
+            case kinds.ZONE_OUT:
                 begin, end = self._zone_out_actions()
                 targets = {'zone'}
             case _:
@@ -175,16 +186,18 @@
     def _resolve_network_fault(self, fault, node):
         peer, method, *args = faults.NETWORK_FAULTS[fault.kind]
         if peer == 'workers':
-            proxies, target = self._select_worker_proxies(fault), 'workers'
+            proxies = self._select_worker_proxies(fault)
+            targets = {'workers', *(proxy.address for proxy in proxies)}
         elif peer == 'callers':
             proxies = self._proxies[f'front {node.name}']
-            target = f'callers of {node.name}'
+            targets = {f'callers of {node.name}'}
         else:
-            proxies, target = self._proxies[node.name], f'store of {node.name}'
+            proxies = self._proxies[node.name]
+            targets = {f'store of {node.name}'}
         return (
             functools.partial(_call_all, proxies, method, *args),
             functools.partial(_call_all, proxies, 'heal'),
-            {target},
+            targets,
         )
 
     def _select_worker_proxies(self, fault):
@@ -196,25 +209,6 @@
     def _lose_replies(self):
         self._site.store.replies_to_lose = LOST_REPLY_COUNT
 
-    def _late_order_actions(self, fault):
-        workers = self._site.workers
-
-        def choose(kind, worker):
-            is_late = (
-                kind in ('start', 'stop')
-                and (stable_hash(worker.worker_id) + fault.choice) % 3 == 0
-            )
-            return 'late' if is_late else 'ok'
-
-        def begin():
-            workers.choose_fault = choose
-
-        def end():
-            workers.choose_fault = lambda kind, worker: 'ok'
-            workers.execute_late_orders()
-
-        return begin, end
-
     def _select_host(self, fault):
         hosts = self._site.worker_host_ids()
         return hosts[fault.choice % len(hosts)] if hosts else ''
@@ -343,11 +337,6 @@
                 self._stop.wait(OPERATOR_RETRY_DELAY_S)
 
 
-def stable_hash(text):
-    """Return a hash that is the same in all processes, unlike hash()."""
-    return sum(text.encode())
-
-
 def _call_all(targets, method, *args):
     for target in targets:
         getattr(target, method)(*args)
--- a/figtray/soak/invariants.py
+++ b/figtray/soak/invariants.py
@@ -86,8 +86,9 @@
         with self._lock:
             now_ms = self.now_ms()
             self.start_times_ms.append(now_ms)
-            if len(self._running_by_task[task]) > 1:
-                self._record_violation('one run at a time', f'{task} {run}')
+            # A worker that is cut off is up, and its runs go on.
+            if len(runs := self._running_by_task[task]) > 1:
+                self._record_violation('one run at a time', f'{task} {runs}')
             if task in self._acknowledged_tasks:
                 self._record_violation(
                     'no start after the end', f'{task} {run}'
--- a/figtray/soak/soak.py
+++ b/figtray/soak/soak.py
@@ -28,6 +28,8 @@
 SPARE_COUNT = 2
 TEAM_LIMIT_MILLI = 16_000
 RUN_DURATION_MS = (150, 500)
+# Of the workers of a run: as long as the leases that are asked for, or longer.
+HOLD_MAX_MS = (6000, 10_000)
 # Rate of all workers' clocks; the slowest that scheduling.leases allows for.
 SLOWEST_CLOCK_RATE = 0.98
 WITHDRAWN_KEY = injectors.WITHDRAWN_KEY
@@ -125,6 +127,7 @@
             ),
             other_teams=(lasting.TEAM, deadly.TEAM),
             on_crash=self._refuse_connections,
+            hold_max_ms=random.Random(f'holds {seed}').choice(HOLD_MAX_MS),
         )
         self._checker.workers = self._site.workers
         self._site.write_config(1, (standin_config.API_KEY, WITHDRAWN_KEY))
@@ -313,6 +316,7 @@
         *series.make_series(
             random.Random(f'changes {seed}'), length_s, series.CHANGE_KINDS
         ),
+        *series.make_restarts(random.Random(f'restarts {seed}'), length_s),
         *faults_lib.make_schedule(
             random.Random(f'shrinkages {seed}'),
             shrink_s,
--- a/figtray/soak/tests/test_injector.py
+++ b/figtray/soak/tests/test_injector.py
@@ -88,8 +88,8 @@
         self.proxies[kind].append(proxy)
         return proxy.address
 
-    def inject(self, kind):
-        return self.injector.inject(faults.Fault(0, 0, kind, 0, False))
+    def inject(self, kind, choice=0):
+        return self.injector.inject(faults.Fault(0, 0, kind, choice, False))
 
     def connect(self, address):
         return socket.create_connection(
--- a/figtray/soak/tests/test_soak.py
+++ b/figtray/soak/tests/test_soak.py
@@ -1,11 +1,13 @@
 """Short runs of the soak with fixed seeds."""
 
+import collections
 import random
 
 import pytest
 
 from figtray.soak import faults
 from figtray.soak import report
+from figtray.soak import restarts
 from figtray.soak import series
 from figtray.soak import soak
 
@@ -120,6 +122,34 @@
             for first in schedule
         )
 
+    # Workers started again only under new ids, and nothing cut them off then.
+    def test_restarts_come_with_delayed_orders_cuts_and_kills(self):
+        kinds = faults.FaultKind
+        first, again = (
+            series.make_restarts(random.Random(5), 300) for _ in range(2)
+        )
+        assert first == again
+        assert all(
+            0 < fault.at_s and fault.at_s + fault.for_s <= 300.001
+            for fault in first
+        )
+        by_choice = collections.defaultdict(dict)
+        for fault in first:
+            by_choice[fault.choice][fault.kind] = fault
+        courses = set()
+        for choice, found in by_choice.items():
+            down_s, gap_s = restarts.draw_times_s(choice)
+            cut = found.get(kinds.WORKER_RESTART_CUT)
+            kill = found.get(kinds.KILL)
+            if cut and kill:
+                back_s = cut.at_s + down_s
+                assert -0.001 <= kill.at_s - back_s <= gap_s + 0.001
+            if cut:
+                assert cut.for_s >= series.CUT_S[0]
+                assert kinds.ORDERS_DELAYED in found
+            courses.add((bool(cut), bool(kill)))
+        assert len(courses) == 4
+
     # A kind that is added to the single faults would change the schedule of
     # each seed, also of those that guard against a former fault.
     def test_seeds_keep_their_schedules(self):
@@ -132,6 +162,7 @@
         schedule = faults.make_schedule(random.Random(5), 300)
         for kinds in (series.KINDS, series.CHANGE_KINDS):
             schedule += series.make_series(random.Random(5), 300, kinds)
+        schedule += series.make_restarts(random.Random(5), 300)
         schedule += faults.make_schedule(
             random.Random(5), 300, faults.HARMLESS_KINDS
         )
