fleet: a delayed order waits for its own event

Each call to any worker woke all delayed orders, as they waited on the condition of the ends of runs. They wait for an event of their own, without the lock; the other faults are chosen and executed under one lock, as before.

--- a/figtray/fleet/memory.py
+++ b/figtray/fleet/memory.py
@@ -334,50 +334,47 @@
             with contextlib.suppress(errors.StaleEpoch):
                 action(sim)
 
-    def _wait_for_late_order(self, defer, worker, action):
-        """Wait without the lock until a deferred order was executed."""
-        executed = []
+    def _defer(self, defer, worker, action):
+        """Wait without an answer until a deferred order was executed."""
+        executed = threading.Event()
 
         def execute():
             with self._lock:
-                executed.append(True)
                 self._execute_late(worker, action)
                 self._changed.notify_all()
+            executed.set()
 
         defer(execute)
-        self._changed.wait_for(lambda: executed)
+        executed.wait()
+        raise errors.ReplyLost(address=worker.address, detail='injected')
 
     def _call(self, kind, worker, action):
         with self._lock:
             fault = self.choose_fault(kind, worker)
-            sim = self.sims.get(worker.address)
-            if fault == 'not sent':
-                raise errors.CallNotSent(
-                    address=worker.address, detail='injected'
-                )
-            if fault == 'late':
-                self.late_orders.append((worker, action))
-            if callable(fault):
-                self._wait_for_late_order(fault, worker, action)
-            if fault == 'late' or callable(fault):
-                raise errors.ReplyLost(
-                    address=worker.address, detail='injected'
-                )
-            if sim is None or not sim.up:
-                raise errors.CallNotSent(
-                    address=worker.address, detail='refused', refused=True
-                )
-            if sim.worker.worker_id != worker.worker_id:
-                raise errors.IncarnationMismatch(
-                    worker_id=worker.worker_id, address=worker.address
-                )
-            result = action(sim)
-            self._changed.notify_all()
-            if fault == 'lost':
-                raise errors.ReplyLost(
-                    address=worker.address, detail='injected'
-                )
-            return result
+            if not callable(fault):
+                return self._execute(fault, worker, action)
+        return self._defer(fault, worker, action)
+
+    def _execute(self, fault, worker, action):
+        sim = self.sims.get(worker.address)
+        if fault == 'not sent':
+            raise errors.CallNotSent(address=worker.address, detail='injected')
+        if fault == 'late':
+            self.late_orders.append((worker, action))
+            raise errors.ReplyLost(address=worker.address, detail='injected')
+        if sim is None or not sim.up:
+            raise errors.CallNotSent(
+                address=worker.address, detail='refused', refused=True
+            )
+        if sim.worker.worker_id != worker.worker_id:
+            raise errors.IncarnationMismatch(
+                worker_id=worker.worker_id, address=worker.address
+            )
+        result = action(sim)
+        self._changed.notify_all()
+        if fault == 'lost':
+            raise errors.ReplyLost(address=worker.address, detail='injected')
+        return result
 
 
 def make_worker(
