--- a/figtray/soak/series.py
+++ b/figtray/soak/series.py
@@ -24,11 +24,11 @@
 # Orders that are delayed for so long are still under way when workers start
 # again.
 ORDERS_S = (6.0, 14.0)
-MAX_ORDERS_LEAD_S = 4.0
-MEAN_RESTART_S = 3.0
+MAX_ORDERS_LEAD_S = 2.5
+MEAN_RESTART_S = 2.0
 # Longer than the leases that are asked for.
 CUT_S = (6.5, 11.0)
-CUT_PROBABILITY = 0.7
+CUT_PROBABILITY = 0.8
 KILL_PROBABILITY = 0.5
 KILL_S = (0.3, 2.0)
 
