soak: tests of a restart beside a replacement, and of the time before the cut

Two changes broke nothing: a worker whose host had got another one meanwhile was started again, and a worker that had fallen silent stayed so until the cut.

--- a/figtray/soak/tests/test_restarts.py
+++ b/figtray/soak/tests/test_restarts.py
@@ -94,6 +94,7 @@
         def note():
             waits.append(True)
             if len(waits) == 2:
+                assert hold(harness, TIMEOUT_S) == OK
                 self.start(harness)
             if len(waits) == 3:
                 with pytest.raises(TimeoutError):
@@ -114,6 +115,19 @@
         assert harness.inject(faults.FaultKind.WORKER_RESTART)
         assert not self.sim(harness).up
 
+    def test_worker_is_replaced_while_it_is_down(self, harness):
+        host_id, found = harness.workers[0].host_id, []
+
+        def replace():
+            harness.site.crash_worker(host_id)
+            found.append(harness.site.worker_on(host_id))
+
+        harness.pause.action = replace
+        assert harness.inject(faults.FaultKind.WORKER_RESTART)
+        assert not self.sim(harness).up
+        assert found == [harness.site.worker_on(host_id)]
+        assert found[0].worker_id != harness.workers[0].worker_id
+
     # The next process executed the request that the former one had got.
     def test_request_ends_with_its_process(self, harness, monkeypatch):
         workers = harness.site.workers
