--- a/figtray/scheduling/tests/test_scheduler_machine.py
+++ b/figtray/scheduling/tests/test_scheduler_machine.py
@@ -232,7 +232,8 @@
 
     def lose_unread_ends(self, number):
         """Lose what only one worker knows, before its end."""
-        # The platform refuses a late order to the former incarnation.
+        # A late start that the next incarnation executes before any other call
+        # is a known failure; see test_restart_review.
         self.fleet.client.late_orders = [
             (worker, action)
             for worker, action in self.fleet.client.late_orders
