tests: a roster of this release tells that nothing has restarted

test_held_task_waits_long_after_the_leases gave the scheduler a roster without restarted, which is one of an earlier release now: any incarnation may have restarted, so the wait is that for the longest lease. The test is about the time after a wait that is given; its roster says so, and the check is unchanged.

--- a/figtray/scheduling/tests/test_service.py
+++ b/figtray/scheduling/tests/test_service.py
@@ -165,7 +165,8 @@
         gone = site.fleet.workers['worker-1'].incarnation
         until_ms = site.clock.now_ms() + left_ms
         scheduler.begin_adoption(
-            rosters.Roster((gone,), placements_recorded=True), until_ms
+            rosters.Roster((gone,), placements_recorded=True, restarted=()),
+            until_ms,
         )
         task = scheduler.find_task(f'{1:016x}.0.0.0')
         site.leader._term.ended = outages.Condition(
