--- a/figtray/scheduling/membership.py
+++ b/figtray/scheduling/membership.py
@@ -8,6 +8,7 @@
 from figtray.fleet import model as fleet
 from figtray.jobs import model
 from figtray.scheduling import ends
+from figtray.scheduling import job_policies
 from figtray.scheduling import worker_ends
 
 # A single refused connection may be a fault of the network.
@@ -17,7 +18,7 @@
 HOST_LOST_TO_END_MS = 500
 
 
-class Membership(worker_ends.WorkerEnds):
+class Membership(job_policies.JobPolicies, worker_ends.WorkerEnds):
     """Keeps the configuration, the zones out of service and the workers."""
 
     def configure(self, cfg, evacuated_zones):
@@ -35,14 +36,8 @@
                     zones=sorted(evacuated_zones),
                 )
             self._evacuated_zones = evacuated_zones
-            if cfg is self._cfg:
-                return
-            self._cfg = cfg
-            for job in list(self._jobs.values()):
-                is_queue_new = job.queue is None
-                job.queue = cfg.queues.get(job.spec.queue, job.queue)
-                if is_queue_new:
-                    self._fail_exhausted(job)
+            if cfg is not self._newest_cfg:
+                self._use_config(cfg)
 
     def set_workers_expected(self, expected):
         """Set whether new workers will be listed soon."""
@@ -120,7 +115,6 @@
             worker_state = self._worker_states.get(incarnation)
             if worker_state is None:
                 worker_state = self._new_worker_state(worker)
-                self._note_listed_follower(worker_state)
                 added.append(worker_state)
                 _log_seen(worker)
             elif worker.draining and not worker_state.worker.draining:
@@ -133,6 +127,8 @@
             if worker_state.has_reported or incarnation in self._unresolved:
                 self._note_capacity(worker.capacity)
             worker_state.listed = True
+        if added:
+            self._note_listed_followers(added)
         return added
 
     def _handle_missing_entries(self, listed, trust_absence):
--- a/figtray/scheduling/state.py
+++ b/figtray/scheduling/state.py
@@ -16,7 +16,9 @@
     TAKEOVER = 'workers of the former leader are awaited'
     NO_WORKERS = 'the pool has no worker in use'
     NO_ROOM = 'no worker has room'
+    REFUSED = 'workers have refused its starts'
     TEAM_LIMIT = 'the team is at its limit'
+    ADVICE = 'the adviser has approved no worker with room'
     GANG_INCOMPLETE = 'not all members of the gang are ready'
     TRIAL = 'the task may crash its worker and waits for one of its own'
 
@@ -53,8 +55,8 @@
             if the order may be lost.
         full_speed_since_ms: local time since which it works at full speed;
             None if it doesn't.
-        ticket: the adviser's ticket for the worker; empty if the queue needs
-            none.
+        ticket: the advice.Ticket of the worker; None if the queue needed none
+            when the start was planned.
         sent_ms: local time from which the worker may have run it; None if
             its start was not sent.
         started_ms: local time by which it had certainly started; None while
@@ -82,7 +84,7 @@
         'adopted',
     )
 
-    def __init__(self, task, worker_state, number, ordered_ms, ticket=''):
+    def __init__(self, task, worker_state, number, ordered_ms, ticket=None):
         self.task = task
         self.worker_state = worker_state
         self.number = number
@@ -163,6 +165,7 @@
             job.
         open: whether the steps before it are done.
         advice: the StepAdvice, or None.
+        refusals: the refusals.Refusals; None if no start was refused.
     """
 
     def __init__(self, job, occurrence, number, spec, critical_path_ms):
@@ -177,6 +180,7 @@
         self.open = False
         self.held_reason = None
         self.advice = None
+        self.refusals = None
 
     @property
     def name(self):
@@ -303,6 +307,12 @@
             placements=placements,
             crashes=crashes,
             ended_ms=self.ended_ms,
+            owner=records.Caller(
+                self.spec.team,
+                self.spec.queue,
+                self.spec.host,
+                self.spec.prefix,
+            ),
         )
 
 
