service: an unexpected error of a call for advice ends the call

Callers would have seen all queues with advice wait if the call about one step failed by an unexpected error each time: its call counted as not over, so the step stayed the one that had waited longest.

test_unexpected_error_holds_up_other_steps fails on (the ValueError of the first step again, in place of a call about the second); it passes now, as do test_service.py, test_advice.py, test_advised_gangs.py and test_sum_of_waits.py.

--- a/figtray/scheduling/service.py
+++ b/figtray/scheduling/service.py
@@ -380,19 +380,20 @@
             if step is None:
                 continue
             asked_ids = advice.candidates
+            timeout_ms = max(ADVICE_TIMEOUT_MS, advice.longest_call_ms)
             asked_ms = self._clock.now_ms()
+            answer = None
             try:
                 answer = self._service.adviser.advise(
-                    step.name,
-                    asked_ids,
-                    max(ADVICE_TIMEOUT_MS, advice.longest_call_ms),
+                    step.name, asked_ids, timeout_ms
                 )
             except (errors.CallNotSent, errors.ReplyLost) as exc:
                 log.emit(
                     catalogue.ADVICE_FAILED, step=step.name, detail=str(exc)
                 )
-                answer = None
                 self._clock.wait(self._term.ended, RETRY_MS)
-            self._scheduler.record_advice(
-                step, advice, answer, asked_ids, asked_ms
-            )
+            finally:
+                # After an unexpected error as well, so that others go next.
+                self._scheduler.record_advice(
+                    step, advice, answer, asked_ids, asked_ms
+                )
--- a/figtray/scheduling/tests/test_service.py
+++ b/figtray/scheduling/tests/test_service.py
@@ -298,6 +298,18 @@
         )
 
 
+class BrokenAdviser:
+    """Adviser that fails for one step, and approves all for others."""
+
+    def __init__(self, broken_step):
+        self._broken_step = broken_step
+
+    def advise(self, step, worker_ids, timeout_ms):
+        if step == self._broken_step:
+            raise ValueError('injected')
+        return messages.Advice(dict.fromkeys(worker_ids, 'ticket'), 60_000)
+
+
 class TestAdvice:
     # A call that needs longer than its time limit is repeated in vain.
     @pytest.mark.parametrize(
@@ -331,6 +343,24 @@
             + 2 * service.ADVICE_POLL_MS
         )
 
+    # The step was asked about again before all others, as its call had not
+    # come to an end.
+    def test_unexpected_error_holds_up_other_steps(self, site):
+        site.fleet.submit(harness.make_step())
+        self.lead(site, queues.AdvicePolicy(10, 1, 60_000))
+        site.leader._service.adviser = BrokenAdviser(f'{1:016x}.0.0')
+        task = site.leader._scheduler.find_task(f'{2:016x}.0.0.0')
+        site.leader._scheduler.plan()
+        with pytest.raises(ValueError):
+            site.leader._ask_advice()
+        until_ms = site.clock.now_ms() + 1000
+        self.ask_until(
+            site,
+            site.leader._service.adviser,
+            lambda: task.run or site.clock.now_ms() > until_ms,
+        )
+        assert task.run is not None
+
     def lead(self, site, policy):
         """Let the queue have a policy; return its waiting TaskState."""
         cfg = site.fleet.cfg
