scheduling: bound the waits for the trials of others

From the third crash on, a task that ends started on trial only, however long it had waited, a trial kept its worker from all others for up to 10 s (30 s if the crashes came at one age), and the trials of a pool came in turn. Trials might hold all workers of a pool of up to three, from whatever was to run there. Each change of the leader began the wait anew.

Now a task that ends starts without its trial if no worker is free for one within 2.5 s with room, at first apart from other suspects. Trials leave one worker of a pool to others; while tasks wait only for others' trials, none begins, and one ends after 3 s. That was so for lasting tasks; it holds for all suspects, and for other tasks while most of the pool is free. The sum of these waits is 5.7 s, and 4.2 s after a change of the leader, which leaves 1 s of the wait (docs/design.md 5.1, W22; a row of docs/guarantees.md).

So that no task that crashes its workers late goes on without end, one that runs without the trial that it needs is given up with the fifth crash, also if others ran beside it, if the crashes came at one age. Ruled out: counting the time without room as well (after three workers were down, all suspects started together: test_trial_beside_a_run_that_may_still_crash_the_worker failed), the fifth crash at any age (test_chance_crashes_fail_no_job failed), and no wait at all after a change of the leader (a task of test_crashes_beside_younger_runs_survive_leaders was started 25 times).

test_waits_for_trials.py: 52 of 68 failed on, as tasks waited for 12 to 25 s and over, up to the end of the play (waits for the trials of one another, of others, with each leader; gangs; short trials in a row), as a task that crashes its workers after 0.45 to 5 s was never given up in pools of one or two workers that others awaited, and as the next leader took one of several suspects for the one on trial.

--- a/figtray/scheduling/crashes.py
+++ b/figtray/scheduling/crashes.py
@@ -47,11 +47,18 @@
 # after its start on trial speaks against it: the trials of many tasks on few
 # workers would take long one after another.
 MAX_LASTING_TRIAL_WAIT_MS = 3000
+# So does a task that ends, if no worker is free for its trial then. The next
+# crash may show its guilt, so none on trial is an exception.
+MAX_REQUIRED_TRIAL_WAIT_MS = 2500
+# What is left of these waits after a change of the leader, for tasks that end.
+RESUMED_TRIAL_WAIT_MS = 1000
 # A suspect with fewer crashes starts without a trial after this wait.
 MAX_TRIAL_WAIT_MS = 1500
 # After this one, it also starts on a worker where another suspect has just
 # started.
 MAX_APART_WAIT_MS = 2500
+# The same for a task that ends and had to start on trial only.
+MAX_REQUIRED_APART_WAIT_MS = 4000
 
 
 def suspects(worker_state):
@@ -146,37 +153,71 @@
     """
     if is_tried_each_time(task):
         return not has_awaited_trial(task, now_ms)
-    return is_suspect(task) and now_ms - task.ready_ms < MAX_TRIAL_WAIT_MS
+    return is_suspect(task) and waited_ms(task, now_ms) < MAX_TRIAL_WAIT_MS
 
 
 def has_awaited_trial(task, now_ms):
-    """Return whether a lasting task has awaited a trial for long enough.
+    """Return whether a task has awaited a required trial for long enough.
 
     Args:
         task: the TaskState.
         now_ms: local time.
     """
-    return (
-        task.step.spec.lasting
-        and is_tried_each_time(task)
-        and not task.crashes.alone
-        and now_ms - task.ready_ms >= MAX_LASTING_TRIAL_WAIT_MS
-    )
+    if not is_tried_each_time(task):
+        return False
+    if task.step.spec.lasting:
+        return (
+            not task.crashes.alone
+            and now_ms - task.ready_ms >= MAX_LASTING_TRIAL_WAIT_MS
+        )
+    return waited_ms(task, now_ms) >= MAX_REQUIRED_TRIAL_WAIT_MS
 
 
 def is_held_by_trials(task, now_ms):
     """Return whether the trials of others may be all that a task waits for.
 
-    One that waits on after the longest of them has no room.
+    A lasting one, or a gang, that waits on after the longest of them has no
+    room.
 
     Args:
         task: the TaskState.
         now_ms: local time.
     """
-    longest_ms = MAX_LASTING_TRIAL_WAIT_MS + LONG_TRIAL_MS
-    return has_awaited_trial(task, now_ms) and (
-        now_ms - task.ready_ms <= max(longest_ms, GUILTY_PAUSE_MS)
-    )
+    spec = task.step.spec
+    if spec.lasting:
+        longest_ms = MAX_LASTING_TRIAL_WAIT_MS + LONG_TRIAL_MS
+        return has_awaited_trial(task, now_ms) and (
+            now_ms - task.ready_ms <= max(longest_ms, GUILTY_PAUSE_MS)
+        )
+    limit_ms = MAX_APART_WAIT_MS
+    if is_tried_each_time(task):
+        limit_ms = MAX_REQUIRED_TRIAL_WAIT_MS
+    over_ms = waited_ms(task, now_ms) - limit_ms
+    if spec.gang and over_ms > 2 * LONG_TRIAL_MS:
+        return False
+    return over_ms >= 0 and not is_paused(task, now_ms)
+
+
+def waited_ms(task, now_ms):
+    """Return for how long a task has waited, as far as it had room."""
+    return now_ms - task.ready_ms + task.trial_wait_offset_ms
+
+
+def is_trial_preferred(task):
+    """Return whether a task that has awaited a trial takes one if it can."""
+    return is_tried_each_time(task) and not task.step.spec.lasting
+
+
+def earlier_wait_ms(task):
+    """Return for how long a task has awaited a trial under earlier leaders.
+
+    That is not stored, so most of the wait counts as over.
+    """
+    if task.step.spec.lasting or not is_suspect(task):
+        return 0
+    if is_tried_each_time(task):
+        return MAX_REQUIRED_TRIAL_WAIT_MS - RESUMED_TRIAL_WAIT_MS
+    return MAX_TRIAL_WAIT_MS - RESUMED_TRIAL_WAIT_MS
 
 
 def is_tried_each_time(task):
@@ -194,7 +235,9 @@
         task: its TaskState.
         now_ms: local time.
     """
-    return now_ms - task.ready_ms < MAX_APART_WAIT_MS
+    if is_trial_preferred(task):
+        return waited_ms(task, now_ms) < MAX_REQUIRED_APART_WAIT_MS
+    return waited_ms(task, now_ms) < MAX_APART_WAIT_MS
 
 
 def is_trial_over(run, asked_ms):
@@ -295,6 +338,27 @@
     )
 
 
+def is_guilty_untried(run):
+    """Return whether a task crashes its workers, by a run without its trial.
+
+    One that crashes them late, beside others, would otherwise go on without
+    end while it awaits each trial in vain. It does so at the same age each
+    time; crashes by chance come at any age.
+
+    Args:
+        run: a Run on the crashed worker. Its crash is counted, its age is not
+            noted yet.
+    """
+    crashes = run.task.crashes
+    if not run.untried or _count_all(crashes) < CRASHES_TO_GIVE_UP[0]:
+        return False
+    # The age of an adopted run is unknown.
+    if run.adopted or crashes.longest_ms == CLEARED_MS:
+        return True
+    difference_ms = abs(crashes.longest_ms - (_age_ms(run) or 0))
+    return difference_ms <= max(AGE_TOLERANCE * crashes.longest_ms, SETTLED_MS)
+
+
 def _count_all(crashes):
     """Return the number of crashes of a task, with the late ones."""
     return len({*crashes.runs, *crashes.late})
--- a/figtray/scheduling/job_lifecycle.py
+++ b/figtray/scheduling/job_lifecycle.py
@@ -222,6 +222,7 @@
             for task in step.tasks:
                 if not task.done and task.run is None:
                     task.ready_ms = now_ms
+                    task.trial_wait_offset_ms = crashes.earlier_wait_ms(task)
                     step.waiting.append(task)
 
     def _complete_if_done(self, job):
--- a/figtray/scheduling/planner.py
+++ b/figtray/scheduling/planner.py
@@ -57,15 +57,16 @@
                     if start_ms is not None:
                         next_ms = min(next_ms, start_ms)
             pools = self._candidates_by_pool()
-            self._release_trials()
+            self._stop_waits_without_room(pools, now_ms)
+            self._release_trials(pools)
             if self._is_adopting(now_ms):
                 next_ms = min(next_ms, now_ms + ADOPTION_RETRY_MS)
                 with self._hold_uncertain_tasks():
                     self._start_steps(pools, now_ms)
             else:
                 self._start_steps(pools, now_ms)
-            self._release_trials()
-            if self._is_suspect_waiting():
+            self._release_trials(pools)
+            if self._is_trial_awaited():
                 next_ms = min(next_ms, now_ms + trials.TRIAL_RETRY_MS)
             return min(
                 [next_ms]
@@ -171,7 +172,10 @@
         job = step.job
         team = self._cfg.teams.get(job.spec.team)
         if step.spec.gang:
-            return self._start_gang(step, worker_states, team, now_ms)
+            reason = self._start_gang(step, worker_states, team, now_ms)
+            if reason is None:
+                _note_started(step.tasks)
+            return reason
         suspects = [t for t in step.waiting if crashes.is_suspect(t)]
         for task in suspects:
             step.waiting.remove(task)
@@ -205,6 +209,22 @@
         ):
             self._release_reserved(task, worker_states)
             return False
+        worker_state = self._worker_for_suspect(task, worker_states, now_ms)
+        if worker_state is None:
+            return False
+        self._start(task, worker_state, self._next_run_number(task), now_ms)
+        _note_started([task])
+        return True
+
+    def _worker_for_suspect(self, task, worker_states, now_ms):
+        """Return the WorkerState on which a suspect can start now, or None."""
+        is_needed = crashes.is_trial_needed(task, now_ms)
+        if is_needed or crashes.is_trial_preferred(task):
+            worker_state = self._trial_worker(task, worker_states, now_ms)
+            if worker_state is not None:
+                return worker_state
+        if not is_needed:
+            self._release_reserved(task, worker_states)
         # This also asks for advice on the workers that lack it.
         worker_state = self._choose(
             task.step,
@@ -212,12 +232,7 @@
             now_ms,
             crashes.must_start_apart(task, now_ms),
         )
-        if crashes.is_trial_needed(task, now_ms):
-            worker_state = self._trial_worker(task, worker_states, now_ms)
-        if worker_state is None:
-            return False
-        self._start(task, worker_state, self._next_run_number(task), now_ms)
-        return True
+        return None if is_needed else worker_state
 
     def next_advice_request(self):
         """Return a step to ask the adviser about.
@@ -264,3 +279,14 @@
         if step.advice is None:
             step.advice = worker_orders.StepAdvice()
         return step.advice.choose(step, worker_states, now_ms, apart)
+
+
+def _note_started(tasks):
+    """Note whether tasks have just started without the trial they need."""
+    if not any(
+        crashes.run_on_trial(t.run.worker_state) is t.run for t in tasks
+    ):
+        for task in tasks:
+            task.run.untried = crashes.is_trial_preferred(task)
+    for task in tasks:
+        task.trial_wait_offset_ms = 0
--- a/figtray/scheduling/state.py
+++ b/figtray/scheduling/state.py
@@ -62,6 +62,8 @@
         seen_ms: local time of the latest request for a report that showed it;
             None if none did.
         adopted: whether an earlier leader started it.
+        untried: whether it goes on without the trial that its task needs, as
+            others waited.
     """
 
     __slots__ = (
@@ -80,6 +82,7 @@
         'started_ms',
         'seen_ms',
         'adopted',
+        'untried',
     )
 
     def __init__(self, task, worker_state, number, ordered_ms, ticket=''):
@@ -98,6 +101,7 @@
         self.started_ms = None
         self.seen_ms = None
         self.adopted = False
+        self.untried = False
 
 
 class TaskState:
@@ -117,6 +121,9 @@
         crashes: the records.Crashes since it was cleared.
         run: its Run; None if it has none.
         ready_ms: local time since which it is ready to start.
+        trial_wait_offset_ms: what to add to the time since then for its wait
+            for a trial: the wait under earlier leaders, less the time without
+            room for it.
     """
 
     __slots__ = (
@@ -131,6 +138,7 @@
         'crashes',
         'run',
         'ready_ms',
+        'trial_wait_offset_ms',
     )
 
     def __init__(self, step, index):
@@ -149,6 +157,7 @@
         self.crashes = records.NO_CRASHES
         self.run = None
         self.ready_ms = 0
+        self.trial_wait_offset_ms = 0
 
 
 class StepState:
--- a/figtray/scheduling/trials.py
+++ b/figtray/scheduling/trials.py
@@ -5,10 +5,10 @@
 
 from figtray.events import catalogue
 from figtray.events import log
-from figtray.scheduling import adoption
 from figtray.scheduling import crashes
 from figtray.scheduling import placement
 from figtray.scheduling import state
+from figtray.scheduling import trial_waits
 
 # Shares of the workers of a pool that may hold trials at a time: the first
 # one if the next trial is on a worker with runs, the second if it has none.
@@ -20,8 +20,7 @@
 # Longest time for which a task on trial awaits that its worker has no other
 # runs that end.
 EMPTY_WAIT_MS = 300
-# Longest time between two plans while suspects wait.
-TRIAL_RETRY_MS = 100
+TRIAL_RETRY_MS = trial_waits.TRIAL_RETRY_MS
 # Time after which a task that awaits a trial gets the next worker for one,
 # before the tasks of queues that otherwise go first.
 MAX_TURN_WAIT_MS = 2000
@@ -38,53 +37,37 @@
     task: state.TaskState
 
 
-class Trials(adoption.Adoption):
+class Trials(trial_waits.TrialWaits):
     """Chooses the workers of tasks on trial, and keeps others away."""
 
-    def _release_trials(self):
-        """Free the workers whose trials will not go on, or keep others."""
+    def _release_trials(self, pools):
+        """Free the workers whose trials will not go on, or keep others.
+
+        Args:
+            pools: mapping of pool to its candidate WorkerStates.
+        """
         now_ms = self._clock.now_ms()
-        held_pools = self._pools_held_by_trials(now_ms)
+        self._held_pools = self._pools_held_by_trials(pools, now_ms)
         for worker_state in self._worker_states.values():
             if worker_state.trial is None:
                 continue
             task = worker_state.trial.task
+            is_held = worker_state.worker.pool in self._held_pools
             if task.run is not None and task.run.worker_state is worker_state:
-                if (
-                    worker_state.worker.pool in held_pools
-                    and crashes.has_gone_on(
-                        task.run, crashes.LONG_TRIAL_MS, now_ms
-                    )
+                if _is_one_of_several(task.run) or (
+                    is_held and _is_long(task.run, now_ms)
                 ):
-                    worker_state.trial = None
+                    _end_untried(worker_state)
                 continue
             if (
                 task.run is not None
+                or (is_held and not task.step.spec.lasting)
                 or task not in task.step.waiting
                 or worker_state.worker.draining
                 or not placement.is_usable(worker_state, now_ms)
             ):
                 worker_state.trial = None
 
-    def _pools_held_by_trials(self, now_ms):
-        """Return the pools in which lasting tasks wait for others' trials."""
-        return {
-            step.job.queue.pool
-            for step in self._open_steps.values()
-            if step.job.queue is not None and step.spec.lasting
-            # The planner puts the suspects of a step first.
-            for task in itertools.takewhile(crashes.is_suspect, step.waiting)
-            if crashes.is_held_by_trials(task, now_ms)
-        }
-
-    def _is_suspect_waiting(self):
-        """Return whether a suspect of an open step waits for its start."""
-        # The planner puts the suspects of a step first.
-        return any(
-            step.waiting and crashes.is_suspect(step.waiting[0])
-            for step in self._open_steps.values()
-        )
-
     def _keep_workers_for_overdue(self, pools, now_ms):
         """Keep workers free for the tasks that have awaited a trial for long.
 
@@ -95,10 +78,13 @@
             now_ms: local time.
         """
         # Those tasks start without a trial, so no further one begins first.
-        full_pools = self._pools_held_by_trials(now_ms)
+        full_pools = set(self._held_pools)
         for task in sorted(
             self._overdue_suspects(now_ms),
-            key=lambda task: (not task.step.spec.lasting, task.ready_ms),
+            key=lambda task: (
+                not task.step.spec.lasting,
+                -crashes.waited_ms(task, now_ms),
+            ),
         ):
             pool = task.step.job.queue.pool
             worker_states = pools.get(pool, ())
@@ -119,7 +105,7 @@
             if step.job.queue is not None and not step.spec.gang
             # The planner puts the suspects of a step first.
             for task in itertools.takewhile(crashes.is_suspect, step.waiting)
-            if now_ms - task.ready_ms >= MAX_TURN_WAIT_MS
+            if crashes.waited_ms(task, now_ms) >= MAX_TURN_WAIT_MS
             and not crashes.is_paused(task, now_ms)
             and crashes.is_trial_needed(task, now_ms)
             and self._quota.allows(
@@ -171,6 +157,11 @@
         Returns:
             Its WorkerState; None if no worker suits or too many hold trials.
         """
+        if (
+            task.step.job.queue.pool in self._held_pools
+            and not task.step.spec.lasting
+        ):
+            return None
         best = min(
             (
                 worker_state
@@ -193,14 +184,6 @@
         best.trial = Trial(task)
         return best
 
-    def _is_approved(self, step, worker_state):
-        """Return whether the adviser lets a step use a worker."""
-        if step.job.queue.advice is None:
-            return True
-        return step.advice is not None and bool(
-            step.advice.ticket(worker_state.worker.worker_id)
-        )
-
     def _log_trial(self, run):
         """Log that a run on trial is about to start."""
         log.emit(
@@ -235,8 +218,42 @@
 
 
 def _most_trials(worker_states, share):
-    """Return how many workers of a pool may hold trials at a time."""
-    return max(1, share * len(worker_states))
+    """Return how many workers of a pool may hold trials at a time.
+
+    One is left for other starts, unless it is the only one.
+    """
+    count = len(worker_states)
+    return max(1, min(share * count, count - 1))
+
+
+def _is_long(run, now_ms):
+    """Return whether a trial has gone on for long enough if others wait.
+
+    One that an earlier leader began has gone on for an unknown time before.
+    """
+    trial_ms = crashes.SETTLED_MS if run.adopted else crashes.LONG_TRIAL_MS
+    return crashes.has_gone_on(run, trial_ms, now_ms)
+
+
+def _is_one_of_several(run):
+    """Return whether an earlier leader started several suspects together.
+
+    Then none of them was on trial.
+    """
+    return run.adopted and any(
+        other is not run
+        and other.adopted
+        and crashes.is_tried_each_time(other.task)
+        for other in run.worker_state.runs.values()
+    )
+
+
+def _end_untried(worker_state):
+    """End a trial before it shows whether a task crashes its worker."""
+    worker_state.trial = None
+    for run in worker_state.runs.values():
+        if crashes.is_trial_preferred(run.task):
+            run.untried = True
 
 
 def _is_quiet(worker_state, task, now_ms):
--- a/figtray/scheduling/worker_ends.py
+++ b/figtray/scheduling/worker_ends.py
@@ -140,22 +140,31 @@
         for run in runs:
             task = run.task
             if alone:
-                for number in task.crashes.late:
-                    task.crashes = task.crashes.add(number, False)
+                self._count_late(task)
             # Long trials are more often hit by a crash that is chance.
             task.crashes = task.crashes.add(
                 run.number, alone and not crashes.was_seen_late(run)
             )
             crashes.log_suspected(run)
-        for run in {*late_runs, *runs}:
-            crashes.note_age(run)
-            self._store_crashes(run.task)
         # Late crashes beside other runs show no guilt; the next trial does.
-        return [
+        shown = [
             run.task
             for run in runs
             if alone or len(runs) == 1 or not crashes.is_late(run)
         ]
+        for run in dict.fromkeys((*late_runs, *runs)):
+            run.task.trial_wait_offset_ms = 0
+            if crashes.is_guilty_untried(run):
+                self._count_late(run.task)
+                shown.append(run.task)
+            crashes.note_age(run)
+            self._store_crashes(run.task)
+        return shown
+
+    def _count_late(self, task):
+        """Suspect a task of its late crashes as well."""
+        for number in task.crashes.late:
+            task.crashes = task.crashes.add(number, False)
 
     def _record_suspects(self, worker_state):
         """Record the tasks that may have crashed a worker.
