--- a/figtray/scheduling/service.py
+++ b/figtray/scheduling/service.py
@@ -115,7 +115,6 @@
         # Local time at which the leases of earlier terms have ended; None
         # until the record of them is read.
         self._earlier_leases_until_ms = None
-        self._threads = []
         self._list_failed_ms = None
         self._list_failing = False
 
@@ -169,7 +168,6 @@
             name=name,
             daemon=True,
         )
-        self._threads.append(thread)
         thread.start()
 
     def _run_guarded(self, target, name):
