--- a/figtray/scheduling/crashes.py
+++ b/figtray/scheduling/crashes.py
@@ -47,8 +47,8 @@
 # after its start on trial speaks against it: the trials of many tasks on few
 # workers would take long one after another.
 MAX_LASTING_TRIAL_WAIT_MS = 3000
-# So does a task that ends, if no worker is free for its trial then. The next
-# crash may show its guilt, so none on trial is an exception.
+# A task that ends starts without its trial after this wait if no worker is
+# free for one, also after crashes on trial: it is given up after few more.
 MAX_REQUIRED_TRIAL_WAIT_MS = 2500
 # What is left of these waits after a change of the leader, for tasks that end.
 RESUMED_TRIAL_WAIT_MS = 1000
@@ -338,6 +338,17 @@
     )
 
 
+def is_alone_untried(runs):
+    """Return whether only a run without its trial had just started.
+
+    A crash then shows as much as one on trial.
+
+    Args:
+        runs: the Runs that are suspected of a crash.
+    """
+    return len(runs) == 1 and runs[0].untried and not is_late(runs[0])
+
+
 def is_guilty_untried(run):
     """Return whether a task crashes its workers, by a run without its trial.
 
@@ -352,8 +363,8 @@
     crashes = run.task.crashes
     if not run.untried or _count_all(crashes) < CRASHES_TO_GIVE_UP[0]:
         return False
-    # The age of an adopted run is unknown.
-    if run.adopted or crashes.longest_ms == CLEARED_MS:
+    # The age of an adopted run is unknown; an early crash needs no other.
+    if run.adopted or crashes.longest_ms == CLEARED_MS or not is_late(run):
         return True
     difference_ms = abs(crashes.longest_ms - (_age_ms(run) or 0))
     return difference_ms <= max(AGE_TOLERANCE * crashes.longest_ms, SETTLED_MS)
--- a/figtray/scheduling/tests/test_waits_for_trials.py
+++ b/figtray/scheduling/tests/test_waits_for_trials.py
@@ -222,6 +222,20 @@
         assert site.crashes[task] <= deadly.MOST_CRASHES
         assert leader.state(job_id) == records.State.FAILED
 
+    # The crash of a run without its trial counted for less than one on trial,
+    # so a task was started once more.
+    def test_crash_soon_after_an_untried_start_counts_for_less(self):
+        fleet, leader, site = make_site(1, None)
+        job_id, [task] = deadly.submit(fleet)
+        suspect(leader, task)
+        site.play(leader, 200)
+        run = leader.scheduler.find_task(task).run
+        run.worker_state.trial, run.untried = None, True
+        site.crash(0)
+        site.play(leader, 200)
+        assert leader.scheduler.find_task(task).crashes.alone == 1
+        assert leader.state(job_id) == records.State.FAILED
+
     # The next leader took one of several suspects on a worker for the one on
     # trial, and put the crash down to it alone.
     def test_run_beside_other_suspects_counts_as_a_trial(self):
--- a/figtray/scheduling/worker_ends.py
+++ b/figtray/scheduling/worker_ends.py
@@ -136,7 +136,9 @@
                 run.task.crashes = records.NO_CRASHES
         for run in late_runs:
             run.task.crashes = run.task.crashes.add_late(run.number)
-        alone = crashes.run_on_trial(worker_state) in runs
+        alone = crashes.run_on_trial(worker_state) in runs or (
+            crashes.is_alone_untried(runs)
+        )
         for run in runs:
             task = run.task
             if alone:
