--- a/figtray/scheduling/planner.py
+++ b/figtray/scheduling/planner.py
@@ -56,15 +56,16 @@
                     if start_ms is not None:
                         next_ms = min(next_ms, start_ms)
             pools = self._candidates_by_pool()
-            self._release_trials()
+            self._stop_waits_without_room(pools, now_ms)
+            self._release_trials(pools)
             if self._is_adopting(now_ms):
                 next_ms = min(next_ms, now_ms + ADOPTION_RETRY_MS)
                 with self._hold_uncertain_tasks():
                     self._start_steps(pools, now_ms)
             else:
                 self._start_steps(pools, now_ms)
-            self._release_trials()
-            if self._is_suspect_waiting():
+            self._release_trials(pools)
+            if self._is_trial_awaited():
                 next_ms = min(next_ms, now_ms + trials.TRIAL_RETRY_MS)
             return min([next_ms, *self._ends_of_pauses(now_ms)])
 
@@ -180,7 +181,10 @@
         ):
             return state.HeldReason.REFUSED
         if step.spec.gang:
-            return self._start_gang(step, worker_states, team, now_ms)
+            reason = self._start_gang(step, worker_states, team, now_ms)
+            if reason is None:
+                _note_started(step.tasks)
+            return reason
         suspects = [t for t in step.waiting if crashes.is_suspect(t)]
         for task in suspects:
             step.waiting.remove(task)
@@ -216,24 +220,32 @@
         ):
             self._release_reserved(task, worker_states)
             return False
-        if crashes.is_trial_needed(task, now_ms):
-            self._want_trial_advice(task, worker_states, now_ms)
-            worker_state = self._trial_worker(task, worker_states, now_ms)
-        else:
-            worker_state = self._choose(
-                task.step,
-                worker_states,
-                now_ms,
-                crashes.must_start_apart(task, now_ms),
-            )
+        worker_state = self._worker_for_suspect(task, worker_states, now_ms)
         # The ticket of a worker may lapse while it is kept free.
         if worker_state is None or not self._is_approved(
             task.step, worker_state
         ):
             return False
         self._start(task, worker_state, self._next_run_number(task), now_ms)
+        _note_started([task])
         return True
 
+    def _worker_for_suspect(self, task, worker_states, now_ms):
+        """Return the WorkerState on which a suspect can start now, or None."""
+        is_needed = crashes.is_trial_needed(task, now_ms)
+        if is_needed or crashes.is_trial_preferred(task):
+            self._want_trial_advice(task, worker_states, now_ms)
+            worker_state = self._trial_worker(task, worker_states, now_ms)
+            if worker_state is not None or is_needed:
+                return worker_state
+        self._release_reserved(task, worker_states)
+        return self._choose(
+            task.step,
+            worker_states,
+            now_ms,
+            crashes.must_start_apart(task, now_ms),
+        )
+
     def _want_trial_advice(self, task, worker_states, now_ms):
         """Let the adviser be asked about workers for a trial.
 
@@ -325,3 +337,14 @@
         and bool(step.advice.candidates)
         and bool(step.waiting)
     )
+
+
+def _note_started(tasks):
+    """Note whether tasks have just started without the trial they need."""
+    if not any(
+        crashes.run_on_trial(t.run.worker_state) is t.run for t in tasks
+    ):
+        for task in tasks:
+            task.run.untried = crashes.is_trial_preferred(task)
+    for task in tasks:
+        task.trial_wait_offset_ms = 0
