--- a/figtray/fleet/base.py
+++ b/figtray/fleet/base.py
@@ -16,7 +16,7 @@
             seconds later.
         IncarnationMismatch: a worker with another id answered and did
             nothing.
-        StaleEpoch: the worker has seen a later epoch and did nothing.
+        StaleEpoch: the worker has seen a higher token and did nothing.
     """
 
     def start(self, worker, order, timeout_ms):
@@ -39,7 +39,7 @@
             worker: the Worker.
             task: name of the task.
             run: number of the run.
-            epoch: number of the leader's term.
+            epoch: the fencing token; see messages.StartOrder.
             timeout_ms: limit of the call in milliseconds.
         """
         raise NotImplementedError
@@ -51,7 +51,7 @@
 
         Args:
             worker: the Worker.
-            epoch: number of the leader's term.
+            epoch: the fencing token; see messages.StartOrder.
             acknowledged: number of an EndedRun; the worker may forget it and
                 all before it.
             lease_until_ms: end of the lease on the worker's clock; None
@@ -74,7 +74,7 @@
             task: name of the task.
             run: number of the run.
             percent: the share, 0 to 100.
-            epoch: number of the leader's term.
+            epoch: the fencing token; see messages.StartOrder.
             timeout_ms: limit of the call in milliseconds.
         """
         raise NotImplementedError
--- a/figtray/fleet/messages.py
+++ b/figtray/fleet/messages.py
@@ -82,7 +82,8 @@
         task: name of the task.
         run: number of the run, higher than those of the task's earlier runs.
         payload: the payload of the job.
-        epoch: number of the leader's term, which is the fencing token.
+        epoch: the fencing token: the epoch of the leader's term, or a later
+            revision of the same term, by incarnation of the worker.
         lease_until_ms: end of the lease on the worker's clock.
         checkpoint: where to resume; empty = at the beginning.
         ticket: the adviser's approval; empty if the queue needs none.
