--- a/figtray/scheduling/service.py
+++ b/figtray/scheduling/service.py
@@ -34,9 +34,9 @@
 # so that a repeated submission still finds them.
 RETENTION_MARGIN_MS = 60_000
 RETENTION_POLL_MS = 5000
+# Least time limit of a call of the adviser.
 ADVICE_TIMEOUT_MS = 2500
 ADVICE_POLL_MS = 10
-MAX_ADVICE_WORKERS = 30
 
 
 class LeaderService:
@@ -202,9 +202,12 @@
             progress[job_id] = self._service.unreadable.read(
                 item.key, records.decode_progress, item.value
             )
-        waiting = self._store.get(records.WAITING_KEY)
-        if waiting is not None:
-            self._writer.set_revision(waiting.key, waiting.mod_revision)
+        stored_records.load_policies(
+            self._store,
+            self._writer,
+            self._scheduler,
+            self._service.unreadable,
+        )
         roster = self._load_roster()
         count = self._intake.load(progress)
         self._update_workers()
@@ -379,11 +382,13 @@
             step, advice = self._scheduler.next_advice_request()
             if step is None:
                 continue
-            asked_ids = advice.candidates[:MAX_ADVICE_WORKERS]
+            asked_ids = advice.candidates
             asked_ms = self._clock.now_ms()
             try:
                 answer = self._service.adviser.advise(
-                    step.name, asked_ids, ADVICE_TIMEOUT_MS
+                    step.name,
+                    asked_ids,
+                    max(ADVICE_TIMEOUT_MS, advice.longest_call_ms),
                 )
             except (errors.CallNotSent, errors.ReplyLost) as exc:
                 log.emit(
--- a/figtray/scheduling/starts.py
+++ b/figtray/scheduling/starts.py
@@ -3,19 +3,30 @@
 import collections
 
 from figtray.jobs import records
+from figtray.scheduling import advice as advice_lib
 from figtray.scheduling import crashes
 from figtray.scheduling import placement
 from figtray.scheduling import scheduler_base
 from figtray.scheduling import state
 from figtray.scheduling import trials
 
+# The adviser is asked ahead about full workers for so many steps of each plan,
+# the most urgent ones, until so many workers have tickets.
+MAX_STEPS_AHEAD = 4
+ENOUGH_TICKETS = 10
+
 
 class Starts(trials.Trials):
     """Starts tasks on the workers that the planner has chosen, and gangs."""
 
+    # Steps of the present plan for which it may still be asked ahead.
+    _steps_ahead_left = 0
+
     def _start_gang(self, step, worker_states, team, now_ms):
         """Start all members of a gang together, on one rack if possible.
 
+        On a queue with advice, each worker needs a ticket before any starts.
+
         Returns:
             The HeldReason of the gang, or None if it starts.
         """
@@ -27,6 +38,68 @@
             return state.HeldReason.TEAM_LIMIT
         if any(crashes.is_paused(task, now_ms) for task in step.tasks):
             return state.HeldReason.TRIAL
+        advice = self._advice(step)
+        if advice is None:
+            return self._place_gang(step, worker_states, now_ms)
+        return self._start_advised_gang(step, advice, worker_states, now_ms)
+
+    def _start_advised_gang(self, step, advice, worker_states, now_ms):
+        """Start a gang on approved workers, or let the adviser be asked."""
+        for worker_state in worker_states:
+            trial = worker_state.trial
+            # Its ticket may have lapsed while the worker was kept free.
+            if trial is not None and trial.task.step is step:
+                if advice.ticket(worker_state, now_ms) is None:
+                    worker_state.trial = None
+        approved = advice.approved(worker_states, now_ms)
+        reason = self._place_gang(step, approved, now_ms)
+        if reason is None:
+            return None
+        wanted = self._gang_candidates(step, worker_states, now_ms)
+        if not wanted:
+            self._ask_ahead(step, worker_states, now_ms)
+            return reason
+        advice.want(wanted, now_ms, _gang_call_size(step))
+        return state.HeldReason.ADVICE
+
+    def _ask_ahead(self, step, worker_states, now_ms):
+        """Let the adviser be asked about workers that have no room yet.
+
+        If it were asked only once they have, less urgent tasks would take the
+        room meanwhile.
+        """
+        advice = self._advice(step)
+        if advice is None or not self._steps_ahead_left:
+            return
+        self._steps_ahead_left -= 1
+        suitable = [
+            worker_state
+            for worker_state in worker_states
+            if placement.suits(step, worker_state, now_ms)
+        ]
+        approved = advice.approved(suitable, now_ms)
+        most = min(len(step.waiting), advice_lib.MAX_GANG_WORKERS)
+        if len(approved) < max(ENOUGH_TICKETS, most):
+            advice.want(suitable, now_ms)
+
+    def _gang_candidates(self, step, worker_states, now_ms):
+        """Return the WorkerStates that the adviser may let a gang use.
+
+        There are none if even all of them have no room for the gang. The
+        racks follow one another, as in _place_gang().
+        """
+        suspect = trials.most_suspected(step.tasks, now_ms)
+        # Workers are kept free for trials before they have room.
+        can_start = placement.fits if suspect is None else placement.suits
+        usable = [w for w in worker_states if can_start(step, w, now_ms)]
+        if suspect is None and (
+            self._assign_gang(step, usable, now_ms, None, None, False) is None
+        ):
+            return []
+        return [w for group in placement.by_rack(step, usable) for w in group]
+
+    def _place_gang(self, step, worker_states, now_ms):
+        """Start a gang on some workers; see _start_gang()."""
         suspect = trials.most_suspected(step.tasks, now_ms)
         trial_worker = None
         if suspect is not None:
@@ -109,6 +182,17 @@
             assigned.append(chosen)
         return assigned
 
+    def _advice(self, step):
+        """Return the StepAdvice of a step; None if its queue needs none."""
+        policy = step.job.queue.advice
+        if policy is None:
+            step.advice = None
+            return None
+        if step.advice is None:
+            step.advice = advice_lib.StepAdvice()
+        step.advice.set_policy(policy)
+        return step.advice
+
     def _next_run_number(self, task):
         """Return the number of the next run; later terms have higher ones."""
         return (
@@ -122,9 +206,8 @@
         A start whose placement must be stored is ordered after the write.
         """
         step = task.step
-        ticket = ''
-        if step.advice is not None:
-            ticket = step.advice.ticket(worker_state.worker.worker_id)
+        advice = self._advice(step)
+        ticket = advice and advice.ticket(worker_state, now_ms)
         run = state.Run(task, worker_state, number, now_ms, ticket)
         self._attach(run)
         if crashes.run_on_trial(worker_state) is run:
@@ -134,3 +217,11 @@
             self._unrecorded_runs.append((sequence, run))
         else:
             self._order_start(run)
+
+
+def _gang_call_size(step):
+    """Return how many workers one call of the adviser names for a gang."""
+    return min(
+        advice_lib.MAX_GANG_WORKERS,
+        max(advice_lib.MAX_WORKERS, 2 * step.spec.count),
+    )
--- a/figtray/scheduling/tests/test_sum_of_waits.py
+++ b/figtray/scheduling/tests/test_sum_of_waits.py
@@ -18,6 +18,7 @@
 from figtray.scheduling import order_sender
 from figtray.scheduling import outcomes
 from figtray.scheduling import planner
+from figtray.scheduling import refusals
 from figtray.scheduling import scheduler_base
 from figtray.scheduling import service
 from figtray.scheduling import session
@@ -228,6 +229,7 @@
             650,
         ),
         'W16 no room': (outcomes.MAX_NO_CAPACITY_BACKOFF_MS, 1200),
+        'W16 refused': (refusals.MAX_PAUSE_MS, 1200),
         'W16 unhealthy': (scheduler_base.UNHEALTHY_BACKOFF_MS, 1000),
         'W16 failing': (job_lifecycle.FAILING_BACKOFF_MS, 4000),
         'W17': (scheduler_base.ENDED_INCARNATION_TTL_MS, 5000),
