--- a/Makefile
+++ b/Makefile
@@ -10,7 +10,8 @@
 	PATH="$(CURDIR)/$(VENV)/bin:$$PATH" sh scripts/demo.sh
 
 test: $(STAMP) check
-	$(PY) -m pytest -n 4 $(KNOWN_RED)
+	$(PY) -m pytest -n 4 -m 'not crowd' $(KNOWN_RED)
+	$(PY) -m pytest -m crowd $(KNOWN_RED)
 
 check: $(STAMP)
 	$(PY) -m black --check figtray
--- a/figtray/platform/tests/crowd.py
+++ b/figtray/platform/tests/crowd.py
@@ -4,6 +4,7 @@
 import pathlib
 import selectors
 import socket
+import threading
 import time
 
 from figtray import connections
@@ -60,6 +61,22 @@
         self._payloads = payloads
         self._pieces = pieces
         self._payload_of = {}
+        self.came = threading.Event()
+
+    def press(self, stop):
+        """Send until an Event is set; a new connection for each closed one.
+
+        `came` is set once every connection has been made.
+        """
+        for number, payload in enumerate(self._payloads, 1):
+            self._connect(payload)
+            if number % WAVE == 0:
+                self._send()
+        self.came.set()
+        while not stop.is_set():
+            self._send()
+            for _ in range(len(self._payloads) - len(self._payload_of)):
+                self._connect(self._payloads[0])
 
     def settle(self):
         """Send until neither the crowd nor the listener moves any longer."""
@@ -137,6 +154,8 @@
             self._unsent_bytes -= len(view)
             self._selector.unregister(sock)
             del self._payload_of[sock]
+            self._open_sockets.discard(sock)
+            sock.close()
             return
         self._unsent_bytes -= count
         if count < len(view):
--- a/figtray/platform/tests/test_http_client.py
+++ b/figtray/platform/tests/test_http_client.py
@@ -2,6 +2,7 @@
 
 import socket
 import threading
+import tracemalloc
 
 import pytest
 
@@ -11,6 +12,9 @@
 
 WAIT_S = 10
 TIMEOUT_MS = 100
+REPLY_BYTES = 96_000
+# Most memory that reading a reply may take, in sizes of its largest body.
+REPLY_COPIES = 4
 
 
 class SilentServer:
@@ -84,3 +88,62 @@
             client.call('GET', '/', WAIT_S * 1000)
         server.wait()
         assert server.end is not None
+
+
+class TestReplyInSmallChunks:
+    """A service within its limits, but for the form of what it sends."""
+
+    @pytest.fixture
+    def read(self):
+        """Return a function that reads a reply, and tells its memory."""
+
+        def read(reply):
+            server = SilentServer(reply)
+            client = http_client.HttpClient(
+                server.address, clock_lib.SystemClock(), REPLY_BYTES
+            )
+            tracemalloc.start()
+            try:
+                body = client.call('GET', '/', WAIT_S * 1000).body
+                return body, tracemalloc.get_traced_memory()[1]
+            finally:
+                tracemalloc.stop()
+                client.close()
+                server.wait()
+
+        return read
+
+    # Guards against a reply within its limit whose chunks take many times as
+    # much memory as their bytes.
+    @pytest.mark.parametrize('size', [REPLY_BYTES, 1000, 64, 2, 1])
+    def test_memory(self, read, size):
+        chunk = b'%x\r\n%s\r\n' % (size, b'x' * size)
+        body, peak_bytes = read(
+            b'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n'
+            + chunk * (REPLY_BYTES // size)
+            + b'0\r\n\r\n'
+        )
+        assert len(body) == REPLY_BYTES
+        assert peak_bytes < REPLY_COPIES * REPLY_BYTES
+
+    # Guards against a reply that never ends: by its trailer, or by its
+    # interim responses.
+    @pytest.mark.parametrize(
+        'reply',
+        [
+            b'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n'
+            + b'X: y\r\n' * REPLY_BYTES,
+            b'HTTP/1.1 100 Continue\r\n\r\n' * REPLY_BYTES,
+            b'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n'
+            + b'1;x=y\r\nx\r\n'.replace(b'y', b'y' * 1000) * 1000,
+        ],
+        ids=['trailer', 'interim', 'extensions'],
+    )
+    def test_without_end(self, reply):
+        server = SilentServer(reply)
+        client = http_client.HttpClient(
+            server.address, clock_lib.SystemClock(), REPLY_BYTES
+        )
+        with pytest.raises(errors.ReplyLost, match='over'):
+            client.call('GET', '/', WAIT_S * 1000)
+        server.wait()
--- a/figtray/platform/tests/test_untrusted_clients.py
+++ b/figtray/platform/tests/test_untrusted_clients.py
@@ -22,6 +22,8 @@
 from figtray.platform import standin_site as sites
 from figtray.platform.tests import crowd as crowds
 
+pytestmark = pytest.mark.crowd
+
 LIMIT_S = 60
 MEMORY_MB = 64
 MAX_DESCRIPTORS = 400
--- a/figtray/tests/test_listener.py
+++ b/figtray/tests/test_listener.py
@@ -33,6 +33,15 @@
         conn.close()
 
 
+def wait_until(condition):
+    """Wait until a condition holds, LIMIT_MS at most."""
+    clock = clock_lib.SystemClock()
+    deadline_ms = clock.now_ms() + LIMIT_MS
+    while not condition():
+        assert clock.now_ms() < deadline_ms
+        clock.wait(threading.Event(), 10)
+
+
 class BlockingApp:
     """WSGI application whose response waits until `release` is set."""
 
@@ -151,6 +160,8 @@
             conn = self.post(server, size, sent)
             assert conn.getresponse().status == status
             conn.close()
+            # The thread that has answered may give it back a moment later.
+            wait_until(lambda: not server.state().held_bytes)
 
     # Guards against a refusal without Retry-After, and one after which the
     # request may still run.
@@ -203,10 +214,7 @@
         sock.sendall(b'GARBAGE\r\n\r\n')
         assert closed.wait(LIMIT_MS / 1000)
         sock.close()
-        clock = clock_lib.SystemClock()
-        deadline_ms = clock.now_ms() + LIMIT_MS
-        while server.state().open and clock.now_ms() < deadline_ms:
-            clock.wait(threading.Event(), 10)
+        wait_until(lambda: not server.state().open)
         assert (server.state().open, server.state().held_bytes) == (0, 0)
 
     # Guards against an idle connection that counts as a header without end.
@@ -216,12 +224,13 @@
         )
         request = b'GET / HTTP/1.1\r\nHost: x\r\n\r\n'
         sock.sendall(request)
-        assert b' 200 ' in sock.recv(1000)
+        # The head and the body of an answer may come apart.
+        answer = b''
+        while not answer.endswith(b'\r\n\r\n0'):
+            answer += sock.recv(1000)
+        assert b' 200 ' in answer
         sock.sendall(b'\r\n')
-        clock = clock_lib.SystemClock()
-        deadline_ms = clock.now_ms() + LIMIT_MS
-        while server.state().held_bytes and clock.now_ms() < deadline_ms:
-            clock.wait(threading.Event(), 10)
+        wait_until(lambda: not server.state().held_bytes)
         assert server.state().held_bytes == 0
         sock.sendall(request)
         assert b' 200 ' in sock.recv(1000)
@@ -237,6 +246,48 @@
             conn.close()
         server.close(0)
 
+    def post_chunks(self, server, size, chunk, end=b'0\r\n\r\n'):
+        """Send a body in equal chunks; return the status, None if reset."""
+        sock = socket.create_connection(
+            connections.parse_address(server.address), LIMIT_MS / 1000
+        )
+        head = (
+            b'POST / HTTP/1.1\r\nHost: x\r\n'
+            b'Transfer-Encoding: chunked\r\n\r\n'
+        )
+        with sock:
+            # The listener may close it before the end.
+            with contextlib.suppress(ConnectionError):
+                sock.sendall(head + chunk * size + end)
+            with contextlib.suppress(ConnectionError):
+                return int(sock.recv(1000).split()[1])
+        return None
+
+    # Guards against a body inside the limit that is refused for what frames
+    # its chunks, and one beyond it that is not.
+    @pytest.mark.parametrize('chunk', [b'1\r\nx\r\n', b'00000001\r\nx\r\n'])
+    def test_largest_body_in_chunks(self, chunk):
+        server = listener.Listener('127.0.0.1:0', dict, max_body_bytes=10_000)
+        server.start()
+        assert self.post_chunks(server, 10_000, chunk) == 500
+        assert self.post_chunks(server, 10_001, chunk) in (413, None)
+        server.close(0)
+
+    # Guards against framing without an end, whatever its form, and against
+    # a 413 of a body that is small.
+    @pytest.mark.parametrize(
+        'chunk, end',
+        [
+            (b'', b'0' * 300_000),
+            (b'', b'1;x=' + b'y' * 300_000),
+            (b'', b'0\r\n' + b'X: y\r\n' * 50_000),
+            (b'1;x=%s\r\nx\r\n' % (b'y' * 1000), b''),
+        ],
+        ids=['size', 'extension', 'trailer', 'extensions'],
+    )
+    def test_framing_without_end(self, server, chunk, end):
+        assert self.post_chunks(server, 1000, chunk, end) in (400, None)
+
     # Guards against answers in another order, and against requests that are
     # lost behind an earlier one of their connection.
     def test_pipelined_requests(self, server):
