http_client: a response in small chunks takes memory by its bytes

What callers would see: a worker, the store, the adviser or the service of hosts that answers in small chunks takes a node beyond its memory. A response of 96,000 bytes in chunks of 1 or 2 bytes took 8.6 and 6.1 MB while it was read; its limits are 8 and 32 MB, and a host has 300 MB.

Cause: http.client keeps an object for each chunk of a body until it has all of them. A trailer, or chunk extensions, were read without a bound but the time-out.

Change: bodies in chunks go through chunks.Decoder, as those of callers do, 8 kB at a time. A response with bytes behind its end closes its connection.

Why it works: of each read only the bytes of the body are kept.

--- a/figtray/platform/http_client.py
+++ b/figtray/platform/http_client.py
@@ -4,6 +4,7 @@
 import http.client
 import threading
 
+from figtray import chunks
 from figtray import connections
 from figtray import errors
 from figtray.events import catalogue
@@ -18,6 +19,9 @@
 # Largest body of a response; those of this system's services are far smaller.
 MAX_REPLY_BYTES = 8 << 20
 
+# Bytes of a body in chunks that are decoded at once.
+READ_BYTES = 8192
+
 # An odd address or header raises ValueError, UnicodeError or InvalidURL.
 _CALL_ERRORS = (OSError, http.client.HTTPException, ValueError)
 
@@ -196,7 +200,10 @@
 
     def _read(self, response):
         limit = self._max_reply_bytes
-        if response.length is None:
+        if response.chunked:
+            data = _read_chunks(response, limit)
+            length = len(data)
+        elif response.length is None:
             data = response.read(limit + 1)
             length = len(data)
         else:
@@ -248,6 +255,28 @@
             conn.close()
 
 
+def _read_chunks(response, limit):
+    """Return a body in chunks; more than `limit` bytes if it is longer.
+
+    http.client would keep an object for each chunk.
+    """
+    decoder = chunks.Decoder()
+    body = bytearray()
+    while not decoder.completed and len(body) <= limit:
+        data = response.fp.read1(READ_BYTES)
+        if not data:
+            raise http.client.IncompleteRead(bytes(body))
+        try:
+            part, consumed = decoder.feed(data)
+        except errors.BadChunks as exc:
+            raise http.client.HTTPException(str(exc)) from exc
+        body += part
+        # Bytes behind the end, so the next response could be any.
+        response.will_close |= consumed < len(data)
+    response.close()
+    return bytes(body)
+
+
 def describe(exc):
     """Return an exception's message, or its type if it has none."""
     return str(exc) or type(exc).__name__
