connections: what precedes the body of a response has a bound

What callers would see: a service that sends interim responses (100 Continue) without an end holds a thread of the node, and its processor, until the call's time-out, again with each call.

Cause: http.client reads them, and up to 100 header lines of 64 kB each, in a loop of its own; the deadline was the only bound.

Change: a connection reads at most 64 kB of a response before its body, which no service of the published protocol comes near. Beyond it the response counts as lost, as one that is too large does.

Why it works: the bound is at the socket, under whatever http.client loops over.

--- a/figtray/connections.py
+++ b/figtray/connections.py
@@ -4,6 +4,7 @@
 import http.client
 import io
 import ipaddress
+import math
 import select
 import socket
 import struct
@@ -11,6 +12,9 @@
 KEEPALIVE_IDLE_S = 5
 KEEPALIVE_INTERVAL_S = 2
 KEEPALIVE_PROBES = 3
+# What a peer may send before the body of a response, in all of its heads, and
+# with what comes of the body in the same reads.
+HEAD_BYTES = 64 * 1024
 
 
 def parse_address(address):
@@ -103,6 +107,7 @@
         self._stall_ms = 0
         self._latest_ms = None
         self._send_by_ms = None
+        self._head_left = HEAD_BYTES
         # The connection and each response file hold a reference: when a
         # response ends the connection, http.client closes the connection
         # before the body is read through the response file.
@@ -126,10 +131,20 @@
         self._stall_ms = stall_ms
         self._latest_ms = latest_ms
         self._send_by_ms = send_by_ms
+        self._head_left = HEAD_BYTES
+
+    def end_head(self):
+        """Note that what comes next is the body of a response."""
+        self._head_left = math.inf
 
     def receive_into(self, buffer):
         self._set_timeout()
         count = self._sock.recv_into(buffer)
+        self._head_left -= count
+        if self._head_left < 0:
+            raise http.client.HTTPException(
+                f'over {HEAD_BYTES} bytes before the body'
+            )
         if count and self._stall_ms:
             # A large response on a narrow link arrives, only slowly.
             until_ms = self._clock.now_ms() + self._stall_ms
@@ -256,6 +271,10 @@
         )
         self._deadline_socket.sent_bytes = 0
 
+    def end_head(self):
+        """Note that the head of the response has been read."""
+        self._deadline_socket.end_head()
+
     def peek(self):
         """Check for unread input without waiting for it.
 
--- a/figtray/platform/http_client.py
+++ b/figtray/platform/http_client.py
@@ -195,6 +195,7 @@
             all_headers['Content-Type'] = 'application/json'
         conn.request(method, path, body, all_headers)
         response = conn.getresponse()
+        conn.end_head()
         reply = Reply(response.status, self._read(response))
         return reply, response.will_close
 
--- a/figtray/settings/document.py
+++ b/figtray/settings/document.py
@@ -8,6 +8,7 @@
 import msgspec
 
 from figtray import chunks
+from figtray import connections
 from figtray.ingress import limits
 from figtray.platform import settings as node_settings
 from figtray.settings import types
@@ -131,7 +132,14 @@
         'most framing beside that: chunk extensions and trailer',
     ),
 )
-BOUNDS = ((limits, _HELD), (chunks, _FRAMING))
+_RESPONSES = (
+    (
+        'HEAD_BYTES',
+        'bytes',
+        'most that a service may send before the body of a response',
+    ),
+)
+BOUNDS = ((limits, _HELD), (chunks, _FRAMING), (connections, _RESPONSES))
 
 _ATTRIBUTE = re.compile(r' {4}(\w+): (.*)')
 
