listener: short rounds, in which who has used least has the first turn

What callers saw: an ordinary request waits for the longer, the more others send. Behind a crowd of 40 or 160 that sends large bodies, whole or in chunks of any size, 80 to 424 reads of the crowd went before its own.

Cause: the loop of waitress reads from all connections that have sent something, takes one new connection, and does so again: the time of a round grows with the number of connections, and an ordinary request needs two rounds or three.

Ruled out: the decoder alone.

Change: rounds of 16 turns at most, which then accept up to 8 connections. The connection that has used least comes first, by its own turns, then by those of its address or key. Use fades by half in a second. Connections that are closed or reset in both directions are closed before any turn, what they sent is dropped.

Why it works: a request of one read waits for the rest of one round, whatever the number of the others.

--- a/figtray/channels.py
+++ b/figtray/channels.py
@@ -7,11 +7,13 @@
 from waitress import parser as waitress_parser
 from waitress import task as waitress_task
 from waitress import utilities as waitress_utilities
+from waitress import wasyncore
 
 from figtray import chunks
 from figtray import errors
 from figtray.ingress import budget as budgets
 from figtray.ingress import costs
+from figtray.ingress import turns
 
 # Bytes of one read. A request without a body has room for two: what came and
 # its parsed form.
@@ -162,12 +164,15 @@
     parser_class = _Parser
 
     def __init__(self, server, sock, addr, adj, map=None):
-        self._claim = budgets.Claim(addr[0])
-        self._surplus = b''
+        self.claim = budgets.Claim(addr[0])
+        # Bytes of the next request that came with those of this one.
+        self.surplus = b''
+        # Work of the turn in progress.
+        self._work = 0
         super().__init__(server, sock, addr, adj, map)
         server.opened += 1
-        server.channels[self._claim] = self
-        self._close_all(server.budget.open(self._claim, self._now_ms()))
+        server.channels[self.claim] = self
+        self._close_all(server.budget.open(self.claim, self._now_ms()))
 
     def readable(self):
         try:
@@ -179,27 +184,42 @@
 
     def _advance(self):
         """Begin the next phase, as the threads of tasks leave it to us."""
-        claim = self._claim
+        claim = self.claim
         if claim.phase is budgets.Phase.SERVED and not self.requests:
             self._begin(budgets.Phase.ANSWERED, self.total_outbufs_len)
-            if self._claim.is_last:
+            if self.claim.is_last:
                 self.close_when_flushed = True
         if claim.phase is budgets.Phase.ANSWERED and not (
             self.total_outbufs_len
         ):
             self._begin(budgets.Phase.IDLE, 0)
-        if self._surplus and super().readable():
-            data, self._surplus = self._surplus, b''
-            self._read(lambda: data)
+
+    def take_turn(self, flags):
+        """Do what the socket is ready for.
+
+        Args:
+            flags: events of poll().
+        """
+        self._work = 0
+        wasyncore.readwrite(self, flags)
+        # Now its key is known, too.
+        self.server.turns.note(self.claim, self._work, self._now_ms())
 
     def handle_read(self):
-        self._read(lambda: self.recv(RECEIVE_BYTES))
+        if self.surplus:
+            data, self.surplus = self.surplus, b''
+            self._read(lambda: data)
+        else:
+            self._read(lambda: self.recv(RECEIVE_BYTES))
 
     def received(self, data):
         if self.request is None:
             self.request = self.parser_class(self.adj)
         request = self.request
+        lines = request.header_lines
         request.count_lines(data)
+        lines = request.header_lines - lines
+        self._work = len(data) + turns.LINE_WORK * lines
         # Before the header is parsed, and the request handed to a thread.
         if not self._prepare():
             return
@@ -214,19 +234,19 @@
             self.request = None
             self._begin(budgets.Phase.IDLE, 0)
             return
-        if request.headers_finished and not self._claim.has_header:
+        if request.headers_finished and not self.claim.has_header:
             self.server.budget.end_header(
-                self._claim, request.headers.get('AUTHORIZATION', '')
+                self.claim, request.headers.get('AUTHORIZATION', '')
             )
         if request.completed:
-            self._surplus = request.surplus
+            self.surplus = request.surplus
             self._begin(budgets.Phase.SERVED, None)
         elif request.headers_finished:
             self._prepare()
 
     def send(self, data, do_close=True):
         count = super().send(data, do_close=do_close)
-        self.server.budget.move(self._claim, count, self._now_ms())
+        self.server.budget.move(self.claim, count, self._now_ms())
         return count
 
     def service(self):
@@ -245,17 +265,17 @@
 
     def handle_close(self):
         super().handle_close()
-        self.server.channels.pop(self._claim, None)
+        self.server.channels.pop(self.claim, None)
         self._forget()
 
     def is_last(self):
         """Return whether the connection is needed for another caller."""
-        return self._claim.is_last
+        return self.claim.is_last
 
     def take_room(self, body):
         """Take room for the parsed form of a body; tell whether there was."""
         needed = costs.body_bytes(len(body)) + costs.parsed_bytes(body)
-        return self._take(needed - self._claim.held_bytes, closes=False)
+        return self._take(needed - self.claim.held_bytes, closes=False)
 
     def refuse(self):
         """Close the connection; answer 503 first unless it is a submission.
@@ -267,7 +287,7 @@
             return
         request = self.request
         if (
-            self._claim.phase is budgets.Phase.ARRIVING
+            self.claim.phase is budgets.Phase.ARRIVING
             and request is not None
             and not request.may_store()
         ):
@@ -276,7 +296,7 @@
         self.handle_close()
 
     def _read(self, read):
-        if self._claim.phase is budgets.Phase.IDLE:
+        if self.claim.phase is budgets.Phase.IDLE:
             self._begin(budgets.Phase.ARRIVING, 0)
         if not self._prepare():
             return
@@ -294,28 +314,26 @@
             self.connected = False
             return
         self.last_activity = time.time()
-        self.server.budget.move(self._claim, len(data), self._now_ms())
+        self.server.budget.move(self.claim, len(data), self._now_ms())
         self.received(data)
 
     def _prepare(self):
         """Take room for the next read, or refuse the request."""
         needed = self.request.needed_bytes() if self.request else FIRST_BYTES
-        has_room = self._take(needed - self._claim.held_bytes)
+        has_room = self._take(needed - self.claim.held_bytes)
         if not has_room:
             self.refuse()
         return has_room
 
     def _take(self, wanted_bytes, closes=True):
         reason, victims = self.server.budget.take(
-            self._claim, wanted_bytes, self._now_ms(), closes
+            self.claim, wanted_bytes, self._now_ms(), closes
         )
         self._close_all(victims)
         return reason is None
 
     def _begin(self, phase, held_bytes):
-        self.server.budget.begin(
-            self._claim, phase, held_bytes, self._now_ms()
-        )
+        self.server.budget.begin(self.claim, phase, held_bytes, self._now_ms())
 
     def _close_all(self, claims):
         for claim in claims:
@@ -326,7 +344,7 @@
     def _forget(self):
         # A task still uses the request of a connection that was closed.
         if not self.requests:
-            self.server.budget.close(self._claim)
+            self.server.budget.close(self.claim)
 
     def _now_ms(self):
         return self.server.clock.now_ms()
--- a/figtray/ingress/budget.py
+++ b/figtray/ingress/budget.py
@@ -7,6 +7,7 @@
 import threading
 
 from figtray.ingress import limits as limits_lib
+from figtray.ingress import turns
 
 
 class Reason(enum.Enum):
@@ -30,7 +31,9 @@
 
 @dataclasses.dataclass(eq=False)
 class Claim:
-    """What one connection holds; changed by the Budget only.
+    """What one connection holds and uses.
+
+    Changed by the Budget only, but for the last two, by the Turns.
 
     Attributes:
         address: address of the caller.
@@ -57,6 +60,8 @@
     progress_ms: int = 0
     progress_bytes: int = 0
     is_last: bool = False
+    used: turns.Usage = turns.Usage()
+    turn_ms: int = 0
 
     def owners(self):
         """Return the names under which its bytes are summed up."""
--- a/figtray/listener.py
+++ b/figtray/listener.py
@@ -16,6 +16,8 @@
 from figtray.ingress import budget as budgets
 from figtray.ingress import limits as limits_lib
 from figtray.ingress import refusal_lines
+from figtray.ingress import turns as turns_lib
+from figtray import rounds
 from figtray.settings import types
 
 BACKLOG = 128
@@ -69,8 +71,10 @@
         self._socket = _bind(listen)
         host, port = self._socket.getsockname()[:2]
         self.address = f'[{host}]:{port}' if ':' in host else f'{host}:{port}'
+        channel_map = {}
         self._server = waitress_server.create_server(
             app,
+            map=channel_map,
             _start=False,
             sockets=[self._socket],
             threads=threads,
@@ -86,7 +90,6 @@
             backlog=BACKLOG,
             inbuf_overflow=NO_OVERFLOW_BYTES,
             outbuf_overflow=NO_OVERFLOW_BYTES,
-            asyncore_use_poll=True,
             expose_tracebacks=False,
             ident='figtray',
         )
@@ -105,6 +108,7 @@
         self._server.stopping = False
         self._server.budget = self.budget
         self._server.clock = self._clock
+        self._server.turns = turns_lib.Turns()
         self._server.channels = {}
         self._server.opened = 0
         self._close_idle = self._server.maintenance
@@ -114,7 +118,9 @@
         if reserve_threads:
             self._server.add_task = self._add_task
         self._thread = threading.Thread(
-            target=self._server.run,
+            target=rounds.Rounds(
+                self._server, channel_map, self._server.turns, self._clock
+            ).run,
             name=f'listener {self.address}',
             daemon=True,
         )
@@ -200,6 +206,7 @@
             self._apply(self._read_request_limits())
         self._close_idle(now_s)
         now_ms = self._clock.now_ms()
+        self._server.turns.forget(now_ms)
         for claim in self.budget.overdue(now_ms, self._header_ms):
             channel = self._server.channels.get(claim)
             if channel is not None:
--- a/figtray/settings/document.py
+++ b/figtray/settings/document.py
@@ -10,6 +10,7 @@
 from figtray import chunks
 from figtray import connections
 from figtray.ingress import limits
+from figtray.ingress import turns
 from figtray.platform import settings as node_settings
 from figtray.settings import types
 
@@ -119,6 +120,18 @@
     ),
 )
 
+# Those that bound what they use.
+_USED = (
+    (
+        'TURN_WORK',
+        'bytes',
+        'work of a turn: of so many bytes in the smallest chunks',
+    ),
+    ('LINE_WORK', 'bytes', 'work of a line of a header'),
+    ('HALF_LIFE_MS', 'ms', 'time after which what was used counts half'),
+    ('ROUND_TURNS', '', 'most turns before newcomers are looked for'),
+    ('ROUND_ACCEPTS', '', 'most new connections that are taken together'),
+)
 _FRAMING = (
     (
         'FRAMING_PER_BYTE',
@@ -139,7 +152,12 @@
         'most that a service may send before the body of a response',
     ),
 )
-BOUNDS = ((limits, _HELD), (chunks, _FRAMING), (connections, _RESPONSES))
+BOUNDS = (
+    (limits, _HELD),
+    (chunks, _FRAMING),
+    (connections, _RESPONSES),
+    (turns, _USED),
+)
 
 _ATTRIBUTE = re.compile(r' {4}(\w+): (.*)')
 
