--- a/review/standins-3/deployment.py
+++ b/review/standins-3/deployment.py
@@ -57,10 +57,17 @@
         cpu: capacity of a worker in thousandths of a core.
         tenants: of the configuration; name, api_keys, weight, maximum.
         bounds: changes of BOUNDS.
+        link_mbps: bandwidth of each node's link to the store; 0 = no limit.
     """
 
     def __init__(
-        self, workers=6, nodes=3, cpu=8000, tenants=None, bounds=None
+        self,
+        workers=6,
+        nodes=3,
+        cpu=8000,
+        tenants=None,
+        bounds=None,
+        link_mbps=0,
     ):
         self.began = time.time()
         self.dir = pathlib.Path(tempfile.mkdtemp(prefix='figtray-review-'))
@@ -69,6 +76,7 @@
         self.lines = []
         self.lock = threading.Lock()
         self.cpu = cpu
+        self.link_mbps = link_mbps
         self.bounds = BOUNDS | (bounds or {})
         self.processes = []
         self.workers, self.nodes = {}, {}
@@ -174,6 +182,14 @@
     def add_node(self, number):
         ports = free_ports(4)
         name = f'edge-{number}'
+        store = self.store
+        if self.link_mbps:
+            link = self._spawn(
+                [sys.executable, str(HERE / 'link.py'), store,
+                 '--mbps', str(self.link_mbps)],
+                stdout=subprocess.PIPE, text=True,
+            )
+            store = link.stdout.readline().strip()
         settings = {
             'node_name': name, 'role': 'node', 'machine_class': 'edge',
             'serves': ['edge'], 'ip': '127.0.0.1',
@@ -187,12 +203,12 @@
             'seeds': [], 'bootstrap': True, 'advice': '',
             'limits': {
                 'cpu_share': 1.0, 'cores': 2, 'memory_mb': 300,
-                'max_fds': 4100, 'link_mbps': 1000.0, 'disk_mb': 0,
+                'max_fds': 4100, 'link_mbps': self.link_mbps or 1000.0, 'disk_mb': 0,
             },
             'heartbeat_ms': 1500, 'commands': 'request',
             'bounds': self.bounds,
             'platform': {
-                'address': self.store, 'form': 'kv', 'writes_per_s': 400,
+                'address': store, 'form': 'kv', 'writes_per_s': 400,
                 'reads_per_s': 2000, 'history_s': 20,
                 'value_bytes': 1048576, 'ttl_min_ms': 1000,
             },
