--- a/review/standins-3/deployment.py
+++ b/review/standins-3/deployment.py
@@ -60,6 +60,9 @@
         link_mbps: bandwidth of each node's link to the store; 0 = no limit.
     """
 
+    # Address of the adviser; empty = there is none.
+    advice = ''
+
     def __init__(
         self,
         workers=6,
@@ -200,7 +203,7 @@
                 'ready': f'127.0.0.1:{ports[1]}',
             },
             'internal_ports': [ports[2], ports[3]],
-            'seeds': [], 'bootstrap': True, 'advice': '',
+            'seeds': [], 'bootstrap': True, 'advice': self.advice,
             'limits': {
                 'cpu_share': 1.0, 'cores': 2, 'memory_mb': 300,
                 'max_fds': 4100, 'link_mbps': self.link_mbps or 1000.0, 'disk_mb': 0,
