--- a/review/standins-3/deployment.py
+++ b/review/standins-3/deployment.py
@@ -6,6 +6,7 @@
 import os
 import pathlib
 import random
+import shutil
 import signal
 import socket
 import subprocess
@@ -155,6 +156,7 @@
             '--machine', f'm-{number}', '--rack', f'r{number // 4}',
             '--log', str(self.log), '--cpu', str(self.cpu),
             '--hold-max-ms', str(self.bounds['hold_max_ms']),
+            '--late-file', str(self.dir / f'{worker_id}.late'),
         ]
         self.workers[worker_id] = {'number': number, 'args': args}
         self.start_worker(worker_id)
@@ -183,7 +185,8 @@
         self.site.stdout.readline()
 
     def add_node(self, number):
-        ports = free_ports(4)
+        # The third of the internal ports serves the metrics.
+        ports = free_ports(6)
         name = f'edge-{number}'
         store = self.store
         if self.link_mbps:
@@ -202,7 +205,7 @@
                 'front': f'127.0.0.1:{ports[0]}',
                 'ready': f'127.0.0.1:{ports[1]}',
             },
-            'internal_ports': [ports[2], ports[3]],
+            'internal_ports': [ports[2], ports[5]],
             'seeds': [], 'bootstrap': True, 'advice': self.advice,
             'limits': {
                 'cpu_share': 1.0, 'cores': 2, 'memory_mb': 300,
@@ -395,7 +398,6 @@
     if deployment is not None:
         deployment.write_record(pathlib.Path(folder) / 'record.txt', verdict)
         if os.environ.get('KEEP') != '1':
-            import shutil
             shutil.rmtree(deployment.dir, ignore_errors=True)
         else:
             print(deployment.dir)
--- a/review/standins-3/worker.py
+++ b/review/standins-3/worker.py
@@ -10,11 +10,14 @@
 import http.client
 import http.server
 import json
+import pathlib
 import socketserver
 import threading
 import time
 
 MAX_ENDS = 500
+# Time for which the connection of an order without an answer stays open.
+UNANSWERED_S = 5
 
 
 class Worker:
@@ -32,6 +35,9 @@
         self.next_end = 1
         self.lease_until = 0
         self.log_file = open(args.log, 'a', buffering=1)
+        # While this file exists and is empty, the next start gets no answer.
+        # It is kept there, and the next life under the id carries it out.
+        self.late_file = pathlib.Path(args.late_file)
         self.write('up', born=self.born)
 
     def write(self, event, **fields):
@@ -131,6 +137,29 @@
             'ended': self.ended[:MAX_ENDS],
         }
 
+    def keep_for_later(self, path, body):
+        """Return whether an order gets no answer and is carried out late."""
+        with self.cond:
+            is_awaited = (
+                path == '/api/run-start'
+                and self.late_file.exists()
+                and not self.late_file.stat().st_size
+            )
+            if is_awaited:
+                self.late_file.write_text(json.dumps(body))
+                self.write('kept', task=body['task'], run=body['run'])
+            return is_awaited
+
+    def carry_out_late(self):
+        """Carry out the order that the former life has kept."""
+        if not self.late_file.exists() or not self.late_file.stat().st_size:
+            return
+        body = json.loads(self.late_file.read_text())
+        self.late_file.unlink()
+        status, reply = self.handle('/api/run-start', body)
+        self.write('late start', task=body['task'], run=body['run'],
+                   status=status, reason=reply.get('reason'))
+
     def handle(self, path, body):
         with self.cond:
             self.tick()
@@ -159,6 +188,10 @@
             length = int(self.headers.get('Content-Length', '0'))
             body = json.loads(self.rfile.read(length) or b'{}')
             expected = self.headers.get('X-Figtray-Expect-Instance')
+            if worker.keep_for_later(self.path, body):
+                time.sleep(UNANSWERED_S)
+                self.close_connection = True
+                return
             if expected not in (None, worker.args.id):
                 status, reply = 421, {}
             else:
@@ -181,6 +214,9 @@
     daemon_threads = True
     request_queue_size = 128
 
+    def handle_error(self, request, client_address):
+        """Ignore a connection that its client has reset."""
+
 
 def register(worker):
     """Write the entry in the store, and renew it each heartbeat."""
@@ -237,11 +273,16 @@
     parser.add_argument('--mem', type=int, default=32000)
     parser.add_argument('--hold-max-ms', type=int, default=6000)
     parser.add_argument('--heartbeat-ms', type=int, default=1500)
+    parser.add_argument('--late-file', default='/nonexistent/late')
+    parser.add_argument('--late-after-ms', type=int, default=50)
     args = parser.parse_args()
     worker = Worker(args)
     server = Server(('127.0.0.1', args.port), make_handler(worker))
     threading.Thread(target=worker.run_clock, daemon=True).start()
     threading.Thread(target=register, args=(worker,), daemon=True).start()
+    threading.Timer(
+        args.late_after_ms / 1000, worker.carry_out_late
+    ).start()
     server.serve_forever()
 
 
