--- a/review/standins-3/deployment.py
+++ b/review/standins-3/deployment.py
@@ -36,17 +36,25 @@
     """The case could not be run."""
 
 
+# Ports that were given out; their processes may not listen yet.
+_given_ports = set()
+
+
 def free_ports(count):
     """Return adjacent free ports below the ephemeral range."""
     while True:
         first = random.randrange(10_000, 32_000 - count)
+        wanted = range(first, first + count)
+        if _given_ports.intersection(wanted):
+            continue
         try:
-            for port in range(first, first + count):
+            for port in wanted:
                 with socket.socket() as probe:
                     probe.bind(('127.0.0.1', port))
         except OSError:
             continue
-        return list(range(first, first + count))
+        _given_ports.update(wanted)
+        return list(wanted)
 
 
 class Deployment:
