tasks: what is not started is counted, not kept

Cause: the leader made a TaskState for each task of each step at the acceptance, also of steps that are not open, and an Occurrence for each due time of a timed job. The jobs outlast the leader in the store, so the next one did the same.

Fix: TaskTable makes a TaskState when a task is first touched and drops it when the task is done and has no run; WaitingTasks holds the untouched ones as a bit mask. Steps are opened by what they await, at most 64 with waiting tasks a job, and occurrences up to 1,000 steps; those that are over are ranges, in the progress record too. A run of an occurrence that is not open opens it, instead of being stopped as unknown. Steps that are alike share an expected run time.

--- a/figtray/jobs/records.py
+++ b/figtray/jobs/records.py
@@ -13,6 +13,7 @@
 from figtray import decoding
 from figtray.jobs import limits
 from figtray.jobs import model
+from figtray.jobs import occurrences
 
 INTAKE_PREFIX = 'intake/'
 JOB_PREFIX = f'{INTAKE_PREFIX}job/'
@@ -169,6 +170,8 @@
         crashes: by `OCCURRENCE.STEP.INDEX`, the Crashes that a task may have
             caused; those of a suspect are stored before its next run starts.
         ended_ms: Unix time in milliseconds of the end; 0 = not ended.
+        ended: ranges of the occurrences that are over, which `done` does not
+            name; see occurrences.EndedOccurrences.
         owner: the Caller that has submitted the job; None in records of
             earlier releases.
     """
@@ -180,6 +183,7 @@
     placements: dict[str, Placement] = {}
     crashes: dict[str, Crashes] = {}
     ended_ms: int = 0
+    ended: tuple[tuple[int, int], ...] = ()
     owner: Caller | None = None
 
 
@@ -276,3 +280,5 @@
             yield f'crashes: odd time of {key}'
     if not 0 <= progress.ended_ms <= limits.MAX_TIME_MS:
         yield 'ended_ms: out of range'
+    if occurrences.are_odd(progress.ended, limits.MAX_TASKS):
+        yield 'ended: odd ranges'
--- a/figtray/scheduling/adoption.py
+++ b/figtray/scheduling/adoption.py
@@ -7,6 +7,7 @@
 from figtray.scheduling import job_lifecycle
 from figtray.scheduling import leases
 from figtray.scheduling import state
+from figtray.scheduling import tasks as tasks_lib
 
 
 class Adoption(job_lifecycle.JobLifecycle):
@@ -54,7 +55,7 @@
             for team, total in needs.items():
                 self._quota.remove(team, total)
             for step, tasks in held.items():
-                step.waiting.extend(tasks)
+                step.waiting.put_back(tasks)
                 step.held_reason = (
                     step.held_reason or state.HeldReason.TAKEOVER
                 )
@@ -73,26 +74,26 @@
             now_ms: local time.
 
         Returns:
-            The tasks.
+            The tasks.WaitingTasks.
         """
+        taken = tasks_lib.WaitingTasks(step.tasks)
         if step.job.created >= self._term.epoch:
-            return []
+            return taken
         if not (step.spec.lasting and self._are_placements_known):
-            if not self._is_adopting(now_ms, unsure=False):
-                return []
-            taken, left = list(step.waiting), ()
+            if self._is_adopting(now_ms, unsure=False):
+                taken = step.waiting.take_all()
         else:
             worker_ids = self._worker_ids_awaited(now_ms, False)
             unsure_ids = self._worker_ids_awaited(now_ms, True)
-            taken, left = [], []
-            for task in step.waiting:
+
+            def is_held(task):
                 placement = task.placement
-                is_held = placement is not None and placement.worker_id in (
+                return placement is not None and placement.worker_id in (
                     unsure_ids if placement.unsure else worker_ids
                 )
-                (taken if is_held else left).append(task)
+
+            taken.extend(step.waiting.take(is_held))
         if taken:
-            step.waiting = collections.deque(left)
             step.held_reason = state.HeldReason.TAKEOVER
         return taken
 
--- a/figtray/scheduling/arrivals.py
+++ b/figtray/scheduling/arrivals.py
@@ -104,7 +104,7 @@
             team: name of its team.
         """
         self._run_times.pass_time(now_ms)
-        times = self._run_times.of_steps(queue.name, team, steps)
+        times = list(self._run_times.of_steps(queue.name, team, steps))
         counted = [
             (step, path)
             for step, path in zip(steps, run_times.remaining(steps, times))
--- a/figtray/scheduling/draining.py
+++ b/figtray/scheduling/draining.py
@@ -2,7 +2,6 @@
 
 import collections
 
-from figtray.scheduling import held
 from figtray.scheduling import interruptions
 from figtray.scheduling import placement
 from figtray.scheduling import pool_load
@@ -233,7 +232,7 @@
             return any(
                 step.spec.lasting
                 and step.held_reason in _ROOM_REASONS
-                and held.waited_ms(step, now_ms) >= waited_ms
+                and step.waited_ms(now_ms) >= waited_ms
                 and placement.has_room_uncordoned(step, worker_state, now_ms)
                 for step in self._open_steps.values()
                 if step.waiting
@@ -254,23 +253,20 @@
 def _add_load(entry, job):
     """Add what a job occupies and needs to the sums of its pool."""
     for occurrence in job.occurrences.values():
-        for step in occurrence.steps:
-            if not step.remaining:
-                continue
-            spec = step.spec
-            milli = spec.needs.cpu_milli
-            if not step.open:
-                entry['later_milli'] += milli * step.remaining
-                continue
-            running = step.remaining - len(step.waiting)
-            kind = 'lasting_milli' if spec.lasting else 'short_milli'
-            entry[kind] += milli * running
-            entry['waiting_milli'] += milli * len(step.waiting)
-            entry['waiting'] += len(step.waiting)
-            entry['memory_mb'] += spec.needs.memory_mb * step.remaining
-            if spec.lasting and spec.max_per_worker:
-                workers = -(-spec.count // spec.max_per_worker)
-                entry['spread'] = max(entry['spread'], workers)
+        entry['later_milli'] += occurrence.later_milli
+    for step in job.open_steps:
+        spec = step.spec
+        milli = spec.needs.cpu_milli
+        waiting = len(step.waiting)
+        running = step.remaining - waiting
+        kind = 'lasting_milli' if spec.lasting else 'short_milli'
+        entry[kind] += milli * running
+        entry['waiting_milli'] += milli * waiting
+        entry['waiting'] += waiting
+        entry['memory_mb'] += spec.needs.memory_mb * step.remaining
+        if spec.lasting and spec.max_per_worker:
+            workers = -(-spec.count // spec.max_per_worker)
+            entry['spread'] = max(entry['spread'], workers)
 
 
 def _have_room(worker_states, steps, now_ms):
--- a/figtray/scheduling/held.py
+++ b/figtray/scheduling/held.py
@@ -49,7 +49,7 @@
         due = []
         held = set()
         for step in steps:
-            step_waited_ms = waited_ms(step, now_ms)
+            step_waited_ms = step.waited_ms(now_ms)
             if step_waited_ms < MIN_WAITED_MS:
                 continue
             held.add(step)
@@ -82,12 +82,6 @@
             self._entries[step] = _Entry(reason, now_ms, step_waited_ms)
 
 
-def waited_ms(step, now_ms):
-    """Return the longest wait of a step's waiting tasks in milliseconds."""
-    # A task is appended when it gets ready, so the first has waited longest.
-    return now_ms - step.waiting[0].ready_ms
-
-
 def reason_label(step):
     """Return the label of the reason for which a step's tasks wait."""
     return step.held_reason.label if step.held_reason else UNTRIED
--- a/figtray/scheduling/interruptions.py
+++ b/figtray/scheduling/interruptions.py
@@ -12,11 +12,12 @@
         step = run.task.step
         if not step.spec.may_be_away:
             return True
-        unavailable = sum(
+        available = sum(
             1
-            for task in step.tasks
-            if task.run is not run and not _is_available(task.run)
+            for task in step.tasks.known()
+            if task.run is not run and _is_available(task.run)
         )
+        unavailable = len(step.tasks) - 1 - available
         return unavailable < step.spec.may_be_away
 
 
--- a/figtray/scheduling/job_lifecycle.py
+++ b/figtray/scheduling/job_lifecycle.py
@@ -15,6 +15,12 @@
 FAILING_BACKOFF_MS = 4000
 # Most occurrences of a job that one plan opens; the lock is held meanwhile.
 MAX_OPENED_OCCURRENCES = 100
+# Most steps in the open occurrences of a job; one occurrence may have more.
+MAX_OPEN_STEPS = 1000
+# Most open steps of a job with waiting tasks, as each plan looks at them.
+MAX_WAITING_STEPS = 64
+# Longest time between two looks for room for further occurrences.
+FULL_RETRY_MS = 1000
 
 
 class JobLifecycle(lessons.Lessons):
@@ -39,9 +45,7 @@
             job.arrived_ms = now_ms - age_ms
             self._jobs[job_id] = job
             if stored is not None:
-                job.stored = stored
-                job.state = stored.state
-                job.ended_ms = stored.ended_ms
+                job.restore(stored)
             if job.state.ended:
                 return
             self._expect_times(job)
@@ -169,8 +173,8 @@
     def _open_due_occurrences(self, job, now_ms):
         """Open occurrences of a timed job that are due.
 
-        All are opened of a job of an earlier term, as workers may report
-        runs of each; else at most MAX_OPENED_OCCURRENCES.
+        At most MAX_OPENED_OCCURRENCES are opened, or of a job of an earlier
+        term as many as may be open at a time.
 
         Returns:
             Local time in milliseconds at which the next occurrence is due,
@@ -178,7 +182,7 @@
         """
         limit = MAX_OPENED_OCCURRENCES
         if job.created < self._term.epoch:
-            limit = job.spec.repeats
+            limit = MAX_OPEN_STEPS
         opened, next_ms = self._open_due(job, now_ms, limit)
         if next_ms is None:
             self._timed_jobs.discard(job.job_id)
@@ -195,30 +199,44 @@
         """
         opened = 0
         wall_ms = self._clock.wall_ms()
-        for number in range(job.spec.repeats):
-            if number in job.occurrences:
-                continue
+        most = max(1, MAX_OPEN_STEPS // len(job.spec.steps))
+        while (number := job.find_next()) is not None:
             start_ms = job.spec.start_ms + number * job.spec.interval_ms
             if start_ms > wall_ms:
                 return opened, now_ms + start_ms - wall_ms
+            if len(job.occurrences) >= most:
+                return opened, now_ms + FULL_RETRY_MS
             if opened == limit:
                 return opened, now_ms
             self._open_occurrence(job, number, now_ms)
             opened += 1
         return opened, None
 
+    def _open_reported(self, job, number):
+        if (
+            job.ended
+            or number >= max(1, job.spec.repeats)
+            or job.has_ended(number)
+            # This term has started none that it has not opened.
+            or job.created >= self._term.epoch
+        ):
+            return None
+        return self._open_occurrence(job, number, self._clock.now_ms())
+
     def _open_occurrence(self, job, number, now_ms):
         occurrence = state.Occurrence(job, number)
         job.occurrences[number] = occurrence
         if job.stored is not None:
-            _restore(occurrence, job.stored)
+            _restore(occurrence, job)
             self._note_unsure_placements(occurrence)
-        self._open_ready_steps(occurrence, now_ms)
+        job.ready_steps.extend(occurrence.find_ready())
+        self._open_ready_steps(job, now_ms)
+        return occurrence
 
     def _note_unsure_placements(self, occurrence):
         """Record which restored placements an earlier leader was unsure of."""
         for step in occurrence.steps:
-            for task in step.tasks:
+            for task in step.tasks.known():
                 if task.placement is not None and task.placement.unsure:
                     self._restarts.note_unsure(
                         task.placement, self._term.began_ms
@@ -232,22 +250,41 @@
         self._complete_if_done(job)
         self._fail_exhausted(job)
 
-    def _open_ready_steps(self, occurrence, now_ms):
-        for step in occurrence.steps:
-            if step.open or step.remaining == 0:
-                continue
-            if any(occurrence.steps[n].remaining for n in step.spec.after):
-                continue
-            step.open = True
-            self._open_steps[step.name] = step
-            for task in step.tasks:
-                if not task.done and task.run is None:
-                    task.ready_ms = now_ms
-                    task.trial_wait_offset_ms = crashes.earlier_wait_ms(task)
-                    step.waiting.append(task)
+    def _open_ready_steps(self, job, now_ms):
+        """Open ready steps of a job, as long as few of them wait.
+
+        Each plan looks at all open steps with waiting tasks.
+        """
+        waiting = 0
+        if len(job.ready_steps) > MAX_WAITING_STEPS:
+            waiting = sum(1 for step in job.open_steps if step.waiting)
+        while job.ready_steps and waiting < MAX_WAITING_STEPS:
+            step = job.ready_steps.popleft()
+            if step.remaining:
+                self._open_step(step, now_ms)
+                waiting += bool(step.waiting)
+        if job.ready_steps:
+            self._wide_jobs.add(job.job_id)
+        else:
+            self._wide_jobs.discard(job.job_id)
+
+    def _open_step(self, step, now_ms):
+        step.open = True
+        step.ready_ms = now_ms
+        step.occurrence.later_milli -= (
+            step.spec.needs.cpu_milli * step.remaining
+        )
+        self._open_steps[step.name] = step
+        step.job.open_steps[step] = None
+        step.waiting.add_untouched()
+        ready = [t for t in step.tasks.known() if t.run is None]
+        for task in ready:
+            task.ready_ms = now_ms
+            task.trial_wait_offset_ms = crashes.earlier_wait_ms(task)
+        step.waiting.put_first(sorted(ready, key=lambda task: task.index))
 
     def _complete_if_done(self, job):
-        if job.ended or len(job.occurrences) < max(1, job.spec.repeats):
+        if job.ended or not job.has_all_occurrences():
             return
         if all(item.done() for item in job.occurrences.values()):
             log.emit(
@@ -262,6 +299,9 @@
         job.state = final_state
         job.ended_ms = self._clock.wall_ms()
         self._timed_jobs.discard(job.job_id)
+        self._wide_jobs.discard(job.job_id)
+        job.ready_steps.clear()
+        job.open_steps.clear()
         for run in list(job.runs()):
             self.stop(run, f'its job is {final_state.value}')
         for occurrence in job.occurrences.values():
@@ -277,19 +317,23 @@
         members = step.tasks if step.spec.gang else [task]
         for member in members:
             if not member.done:
-                member.done = True
+                step.tasks.set_done(member)
                 member.checkpoint = ''
                 step.remaining -= 1
                 if member in step.waiting:
                     step.waiting.remove(member)
         if step.remaining == 0:
             self._open_steps.pop(step.name, None)
-            self._open_ready_steps(step.occurrence, self._clock.now_ms())
+            step.job.open_steps.pop(step, None)
+            step.job.ready_steps.extend(step.occurrence.note_done(step))
+            self._open_ready_steps(step.job, self._clock.now_ms())
             self._complete_if_done(step.job)
         # A done task needs no further run.
         for member in members:
             if member.run is not None and not step.spec.gang:
                 self.stop(member.run, 'its task is done')
+            step.tasks.drop_if_over(member)
+        self._end_occurrence_if_over(step)
 
     def _record_failure(self, worker_state, task, number):
         job = task.step.job
@@ -334,7 +378,7 @@
     def _fail_exhausted(self, job):
         for occurrence in list(job.occurrences.values()):
             for step in occurrence.steps:
-                for task in step.tasks:
+                for task in step.tasks.known():
                     self._fail_if_exhausted(task)
                     self._give_up_if_guilty(task)
 
@@ -368,16 +412,28 @@
         self._end_job(job, records.State.FAILED)
 
 
-def _restore(occurrence, stored):
+def _restore(occurrence, job):
+    """Apply the stored progress of a JobState to an occurrence."""
+    stored = job.stored
     for step in occurrence.steps:
         mask = stored.done.get(f'{occurrence.number}.{step.number}', 0)
-        for task in step.tasks:
-            if mask >> task.index & 1:
-                task.done = True
-                step.remaining -= 1
-                continue
-            key = f'{occurrence.number}.{step.number}.{task.index}'
+        step.remaining -= step.tasks.restore_done(mask)
+    for key in job.stored_keys(occurrence.number):
+        task = _find_stored(occurrence, key)
+        if task is not None and not task.done:
             task.failed_runs = list(stored.failures.get(key, ()))
             task.checkpoint = stored.checkpoints.get(key, '')
             task.placement = stored.placements.get(key)
             task.crashes = stored.crashes.get(key, records.NO_CRASHES)
+
+
+def _find_stored(occurrence, key):
+    """Return the TaskState of a key of the stored progress, or None."""
+    number, step_number, index = map(int, key.split('.'))
+    # Other spellings of a number name no task.
+    if key != f'{number}.{step_number}.{index}':
+        return None
+    if step_number >= len(occurrence.steps):
+        return None
+    tasks = occurrence.steps[step_number].tasks
+    return tasks[index] if index < len(tasks) else None
--- a/figtray/scheduling/lessons.py
+++ b/figtray/scheduling/lessons.py
@@ -16,7 +16,9 @@
         """Set what an added job is expected to take, and when it is due."""
         spec = job.spec
         self._run_times.pass_time(self._clock.now_ms())
-        job.times = self._run_times.of_steps(spec.queue, spec.team, spec.steps)
+        job.times = list(
+            self._run_times.of_steps(spec.queue, spec.team, spec.steps)
+        )
         job.remaining = run_times.remaining(spec.steps, job.times)
         self._set_due(job)
 
@@ -131,5 +133,5 @@
         other.run is not None
         and other.run.worker_state.worker.rack
         != task.run.worker_state.worker.rack
-        for other in step.tasks
+        for other in step.tasks.known()
     )
--- a/figtray/scheduling/planner.py
+++ b/figtray/scheduling/planner.py
@@ -40,6 +40,8 @@
                     )
                     if start_ms is not None:
                         next_ms = min(next_ms, start_ms)
+            for job_id in list(self._wide_jobs):
+                self._open_ready_steps(self._jobs[job_id], now_ms)
             pools = self._candidates_by_pool()
             self._stop_waits_without_room(pools, now_ms)
             self._release_trials(pools)
@@ -91,7 +93,7 @@
 
     def _restore_waiting(self, step, now_ms):
         """Let the tasks wait that a failed start took out of the queue."""
-        for task in step.tasks:
+        for task in step.tasks.known():
             if not task.done and task.run is None and task not in step.waiting:
                 step.waiting.append(task)
         if self._is_adopting(now_ms):
@@ -144,7 +146,7 @@
                 created=job.created,
                 remaining=job.remaining[step.number],
                 # The planner puts the suspects of a step first.
-                suspect=crashes.is_suspect(step.waiting[0]),
+                suspect=any(step.waiting.suspects(crashes.is_suspect)),
             ),
             now_ms,
         )
@@ -167,16 +169,14 @@
             if reason is None:
                 _note_started(step.tasks)
             return reason
-        suspects = [t for t in step.waiting if crashes.is_suspect(t)]
-        for task in suspects:
-            step.waiting.remove(task)
+        suspects = step.waiting.take(crashes.is_suspect)
         reason = self._start_each(step, worker_states, team, now_ms)
         left = [
             task
             for task in suspects
             if not self._start_suspect(task, worker_states, team, now_ms)
         ]
-        step.waiting.extendleft(reversed(left))
+        step.waiting.put_first(left)
         return state.HeldReason.TRIAL if left else reason
 
     def _start_each(self, step, worker_states, team, now_ms):
@@ -307,7 +307,7 @@
         and step.refusals.is_step_refused
         and any(
             task.run is not None and task.run.phase == state.Phase.STARTING
-            for task in step.tasks
+            for task in step.tasks.known()
         )
     )
 
--- a/figtray/scheduling/scheduler_base.py
+++ b/figtray/scheduling/scheduler_base.py
@@ -90,6 +90,8 @@
         self._ended_incarnations = {}
         # Ids of the jobs that open occurrences at set times.
         self._timed_jobs = set()
+        # Ids of the jobs with ready steps that are not open yet.
+        self._wide_jobs = set()
         self._quota = quota.Quota()
         self._late_share = order.LateShare()
         self._arrival_meter = arrivals.ArrivalMeter()
@@ -154,12 +156,24 @@
         except ValueError:
             return None
         job = self._jobs.get(task_id.job_id)
-        occurrence = job and job.occurrences.get(task_id.occurrence)
-        if not occurrence or task_id.step >= len(occurrence.steps):
+        if job is None:
+            return None
+        occurrence = job.occurrences.get(
+            task_id.occurrence
+        ) or self._open_reported(job, task_id.occurrence)
+        if occurrence is None or task_id.step >= len(occurrence.steps):
             return None
         tasks = occurrence.steps[task_id.step].tasks
         return tasks[task_id.index] if task_id.index < len(tasks) else None
 
+    def _open_reported(self, job, number):
+        """Open an occurrence of which a worker reports a task.
+
+        Returns:
+            The Occurrence, or None if it is over or can't have begun.
+        """
+        return None
+
     def _find_worker(self, worker_id):
         """Return the WorkerState with a worker id, or None.
 
@@ -200,6 +214,7 @@
         """Record that a run may exist on its worker."""
         task, spec = run.task, run.task.step.spec
         task.run = run
+        task.step.tasks.keep(task)
         task.last_run = max(task.last_run, run.number)
         run.worker_state.runs[task.name] = run
         run.worker_state.used += state.occupied(spec)
@@ -219,6 +234,19 @@
             task.placement = None
             if not task.step.job.ended:
                 self._store_progress(task.step.job)
+        task.step.tasks.drop_if_over(task)
+        self._end_occurrence_if_over(task.step)
+
+    def _end_occurrence_if_over(self, step):
+        """Forget the occurrence of a step of a timed job if it is over."""
+        job, occurrence = step.job, step.occurrence
+        if (
+            job.spec.repeats
+            and occurrence.done()
+            and occurrence.number in job.occurrences
+            and not any(s.tasks.known() for s in occurrence.steps)
+        ):
+            job.end_occurrence(occurrence.number)
 
     def stop(self, run, reason):
         """Stop a run.
@@ -257,7 +285,7 @@
         They would only wait for it and occupy their workers.
         """
         if run.task.step.spec.gang:
-            for task in run.task.step.tasks:
+            for task in run.task.step.tasks.known():
                 if task.run is not None:
                     self.stop(task.run, 'a member of its gang did not start')
 
--- a/figtray/scheduling/starts.py
+++ b/figtray/scheduling/starts.py
@@ -36,7 +36,7 @@
             team, step.spec.needs.times(step.spec.count)
         ):
             return state.HeldReason.TEAM_LIMIT
-        if any(crashes.is_paused(task, now_ms) for task in step.tasks):
+        if any(crashes.is_paused(task, now_ms) for task in step.tasks.known()):
             return state.HeldReason.TRIAL
         advice = self._advice(step)
         if advice is None:
@@ -88,7 +88,7 @@
         There are none if even all of them have no room for the gang. The
         racks follow one another, as in _place_gang().
         """
-        suspect = trials.most_suspected(step.tasks, now_ms)
+        suspect = trials.most_suspected(step.tasks.known(), now_ms)
         # Workers are kept free for trials before they have room.
         can_start = placement.fits if suspect is None else placement.suits
         usable = [w for w in worker_states if can_start(step, w, now_ms)]
@@ -100,7 +100,7 @@
 
     def _place_gang(self, step, worker_states, now_ms):
         """Start a gang on some workers; see _start_gang()."""
-        suspect = trials.most_suspected(step.tasks, now_ms)
+        suspect = trials.most_suspected(step.tasks.known(), now_ms)
         trial_worker = None
         if suspect is not None:
             trial_worker = self._trial_worker(suspect, worker_states, now_ms)
@@ -158,8 +158,8 @@
         assigned, counts = [], collections.Counter()
         if trial_worker is not None:
             counts[trial_worker.worker.incarnation] = 1
-        for task in step.tasks:
-            if task is suspect:
+        for index in range(len(step.tasks)):
+            if suspect is not None and index == suspect.index:
                 assigned.append(trial_worker)
                 continue
             chosen = next(
--- a/figtray/scheduling/state.py
+++ b/figtray/scheduling/state.py
@@ -3,9 +3,12 @@
 import collections
 import enum
 import functools
+import itertools
 
 from figtray.jobs import model
+from figtray.jobs import occurrences
 from figtray.jobs import records
+from figtray.scheduling import tasks
 
 
 class HeldReason(enum.Enum):
@@ -118,67 +121,12 @@
         self.handed_over = False
 
 
-class TaskState:
-    """One task of one occurrence of a job.
-
-    Attributes:
-        step: its StepState.
-        index: its number in the step.
-        name: its TaskId as a string.
-        done: whether it is done; a lasting task never is.
-        failed_runs: numbers of the runs that have failed.
-        checkpoint: where its next run resumes; empty = at the start.
-        last_run: highest number of a run so far.
-        placement: of a lasting task, a suspect, or one whose worker refuses
-            or has closed connections, the records.Placement of the run that
-            may go on; None if there is none.
-        crashes: the records.Crashes since it was cleared.
-        run: its Run; None if it has none.
-        ready_ms: local time since which it is ready to start.
-        trial_wait_offset_ms: what to add to the time since then for its wait
-            for a trial: the wait under earlier leaders, less the time without
-            room for it.
-    """
-
-    __slots__ = (
-        'step',
-        'index',
-        'name',
-        'done',
-        'failed_runs',
-        'checkpoint',
-        'last_run',
-        'placement',
-        'crashes',
-        'run',
-        'ready_ms',
-        'trial_wait_offset_ms',
-    )
-
-    def __init__(self, step, index):
-        self.step = step
-        self.index = index
-        self.name = str(
-            model.TaskId(
-                step.job.job_id, step.occurrence.number, step.number, index
-            )
-        )
-        self.done = False
-        self.failed_runs = []
-        self.checkpoint = ''
-        self.last_run = 0
-        self.placement = None
-        self.crashes = records.NO_CRASHES
-        self.run = None
-        self.ready_ms = 0
-        self.trial_wait_offset_ms = 0
-
-
 class StepState:
     """One step of one occurrence of a job.
 
     Attributes:
-        waiting: tasks that are ready and have no run, in order.
+        tasks: the tasks.TaskTable.
+        waiting: the tasks.WaitingTasks: ready and without a run, in order.
         remaining: number of tasks that are not done.
         held_reason: the HeldReason of its waiting tasks, when their start
             was last tried.
@@ -186,20 +134,40 @@
         longest_ran_ms: longest of these run times.
         far_runs: number of these runs away from the rack of their data; a
             gang counts once.
-        open: whether the steps before it are done.
+        open: whether the steps before it are done and its tasks may start.
+        ready_ms: local time since which it is open.
         advice: the StepAdvice, or None.
         refusals: the refusals.Refusals; None if no start was refused.
     """
 
+    __slots__ = (
+        'job',
+        'occurrence',
+        'number',
+        'spec',
+        'tasks',
+        'waiting',
+        'remaining',
+        'open',
+        'ready_ms',
+        'held_reason',
+        'advice',
+        'refusals',
+        'sound_runs',
+        'longest_ran_ms',
+        'far_runs',
+    )
+
     def __init__(self, job, occurrence, number, spec):
         self.job = job
         self.occurrence = occurrence
         self.number = number
         self.spec = spec
-        self.tasks = [TaskState(self, index) for index in range(spec.count)]
-        self.waiting = collections.deque()
+        self.tasks = tasks.TaskTable(self)
+        self.waiting = tasks.WaitingTasks(self.tasks)
         self.remaining = spec.count
         self.open = False
+        self.ready_ms = 0
         self.held_reason = None
         self.advice = None
         self.refusals = None
@@ -212,9 +180,31 @@
         """Name of the step in requests to the adviser."""
         return f'{self.job.job_id}.{self.occurrence.number}.{self.number}'
 
+    def waited_ms(self, now_ms):
+        """Return the longest wait of its waiting tasks in milliseconds."""
+        # A task is appended when it gets ready, so the first has waited
+        # longest.
+        return now_ms - self.waiting.first_ready_ms(self.ready_ms)
+
 
 class Occurrence:
-    """One occurrence of a job, with its steps."""
+    """One occurrence of a job, with its steps.
+
+    Attributes:
+        number: its number.
+        steps: its StepStates.
+        later_milli: processor time that the tasks of the steps need that are
+            not open yet, in thousandths of a core.
+    """
+
+    __slots__ = (
+        'number',
+        'steps',
+        'later_milli',
+        '_first_left',
+        '_unmet',
+        '_dependents',
+    )
 
     def __init__(self, job, number):
         self.number = number
@@ -222,10 +212,51 @@
             StepState(job, self, index, spec)
             for index, spec in enumerate(job.spec.steps)
         ]
+        self.later_milli = 0
+        # All steps before this number are done.
+        self._first_left = 0
+        # Number of steps that each step awaits, and who awaits each step.
+        self._unmet = {}
+        self._dependents = {}
+
+    def find_ready(self):
+        """Return the StepStates that await no other; call it once."""
+        for step in self.steps:
+            self.later_milli += step.spec.needs.cpu_milli * step.remaining
+            awaited = {
+                number
+                for number in step.spec.after
+                if self.steps[number].remaining
+            }
+            if awaited:
+                self._unmet[step.number] = len(awaited)
+            for number in awaited:
+                self._dependents.setdefault(number, []).append(step.number)
+        return [
+            step
+            for step in self.steps
+            if step.remaining and step.number not in self._unmet
+        ]
+
+    def note_done(self, step):
+        """Return the StepStates that awaited only this one, now done."""
+        ready = []
+        for number in self._dependents.pop(step.number, ()):
+            self._unmet[number] -= 1
+            if not self._unmet[number]:
+                del self._unmet[number]
+                if self.steps[number].remaining:
+                    ready.append(self.steps[number])
+        return ready
 
     def done(self):
         """Return whether all tasks of all steps are done."""
-        return all(step.remaining == 0 for step in self.steps)
+        while (
+            self._first_left < len(self.steps)
+            and not self.steps[self._first_left].remaining
+        ):
+            self._first_left += 1
+        return self._first_left == len(self.steps)
 
 
 class JobState:
@@ -241,6 +272,8 @@
         times: the run_times.Expectation of each step, or its measured time.
         remaining: the run_times.Expectation of each step's longest chain to
             the end of the job, as of its arrival.
+        occurrences: its open Occurrences by number.
+        next_number: number of the next occurrence to open; see find_next().
     """
 
     def __init__(self, job_id, spec, created, queue_cfg):
@@ -250,6 +283,7 @@
         self.queue = queue_cfg
         self.state = records.State.QUEUED
         self.occurrences = {}
+        self.next_number = 0
         self.cancelled = False
         self.ended_ms = 0
         self.arrived_ms = 0
@@ -259,6 +293,13 @@
         self.remaining = []
         # Progress of earlier terms, restored when an occurrence is opened.
         self.stored = None
+        # Open StepStates that are not done, as keys.
+        self.open_steps = {}
+        # Those whose tasks may start, but that are not open yet.
+        self.ready_steps = collections.deque()
+        # Keys of the stored tasks by number of the occurrence.
+        self._stored_keys = None
+        self._ended_occurrences = occurrences.EndedOccurrences()
 
     @property
     def started(self):
@@ -279,18 +320,80 @@
         """Yield the runs of all its tasks."""
         for occurrence in self.occurrences.values():
             for step in occurrence.steps:
-                for task in step.tasks:
+                for task in step.tasks.known():
                     if task.run is not None:
                         yield task.run
 
+    def has_all_occurrences(self):
+        """Return whether each occurrence is open or has ended."""
+        known = len(self.occurrences) + self._ended_occurrences.count
+        return known >= max(1, self.spec.repeats)
+
+    def find_next(self):
+        """Return the number of the next occurrence to open; None if none is.
+
+        Those that earlier terms have completed count as ended from now on.
+        """
+        while self.next_number < self.spec.repeats:
+            number = self.next_number
+            if number not in self.occurrences and not self.has_ended(number):
+                if not self._is_stored_as_done(number):
+                    return number
+                self._ended_occurrences.add(number)
+            self.next_number += 1
+        return None
+
+    def has_ended(self, number):
+        """Return whether an occurrence with a number is over."""
+        return number in self._ended_occurrences
+
+    def end_occurrence(self, number):
+        """Keep no more of an occurrence than that all its tasks are done."""
+        del self.occurrences[number]
+        self._ended_occurrences.add(number)
+
+    def restore(self, stored):
+        """Apply the Progress that earlier terms have stored."""
+        self.stored = stored
+        self.state = stored.state
+        self.ended_ms = stored.ended_ms
+        self._ended_occurrences = occurrences.EndedOccurrences(stored.ended)
+
+    def stored_keys(self, number):
+        """Return the keys of an occurrence's tasks in the stored Progress.
+
+        They are those under which more than their ends is stored.
+        """
+        if self._stored_keys is None:
+            self._stored_keys = {}
+            for key in dict.fromkeys(
+                itertools.chain(
+                    self.stored.failures,
+                    self.stored.checkpoints,
+                    self.stored.placements,
+                    self.stored.crashes,
+                )
+            ):
+                occurrence = int(key.split('.')[0])
+                self._stored_keys.setdefault(occurrence, []).append(key)
+        return self._stored_keys.get(number, ())
+
+    def _is_stored_as_done(self, number):
+        return self.stored is not None and all(
+            self.stored.done.get(f'{number}.{index}', 0).bit_count()
+            >= step.count
+            for index, step in enumerate(self.spec.steps)
+        )
+
     def _stored_elsewhere(self, field):
-        """Return a field of the stored Progress, less open occurrences."""
+        """Return a field of the stored Progress, less known occurrences."""
         if self.stored is None:
             return {}
         return {
             key: value
             for key, value in getattr(self.stored, field).items()
-            if int(key.split('.')[0]) not in self.occurrences
+            if (number := int(key.split('.')[0])) not in self.occurrences
+            and number not in self._ended_occurrences
         }
 
     def progress(self):
@@ -311,10 +414,8 @@
         )
         for number, occurrence in self.occurrences.items():
             for step in occurrence.steps:
-                mask = 0
-                for task in step.tasks:
+                for task in step.tasks.known():
                     if task.done:
-                        mask |= 1 << task.index
                         continue
                     key = f'{number}.{step.number}.{task.index}'
                     if task.failed_runs:
@@ -325,7 +426,7 @@
                         placements[key] = task.placement
                     if task.crashes != records.NO_CRASHES:
                         crashes[key] = task.crashes
-                if mask:
+                if mask := step.tasks.done_mask:
                     done[f'{number}.{step.number}'] = mask
         if self.state.ended:
             failures, checkpoints, placements, crashes = {}, {}, {}, {}
@@ -337,6 +438,7 @@
             placements=placements,
             crashes=crashes,
             ended_ms=self.ended_ms,
+            ended=self._ended_occurrences.ranges,
             owner=records.Caller(
                 self.spec.team,
                 self.spec.queue,
--- a/figtray/scheduling/trial_waits.py
+++ b/figtray/scheduling/trial_waits.py
@@ -32,9 +32,7 @@
             tasks = [
                 task
                 # The planner puts the suspects of a step first.
-                for task in itertools.takewhile(
-                    crashes.is_suspect, step.waiting
-                )
+                for task in step.waiting.suspects(crashes.is_suspect)
                 if crashes.is_trial_preferred(task)
             ]
             if not tasks or step.job.queue is None:
@@ -62,9 +60,7 @@
             if step.waiting and step.job.queue is not None
         ]
         suspected = {
-            step.job.queue.pool
-            for step in waiting
-            if crashes.is_suspect(step.waiting[0])
+            step.job.queue.pool for step in waiting if _is_suspect_first(step)
         }
         # In the other pools, nobody has a trial or may begin one.
         free = {
@@ -89,7 +85,7 @@
             is_free: whether most of the pool is free.
             now_ms: local time.
         """
-        suspects = list(itertools.takewhile(crashes.is_suspect, step.waiting))
+        suspects = list(step.waiting.suspects(crashes.is_suspect))
         if step.spec.lasting:
             return any(crashes.is_held_by_trials(t, now_ms) for t in suspects)
         # The oldest of the others follows the suspects.
@@ -114,7 +110,7 @@
         """Return whether tasks wait for a trial or its end."""
         # The planner puts the suspects of a step first.
         return any(
-            step.waiting and crashes.is_suspect(step.waiting[0])
+            step.waiting and _is_suspect_first(step)
             for step in self._open_steps.values()
         ) or (
             any(step.waiting for step in self._open_steps.values())
@@ -133,6 +129,11 @@
         )
 
 
+def _is_suspect_first(step):
+    """Return whether the first of a step's waiting tasks is a suspect."""
+    return any(step.waiting.suspects(crashes.is_suspect))
+
+
 def _is_mostly_free(worker_states):
     """Return whether under half of the capacity of a pool is in use."""
     used = capacity = model.NO_RESOURCES
--- a/figtray/scheduling/trials.py
+++ b/figtray/scheduling/trials.py
@@ -1,13 +1,12 @@
 """Trials of tasks that may crash their workers."""
 
 import dataclasses
-import itertools
 
 from figtray.events import catalogue
 from figtray.events import log
 from figtray.scheduling import crashes
 from figtray.scheduling import placement
-from figtray.scheduling import state
+from figtray.scheduling import tasks
 from figtray.scheduling import trial_waits
 
 # Shares of the workers of a pool that may hold trials at a time: the first
@@ -34,7 +33,7 @@
         task: the TaskState.
     """
 
-    task: state.TaskState
+    task: tasks.TaskState
 
 
 class Trials(trial_waits.TrialWaits):
@@ -104,7 +103,7 @@
             for step in self._open_steps.values()
             if step.job.queue is not None and not step.spec.gang
             # The planner puts the suspects of a step first.
-            for task in itertools.takewhile(crashes.is_suspect, step.waiting)
+            for task in step.waiting.suspects(crashes.is_suspect)
             if crashes.waited_ms(task, now_ms) >= MAX_TURN_WAIT_MS
             and not crashes.is_paused(task, now_ms)
             and crashes.is_trial_needed(task, now_ms)
--- a/figtray/scheduling/waits.py
+++ b/figtray/scheduling/waits.py
@@ -46,7 +46,7 @@
             counts[held.reason_label(step)] += len(step.waiting)
             if step.spec.lasting:
                 longest_lasting_ms = max(
-                    longest_lasting_ms, held.waited_ms(step, now_ms)
+                    longest_lasting_ms, step.waited_ms(now_ms)
                 )
         self._metrics.record_waits(
             len(self._unresolved), counts, longest_lasting_ms
--- a/figtray/scheduling/worker_ends.py
+++ b/figtray/scheduling/worker_ends.py
@@ -244,11 +244,18 @@
             self._give_up_if_guilty(task)
 
     def _unfinished_tasks(self):
-        """Return the tasks of all open steps that are not done."""
+        """Return the tasks of all ready steps that are not done.
+
+        Those that nothing has happened to are left out.
+        """
+        unopened = (
+            self._jobs[job_id].ready_steps for job_id in self._wide_jobs
+        )
+        steps = itertools.chain(self._open_steps.values(), *unopened)
         return [
             task
-            for step in self._open_steps.values()
-            for task in step.tasks
+            for step in steps
+            for task in step.tasks.known()
             if not task.done
         ]
 
--- a/figtray/workload/run_times.py
+++ b/figtray/workload/run_times.py
@@ -82,7 +82,7 @@
         yield from dict.fromkeys((of_queue, of_size, self))
 
 
-@dataclasses.dataclass(frozen=True)
+@dataclasses.dataclass(frozen=True, slots=True)
 class Expectation:
     """Expected time of a task, of a step or of several steps in a row.
 
@@ -292,14 +292,17 @@
         return self.expect(kind, estimate_ms)
 
     def of_steps(self, queue, team, steps):
-        """Return the Expectations of the longest tasks of model.Steps."""
-        return [
-            self.expect(
-                kind_of(queue, team, step.estimate_ms, step.count),
-                step.estimate_ms,
-            )
-            for step in steps
-        ]
+        """Return the Expectations of the longest tasks of model.Steps.
+
+        Steps that are alike share one.
+        """
+        shared = {}
+        for step in steps:
+            kind = kind_of(queue, team, step.estimate_ms, step.count)
+            key = kind, step.estimate_ms
+            if key not in shared:
+                shared[key] = self.expect(*key)
+            yield shared[key]
 
     def ratio(self, queue):
         """Return the typical ratio of a queue's run times to estimates."""
