run room: the leader starts no more runs than it has memory for

What callers saw: twelve legal jobs whose tasks need nothing end the process of the leader.

Fix: room.of_host() derives the number of runs from the memory of the host; the planner holds the rest as leader-room. What already runs is adopted whatever the room.

--- a/figtray/platform/main.py
+++ b/figtray/platform/main.py
@@ -11,6 +11,7 @@
 from figtray.events import log
 from figtray.ingress import limits as ingress_limits
 from figtray.jobs import intake as intakes
+from figtray.jobs import room
 from figtray.leadership import elector
 from figtray.leadership import term as terms
 from figtray import listener
@@ -220,6 +221,7 @@
             host_controller.run,
             settings.bounds,
             self._metrics,
+            room.of_host(settings.limits.memory_mb),
         )
 
     def _build_listeners(self):
--- a/figtray/scheduling/planner.py
+++ b/figtray/scheduling/planner.py
@@ -186,6 +186,8 @@
                 return state.HeldReason.REFUSED
             if not self._quota.allows(team, step.spec.needs):
                 return state.HeldReason.TEAM_LIMIT
+            if not self._run_room.allows(step.job.spec.team):
+                return state.HeldReason.LEADER_ROOM
             worker_state = self._choose(step, worker_states, now_ms)
             if worker_state is None:
                 return self._hold_without_room(step, worker_states, now_ms)
@@ -197,8 +199,10 @@
 
     def _start_suspect(self, task, worker_states, team, now_ms):
         """Start a suspect if it can start; return whether it does."""
-        if crashes.is_paused(task, now_ms) or not self._quota.allows(
-            team, task.step.spec.needs
+        if (
+            crashes.is_paused(task, now_ms)
+            or not self._quota.allows(team, task.step.spec.needs)
+            or not self._run_room.allows(task.step.job.spec.team)
         ):
             self._release_reserved(task, worker_states)
             return False
--- a/figtray/scheduling/scheduler_base.py
+++ b/figtray/scheduling/scheduler_base.py
@@ -18,6 +18,7 @@
 from figtray.scheduling import quota
 from figtray.scheduling import restarts
 from figtray.scheduling import run_log
+from figtray.scheduling import run_room
 from figtray.scheduling import state
 from figtray.scheduling import worker_orders
 from figtray.workload import order
@@ -44,10 +45,18 @@
         bounds: the time limits of the settings; see platform.settings.
         is_config_fresh: returns whether the configuration is certainly recent.
         metrics: the Metrics, or None.
+        room: the room.Room of the host; None for no limit.
     """
 
     def __init__(
-        self, term, clock, writer, bounds, is_config_fresh, metrics=None
+        self,
+        term,
+        clock,
+        writer,
+        bounds,
+        is_config_fresh,
+        metrics=None,
+        room=None,
     ):
         self.lock = threading.RLock()
         self.changed = threading.Event()
@@ -93,6 +102,7 @@
         # Ids of the jobs with ready steps that are not open yet.
         self._wide_jobs = set()
         self._quota = quota.Quota()
+        self._run_room = run_room.RunRoom(room)
         self._late_share = order.LateShare()
         self._arrival_meter = arrivals.ArrivalMeter()
         self._run_times = run_times.RunTimes()
@@ -219,6 +229,7 @@
         run.worker_state.runs[task.name] = run
         run.worker_state.used += state.occupied(spec)
         self._quota.add(task.step.job.spec.team, spec.needs)
+        self._run_room.add(task.step.job.spec.team)
 
     def _detach(self, run):
         """Record that a run is certainly over, or has never started."""
@@ -230,6 +241,7 @@
             run.worker_state.trial = None
         run.worker_state.used -= state.occupied(spec)
         self._quota.remove(task.step.job.spec.team, spec.needs)
+        self._run_room.remove(task.step.job.spec.team)
         if task.placement is not None:
             task.placement = None
             if not task.step.job.ended:
--- a/figtray/scheduling/service.py
+++ b/figtray/scheduling/service.py
@@ -60,6 +60,7 @@
             thread of its own; manages the hosts until the term ends.
         bounds: the time limits of the platform's settings.
         metrics: the Metrics, or None.
+        room: the room.Room of the host; None for no limit.
     """
 
     def __init__(
@@ -73,6 +74,7 @@
         run_host_controller,
         bounds,
         metrics=None,
+        room=None,
     ):
         self.store = store
         self.clock = clock
@@ -83,6 +85,7 @@
         self.run_host_controller = run_host_controller
         self.bounds = bounds
         self.metrics = metrics
+        self.room = room
         self.unreadable = unreadable.UnreadableLog(clock)
 
     def lead(self, term):
@@ -106,6 +109,7 @@
             service.bounds,
             service.view.is_fresh,
             service.metrics,
+            service.room,
         )
         self._intake = intake_view.IntakeView(
             self._store,
--- a/figtray/scheduling/starts.py
+++ b/figtray/scheduling/starts.py
@@ -36,6 +36,8 @@
             team, step.spec.needs.times(step.spec.count)
         ):
             return state.HeldReason.TEAM_LIMIT
+        if not self._run_room.allows(step.job.spec.team, step.spec.count):
+            return state.HeldReason.LEADER_ROOM
         if any(crashes.is_paused(task, now_ms) for task in step.tasks.known()):
             return state.HeldReason.TRIAL
         advice = self._advice(step)
--- a/figtray/scheduling/state.py
+++ b/figtray/scheduling/state.py
@@ -19,6 +19,7 @@
     NO_ROOM = 'no worker has room'
     REFUSED = 'workers have refused its starts'
     TEAM_LIMIT = 'the team is at its limit'
+    LEADER_ROOM = 'the leader has no room for more runs'
     ADVICE = 'the adviser has approved no worker with room'
     GANG_INCOMPLETE = 'not all members of the gang are ready'
     TRIAL = 'the task may crash its worker and waits for one of its own'
--- a/figtray/scheduling/tasks.py
+++ b/figtray/scheduling/tasks.py
@@ -7,7 +7,7 @@
 
 # Tasks that wait again after a run hold state. From this number on they go
 # before those that have not run, so that it does not grow with the step.
-MAX_RETURNED = 1000
+MAX_RETURNED = 100
 
 
 class TaskState:
@@ -314,9 +314,12 @@
     def _known(self):
         yield from list(self._first or ())
         if self._untouched:
-            for task in self._table.known():
-                if self._untouched >> task.index & 1:
-                    yield task
+            known = [
+                task
+                for task in self._table.known()
+                if self._untouched >> task.index & 1
+            ]
+            yield from sorted(known, key=lambda task: task.index)
         yield from list(self._returned or ())
 
 
--- a/figtray/scheduling/tests/harness.py
+++ b/figtray/scheduling/tests/harness.py
@@ -112,6 +112,7 @@
         self.intake = intakes.Intake(self.store, self.clock)
         self.cfg = cfg or make_config()
         self.metrics = None
+        self.room = None
         self.workers = {}
         self.hosts = {}
         for number in range(workers):
--- a/figtray/scheduling/tests/leaders.py
+++ b/figtray/scheduling/tests/leaders.py
@@ -67,6 +67,7 @@
             fleet.bounds,
             self.view.is_fresh,
             fleet.metrics,
+            fleet.room,
         )
         self.pacer = pacers.Pacer(self.scheduler, fleet.clock)
         self._sessions = {}
