parked jobs: whatever is stored, a leader has room to lead

Fix: jobs are read page by page and decoded as they come. bytes_of() bounds what a job takes by its steps. Beyond the room that the host's memory gives, the largest jobs that have not started stay in the store, by id alone, and are read once there is room; one that is cancelled, or that a report names, is read at once, and such a report is requested again before its ends are acknowledged. Jobs that have ended and have no runs keep no steps.

--- a/figtray/events/catalogue/scheduling.py
+++ b/figtray/events/catalogue/scheduling.py
@@ -241,3 +241,11 @@
     'typically takes against the estimate of its caller.',
     ('how', 'kinds', 'percents'),
 )
+JOB_PARKED = base.Event(
+    1735,
+    logbook.WARNING,
+    'A stored job waits in the store, as the leader has no memory for it; it '
+    'is read once there is room. size and held are bytes, parked is the '
+    'number of such jobs.',
+    ('job_id', 'team', 'size', 'held', 'parked'),
+)
--- a/figtray/jobs/room.py
+++ b/figtray/jobs/room.py
@@ -4,16 +4,19 @@
 
 # Of each host: for the program, the workers, store calls and the log.
 OWN_BYTES = 80 * 2**20
-# Share of the rest that jobs and runs may take together; callers' requests
-# take half of what is beyond the node's own work (ingress/limits.py).
-ROOM_SHARE = 0.4
-LEAST_ROOM_BYTES = 16 * 2**20
+# Shares of the rest that jobs and runs may take; callers' requests take half
+# of what is beyond the node's own work (ingress/limits.py).
+JOB_SHARE = 0.24
+RUN_SHARE = 0.16
+LEAST_ROOM_BYTES = 8 * 2**20
 # A host that doesn't state its memory counts as one of this size.
 DEFAULT_MEMORY_MB = 256
 # What a job takes as a whole, until its records are removed.
 JOB_BYTES = 4096
-# Each step, with its place in the stored record and its expected times.
-STEP_BYTES = 1280
+# What is kept of a job that has ended.
+ENDED_JOB_BYTES = 1024
+# Each step, with its stored progress and its expected times.
+STEP_BYTES = 1408
 # Each step that a step awaits.
 AWAITED_BYTES = 128
 # Bit masks of the tasks that wait and that are done.
@@ -52,8 +55,11 @@
         memory_mb: memory of the host in MB; 0 = not known.
     """
     total = (memory_mb or DEFAULT_MEMORY_MB) * 2**20
-    room = max(LEAST_ROOM_BYTES, int(ROOM_SHARE * (total - OWN_BYTES)))
-    return Room(room // 2, room // 2 // RUN_BYTES)
+    rest = total - OWN_BYTES
+    return Room(
+        max(LEAST_ROOM_BYTES, int(JOB_SHARE * rest)),
+        max(LEAST_ROOM_BYTES, int(RUN_SHARE * rest)) // RUN_BYTES,
+    )
 
 
 def bytes_of(job):
--- a/figtray/platform/store.py
+++ b/figtray/platform/store.py
@@ -115,7 +115,14 @@
         return found
 
     def range(self, prefix):
-        items, revision, after = [], 0, ''
+        items, revision = [], 0
+        for page in self.pages(prefix):
+            items += page.items
+            revision = page.revision
+        return base.RangeResult(tuple(items), revision)
+
+    def pages(self, prefix):
+        revision, after = 0, ''
         while True:
             query = {'prefix': prefix}
             if after:
@@ -126,10 +133,10 @@
             # The pages are not one snapshot: a watch from the revision of
             # the first page yields what changed while the others were read.
             revision = revision or page.as_of
-            found = list(self._key_values(page.items))
-            items += found
+            found = tuple(self._key_values(page.items))
+            yield base.RangeResult(found, revision)
             if not page.has_more:
-                return base.RangeResult(tuple(items), revision)
+                return
             if not found or found[-1].key <= after:
                 raise errors.StoreUnavailable(detail='its pages do not end')
             after = found[-1].key
--- a/figtray/scheduling/intake_view.py
+++ b/figtray/scheduling/intake_view.py
@@ -52,10 +52,18 @@
             StoreUnavailable: the store did not answer.
         """
         requested_ms = self._clock.now_ms()
-        intake = self._store.range(records.INTAKE_PREFIX)
-        self.reader.add(intake.items, progress)
-        self._revision, self._read_ms = intake.revision, requested_ms
-        return len(intake.items)
+        count = 0
+
+        def read_items():
+            nonlocal count
+            for page in self._store.pages(records.INTAKE_PREFIX):
+                count += len(page.items)
+                self._revision = page.revision
+                yield from page.items
+
+        self.reader.add(read_items(), progress)
+        self._read_ms = requested_ms
+        return count
 
     def run(self):
         """Follow the changes since load() until the term has ended."""
--- a/figtray/scheduling/job_lifecycle.py
+++ b/figtray/scheduling/job_lifecycle.py
@@ -1,8 +1,11 @@
 """Life cycle of jobs, from their acceptance to their removal."""
 
+import math
+
 from figtray.events import catalogue
 from figtray.events import log
 from figtray.jobs import records
+from figtray.jobs import room
 from figtray.scheduling import arrivals
 from figtray.scheduling import crashes
 from figtray.scheduling import lessons
@@ -16,9 +19,15 @@
 # Most occurrences of a job that one plan opens; the lock is held meanwhile.
 MAX_OPENED_OCCURRENCES = 100
 # Most steps in the open occurrences of a job; one occurrence may have more.
-MAX_OPEN_STEPS = 1000
+MAX_OPEN_STEPS = room.MAX_OPEN_STEPS
 # Most open steps of a job with waiting tasks, as each plan looks at them.
 MAX_WAITING_STEPS = 64
+# Late reports on a job that has ended find its tasks for so long.
+COMPACTION_DELAY_MS = 10_000
+# Least time between two lines on parked jobs.
+PARKED_LOG_INTERVAL_MS = 1000
+# Most parked jobs that are read from the store one after another.
+MAX_LOADED_AT_ONCE = 100
 # Longest time between two looks for room for further occurrences.
 FULL_RETRY_MS = 1000
 
@@ -44,10 +53,14 @@
             age_ms = max(0, self._clock.wall_ms() - spec.accepted_ms)
             job.arrived_ms = now_ms - age_ms
             self._jobs[job_id] = job
+            self._parked.remove(job_id)
             if stored is not None:
                 job.restore(stored)
             if job.state.ended:
+                job.compact()
+                self._count_held(job, room.ENDED_JOB_BYTES)
                 return
+            self._count_held(job, room.bytes_of(spec))
             self._expect_times(job)
             team = self._cfg.teams.get(spec.team) if self._cfg else None
             if team is not None:
@@ -78,12 +91,76 @@
     def drop_job(self, job_id):
         """Forget a job that could not be added as a whole."""
         with self.lock:
-            self._jobs.pop(job_id, None)
+            self._pop_job(job_id)
             self._timed_jobs.discard(job_id)
+            self._wide_jobs.discard(job_id)
             for name, step in list(self._open_steps.items()):
                 if step.job.job_id == job_id:
                     del self._open_steps[name]
 
+    def job_room_left(self):
+        """Return the memory in bytes that is left for jobs."""
+        with self.lock:
+            if self._room is None:
+                return math.inf
+            return self._room.job_bytes - self._held_bytes
+
+    def park(self, job):
+        """Leave a parked.Parked job in the store; there is no room for it."""
+        with self.lock:
+            if job.job_id in self._jobs or job.job_id in self._removed_jobs:
+                return
+            self._parked.add(job)
+            now_ms = self._clock.now_ms()
+            if now_ms - self._parked_logged_ms >= PARKED_LOG_INTERVAL_MS:
+                self._parked_logged_ms = now_ms
+                log.emit(
+                    catalogue.JOB_PARKED,
+                    job_id=job.job_id,
+                    team=job.team,
+                    size=job.size,
+                    held=self._held_bytes,
+                    parked=len(self._parked),
+                )
+
+    def forget_parked(self, job_id):
+        """Forget a parked job that is no longer stored, or unreadable."""
+        with self.lock:
+            self._parked.remove(job_id)
+
+    def parked_to_load(self):
+        """Return the ids of the parked jobs to read from the store now."""
+        with self.lock:
+            return self._parked.next_ids(
+                self.job_room_left(), MAX_LOADED_AT_ONCE
+            )
+
+    def knows_job(self, job_id):
+        """Return whether a job is known, parked ones included."""
+        with self.lock:
+            return job_id in self._jobs or job_id in self._parked
+
+    def _count_held(self, job, size):
+        self._held_bytes += size - job.held_bytes
+        job.held_bytes = size
+
+    def _pop_job(self, job_id):
+        job = self._jobs.pop(job_id, None)
+        if job is not None:
+            self._held_bytes -= job.held_bytes
+
+    def _compact_ended(self):
+        """Keep little of the jobs that have ended and have no runs."""
+        before_ms = self._clock.wall_ms() - COMPACTION_DELAY_MS
+        for job in self._jobs.values():
+            if (
+                0 < job.ended_ms < before_ms
+                and job.held_bytes > room.ENDED_JOB_BYTES
+                and not any(job.runs())
+            ):
+                job.compact()
+                self._count_held(job, room.ENDED_JOB_BYTES)
+
     def spec_of(self, job_id):
         """Return the model.Job with an id, or None."""
         with self.lock:
@@ -100,6 +177,7 @@
         """
         with self.lock:
             job = self._jobs.get(job_id)
+            self._parked.want(job_id)
             if job is None and job_id not in self._removed_jobs:
                 self._early_cancellations[job_id] = cancelled_ms
             if job is None or job.ended:
@@ -124,6 +202,7 @@
             retention_ms: retention time in milliseconds.
         """
         with self.lock:
+            self._compact_ended()
             before_ms = self._clock.wall_ms() - retention_ms
             ids = [
                 job_id
@@ -146,7 +225,8 @@
             for job_id in job_ids:
                 # A lagging view of the store may show the job once more.
                 self._removed_jobs[job_id] = self._clock.wall_ms()
-                self._jobs.pop(job_id, None)
+                self._pop_job(job_id)
+                self._parked.remove(job_id)
                 self._early_cancellations.pop(job_id, None)
 
     def waiting_jobs(self):
@@ -164,6 +244,8 @@
                     reasons[reason] = reasons.get(reason, 0) + len(
                         step.waiting
                     )
+            for queue, count in self._parked.counts().items():
+                counts[queue] = counts.get(queue, 0) + count
             return records.WaitingJobs(counts, held)
 
     def _present_queue(self, spec):
--- a/figtray/scheduling/reports.py
+++ b/figtray/scheduling/reports.py
@@ -1,5 +1,7 @@
 """Reports of workers, with their runs, ends of runs and leases."""
 
+import itertools
+
 from figtray import decoding
 from figtray.events import catalogue
 from figtray.events import log
@@ -61,7 +63,8 @@
 
         Returns:
             Sequence number of the Writer that must be written before the
-            ends in the report are acknowledged.
+            ends in the report are acknowledged; None if it is to be requested
+            again, as it names jobs that are still to be read from the store.
         """
         with self.lock:
             now_ms = self._clock.now_ms()
@@ -71,6 +74,8 @@
                 return self._handle_other_incarnation(
                     worker_state, report, asked_ms
                 )
+            if self._names_parked_jobs(report):
+                return None
             if report.lists_all_runs:
                 worker_state.all_listed_ms = asked_ms
             # Before its first report resolves anything.
@@ -324,6 +329,22 @@
         else:
             run.full_speed_since_ms = None
 
+    def _names_parked_jobs(self, report):
+        """Return whether a report names parked jobs; they are loaded next.
+
+        Their runs would be stopped, and their ends be passed over.
+        """
+        if not self._parked:
+            return False
+        job_ids = {
+            item.task.partition('.')[0]
+            for item in itertools.chain(report.running, report.ended)
+        }
+        named = [job_id for job_id in job_ids if job_id in self._parked]
+        for job_id in named:
+            self._parked.want(job_id)
+        return bool(named)
+
     def _handle_end(self, worker_state, item, now_ms):
         task = self.find_task(item.task)
         run = worker_state.runs.get(item.task)
--- a/figtray/scheduling/scheduler_base.py
+++ b/figtray/scheduling/scheduler_base.py
@@ -1,5 +1,6 @@
 """Base class of the scheduler's parts, with the state of one term."""
 
+import math
 import threading
 
 import msgspec
@@ -15,6 +16,7 @@
 from figtray.scheduling import held
 from figtray.scheduling import lease_horizon
 from figtray.scheduling import leases
+from figtray.scheduling import parked
 from figtray.scheduling import quota
 from figtray.scheduling import restarts
 from figtray.scheduling import run_log
@@ -103,6 +105,11 @@
         self._wide_jobs = set()
         self._quota = quota.Quota()
         self._run_room = run_room.RunRoom(room)
+        self._room = room
+        # Memory that the known jobs take at most.
+        self._held_bytes = 0
+        self._parked = parked.ParkedJobs()
+        self._parked_logged_ms = -math.inf
         self._late_share = order.LateShare()
         self._arrival_meter = arrivals.ArrivalMeter()
         self._run_times = run_times.RunTimes()
--- a/figtray/scheduling/service.py
+++ b/figtray/scheduling/service.py
@@ -37,6 +37,7 @@
 # so that a repeated submission still finds them.
 RETENTION_MARGIN_MS = 60_000
 RETENTION_POLL_MS = 5000
+PARKED_POLL_MS = 500
 # Least time limit of a call of the adviser.
 ADVICE_TIMEOUT_MS = 2500
 ADVICE_POLL_MS = 10
@@ -167,6 +168,7 @@
             (self._publish_counts, 'counts'),
             (self._publish_admission, 'admission'),
             (self._remove_expired, 'retention'),
+            (self._load_parked, 'parked jobs'),
             (self._scheduler.run_wait_reports, 'waits'),
         ]
         if self._service.adviser is not None:
@@ -228,13 +230,9 @@
     def _load_once(self):
         began_ms = self._clock.now_ms()
         self._read_config()
-        progress = {}
-        for item in self._store.range(records.PROGRESS_PREFIX).items:
-            self._writer.set_revision(item.key, item.mod_revision)
-            job_id = item.key.removeprefix(records.PROGRESS_PREFIX)
-            progress[job_id] = self._service.unreadable.read(
-                item.key, records.decode_progress, item.value
-            )
+        progress = stored_records.load_progress(
+            self._store, self._writer, self._service.unreadable
+        )
         stored_records.load_knowledge(
             self._store,
             self._writer,
@@ -451,6 +449,16 @@
                     self._scheduler, self._writer, expired_jobs
                 )
 
+    def _load_parked(self):
+        """Read the jobs that had no room, once there is room."""
+        while not self._clock.wait(self._term.ended, PARKED_POLL_MS):
+            for job_id in self._scheduler.parked_to_load():
+                try:
+                    self._intake.reader.load_parked(self._store, job_id)
+                except errors.StoreUnavailable:
+                    # It is parked still, and read by the next poll.
+                    break
+
     def _ask_advice(self):
         while not self._clock.wait(self._term.ended, ADVICE_POLL_MS):
             step, advice = self._scheduler.next_advice_request()
--- a/figtray/scheduling/state.py
+++ b/figtray/scheduling/state.py
@@ -5,6 +5,8 @@
 import functools
 import itertools
 
+import msgspec
+
 from figtray.jobs import model
 from figtray.jobs import occurrences
 from figtray.jobs import records
@@ -286,6 +288,8 @@
         self.occurrences = {}
         self.next_number = 0
         self.cancelled = False
+        # Memory that it takes at most.
+        self.held_bytes = 0
         self.ended_ms = 0
         self.arrived_ms = 0
         self.due_ms = 0
@@ -353,6 +357,14 @@
         del self.occurrences[number]
         self._ended_occurrences.add(number)
 
+    def compact(self):
+        """Forget the steps and their tasks; the job has ended."""
+        self.spec = msgspec.structs.replace(self.spec, payload='', steps=())
+        self.stored = None
+        self.occurrences.clear()
+        self.times = self.remaining = ()
+        self._stored_keys = None
+
     def restore(self, stored):
         """Apply the Progress that earlier terms have stored."""
         self.stored = stored
--- a/figtray/scheduling/stored_records.py
+++ b/figtray/scheduling/stored_records.py
@@ -3,6 +3,7 @@
 from figtray import decoding
 from figtray.jobs import ownership
 from figtray.jobs import records
+from figtray.scheduling import incoming_jobs
 from figtray.workload import run_times
 
 
@@ -25,7 +26,7 @@
         """Add all jobs, then the cancellations.
 
         Args:
-            items: the KeyValues below records.INTAKE_PREFIX.
+            items: iterable of the KeyValues below records.INTAKE_PREFIX.
             progress: mapping of job id to its stored Progress, which is None
                 if it is unreadable; None after the first call.
         """
@@ -33,38 +34,84 @@
         self._held_jobs |= {
             job_id for job_id, stored in progress.items() if stored is None
         }
-        jobs = [i for i in items if i.key.startswith(records.JOB_PREFIX)]
-        for item in sorted(jobs, key=lambda i: i.create_revision):
-            job_id = item.key.removeprefix(records.JOB_PREFIX)
-            self._add_job(item, progress.get(job_id))
+        incoming = incoming_jobs.IncomingJobs(self._scheduler.job_room_left())
+        cancellations = []
         for item in items:
             if item.key.startswith(records.CANCEL_PREFIX):
-                self._cancel(item)
+                cancellations.append(item)
+            elif (job := self._read_new(item)) is not None:
+                stored = progress.get(_job_id(item))
+                incoming.add(_job_id(item), job, item.create_revision, stored)
+        for job in incoming.parked:
+            self._scheduler.park(job)
+        for job in incoming.taken():
+            self._add_job(job)
+        for item in cancellations:
+            self._cancel(item)
 
     def handle_change(self, item):
         """Add the job or the cancellation that a caller has stored."""
         if item.deleted:
             return
         if item.key.startswith(records.JOB_PREFIX):
-            self._add_job(item, None)
+            # It is added or parked like one of many.
+            self.add([item])
         elif item.key.startswith(records.CANCEL_PREFIX):
             self._cancel(item)
 
-    def _add_job(self, item, stored):
-        job_id = item.key.removeprefix(records.JOB_PREFIX)
-        if job_id in self._held_jobs:
+    def load_parked(self, store, job_id):
+        """Read a parked job, and add it.
+
+        Raises:
+            StoreUnavailable: the store did not answer.
+        """
+        item = store.get(records.JOB_PREFIX + job_id)
+        progress = store.get(records.PROGRESS_PREFIX + job_id)
+        cancellation = store.get(records.CANCEL_PREFIX + job_id)
+        stored = None
+        if progress is not None:
+            stored = self._unreadable.read(
+                progress.key, records.decode_progress, progress.value
+            )
+            if stored is None:
+                self._held_jobs.add(job_id)
+        job = item and self._read(item)
+        if job is None:
+            self._scheduler.forget_parked(job_id)
             return
-        job = self._unreadable.read(
+        self._add_job(
+            incoming_jobs.IncomingJob(
+                job_id, job, item.create_revision, stored
+            )
+        )
+        if cancellation is not None:
+            self._cancel(cancellation)
+
+    def _read_new(self, item):
+        """Return the Job of a KeyValue; None if it is known or unreadable."""
+        if not item.key.startswith(records.JOB_PREFIX):
+            return None
+        if self._scheduler.knows_job(_job_id(item)):
+            return None
+        return self._read(item)
+
+    def _read(self, item):
+        job_id = _job_id(item)
+        if job_id in self._held_jobs:
+            return None
+        return self._unreadable.read(
             item.key, lambda data: _decode_job(job_id, data), item.value
         )
-        if job is None:
-            return
+
+    def _add_job(self, job):
         try:
-            self._scheduler.add_job(job_id, job, item.create_revision, stored)
+            self._scheduler.add_job(
+                job.job_id, job.spec, job.created, job.stored
+            )
         except Exception as exc:
-            self._held_jobs.add(job_id)
-            self._scheduler.drop_job(job_id)
-            self._unreadable.note(item.key, exc)
+            self._held_jobs.add(job.job_id)
+            self._scheduler.drop_job(job.job_id)
+            self._unreadable.note(records.JOB_PREFIX + job.job_id, exc)
 
     def _cancel(self, item):
         cancel = self._unreadable.read(
@@ -80,6 +127,39 @@
                 self._scheduler.cancel(job_id, cancel.cancelled_ms)
 
 
+def load_progress(store, writer, unreadable_log):
+    """Read the progress of all jobs.
+
+    Args:
+        store: the Store.
+        writer: the Writer.
+        unreadable_log: the UnreadableLog.
+
+    Returns:
+        Mapping of job id to its Progress, or None if that is unreadable. Of
+        an ended job it holds no more than is needed.
+
+    Raises:
+        StoreUnavailable: the store did not answer.
+    """
+    progress = {}
+    for page in store.pages(records.PROGRESS_PREFIX):
+        for item in page.items:
+            writer.set_revision(item.key, item.mod_revision)
+            stored = unreadable_log.read(
+                item.key, records.decode_progress, item.value
+            )
+            if stored is not None and stored.state.ended:
+                stored = records.Progress(
+                    state=stored.state,
+                    ended_ms=stored.ended_ms,
+                    owner=stored.owner,
+                )
+            job_id = item.key.removeprefix(records.PROGRESS_PREFIX)
+            progress[job_id] = stored
+    return progress
+
+
 def load_knowledge(store, writer, scheduler, unreadable_log):
     """Read what the last leader knew of policies and of run times.
 
@@ -110,6 +190,10 @@
                 scheduler.load_run_times(record)
 
 
+def _job_id(item):
+    return item.key.removeprefix(records.JOB_PREFIX)
+
+
 def _decode_job(job_id, data):
     # The names of its tasks could not be told apart.
     if not job_id or '.' in job_id:
--- a/figtray/scheduling/tests/harness.py
+++ b/figtray/scheduling/tests/harness.py
@@ -172,9 +172,14 @@
         self.capacities.steps[job_id] = steps
         return job_id
 
-    def elect_leader(self):
-        """Return the Leader of a new term; the present one loses its key."""
-        return leaders.Leader(self, self.begin_term())
+    def elect_leader(self, make_reader=None):
+        """Return the Leader of a new term; the present one loses its key.
+
+        Args:
+            make_reader: called with the Leader; returns the IntakeReader by
+                which it reads jobs, with regard to its room.
+        """
+        return leaders.Leader(self, self.begin_term(), make_reader)
 
     def begin_term(self, leases_seen=()):
         """Return a new Term; the present leader loses its key.
--- a/figtray/scheduling/tests/leaders.py
+++ b/figtray/scheduling/tests/leaders.py
@@ -55,9 +55,10 @@
 class Leader:
     """Leader of one term, without threads."""
 
-    def __init__(self, fleet, term):
+    def __init__(self, fleet, term, make_reader=None):
         self.fleet = fleet
         self.term = term
+        self.reader = None
         self.view = View(fleet)
         self.writer = writers.Writer(fleet.store, term, fleet.clock)
         self.scheduler = schedulers.Scheduler(
@@ -72,6 +73,8 @@
         self.pacer = pacers.Pacer(self.scheduler, fleet.clock)
         self._sessions = {}
         self._seen = 0
+        if make_reader is not None:
+            self.reader = make_reader(self)
         self._load()
 
     def _load(self):
@@ -118,6 +121,10 @@
 
     def sync_intake(self, progress=None):
         """Apply new jobs and cancellations."""
+        if self.reader is not None:
+            items = self.fleet.store.range(records.INTAKE_PREFIX).items
+            self.reader.add(items, progress)
+            return
         for item in self.fleet.store.range(records.INTAKE_PREFIX).items:
             if item.key.startswith(records.JOB_PREFIX):
                 job_id = item.key.removeprefix(records.JOB_PREFIX)
--- a/figtray/store/base.py
+++ b/figtray/store/base.py
@@ -93,6 +93,23 @@
         """
         raise NotImplementedError
 
+    def pages(self, prefix):
+        """Read the keys below a prefix in parts.
+
+        The parts are no snapshot: what changed while they were read is seen
+        by a watch from the revision of the first one.
+
+        Args:
+            prefix: common start of the keys.
+
+        Yields:
+            RangeResults, all with the revision of the first one.
+
+        Raises:
+            StoreUnavailable: the store did not answer.
+        """
+        yield self.range(prefix)
+
     def txn(self, compares, puts=(), deletes=(), timeout_ms=None):
         """Write several keys atomically if all conditions hold.
 
--- a/figtray/store/instrumented.py
+++ b/figtray/store/instrumented.py
@@ -22,6 +22,15 @@
     def range(self, prefix):
         return self._call('range', prefix)
 
+    def pages(self, prefix):
+        # A read by parts is one call, counted at its start, as a watch is.
+        self._metrics.count_store_call('range', 'started')
+        try:
+            yield from self._store.pages(prefix)
+        except errors.FigtrayError:
+            self._metrics.count_store_call('range', 'broken')
+            raise
+
     def txn(self, compares, puts=(), deletes=(), timeout_ms=None):
         return self._call(
             'txn', compares, puts, deletes, **_timeout_argument(timeout_ms)
