--- a/figtray/scheduling/planner.py
+++ b/figtray/scheduling/planner.py
@@ -146,7 +146,7 @@
                 created=job.created,
                 remaining=job.remaining[step.number],
                 # The planner puts the suspects of a step first.
-                suspect=any(step.waiting.suspects(crashes.is_suspect)),
+                suspect=step.waiting.is_first(crashes.is_suspect),
             ),
             now_ms,
         )
--- a/figtray/scheduling/tasks.py
+++ b/figtray/scheduling/tasks.py
@@ -106,6 +106,10 @@
     def __iter__(self):
         return (self[index] for index in range(len(self)))
 
+    def has_known(self):
+        """Return whether any task has a TaskState."""
+        return bool(self._known)
+
     def known(self):
         """Return the tasks that have a TaskState, as a list."""
         return list(self._known.values())
@@ -263,6 +267,8 @@
         Args:
             is_taken: called with a TaskState.
         """
+        if not (self._first or self._returned or self._table.has_known()):
+            return []
         taken = [task for task in self._known() if is_taken(task)]
         for task in taken:
             self.remove(task)
@@ -293,6 +299,18 @@
                 return
             yield task
 
+    def is_first(self, is_suspect):
+        """Return whether the first task is a suspect; see suspects()."""
+        if self._first:
+            task = self._first[0]
+        elif self._untouched:
+            task = self._table.find(_lowest(self._untouched))
+        elif self._returned:
+            task = self._returned[0]
+        else:
+            return False
+        return task is not None and is_suspect(task)
+
     def first_ready_ms(self, untouched_ms):
         """Return since when the first task is ready, in local time.
 
--- a/figtray/scheduling/trial_waits.py
+++ b/figtray/scheduling/trial_waits.py
@@ -29,6 +29,8 @@
         passed_ms = now_ms - self._planned_ms
         self._planned_ms = now_ms
         for step in self._open_steps.values():
+            if not step.waiting.is_first(crashes.is_suspect):
+                continue
             tasks = [
                 task
                 # The planner puts the suspects of a step first.
@@ -60,7 +62,9 @@
             if step.waiting and step.job.queue is not None
         ]
         suspected = {
-            step.job.queue.pool for step in waiting if _is_suspect_first(step)
+            step.job.queue.pool
+            for step in waiting
+            if step.waiting.is_first(crashes.is_suspect)
         }
         # In the other pools, nobody has a trial or may begin one.
         free = {
@@ -110,7 +114,7 @@
         """Return whether tasks wait for a trial or its end."""
         # The planner puts the suspects of a step first.
         return any(
-            step.waiting and _is_suspect_first(step)
+            step.waiting.is_first(crashes.is_suspect)
             for step in self._open_steps.values()
         ) or (
             any(step.waiting for step in self._open_steps.values())
@@ -129,11 +133,6 @@
         )
 
 
-def _is_suspect_first(step):
-    """Return whether the first of a step's waiting tasks is a suspect."""
-    return any(step.waiting.suspects(crashes.is_suspect))
-
-
 def _is_mostly_free(worker_states):
     """Return whether under half of the capacity of a pool is in use."""
     used = capacity = model.NO_RESOURCES
--- a/figtray/scheduling/trials.py
+++ b/figtray/scheduling/trials.py
@@ -101,7 +101,9 @@
         return [
             task
             for step in self._open_steps.values()
-            if step.job.queue is not None and not step.spec.gang
+            if step.job.queue is not None
+            and not step.spec.gang
+            and step.waiting.is_first(crashes.is_suspect)
             # The planner puts the suspects of a step first.
             for task in step.waiting.suspects(crashes.is_suspect)
             if crashes.waited_ms(task, now_ms) >= MAX_TURN_WAIT_MS
