large jobs: they take their room in the transaction that stores them

What callers saw: jobs were accepted that no leader has memory for; what each of them took was unbounded by anything but the size of a body and 100,000 tasks, and so was their number.

Fix, two halves: the leader publishes the room for large jobs (over 32 kB at a leader, or a gang of over 1,000) by the smallest host in use, and the node that stores one takes its size from that record in the same transaction. A change of leader changes nothing, as the next one finds the record, which its view shows before the jobs that have taken from it. Small jobs touch no shared record: the admission record, on which each submission is conditional already, tells that leaders have no memory left, for a team that has taken three quarters of it or for all. Each node announces the memory of its host under a lease.

--- a/figtray/events/catalogue/requests.py
+++ b/figtray/events/catalogue/requests.py
@@ -96,6 +96,7 @@
     'The leader publishes another record of what is admitted; a queue has '
     'the expected wait in seconds, the share of jobs admitted of the teams '
     'within their rates, and that of each team over its own. No queue is '
-    'named once there is room.',
-    ('queues', 'leader_wait_ms'),
+    'named once there is room. memory_full tells whether no leader has memory '
+    'for more jobs, full_teams whose share of it is taken.',
+    ('queues', 'leader_wait_ms', 'memory_full', 'full_teams'),
 )
--- a/figtray/jobs/admission.py
+++ b/figtray/jobs/admission.py
@@ -16,6 +16,8 @@
 # Kinds of jobs, and refused jobs, that a node remembers.
 MAX_KINDS = 1000
 MAX_REFUSED = 4000
+# Jobs that have ended give their memory back after about so long.
+MEMORY_RETRY_AFTER_S = 10
 
 
 class Record(msgspec.Struct, frozen=True):
@@ -23,17 +25,39 @@
 
     Attributes:
         queues: the QueueState of each queue whose room is short, by name.
+        is_full: whether no leader has memory for more jobs.
+        full_teams: names of the teams that have taken their share of it.
     """
 
     queues: dict[str, admission.QueueState]
+    is_full: bool = False
+    full_teams: tuple[str, ...] = ()
+
+    @property
+    def fields(self):
+        """The arguments of encode()."""
+        return self.queues, self.is_full, self.full_teams
+
+    @property
+    def is_empty(self):
+        """Whether it refuses nothing."""
+        return not (self.queues or self.is_full or self.full_teams)
+
+    def has_memory_for(self, team):
+        """Return whether leaders have memory for more jobs of a team."""
+        return not self.is_full and team not in self.full_teams
+
+
+NOTHING_SHORT = Record({})
 
 
 _decoder = msgspec.json.Decoder(Record)
 
 
-def encode(states):
-    """Return the stored bytes of QueueStates; None if there are none."""
-    return msgspec.json.encode(Record(states)) if states else None
+def encode(states, is_full=False, full_teams=()):
+    """Return the stored bytes of a Record; None if it refuses nothing."""
+    record = Record(states, is_full, full_teams)
+    return None if record.is_empty else msgspec.json.encode(record)
 
 
 @dataclasses.dataclass(frozen=True)
@@ -86,7 +110,7 @@
     def __init__(self):
         self._lock = threading.Lock()
         self._revision = 0
-        self._states = {}
+        self._record = NOTHING_SHORT
         self._credits = collections.OrderedDict()
         # Ids of refused jobs.
         self._refused = collections.OrderedDict()
@@ -105,16 +129,23 @@
             if revision == self._revision:
                 return
             self._revision = revision
-            self._states = _read(item)
-            queues = sorted(self._states)
+            self._record = _read(item)
+            queues = sorted(self._record.queues)
         log.emit(catalogue.ADMISSION_CHANGED, revision=revision, queues=queues)
 
     def decide(self, job_id, job):
         """Return the Choice on a model.Job."""
-        if not self._states:
+        if self._record.is_empty:
             return ADMITTED
         with self._lock:
-            state = self._states.get(job.queue)
+            if not self._record.has_memory_for(job.team):
+                refusal = Refusal(
+                    'no leader has memory for more jobs',
+                    MEMORY_RETRY_AFTER_S,
+                    self._revision,
+                )
+                return Choice(refusal)
+            state = self._record.queues.get(job.queue)
             if state is None or not _is_refusable(job):
                 return ADMITTED
             kind = (job.queue, job.team, _size_class(job))
@@ -150,12 +181,12 @@
 
 def _read(item):
     if item is None:
-        return {}
+        return NOTHING_SHORT
     try:
-        return decoding.decode(ADMISSION_KEY, _decoder, item.value).queues
+        return decoding.decode(ADMISSION_KEY, _decoder, item.value)
     except errors.UnreadableMessage:
         # Nothing is refused without a reason.
-        return {}
+        return NOTHING_SHORT
 
 
 def _is_refusable(job):
--- a/figtray/jobs/intake.py
+++ b/figtray/jobs/intake.py
@@ -7,6 +7,7 @@
 from figtray import errors
 from figtray.events import unreadable
 from figtray.jobs import admission
+from figtray.jobs import large_jobs
 from figtray.jobs import ownership
 from figtray.jobs import records
 from figtray.store import base
@@ -151,7 +152,8 @@
         Returns:
             A Result; None if the admission is another one by now, so that
             nothing is stored. After an attempt whose reply was lost, the job
-            may be stored late: it is admitted then.
+            may be stored late: it is admitted then. A large job takes its
+            room in the same transaction.
         """
         job_key = records.JOB_PREFIX + job_id
         cancel_key = records.CANCEL_PREFIX + job_id
@@ -159,10 +161,24 @@
         if if_known_admission:
             conditions[admission.ADMISSION_KEY] = self._gate.revision
         lost = ''
+        is_large = large_jobs.is_large(job)
+        reservation = large_jobs.NOT_NEEDED
+        if is_large:
+            try:
+                item = self._get(
+                    large_jobs.LARGE_ROOM_KEY, self._left_ms(until_ms)
+                )
+            except errors.StoreUnavailable as exc:
+                return Result(Outcome.NOT_STORED, str(exc))
+            reservation = large_jobs.reserve(job, item)
         for _ in range(MAX_CONFLICTS + MAX_ADMISSION_CHANGES):
+            if reservation.refusal:
+                return self._refuse_large(
+                    job_id, job, reservation.refusal, until_ms, place, lost
+                )
             result, current = self._write_if(
-                conditions,
-                put,
+                conditions | reservation.revisions,
+                [put, *reservation.puts],
                 [cancel_key] if conditions[cancel_key] else [],
                 until_ms,
                 lost,
@@ -182,6 +198,10 @@
             conditions[cancel_key] = (
                 cancel_item.mod_revision if cancel_item is not None else 0
             )
+            if is_large:
+                reservation = large_jobs.reserve(
+                    job, current.get(large_jobs.LARGE_ROOM_KEY)
+                )
             if not if_known_admission:
                 continue
             # Another thread may have noted it first.
@@ -195,6 +215,28 @@
         outcome = Outcome.UNCERTAIN if lost else Outcome.NOT_STORED
         return Result(outcome, TOO_MANY_CONFLICTS)
 
+    def _refuse_large(self, job_id, job, reason, until_ms, place, lost):
+        """Return the Result of a large job for which there is no room.
+
+        An earlier call with this id may have stored the job: then it runs.
+
+        Args:
+            reason: why it is refused.
+            lost: why the reply of an attempt was lost; empty if none was.
+        """
+        try:
+            item = self._get(
+                records.JOB_PREFIX + job_id, self._left_ms(until_ms)
+            )
+        except errors.StoreUnavailable as exc:
+            outcome = Outcome.UNCERTAIN if lost else Outcome.NOT_STORED
+            return Result(outcome, str(exc))
+        if item is not None:
+            return self._existing_job(item, job.team, place)
+        if lost:
+            return Result(Outcome.UNCERTAIN, lost)
+        return Result(Outcome.REFUSED, reason, admission.MEMORY_RETRY_AFTER_S)
+
     def cancel(self, job_id, team, timeout_ms=None, place=None):
         """Store a cancellation, also of a job that doesn't exist yet.
 
@@ -233,7 +275,7 @@
             key = records.CANCEL_PREFIX + job_id
             put = self._put_cancellation(key, [_caller(team, place)])
             until_ms = self._until_ms(timeout_ms)
-            return self._write_if({key: 0}, put, [], until_ms)[0]
+            return self._write_if({key: 0}, [put], [], until_ms)[0]
         return Result(Outcome.UNCERTAIN, TOO_MANY_CONFLICTS)
 
     def _cancel_early(self, job_id, team, timeout_ms, place):
@@ -253,7 +295,7 @@
         for _ in range(MAX_CONFLICTS):
             result, current = self._write_if(
                 {key: revision, job_key: 0},
-                self._put_cancellation(key, [*others, caller]),
+                [self._put_cancellation(key, [*others, caller])],
                 [],
                 until_ms,
             )
@@ -390,15 +432,15 @@
         except errors.UnreadableMessage:
             return ()
 
-    def _write_if(self, revisions, put, deletes, until_ms, lost_detail=''):
-        """Write a key if some keys have the given revisions.
+    def _write_if(self, revisions, puts, deletes, until_ms, lost_detail=''):
+        """Write keys if some keys have the given revisions.
 
         The write is repeated if its reply is lost. If the lost attempt took
         effect, the result is EXISTS.
 
         Args:
             revisions: by key, its revision; 0 = the key is absent.
-            put: the Put.
+            puts: the Puts.
             deletes: keys to delete.
             until_ms: local time by which all attempts end; None for the
                 default of the store's client.
@@ -417,7 +459,7 @@
             try:
                 limit_ms = self._limit_ms(self._left_ms(until_ms))
                 result = self._store.txn(
-                    compares, [put], deletes, timeout_ms=limit_ms
+                    compares, puts, deletes, timeout_ms=limit_ms
                 )
             except errors.StoreUnavailable as exc:
                 if not lost_detail:
--- a/figtray/platform/main.py
+++ b/figtray/platform/main.py
@@ -10,8 +10,8 @@
 from figtray.events import catalogue
 from figtray.events import log
 from figtray.ingress import limits as ingress_limits
+from figtray.jobs import host_memory
 from figtray.jobs import intake as intakes
-from figtray.jobs import room
 from figtray.leadership import elector
 from figtray.leadership import term as terms
 from figtray import listener
@@ -160,6 +160,13 @@
     def run(self, stop):
         """Serve until `stop` is set, then finish the open requests."""
         self._spawn(lambda: self._view.run(self._ended), 'operator view')
+        announcer = host_memory.Announcer(
+            self._store,
+            self._clock,
+            self._settings.node_name,
+            self._settings.limits.memory_mb,
+        )
+        self._spawn(lambda: announcer.run(self._ended), 'host memory')
         campaign = self._spawn(lambda: self._elector.run(stop), 'campaign')
         for server in self._listeners:
             server.start()
@@ -221,7 +228,7 @@
             host_controller.run,
             settings.bounds,
             self._metrics,
-            room.of_host(settings.limits.memory_mb),
+            settings.limits.memory_mb,
         )
 
     def _build_listeners(self):
--- a/figtray/scheduling/job_lifecycle.py
+++ b/figtray/scheduling/job_lifecycle.py
@@ -4,6 +4,7 @@
 
 from figtray.events import catalogue
 from figtray.events import log
+from figtray.jobs import large_jobs
 from figtray.jobs import records
 from figtray.jobs import room
 from figtray.scheduling import arrivals
@@ -141,13 +142,17 @@
             return job_id in self._jobs or job_id in self._parked
 
     def _count_held(self, job, size):
-        self._held_bytes += size - job.held_bytes
+        """Count the memory that a job takes from now on at most."""
+        before = job.held_bytes
+        self._held_bytes += size - before
+        self._held_of_team[job.spec.team] += size - before
+        self._held_large_bytes += _large_part(size) - _large_part(before)
         job.held_bytes = size
 
     def _pop_job(self, job_id):
         job = self._jobs.pop(job_id, None)
         if job is not None:
-            self._held_bytes -= job.held_bytes
+            self._count_held(job, 0)
 
     def _compact_ended(self):
         """Keep little of the jobs that have ended and have no runs."""
@@ -494,6 +499,10 @@
         self._end_job(job, records.State.FAILED)
 
 
+def _large_part(size):
+    return size if size > large_jobs.LARGE_BYTES else 0
+
+
 def _restore(occurrence, job):
     """Apply the stored progress of a JobState to an occurrence."""
     stored = job.stored
--- a/figtray/scheduling/parked.py
+++ b/figtray/scheduling/parked.py
@@ -71,6 +71,13 @@
                 chosen.append(job.job_id)
         return chosen
 
+    def sizes_of_teams(self):
+        """Return the memory that the jobs of each team would take."""
+        sizes = collections.Counter()
+        for job in self._jobs.values():
+            sizes[job.team] += job.size
+        return sizes
+
     def counts(self):
         """Return the number of jobs of each queue, as a Counter."""
         return collections.Counter(job.queue for job in self._jobs.values())
--- a/figtray/scheduling/scheduler.py
+++ b/figtray/scheduling/scheduler.py
@@ -2,6 +2,7 @@
 
 from figtray.scheduling import draining
 from figtray.scheduling import membership
+from figtray.scheduling import memory
 from figtray.scheduling import outcomes
 from figtray.scheduling import planner
 from figtray.scheduling import reports
@@ -17,6 +18,7 @@
     draining.Draining,
     waits.Waits,
     room.Room,
+    memory.Memory,
 ):
     """Decides for the leader on jobs, tasks, runs and workers.
 
--- a/figtray/scheduling/scheduler_base.py
+++ b/figtray/scheduling/scheduler_base.py
@@ -1,5 +1,6 @@
 """Base class of the scheduler's parts, with the state of one term."""
 
+import collections
 import math
 import threading
 
@@ -106,8 +107,14 @@
         self._quota = quota.Quota()
         self._run_room = run_room.RunRoom(room)
         self._room = room
-        # Memory that the known jobs take at most.
+        self._smallest_room = room
+        # Memory that the known jobs take at most, in all, of the large ones,
+        # and of each team.
         self._held_bytes = 0
+        self._held_large_bytes = 0
+        self._held_of_team = collections.Counter()
+        # Revision and LargeRoom of its record; None if there is none to read.
+        self._large_room = None
         self._parked = parked.ParkedJobs()
         self._parked_logged_ms = -math.inf
         self._late_share = order.LateShare()
--- a/figtray/scheduling/service.py
+++ b/figtray/scheduling/service.py
@@ -7,7 +7,10 @@
 from figtray.events import log
 from figtray.events import unreadable
 from figtray.jobs import admission as admissions
+from figtray.jobs import host_memory
+from figtray.jobs import large_jobs
 from figtray.jobs import records
+from figtray.jobs import room
 from figtray.leadership import term as terms
 from figtray import on_demand
 from figtray.scheduling import intake_view
@@ -20,6 +23,7 @@
 from figtray.scheduling import session
 from figtray.scheduling import stored_records
 from figtray.scheduling import writer as writers
+from figtray.store import base
 
 # Changes within this time are planned together.
 PLAN_DELAY_MS = 12
@@ -38,6 +42,9 @@
 RETENTION_MARGIN_MS = 60_000
 RETENTION_POLL_MS = 5000
 PARKED_POLL_MS = 500
+HOSTS_POLL_MS = 60_000
+# Teams that a log line names.
+MAX_LOGGED_TEAMS = 10
 # Least time limit of a call of the adviser.
 ADVICE_TIMEOUT_MS = 2500
 ADVICE_POLL_MS = 10
@@ -61,7 +68,8 @@
             thread of its own; manages the hosts until the term ends.
         bounds: the time limits of the platform's settings.
         metrics: the Metrics, or None.
-        room: the room.Room of the host; None for no limit.
+        memory_mb: memory of the host in MB, 0 if it is not known; None for
+            no limit of what the leader holds.
     """
 
     def __init__(
@@ -75,7 +83,7 @@
         run_host_controller,
         bounds,
         metrics=None,
-        room=None,
+        memory_mb=None,
     ):
         self.store = store
         self.clock = clock
@@ -86,7 +94,8 @@
         self.run_host_controller = run_host_controller
         self.bounds = bounds
         self.metrics = metrics
-        self.room = room
+        self.memory_mb = memory_mb
+        self.room = None if memory_mb is None else room.of_host(memory_mb)
         self.unreadable = unreadable.UnreadableLog(clock)
 
     def lead(self, term):
@@ -122,8 +131,8 @@
         term.on_end = lambda: self._scheduler.changed.set()
         self._pacer = pacers.Pacer(self._scheduler, self._clock)
         self._sessions = {}
-        # The QueueStates that were published last.
-        self._admission = {}
+        # The admission.Record that was published last.
+        self._admission = admissions.NOTHING_SHORT
         self._call_threads = on_demand.ThreadPool('calls', MOST_CALL_THREADS)
         # WorkerStates whose sessions could not start.
         self._unstarted = []
@@ -171,6 +180,8 @@
             (self._load_parked, 'parked jobs'),
             (self._scheduler.run_wait_reports, 'waits'),
         ]
+        if self._service.memory_mb is not None:
+            threads.append((self._watch_hosts, 'host memory'))
         if self._service.adviser is not None:
             threads.append((self._ask_advice, 'advice'))
         for target, name in threads:
@@ -409,10 +420,15 @@
         key = admissions.ADMISSION_KEY
         self._writer.bind_to_lease(key)
         while not self._clock.wait(self._term.ended, ADMISSION_INTERVAL_MS):
+            self._publish_large_room()
             states, leader_wait_ms = self._assess_room()
-            if states == self._admission:
+            shortage = self._scheduler.find_shortage()
+            record = admissions.Record(
+                states, shortage.is_full, shortage.full_teams
+            )
+            if record == self._admission:
                 continue
-            self._admission = states
+            self._admission = record
             log.emit(
                 catalogue.ROOM_SHORT,
                 queues=[
@@ -420,11 +436,53 @@
                     for name, queue in sorted(states.items())
                 ],
                 leader_wait_ms=leader_wait_ms,
+                memory_full=shortage.is_full,
+                full_teams=list(shortage.full_teams[:MAX_LOGGED_TEAMS]),
             )
             self._writer.enqueue(
-                key, lambda: admissions.encode(self._admission), urgent=True
+                key,
+                lambda: admissions.encode(*self._admission.fields),
+                urgent=True,
             )
 
+    def _publish_large_room(self):
+        """Publish the room for large jobs, if it has changed.
+
+        A node that has taken room meanwhile goes first: the view shows its
+        job, and the next round counts it.
+        """
+        found = self._scheduler.large_room_to_store()
+        if found is None:
+            return
+        large_room, revision = found
+        key = large_jobs.LARGE_ROOM_KEY
+        compares = [
+            base.Compare(terms.LEADER_KEY, 'mod_revision', self._term.epoch),
+            base.Compare(key, 'mod_revision', revision),
+        ]
+        try:
+            self._store.txn(
+                compares, [base.Put(key, large_jobs.encode(large_room))]
+            )
+        except errors.FigtrayError:
+            # The next round tries again, by what the view shows.
+            return
+
+    def _watch_hosts(self):
+        """Follow the memory of the hosts in use."""
+        while True:
+            try:
+                self._scheduler.set_smallest_room(
+                    host_memory.smallest_room(
+                        self._store, self._clock, self._service.memory_mb
+                    )
+                )
+            except errors.StoreUnavailable:
+                # What was known last still holds.
+                pass
+            if self._clock.wait(self._term.ended, HOSTS_POLL_MS):
+                return
+
     def _assess_room(self):
         """Return the QueueStates and the leader's wait in milliseconds.
 
--- a/figtray/scheduling/stored_records.py
+++ b/figtray/scheduling/stored_records.py
@@ -1,6 +1,7 @@
 """Reading of the records that callers and earlier leaders have stored."""
 
 from figtray import decoding
+from figtray.jobs import large_jobs
 from figtray.jobs import ownership
 from figtray.jobs import records
 from figtray.scheduling import incoming_jobs
@@ -36,9 +37,12 @@
         }
         incoming = incoming_jobs.IncomingJobs(self._scheduler.job_room_left())
         cancellations = []
+        large_room = None
         for item in items:
             if item.key.startswith(records.CANCEL_PREFIX):
                 cancellations.append(item)
+            elif item.key == large_jobs.LARGE_ROOM_KEY:
+                large_room = item
             elif (job := self._read_new(item)) is not None:
                 stored = progress.get(_job_id(item))
                 incoming.add(_job_id(item), job, item.create_revision, stored)
@@ -48,6 +52,8 @@
             self._add_job(job)
         for item in cancellations:
             self._cancel(item)
+        if large_room is not None:
+            self._note_large_room(large_room)
 
     def handle_change(self, item):
         """Add the job or the cancellation that a caller has stored."""
@@ -56,6 +62,8 @@
         if item.key.startswith(records.JOB_PREFIX):
             # It is added or parked like one of many.
             self.add([item])
+        elif item.key == large_jobs.LARGE_ROOM_KEY:
+            self._note_large_room(item)
         elif item.key.startswith(records.CANCEL_PREFIX):
             self._cancel(item)
 
@@ -87,6 +95,12 @@
         if cancellation is not None:
             self._cancel(cancellation)
 
+    def _note_large_room(self, item):
+        large_room = self._unreadable.read(
+            item.key, large_jobs.decode, item.value
+        )
+        self._scheduler.note_large_room(item.mod_revision, large_room)
+
     def _read_new(self, item):
         """Return the Job of a KeyValue; None if it is known or unreadable."""
         if not item.key.startswith(records.JOB_PREFIX):
--- a/figtray/scheduling/tests/harness.py
+++ b/figtray/scheduling/tests/harness.py
@@ -10,6 +10,7 @@
 from figtray.fleet import messages
 from figtray.fleet import model as fleet_model
 from figtray.jobs import intake as intakes
+from figtray.jobs import large_jobs
 from figtray.jobs import model
 from figtray.jobs import policies
 from figtray.jobs import queues
@@ -168,10 +169,18 @@
             }
             | fields,
         )
+        if large_jobs.is_large(job):
+            self.publish_large_room()
         self.intake.submit(job_id, job)
         self.capacities.steps[job_id] = steps
         return job_id
 
+    def publish_large_room(self, free_bytes=10**9, gang_runs=10**6):
+        """Publish the room for large jobs, as a leader does."""
+        record = large_jobs.LargeRoom(free_bytes, gang_runs)
+        put = base.Put(large_jobs.LARGE_ROOM_KEY, large_jobs.encode(record))
+        self.store.txn((), [put])
+
     def elect_leader(self, make_reader=None):
         """Return the Leader of a new term; the present one loses its key.
 
