--- a/figtray/jobs/room.py
+++ b/figtray/jobs/room.py
@@ -6,7 +6,7 @@
 OWN_BYTES = 80 * 2**20
 # Shares of the rest that jobs and runs may take; callers' requests take half
 # of what is beyond the node's own work (ingress/limits.py).
-JOB_SHARE = 0.24
+JOB_SHARE = 0.3
 RUN_SHARE = 0.16
 LEAST_ROOM_BYTES = 8 * 2**20
 # A host that doesn't state its memory counts as one of this size.
--- a/figtray/platform/status.py
+++ b/figtray/platform/status.py
@@ -156,8 +156,9 @@
 
     def range(self, prefix, decode):
         """Yield the rest of each key and its record, None if unreadable."""
-        for item in self._store.range(prefix).items:
-            yield item.key.removeprefix(prefix), self.decode(item, decode)
+        for page in self._store.pages(prefix):
+            for item in page.items:
+                yield item.key.removeprefix(prefix), self.decode(item, decode)
 
 
 def _leader_name(reader, item):
@@ -182,7 +183,7 @@
         )
     }
     counts = collections.Counter()
-    for job_id, job in reader.range(records.JOB_PREFIX, records.decode_job):
+    for job_id, job in reader.range(records.JOB_PREFIX, records.decode_owner):
         if job is None:
             counts['', UNREADABLE] += 1
         else:
--- a/figtray/platform/tests/test_untrusted_clients.py
+++ b/figtray/platform/tests/test_untrusted_clients.py
@@ -45,6 +45,9 @@
 MANY_TASKS = {'count': 10_000}
 MANY_TASKS_JOBS = 12
 STEADY_S = 15
+# Steps of jobs whose bodies are near the largest that is legal.
+WIDE_STEPS = 7000
+WIDE_JOBS = 40
 
 
 @pytest.fixture
@@ -271,3 +274,28 @@
             assert node.is_running()
             assert peak_mb < LEADER_MEMORY_MB
             assert submit(node.front_address) == 200
+
+    # Guards against jobs of many steps, which were accepted whether or not a
+    # leader had room for them, and took the memory of the next one as well.
+    def test_many_steps(self, alone, site, tmp_path):
+        body = json.dumps({'spec': '', 'steps': [{'count': 1}] * WIDE_STEPS})
+        with running_node(site, tmp_path, LEADER_MEMORY_MB) as node:
+            statuses = [
+                submit(node.front_address, body) for _ in range(WIDE_JOBS)
+            ]
+            check_leader(node)
+        assert 200 in statuses
+        next_directory = tmp_path / 'next'
+        next_directory.mkdir()
+        with running_node(site, next_directory, LEADER_MEMORY_MB) as node:
+            check_leader(node)
+
+
+def check_leader(node):
+    """Check that a node has room for what is stored, and serves callers."""
+    process = crowds.Process(node.process.pid)
+    peak_mb = steady_peak_mb(process, LEADER_MEMORY_MB)
+    print(f'{peak_mb:.0f} MB')
+    assert node.is_running()
+    assert peak_mb < LEADER_MEMORY_MB
+    assert submit(node.front_address) == 200
--- a/figtray/scheduling/memory.py
+++ b/figtray/scheduling/memory.py
@@ -7,7 +7,7 @@
 from figtray.scheduling import scheduler_base
 
 # Part of the room that large jobs may take together.
-LARGE_SHARE = 0.75
+LARGE_SHARE = 0.5
 # Part of the room that is left for jobs that are stored before nodes know
 # that there is no more.
 RESERVED_SHARE = 0.125
