writer: nothing is kept of a key that was deleted

The writer kept a revision of 0 for each deleted key for the whole term, about three keys a job, so the leader grew with each job that it had ever had.

An absent key counts as 0 anyway. test_deleted_keys_are_forgotten fails without the change: 100 of 100 keys were kept.

--- a/figtray/scheduling/tests/test_writer.py
+++ b/figtray/scheduling/tests/test_writer.py
@@ -101,6 +101,19 @@
         writer.flush()
         assert value(fleet, 'k') is None
 
+    # Guards against what is kept of each key that was ever written.
+    def test_deleted_keys_are_forgotten(self, fleet, writer):
+        for number in range(100):
+            for value_of_key in (b'v', None):
+                writer.enqueue(f'k{number}', lambda v=value_of_key: v)
+                writer.flush()
+        assert not fleet.store.range('k').items
+        assert not [key for key in writer._revisions if key[0] == 'k']
+        # A key that comes back is written as one that never was.
+        writer.enqueue('k1', lambda: b'v')
+        writer.flush()
+        assert value(fleet, 'k1') == b'v'
+
 
 class TestFencing:
     # A delayed write must not overwrite a later one.
--- a/figtray/scheduling/writer.py
+++ b/figtray/scheduling/writer.py
@@ -311,7 +311,9 @@
                 for key in values:
                     self._revisions[key] = result.revision
                 for key in deletes:
-                    self._revisions[key] = 0
+                    # Absent counts as 0, and the keys of jobs are never used
+                    # again.
+                    del self._revisions[key]
                 return True
             for key in values:
                 self._revisions[key] = current.get(key, 0)
