--- a/figtray/scheduling/placement.py
+++ b/figtray/scheduling/placement.py
@@ -1,5 +1,6 @@
 """Choice of the workers for a task or a gang."""
 
+from figtray.jobs import model
 from figtray.scheduling import crashes
 from figtray.scheduling import state
 from figtray.workload import least_used
@@ -46,6 +47,14 @@
         self._full_for = []
 
 
+def largest_capacity(worker_states):
+    """Return the largest amount of each resource that a worker has."""
+    largest = model.NO_RESOURCES
+    for worker_state in worker_states:
+        largest = largest.at_least(worker_state.worker.capacity)
+    return largest
+
+
 def choose(step, worker_states, now_ms, apart=False):
     """Return the best worker for a task of a step, or None.
 
--- a/figtray/scheduling/planner.py
+++ b/figtray/scheduling/planner.py
@@ -71,11 +71,10 @@
         """Start what can start of all steps, most urgent first."""
         self._keep_workers_for_overdue(pools, now_ms)
         self._steps_ahead_left = starts.MAX_STEPS_AHEAD
-        for urgency, step in self._steps_by_urgency(now_ms):
-            worker_states = pools.get(step.job.queue.pool)
-            if not worker_states:
-                step.held_reason = state.HeldReason.NO_WORKERS
-                continue
+        for urgency, step in self._steps_by_urgency(
+            now_ms, self._steps_that_fit(pools)
+        ):
+            worker_states = pools[step.job.queue.pool]
             waiting = len(step.waiting)
             try:
                 step.held_reason = self._start_step(
@@ -120,14 +119,41 @@
                 pool.append(worker_state)
         return pools
 
-    def _steps_by_urgency(self, now_ms):
-        """Return the open steps with waiting tasks, most urgent first.
+    def _steps_that_fit(self, pools):
+        """Yield the open steps with waiting tasks that some worker can hold.
+
+        The others cost a plan no more than this look.
+
+        Args:
+            pools: mapping of pool to its candidate WorkerStates.
+        """
+        largest = {
+            pool: placement.largest_capacity(worker_states)
+            for pool, worker_states in pools.items()
+        }
+        for step in self._open_steps.values():
+            if not step.waiting or step.job.queue is None:
+                continue
+            capacity = largest.get(step.job.queue.pool)
+            if capacity is None:
+                step.held_reason = state.HeldReason.NO_WORKERS
+            elif _fits_nowhere(step, capacity):
+                step.held_reason = state.HeldReason.NO_ROOM
+            else:
+                yield step
+
+    def _steps_by_urgency(self, now_ms, steps=None):
+        """Return the steps with waiting tasks, most urgent first.
+
+        Args:
+            now_ms: local time.
+            steps: the StepStates; None for all open ones.
 
         Returns:
             Iterator of pairs of order.Urgency and StepState.
         """
         ranked = []
-        for step in self._open_steps.values():
+        for step in self._open_steps.values() if steps is None else steps:
             if step.waiting and step.job.queue is not None:
                 with self._failure_log.skip_on_error(f'step {step.name}'):
                     ranked.append((self._urgency(step, now_ms), step))
@@ -304,6 +330,21 @@
         return state.HeldReason.NO_ROOM
 
 
+def _fits_nowhere(step, capacity):
+    """Return whether no worker can hold a task of a step.
+
+    Workers may be kept free for a suspect, and are given back in its turn.
+
+    Args:
+        step: the StepState.
+        capacity: the largest amount of each resource of a worker.
+    """
+    return not (
+        capacity.covers(state.occupied(step.spec))
+        or step.waiting.is_first(crashes.is_suspect)
+    )
+
+
 def _awaits_answer(step):
     """Return whether one start shows first whether others are refused."""
     return (
--- a/figtray/scheduling/tests/test_many_tasks.py
+++ b/figtray/scheduling/tests/test_many_tasks.py
@@ -11,6 +11,7 @@
 from figtray.jobs import model
 from figtray.jobs import records
 from figtray.scheduling import job_lifecycle
+from figtray.scheduling import scheduler as schedulers
 from figtray.scheduling import state
 from figtray.scheduling import tasks
 from figtray.scheduling.tests import harness
@@ -92,6 +93,28 @@
         assert len(harness.running(fleet)) == 2
         assert leader.state(small) == records.State.RUNNING
 
+    # Guards against ordinary callers who wait while each plan ranks the jobs
+    # of another that no worker can hold.
+    def test_many_jobs_that_fit_nowhere(self, fleet, monkeypatch):
+        ranked = []
+        urgency = schedulers.Scheduler._urgency
+
+        def note(scheduler, step, now_ms):
+            ranked.append(step.job.job_id)
+            return urgency(scheduler, step, now_ms)
+
+        monkeypatch.setattr(schedulers.Scheduler, '_urgency', note)
+        for _ in range(50):
+            fleet.submit(too_large(1))
+        small = fleet.submit(harness.make_step())
+        leader = fleet.elect_leader()
+        for _ in range(3):
+            leader.run_cycle()
+        assert leader.state(small) == records.State.RUNNING
+        assert set(ranked) == {small}
+        held = leader.scheduler.waiting_jobs().held['q']
+        assert held == {state.HeldReason.NO_ROOM.value: 50}
+
     # Guards against an occurrence for each time that is due.
     def test_due_occurrences(self, fleet):
         before = count_objects(state.Occurrence)
