parked jobs: a cancellation can't pass by a job that is being read

A parked job was read in a thread of its own: one cancelled between the read of its cancellation and its addition was known to neither, and would have run. The reader of jobs now takes one at a time. Jobs that are read because they are cancelled are compacted at once, so that many don't add up. Work that a step which is not open had left was expected for good after its tasks had ended.

--- a/figtray/scheduling/job_lifecycle.py
+++ b/figtray/scheduling/job_lifecycle.py
@@ -158,13 +158,20 @@
         """Keep little of the jobs that have ended and have no runs."""
         before_ms = self._clock.wall_ms() - COMPACTION_DELAY_MS
         for job in self._jobs.values():
-            if (
-                0 < job.ended_ms < before_ms
-                and job.held_bytes > room.ENDED_JOB_BYTES
-                and not any(job.runs())
-            ):
-                job.compact()
-                self._count_held(job, room.ENDED_JOB_BYTES)
+            if 0 < job.ended_ms < before_ms:
+                self._compact(job)
+
+    def compact_if_ended(self, job_id):
+        """Keep little of a job if it has ended and has no runs."""
+        with self.lock:
+            job = self._jobs.get(job_id)
+            if job is not None and job.ended:
+                self._compact(job)
+
+    def _compact(self, job):
+        if job.held_bytes > room.ENDED_JOB_BYTES and not any(job.runs()):
+            job.compact()
+            self._count_held(job, room.ENDED_JOB_BYTES)
 
     def spec_of(self, job_id):
         """Return the model.Job with an id, or None."""
@@ -407,6 +414,8 @@
                 step.tasks.set_done(member)
                 member.checkpoint = ''
                 step.remaining -= 1
+                if not step.open:
+                    step.occurrence.later_milli -= step.spec.needs.cpu_milli
                 if member in step.waiting:
                     step.waiting.remove(member)
         if step.remaining == 0:
--- a/figtray/scheduling/stored_records.py
+++ b/figtray/scheduling/stored_records.py
@@ -1,5 +1,7 @@
 """Reading of the records that callers and earlier leaders have stored."""
 
+import threading
+
 from figtray import decoding
 from figtray.jobs import large_jobs
 from figtray.jobs import ownership
@@ -22,6 +24,9 @@
         # Ids of jobs whose progress is unreadable, or that can't be added.
         # Which of their tasks are done is unknown, so none of them may start.
         self._held_jobs = set()
+        # While a parked job is read, its cancellation waits: it would be
+        # found by neither, being read too early and applied too late.
+        self._lock = threading.RLock()
 
     def add(self, items, progress=None):
         """Add all jobs, then the cancellations.
@@ -31,7 +36,10 @@
             progress: mapping of job id to its stored Progress, which is None
                 if it is unreadable; None after the first call.
         """
-        progress = progress or {}
+        with self._lock:
+            self._add(items, progress or {})
+
+    def _add(self, items, progress):
         self._held_jobs |= {
             job_id for job_id, stored in progress.items() if stored is None
         }
@@ -59,6 +67,10 @@
         """Add the job or the cancellation that a caller has stored."""
         if item.deleted:
             return
+        with self._lock:
+            self._apply(item)
+
+    def _apply(self, item):
         if item.key.startswith(records.JOB_PREFIX):
             # It is added or parked like one of many.
             self.add([item])
@@ -73,6 +85,10 @@
         Raises:
             StoreUnavailable: the store did not answer.
         """
+        with self._lock:
+            self._load_parked(store, job_id)
+
+    def _load_parked(self, store, job_id):
         item = store.get(records.JOB_PREFIX + job_id)
         progress = store.get(records.PROGRESS_PREFIX + job_id)
         cancellation = store.get(records.CANCEL_PREFIX + job_id)
@@ -94,6 +110,7 @@
         )
         if cancellation is not None:
             self._cancel(cancellation)
+            self._scheduler.compact_if_ended(job_id)
 
     def _note_large_room(self, item):
         large_room = self._unreadable.read(
--- a/figtray/scheduling/tests/test_many_tasks.py
+++ b/figtray/scheduling/tests/test_many_tasks.py
@@ -282,6 +282,25 @@
 TestWaitingTasks = WaitingMachine.TestCase
 
 
+class TestLaterWork:
+    # Guards against work that is expected for good, as its tasks were done
+    # before their step was open.
+    def test_ends_of_a_step_that_is_not_open(self, fleet):
+        job_id = fleet.submit(
+            harness.make_step(1, TOO_MUCH_MILLI),
+            harness.make_step(2, after=(0,)),
+        )
+        leader = fleet.elect_leader()
+        leader.run_cycle()
+        scheduler = leader.scheduler
+        assert scheduler.pool_loads()['main'].later_milli == 2000
+        [worker_state, *_] = scheduler.worker_states()
+        for index in range(2):
+            task = scheduler.find_task(f'{job_id}.0.1.{index}')
+            scheduler._complete_task(worker_state, task)
+        assert scheduler.pool_loads()['main'].later_milli == 0
+
+
 class TestReturnedTasks:
     # Guards against state of each task of a step whose runs all fail.
     def test_they_go_first_once_they_are_many(self, fleet):
--- a/figtray/scheduling/tests/test_parked_jobs.py
+++ b/figtray/scheduling/tests/test_parked_jobs.py
@@ -1,5 +1,7 @@
 """Tests of stored jobs that a leader has no room for."""
 
+import threading
+
 import pytest
 
 from figtray.events import unreadable
@@ -118,6 +120,49 @@
         states = {site.leader.state(job_id) for job_id in jobs}
         assert states == {records.State.CANCELLED}
 
+    # Guards against a cancellation that comes while the job is read: it was
+    # not stored yet when it was looked for, and the job not known when the
+    # view showed it.
+    def test_cancelled_while_it_is_read(self, site):
+        jobs = [site.submit_large() for _ in range(10)]
+        site.play()
+        job_id = next(job for job in jobs if job in site.scheduler._parked)
+        key = records.CANCEL_PREFIX + job_id
+        reader, store, threads = site.leader.reader, site.fleet.store, []
+
+        class SlowStore:
+            def get(self, wanted_key):
+                item = store.get(wanted_key)
+                if wanted_key == key:
+                    site.fleet.intake.cancel(job_id, 't')
+                    change = store.get(key)
+                    thread = threading.Thread(
+                        target=reader.handle_change, args=(change,)
+                    )
+                    thread.start()
+                    # It can't end before the job is added.
+                    thread.join(0.2)
+                    threads.append(thread)
+                return item
+
+        reader.load_parked(SlowStore(), job_id)
+        threads[0].join()
+        site.leader.flush()
+        assert site.leader.state(job_id) == records.State.CANCELLED
+
+    # Guards against many cancelled jobs that are held all at once.
+    def test_cancelled_jobs_are_not_held(self, site):
+        jobs = [site.submit_large() for _ in range(30)]
+        site.play()
+        for job_id in jobs:
+            site.fleet.intake.cancel(job_id, 't')
+        site.leader.sync_intake()
+        most = 0
+        for job_id in site.scheduler.parked_to_load():
+            site.leader.reader.load_parked(site.fleet.store, job_id)
+            most = max(most, site.scheduler._held_bytes)
+        assert most <= ROOM.job_bytes + room.ENDED_JOB_BYTES * len(jobs)
+
     # Guards against runs that are stopped, and ends that are forgotten, as
     # their job was left in the store by a leader with less memory.
     def test_runs_of_a_parked_job(self, site):
