planner: work that fits no worker takes no room from others

What callers saw: ordinary submissions refused for want of room beside jobs that can never be done. 8,000 jobs of one task of 9,000 cores, submitted to a node of 200 MB by a script: 1,261 accepted, 6,739 answered with 429, while the workers were idle and the node had 43 MB.

Cause: admission counts the tasks that are held as no-room as work for which callers wait. That some fit no worker, however empty, was not told apart.

The planner notes it on the step, and admission leaves those out.

--- a/figtray/scheduling/planner.py
+++ b/figtray/scheduling/planner.py
@@ -135,9 +135,11 @@
             if not step.waiting or step.job.queue is None:
                 continue
             capacity = largest.get(step.job.queue.pool)
+            step.fits_nowhere = False
             if capacity is None:
                 step.held_reason = state.HeldReason.NO_WORKERS
             elif _fits_nowhere(step, capacity):
+                step.fits_nowhere = True
                 step.held_reason = state.HeldReason.NO_ROOM
             else:
                 yield step
--- a/figtray/scheduling/room.py
+++ b/figtray/scheduling/room.py
@@ -149,5 +149,6 @@
         bool(step.waiting)
         and step.job.queue is not None
         and not step.spec.lasting
+        and not step.fits_nowhere
         and step.held_reason in (None, state.HeldReason.NO_ROOM)
     )
--- a/figtray/scheduling/state.py
+++ b/figtray/scheduling/state.py
@@ -132,6 +132,8 @@
         remaining: number of tasks that are not done.
         held_reason: the HeldReason of its waiting tasks, when their start
             was last tried.
+        fits_nowhere: whether no worker of its pool could hold a task then,
+            however empty it is.
         sound_runs: number of tasks whose run times were learned.
         longest_ran_ms: longest of these run times.
         far_runs: number of these runs away from the rack of their data; a
@@ -153,6 +155,7 @@
         'open',
         'ready_ms',
         'held_reason',
+        'fits_nowhere',
         'advice',
         'refusals',
         'sound_runs',
@@ -171,6 +174,7 @@
         self.open = False
         self.ready_ms = 0
         self.held_reason = None
+        self.fits_nowhere = False
         self.advice = None
         self.refusals = None
         self.sound_runs = 0
--- a/figtray/scheduling/tests/test_many_tasks.py
+++ b/figtray/scheduling/tests/test_many_tasks.py
@@ -115,6 +115,18 @@
         held = leader.scheduler.waiting_jobs().held['q']
         assert held == {state.HeldReason.NO_ROOM.value: 50}
 
+    # Guards against ordinary callers who are refused for want of room, as
+    # tasks count as waiting work that no room would let start.
+    def test_admission(self, fleet):
+        for _ in range(50):
+            fleet.submit(too_large(1, estimate_ms=1000))
+        leader = fleet.elect_leader()
+        for _ in range(20):
+            leader.run_cycle()
+            states, _ = leader.scheduler.assess_room()
+            assert not states
+            leader.advance(500)
+
     # Guards against an occurrence for each time that is due.
     def test_due_occurrences(self, fleet):
         before = count_objects(state.Occurrence)
