job_lifecycle: steps that get ready later count among those that wait

Found by reading the diff. At most 64 steps of a job should wait in a plan, but those that were open already were counted only if more than 64 got ready at once. A job whose steps get ready one by one, or one with many occurrences, had all of them in each plan (test_steps_that_get_ready_later: fails without the change in both forms).

--- a/figtray/scheduling/job_lifecycle.py
+++ b/figtray/scheduling/job_lifecycle.py
@@ -350,7 +350,7 @@
         Each plan looks at all open steps with waiting tasks.
         """
         waiting = 0
-        if len(job.ready_steps) > MAX_WAITING_STEPS:
+        if len(job.open_steps) + len(job.ready_steps) > MAX_WAITING_STEPS:
             waiting = sum(1 for step in job.open_steps if step.waiting)
         while job.ready_steps and waiting < MAX_WAITING_STEPS:
             step = job.ready_steps.pop(0)
--- a/figtray/scheduling/tests/test_many_tasks.py
+++ b/figtray/scheduling/tests/test_many_tasks.py
@@ -93,6 +93,29 @@
         assert len(harness.running(fleet)) == 2
         assert leader.state(small) == records.State.RUNNING
 
+    # As above, if its steps get ready one after another, or if they are those
+    # of many occurrences.
+    @pytest.mark.parametrize('repeats', [0, 500])
+    def test_steps_that_get_ready_later(self, fleet, repeats):
+        pairs = [
+            step
+            for number in range(100)
+            for step in (
+                harness.make_step(1, 100),
+                too_large(1, after=(2 * number,)),
+            )
+        ]
+        steps = [too_large(1)] if repeats else pairs
+        fleet.submit(*steps, repeats=repeats)
+        leader = fleet.elect_leader()
+        for _ in range(20):
+            leader.run_cycle()
+            for name in list(harness.running(fleet)):
+                harness.finish(fleet, name)
+            leader.advance(100)
+        opened = len(leader.scheduler._open_steps)
+        assert opened <= job_lifecycle.MAX_WAITING_STEPS + 1
+
     # Guards against ordinary callers who wait while each plan ranks the jobs
     # of another that no worker can hold.
     def test_many_jobs_that_fit_nowhere(self, fleet, monkeypatch):
