host memory: room is counted by the smallest host from the first moment

What callers saw: jobs were accepted that the next leader had no room for. Nothing was lost, but 'accepted' promised room that was not there.

Cause: nodes announced their hosts up to 20 s late, and a leader read the announcements at once and then each minute; until then its own host counted.

Fix: nodes announce within 2 s; a leader counts the smallest supported host, 200 MB, for its first 5 s, then those in use, read each 10 s. Retries of announcements are spread.

--- a/figtray/jobs/host_memory.py
+++ b/figtray/jobs/host_memory.py
@@ -16,7 +16,10 @@
 RENEW_INTERVAL_MS = 240_000
 RETRY_MS = 5000
 # Nodes that start together don't announce their hosts together.
-MAX_DELAY_MS = 20_000
+MAX_DELAY_MS = 2000
+# All nodes that run have announced their hosts after so long, if the store
+# answers; until then a leader counts the smallest one that is supported.
+KNOWN_AFTER_MS = 5000
 
 
 class HostMemory(msgspec.Struct, frozen=True):
@@ -53,7 +56,9 @@
         """Write the record, then renew its lease until an Event is set."""
         wait_ms = random.random() * MAX_DELAY_MS
         while not self._clock.wait(stop, wait_ms):
-            wait_ms = RENEW_INTERVAL_MS if self.announce() else RETRY_MS
+            wait_ms = RENEW_INTERVAL_MS
+            if not self.announce():
+                wait_ms = RETRY_MS * (0.5 + random.random())
         if self._lease:
             self._end()
 
--- a/figtray/jobs/room.py
+++ b/figtray/jobs/room.py
@@ -11,6 +11,8 @@
 LEAST_ROOM_BYTES = 8 * 2**20
 # A host that doesn't state its memory counts as one of this size.
 DEFAULT_MEMORY_MB = 256
+# The smallest host that is supported.
+LEAST_MEMORY_MB = 200
 # What a job takes as a whole, until its records are removed.
 JOB_BYTES = 4096
 # What is kept of a job that has ended.
@@ -62,6 +64,18 @@
     )
 
 
+def before_hosts_are_known(own):
+    """Return the Room to count on while the other hosts are not known.
+
+    Args:
+        own: the Room of the leader's host; None for no limit.
+    """
+    if own is None:
+        return None
+    least = of_host(LEAST_MEMORY_MB)
+    return min(own, least, key=lambda room: room.job_bytes)
+
+
 def bytes_of(job):
     """Return the most memory that a model.Job takes at a leader.
 
--- a/figtray/jobs/tests/test_large_jobs.py
+++ b/figtray/jobs/tests/test_large_jobs.py
@@ -153,6 +153,18 @@
         compare = base.Compare(key, 'mod_revision', revision)
         return fleet.store.txn([compare], [put]).succeeded
 
+    # A leader on a large host gave out its own room before it knew the others,
+    # and the next one had no room for what was accepted.
+    def test_other_hosts_are_not_known_yet(self, fleet):
+        leader = self.make_leader(fleet, room.of_host(552))
+        self.publish(fleet, leader)
+        least = room.of_host(room.LEAST_MEMORY_MB)
+        assert 0 < free_bytes(fleet) <= least.job_bytes
+        leader.scheduler.set_smallest_room(room.of_host(552))
+        leader.run_cycle()
+        self.publish(fleet, leader)
+        assert free_bytes(fleet) > least.job_bytes
+
     # Guards against room that is given out twice: by the leader that has not
     # seen the job yet, and by the node that has stored it.
     def test_job_that_the_leader_has_not_seen(self, fleet):
--- a/figtray/platform/tests/test_untrusted_clients.py
+++ b/figtray/platform/tests/test_untrusted_clients.py
@@ -48,6 +48,9 @@
 # Steps of jobs whose bodies are near the largest that is legal.
 WIDE_STEPS = 7000
 WIDE_JOBS = 40
+# More than any worker has, so that what the jobs take stays the same.
+WIDE_STEP = {'count': 1, 'cpu': 9_000_000}
+LARGE_HOST_MB, SMALL_HOST_MB = 552, 200
 
 
 @pytest.fixture
@@ -73,9 +76,16 @@
 
 
 @contextlib.contextmanager
-def running_node(site, directory, memory_mb, max_descriptors=MAX_DESCRIPTORS):
+def running_node(
+    site,
+    directory,
+    memory_mb,
+    max_descriptors=MAX_DESCRIPTORS,
+    name='node-0',
+):
     """Run a node that is ready, with limits of what it holds."""
-    settings = site.node_settings('node-0')
+    directory.mkdir(exist_ok=True)
+    settings = site.node_settings(name)
     settings['limits'] |= {
         'memory_mb': memory_mb,
         'max_fds': max_descriptors,
@@ -288,11 +298,43 @@
             ]
             check_leader(node)
         assert 200 in statuses
-        next_directory = tmp_path / 'next'
-        next_directory.mkdir()
-        with running_node(site, next_directory, LEADER_MEMORY_MB) as node:
+        with running_node(site, tmp_path / 'next', LEADER_MEMORY_MB) as node:
             check_leader(node)
 
+    # Guards against jobs that a large host accepts, and for which a smaller
+    # one, which leads next, has no room.
+    def test_smaller_host_leads_next(self, alone, site, tmp_path):
+        body = json.dumps({'spec': '', 'steps': [WIDE_STEP] * WIDE_STEPS})
+        sizes = LARGE_HOST_MB, SMALL_HOST_MB
+        with contextlib.ExitStack() as stack:
+            large, small = (
+                stack.enter_context(
+                    running_node(site, tmp_path / str(mb), mb, name=f'n-{mb}')
+                )
+                for mb in sizes
+            )
+            await_event(large, 'taken_over')
+            statuses = [
+                submit(large.front_address, body) for _ in range(WIDE_JOBS)
+            ]
+            large.stop(signal.SIGKILL)
+            await_event(small, 'taken_over')
+            assert 200 in statuses
+            assert not small.events('job_parked')
+            process = crowds.Process(small.process.pid)
+            peak_mb = steady_peak_mb(process, SMALL_HOST_MB)
+            print(f'{statuses.count(200)} accepted, {peak_mb:.0f} MB')
+            assert peak_mb < SMALL_HOST_MB
+            assert submit(small.front_address) == 200
+
+
+def await_event(node, name):
+    """Wait until a node has logged an event."""
+    deadline_s = time.monotonic() + LIMIT_S
+    while not node.events(name):
+        assert time.monotonic() < deadline_s
+        time.sleep(0.05)
+
 
 def check_leader(node):
     """Check that a node has room for what is stored, and serves callers."""
--- a/figtray/scheduling/scheduler_base.py
+++ b/figtray/scheduling/scheduler_base.py
@@ -11,6 +11,7 @@
 from figtray.events import unreadable
 from figtray.jobs import model
 from figtray.jobs import records
+from figtray.jobs import room as rooms
 from figtray import metrics as metrics_lib
 from figtray.scheduling import arrivals
 from figtray.scheduling import awaited
@@ -107,7 +108,7 @@
         self._quota = quota.Quota()
         self._run_room = run_room.RunRoom(room)
         self._room = room
-        self._smallest_room = room
+        self._smallest_room = rooms.before_hosts_are_known(room)
         # Memory that the known jobs take at most, in all, of the large ones,
         # and of each team.
         self._held_bytes = 0
--- a/figtray/scheduling/service.py
+++ b/figtray/scheduling/service.py
@@ -42,7 +42,7 @@
 RETENTION_MARGIN_MS = 60_000
 RETENTION_POLL_MS = 5000
 PARKED_POLL_MS = 500
-HOSTS_POLL_MS = 60_000
+HOSTS_POLL_MS = 10_000
 # Teams that a log line names.
 MAX_LOGGED_TEAMS = 10
 # Least time limit of a call of the adviser.
@@ -470,7 +470,9 @@
 
     def _watch_hosts(self):
         """Follow the memory of the hosts in use."""
-        while True:
+        wait_ms = host_memory.KNOWN_AFTER_MS
+        while not self._clock.wait(self._term.ended, wait_ms):
+            wait_ms = HOSTS_POLL_MS
             try:
                 self._scheduler.set_smallest_room(
                     host_memory.smallest_room(
@@ -479,9 +481,7 @@
                 )
             except errors.StoreUnavailable:
                 # What was known last still holds.
-                pass
-            if self._clock.wait(self._term.ended, HOSTS_POLL_MS):
-                return
+                continue
 
     def _assess_room(self):
         """Return the QueueStates and the leader's wait in milliseconds.
