--- a/figtray/scheduling/tests/test_run_room.py
+++ b/figtray/scheduling/tests/test_run_room.py
@@ -2,12 +2,18 @@
 
 import pytest
 
+from figtray.jobs import model
 from figtray.jobs import room
 from figtray.scheduling import run_room
+from figtray.scheduling import session
 from figtray.scheduling import state
 from figtray.scheduling.tests import harness
 
 ROOM = room.Room(job_bytes=2**20, runs=16)
+# What a session sends within the 3 s for which a job with room may have
+# nothing running, if each call takes this long.
+CALL_MS = 10
+MAX_ORDERS_AHEAD = session.ORDER_THREADS * 3000 // CALL_MS
 
 
 @pytest.fixture
@@ -70,6 +76,25 @@
         cycle(leader)
         assert len(harness.running(fleet)) == before + 2
 
+    # Guards against a task of another team that waits behind the starts of
+    # thousands of tasks that need nothing, sent to its worker one by one.
+    def test_start_of_another_team_is_sent_soon(self, fleet):
+        fleet.room = room.Room(job_bytes=2**20, runs=10_000)
+        leader = fleet.elect_leader()
+        cycle(leader)
+        fleet.submit(model.Step(10_000))
+        leader.sync_intake()
+        leader.scheduler.plan()
+        job_id = fleet.submit(harness.make_step(), team='u')
+        leader.sync_intake()
+        leader.scheduler.plan()
+        task = leader.scheduler.find_task(f'{job_id}.0.0.0')
+        orders = task.run.worker_state.orders
+        sent = 0
+        while orders.take().run is not task.run:
+            sent += 1
+        assert sent <= MAX_ORDERS_AHEAD
+
     def test_next_ones_start(self, fleet):
         job_id = fleet.submit(harness.make_step(30, cpu_milli=0))
         leader = fleet.elect_leader()
