scheduling: the evidence of each crash that counts against a task

What callers saw: a job is shown as failed, and the log doesn't tell why. 1724 and 1728 said how many crashes were counted; not whether the runs had arrived, how long their workers had been up before, on which hosts, or which crashes of earlier leaders were among them.

Each crash under a run is a row now (figtray/blame/evidence.py): run, host, age of the run, how long the worker had been up before the start was sent, whether the run was alone on trial, whether its start had arrived, and how many runs were beside it. 1724 has its row; 1728 and 1730 have all of them, in one line; they are stored with the crashes, so that the next leader has them, too (12 at most). 1505 names the runs whose ends count. No decision reads them yet.

--- a/figtray/events/catalogue/requests.py
+++ b/figtray/events/catalogue/requests.py
@@ -73,8 +73,9 @@
     1505,
     logbook.INFO,
     'A job has failed because one of its tasks failed as often as its queue '
-    'allows; its runs are stopped.',
-    ('job_id', 'task', 'failures'),
+    'allows; its runs are stopped. runs are the numbers of the runs that '
+    'workers have reported as failed.',
+    ('job_id', 'task', 'failures', 'runs', 'attempts'),
 )
 JOBS_REMOVED = base.Event(
     1506,
--- a/figtray/events/catalogue/scheduling.py
+++ b/figtray/events/catalogue/scheduling.py
@@ -157,8 +157,10 @@
     'A worker has crashed under a run, so its task may have caused the crash. '
     'crashes counts those of the task that nothing has cleared it of, alone '
     'those soon after its start on a worker of its own; after_ms is the time '
-    'from the order to start until the worker fell silent.',
-    ('task', 'run', 'worker', 'crashes', 'alone', 'after_ms'),
+    'from the order to start until the worker fell silent. evidence says of '
+    'the run how old it was, how long its worker had been up before, whether '
+    'it was alone on trial and had arrived, and how many were beside it.',
+    ('task', 'run', 'worker', 'crashes', 'alone', 'after_ms', 'evidence'),
 )
 TRIAL_STARTED = base.Event(
     1725,
@@ -184,8 +186,9 @@
     1728,
     logbook.WARNING,
     'A task has crashed workers again and again, also while nothing else '
-    'could have crashed them; its job has failed. 1724 names each crash.',
-    ('job_id', 'task', 'crashes', 'alone', 'runs'),
+    'could have crashed them; its job has failed. evidence has its last '
+    'crashes, as in 1724, also those under earlier leaders.',
+    ('job_id', 'task', 'crashes', 'alone', 'runs', 'evidence'),
 )
 RUN_HANDED_OVER = base.Event(
     1729,
@@ -209,7 +212,7 @@
     'A task has crashed workers again and again, but its job has tasks that '
     'last, and goes on; the task starts on trial only, and pauses after each '
     'crash. 1724 names each crash.',
-    ('job_id', 'task', 'crashes', 'alone', 'pause_ms'),
+    ('job_id', 'task', 'crashes', 'alone', 'pause_ms', 'evidence'),
 )
 TASKS_STARTED = base.Event(
     1731,
--- a/figtray/jobs/records.py
+++ b/figtray/jobs/records.py
@@ -10,6 +10,7 @@
 
 import msgspec
 
+from figtray.blame import evidence as evidence_lib
 from figtray import decoding
 from figtray.jobs import limits
 from figtray.jobs import model
@@ -126,12 +127,14 @@
         late: numbers of the last runs that had gone on for a while when
             their workers crashed; such a run may be in runs as well.
         longest_ms: longest time for which one of all these runs had gone on.
+        evidence: what is known of the last crashes, oldest first.
     """
 
     runs: tuple[int, ...] = ()
     alone: int = 0
     late: tuple[int, ...] = ()
     longest_ms: int = 0
+    evidence: tuple[evidence_lib.Crash, ...] = ()
 
     @property
     def count(self):
@@ -157,6 +160,12 @@
         late = (*self.late, number)[-MAX_CRASHED_RUNS:]
         return msgspec.structs.replace(self, late=late)
 
+    def note_evidence(self, crash):
+        """Return the Crashes with what is known of one of them."""
+        return msgspec.structs.replace(
+            self, evidence=evidence_lib.append(self.evidence, crash)
+        )
+
     def note_age(self, age_ms):
         """Return the Crashes with the time for which a run had gone on."""
         return msgspec.structs.replace(
@@ -302,6 +311,8 @@
             yield f'crashes: odd number of trials of {key}'
         if not 0 <= crashes.longest_ms <= limits.MAX_TIME_MS:
             yield f'crashes: odd time of {key}'
+        if problem := evidence_lib.problem(crashes.evidence):
+            yield f'crashes: {problem} of {key}'
     if not 0 <= progress.ended_ms <= limits.MAX_TIME_MS:
         yield 'ended_ms: out of range'
     if occurrences.are_odd(progress.ended, limits.MAX_TASKS):
--- a/figtray/scheduling/crashes.py
+++ b/figtray/scheduling/crashes.py
@@ -7,6 +7,7 @@
 guilty task pauses after each crash.
 """
 
+from figtray.blame import evidence
 from figtray.events import catalogue
 from figtray.events import log
 
@@ -325,19 +326,46 @@
     run.task.crashes = run.task.crashes.note_age(age_ms)
 
 
+def evidence_of(run, alone):
+    """Return what is known of a crash under a run.
+
+    Args:
+        run: the Run on the crashed worker.
+        alone: whether it was on trial there and had just started.
+    """
+    worker_state = run.worker_state
+    up_ms = None if run.adopted else worker_state.worker_clock(run.sent_ms)
+    return evidence.Crash(
+        run=run.number,
+        host_id=worker_state.worker.host_id,
+        age_ms=None if run.adopted else _age_ms(run),
+        up_ms=up_ms,
+        alone=alone,
+        arrived=run.started_ms is not None or run.cut_off,
+        beside=len(_sent_runs(worker_state)) - 1,
+    )
+
+
 def log_suspected(run):
     """Log that the task of a run is suspected of one more crash."""
+    crashes = run.task.crashes
     log.emit(
         catalogue.TASK_SUSPECTED,
         task=run.task.name,
         run=run.number,
         worker=run.worker_state.worker.worker_id,
-        crashes=run.task.crashes.count,
-        alone=run.task.crashes.alone,
+        crashes=crashes.count,
+        alone=crashes.alone,
         after_ms=_age_ms(run),
+        evidence=describe(crashes.evidence[-1:]),
     )
 
 
+def describe(rows):
+    """Return the texts of evidence for the log."""
+    return [row.describe() for row in rows]
+
+
 def is_alone_untried(runs):
     """Return whether only a run without its trial had just started.
 
--- a/figtray/scheduling/job_lifecycle.py
+++ b/figtray/scheduling/job_lifecycle.py
@@ -468,6 +468,8 @@
                 job_id=job.job_id,
                 task=task.name,
                 failures=len(task.failed_runs),
+                runs=task.failed_runs,
+                attempts=job.queue.attempts,
             )
             self._end_job(job, records.State.FAILED)
 
@@ -495,6 +497,7 @@
                 crashes=task.crashes.count,
                 alone=task.crashes.alone,
                 pause_ms=crashes.GUILTY_PAUSE_MS,
+                evidence=crashes.describe(task.crashes.evidence),
             )
             return
         log.emit(
@@ -504,6 +507,7 @@
             crashes=task.crashes.count,
             alone=task.crashes.alone,
             runs=task.crashes.runs,
+            evidence=crashes.describe(task.crashes.evidence),
         )
         self._end_job(job, records.State.FAILED)
 
--- a/figtray/scheduling/order_sender.py
+++ b/figtray/scheduling/order_sender.py
@@ -124,14 +124,14 @@
         except errors.ReplyLost as exc:
             if exc.unchecked:
                 self._scheduler.note_unchecked(self._worker_state)
-            outcome = verdict.MayHaveRun(str(exc))
+            outcome = verdict.MayHaveRun(str(exc), exc.closed)
         match outcome:
             case messages.Started(unchecked=unchecked):
                 self._scheduler.handle_started(run, unchecked)
             case verdict.NotRun():
                 self._scheduler.handle_refused(run, outcome)
-            case verdict.MayHaveRun(detail=detail):
-                self._scheduler.handle_start_uncertain(run, detail)
+            case verdict.MayHaveRun(detail=detail, closed=closed):
+                self._scheduler.handle_start_uncertain(run, detail, closed)
 
     def _stop(self, run):
         if not self._scheduler.is_stop_pending(run):
--- a/figtray/scheduling/outcomes.py
+++ b/figtray/scheduling/outcomes.py
@@ -162,13 +162,19 @@
             self._revert_start(run)
         self.changed.set()
 
-    def handle_start_uncertain(self, run, detail):
+    def handle_start_uncertain(self, run, detail, closed=False):
         """Stop a run whose start got no reply, as it may have started.
 
         If it may not be stopped now, the next report tells first whether it
         has.
+
+        Args:
+            run: the Run.
+            detail: what went wrong.
+            closed: whether the worker has closed the connection.
         """
         with self.lock:
+            run.cut_off = closed
             log.emit(
                 catalogue.START_UNCERTAIN,
                 task=run.task.name,
--- a/figtray/scheduling/state.py
+++ b/figtray/scheduling/state.py
@@ -75,6 +75,8 @@
             others waited.
         resumed: whether it began at a checkpoint.
         handed_over: whether it went on in a later incarnation of its worker.
+        cut_off: whether its worker has closed the connection by which it was
+            ordered, without an answer.
     """
 
     __slots__ = (
@@ -98,6 +100,7 @@
         'untried',
         'resumed',
         'handed_over',
+        'cut_off',
     )
 
     def __init__(self, task, worker_state, number, ordered_ms, ticket=None):
@@ -121,6 +124,7 @@
         self.untried = False
         self.resumed = False
         self.handed_over = False
+        self.cut_off = False
 
 
 class StepState:
--- a/figtray/scheduling/tests/test_deadly_tasks.py
+++ b/figtray/scheduling/tests/test_deadly_tasks.py
@@ -1,8 +1,10 @@
 """Tests of tasks that crash the workers that start them."""
 
+import logbook
 import pytest
 
 from figtray import errors
+from figtray.events import catalogue
 from figtray.jobs import records
 from figtray.scheduling import crashes
 from figtray.scheduling.tests import deadly
@@ -325,6 +327,39 @@
         assert leader.state(other) == records.State.COMPLETED
 
 
+class TestEvidence:
+    # Neither the log nor the record told which crashes were held against a
+    # task, on which hosts, and whether its starts had arrived there.
+    def test_given_up_task_is_logged_with_its_crashes(self, fleet, leader):
+        site = deadly.Site(fleet)
+        job_id, [task] = deadly.submit(fleet)
+        site.deadly = {task}
+        with logbook.TestHandler() as handler:
+            site.play(leader, 1000)
+            leader = fleet.elect_leader()
+            leader.report_all()
+            site.play(leader, LONG_MS)
+        [line] = harness.logged(handler, catalogue.TASK_GIVEN_UP)
+        assert len(line['evidence']) == site.crashes[task]
+        for text in line['evidence']:
+            assert '@host-' in text and 'arrived=1' in text
+
+    def test_crash_before_the_answer_to_a_start_has_arrived(
+        self, fleet, leader, monkeypatch
+    ):
+        site = deadly.Site(fleet)
+        _, [task] = deadly.submit(fleet)
+        with monkeypatch.context() as patch:
+            patch.setattr(fleet.client, 'start', close_connection)
+            leader.sync_intake()
+            leader.run_cycle()
+        run = leader.scheduler.find_task(task).run
+        site.crash(int(run.worker_state.worker.worker_id.split('-')[1]))
+        site.play(leader, 500)
+        [row] = leader.scheduler.find_task(task).crashes.evidence
+        assert row.arrived
+
+
 class TestInnocentTasks:
     # The tasks of a crashed worker started again together on the next one,
     # so innocent ones shared each crash.
--- a/figtray/scheduling/worker_ends.py
+++ b/figtray/scheduling/worker_ends.py
@@ -154,10 +154,15 @@
             if alone:
                 self._count_late(task)
             # Long trials are more often hit by a crash that is chance.
+            is_early = alone and not crashes.was_seen_late(run)
             task.crashes = task.crashes.add(
-                run.number, alone and not crashes.was_seen_late(run)
-            )
+                run.number, is_early
+            ).note_evidence(crashes.evidence_of(run, is_early))
             crashes.log_suspected(run)
+        for run in late_runs:
+            run.task.crashes = run.task.crashes.note_evidence(
+                crashes.evidence_of(run, False)
+            )
         # Late crashes beside other runs show no guilt; the next trial does.
         shown = [
             run.task
@@ -240,6 +245,7 @@
                 crashes=task.crashes.count,
                 alone=task.crashes.alone,
                 after_ms=None,
+                evidence=[],
             )
             self._give_up_if_guilty(task)
 
--- a/figtray/verdict.py
+++ b/figtray/verdict.py
@@ -27,6 +27,12 @@
 
 @dataclasses.dataclass(frozen=True)
 class MayHaveRun:
-    """The run may have started, or may still start late."""
+    """The run may have started, or may still start late.
+
+    Attributes:
+        detail: what went wrong.
+        closed: whether the worker has closed the connection.
+    """
 
     detail: str = ''
+    closed: bool = False
