test: sound jobs of a host that crashes again and again (failing)

One host of ten in a crash loop beside nine that are full, lives of 0.2 to 5.2 s and tasks of 1, 3 and 8 s; the same with changes of the leader; four hosts at once; four hosts in their own time (drawn lives, six seeds each of three means).

--- /dev/null
+++ b/figtray/scheduling/tests/test_crashing_hosts.py
@@ -0,0 +1,145 @@
+"""Tests of sound tasks on hosts that crash again and again."""
+
+import random
+
+import pytest
+
+from figtray.jobs import records
+from figtray.scheduling.tests import deadly
+from figtray.scheduling.tests import harness
+from figtray.scheduling.tests import takeovers
+
+# A task that takes more than half of a worker.
+LARGE_MILLI = 5000
+WORKERS = 10
+DOWN_MS = 1500
+# Time after the last crash in which all jobs are done.
+SETTLE_MS = 60_000
+
+
+@pytest.fixture(autouse=True)
+def down_ms(monkeypatch):
+    monkeypatch.setattr(deadly, 'BACK_MS', DOWN_MS)
+
+
+class Loops:
+    """Hosts that crash some time after each of their starts.
+
+    Args:
+        site: the deadly.Site.
+        lives_ms: by the number of a host, an iterator of its lives.
+    """
+
+    def __init__(self, site, lives_ms):
+        self._site = site
+        self._lives_ms = lives_ms
+        now_ms = site.fleet.clock.now_ms()
+        self._crash_at_ms = {
+            number: now_ms + next(lives) for number, lives in lives_ms.items()
+        }
+
+    def play(self, leader, ms):
+        """Let a leader work beside the crashes."""
+        fleet = self._site.fleet
+        for _ in range(ms // takeovers.CYCLE_MS):
+            self._site.play(leader, takeovers.CYCLE_MS)
+            now_ms = fleet.clock.now_ms()
+            for number, at_ms in self._crash_at_ms.items():
+                if at_ms <= now_ms:
+                    if fleet.sim(number).up:
+                        self._site.crash(number)
+                    self._crash_at_ms[number] = (
+                        now_ms + DOWN_MS + next(self._lives_ms[number])
+                    )
+
+
+def fixed(life_ms):
+    """Yield the same life again and again."""
+    while True:
+        yield life_ms
+
+
+def drawn(rng, mean_ms):
+    """Yield lives of any length."""
+    while True:
+        yield int(rng.expovariate(1 / mean_ms))
+
+
+def fill(fleet, leader, site, count):
+    """Let tasks that last take most of some workers.
+
+    Returns:
+        The numbers of the other workers.
+    """
+    site.lasting = deadly.submit(
+        fleet, count, cpu_milli=LARGE_MILLI, lasting=True, max_per_worker=1
+    )[1]
+    site.play(leader, 3000)
+    busy = {takeovers.place(fleet, task) for task in site.lasting}
+    assert len(busy) == count
+    return sorted(set(range(WORKERS)) - busy)
+
+
+def play_jobs(loops, fleet, leader, run_ms, ms, term_ms=None):
+    """Let sound jobs come while hosts crash; returns the job ids."""
+    loops._site.run_ms = run_ms
+    ids = [deadly.submit(fleet, cpu_milli=LARGE_MILLI)[0] for _ in range(4)]
+    for begun_ms in range(0, ms, term_ms or ms):
+        if begun_ms:
+            leader = fleet.elect_leader()
+            leader.report_all()
+        loops.play(leader, min(term_ms or ms, ms - begun_ms))
+    loops._site.play(leader, SETTLE_MS)
+    return {leader.state(job_id) for job_id in ids}
+
+
+class TestSoundJobsOfACrashingHost:
+    @pytest.fixture
+    def fleet(self):
+        return harness.Fleet(WORKERS)
+
+    @pytest.fixture
+    def site(self, fleet):
+        return deadly.Site(fleet)
+
+    # Its crashes were held against the tasks that happened to start there, and
+    # their jobs were shown as failed.
+    @pytest.mark.parametrize('run_ms', [1000, 3000, 8000])
+    @pytest.mark.parametrize(
+        'life_ms', [200, 500, 700, 1200, 1600, 2200, 3100, 4200, 5200]
+    )
+    def test_one_host(self, fleet, leader, site, life_ms, run_ms):
+        [host] = fill(fleet, leader, site, WORKERS - 1)
+        loops = Loops(site, {host: fixed(life_ms)})
+        assert play_jobs(loops, fleet, leader, run_ms, 60_000) == {
+            records.State.COMPLETED
+        }
+
+    # The counts are stored, so each leader added to those of the last.
+    @pytest.mark.parametrize('term_ms', [2300, 7000])
+    def test_beside_changes_of_the_leader(self, fleet, leader, site, term_ms):
+        [host] = fill(fleet, leader, site, WORKERS - 1)
+        loops = Loops(site, {host: fixed(700)})
+        assert play_jobs(loops, fleet, leader, 3000, 60_000, term_ms) == {
+            records.State.COMPLETED
+        }
+
+    # Several workers do not show more than one if they crash together.
+    @pytest.mark.parametrize('life_ms', [700, 1600, 2500, 4200])
+    def test_rack(self, fleet, leader, site, life_ms):
+        hosts = fill(fleet, leader, site, WORKERS - 4)
+        loops = Loops(site, {host: fixed(life_ms) for host in hosts})
+        assert play_jobs(loops, fleet, leader, 3000, 60_000) == {
+            records.State.COMPLETED
+        }
+
+    # Nor if each crashes in its own time.
+    @pytest.mark.parametrize('mean_ms', [700, 2000, 6000])
+    @pytest.mark.parametrize('seed', range(6))
+    def test_hosts_in_their_own_time(self, fleet, leader, site, mean_ms, seed):
+        rng = random.Random(seed)
+        hosts = fill(fleet, leader, site, WORKERS - 4)
+        loops = Loops(site, {host: drawn(rng, mean_ms) for host in hosts})
+        assert play_jobs(loops, fleet, leader, 3000, 44_000) == {
+            records.State.COMPLETED
+        }
