blame: a crash is held against a task only if its host is ruled out

Cause: crashes were counted against the task alone. A host that has come back is empty, so the next start goes there, and so does a suspect, on trial: the crashes that the host makes in its own time counted up to 1728. Class: one of two that may be at fault is judged without looking at the other.

Fix, in a room of its own without input, output or locks (figtray/blame/): - verdicts: a task crashes its workers at one age of its runs, whenever the workers have started; a host at one of its own. A task is at fault only if the ages agree and the lives of the workers don't, beside the old counts. Starts that have not arrived, hosts with many crashes in a row without the task, and runs that began with their worker show nothing; a run that went on for longer clears. - Where the counts are reached and the verdict is open, the task pauses (1737) and starts on workers that have been up for longer each time, so that the next crash tells which of the two it was. - hosts: the second crash in a row and those after it make the host rest, by 1, 2 and 4 s of its worker's time, before it gets tasks (1736). One crash costs nothing. - Placements have the time of the start and how long the worker was up, so that a crash that no leader has seen is evidence, too.

Why it holds: a host with a life of its own gives ages that follow the start of the host; each further start is later in that life, so the ages differ. Four crashes of a deadly task agree.

--- a/figtray/blame/evidence.py
+++ b/figtray/blame/evidence.py
@@ -24,6 +24,10 @@
             crash came soon after its start.
         arrived: whether the start had certainly reached the worker.
         beside: number of other runs there.
+        others: number of crashes of the host in a row before, without the
+            task.
+        sure: whether the worker was seen to end then; if not, it has ended
+            at some time until then.
     """
 
     run: int
@@ -33,10 +37,12 @@
     alone: bool = False
     arrived: bool = False
     beside: int = 0
+    others: int = 0
+    sure: bool = True
 
     @property
     def life_ms(self):
-        """How long the worker lived, in milliseconds; None = unknown."""
+        """How long at most the worker lived, in ms; None = unknown."""
         if self.age_ms is None or self.up_ms is None:
             return None
         return self.up_ms + self.age_ms
@@ -46,7 +52,7 @@
         return (
             f'{self.run}@{self.host_id} age={self.age_ms} up={self.up_ms} '
             f'alone={self.alone:d} arrived={self.arrived:d} '
-            f'beside={self.beside}'
+            f'beside={self.beside} others={self.others} sure={self.sure:d}'
         )
 
 
--- a/figtray/events/catalogue/scheduling.py
+++ b/figtray/events/catalogue/scheduling.py
@@ -252,3 +252,27 @@
     'number of such jobs.',
     ('job_id', 'team', 'size', 'held', 'parked'),
 )
+WORKER_RESTS = base.Event(
+    1736,
+    logbook.NOTICE,
+    'The host of a worker has crashed again and again; nothing starts there '
+    'before the worker has been up for some time. crashes counts those in a '
+    'row.',
+    ('worker', 'host', 'crashes', 'left_ms'),
+)
+TASK_CONTESTED = base.Event(
+    1737,
+    logbook.NOTICE,
+    'A task has as many crashes as one that is given up, but they may be the '
+    'doing of its hosts; it pauses, and then starts on a worker that has been '
+    'up for least_up_ms. evidence is as in 1728.',
+    (
+        'job_id',
+        'task',
+        'crashes',
+        'alone',
+        'pause_ms',
+        'least_up_ms',
+        'evidence',
+    ),
+)
--- a/figtray/jobs/records.py
+++ b/figtray/jobs/records.py
@@ -98,11 +98,16 @@
         born_ms: Unix time in milliseconds of the start of its incarnation.
         unsure: whether a later incarnation may have executed the start, as
             this one is not known to have the run.
+        up_ms: for how long the worker had been up before the start; None =
+            unknown.
+        at_ms: Unix time in milliseconds before the start; 0 = unknown.
     """
 
     worker_id: str
     born_ms: int
     unsure: bool = False
+    up_ms: int | None = None
+    at_ms: int = 0
 
     def is_at(self, other):
         """Return whether another Placement names the same incarnation."""
--- a/figtray/scheduling/crashes.py
+++ b/figtray/scheduling/crashes.py
@@ -7,7 +7,10 @@
 guilty task pauses after each crash.
 """
 
+import msgspec
+
 from figtray.blame import evidence
+from figtray.blame import verdicts
 from figtray.events import catalogue
 from figtray.events import log
 
@@ -37,8 +40,9 @@
 # crash by itself during a trial. After a change of the leader it may be
 # unknown that a crash was on trial.
 CRASHES_TO_GIVE_UP = {0: 5, 1: 4, 2: 3}
-# Least time between a crash and the next start of a task that would be given
-# up, but whose job has tasks that last.
+# Least time between a crash and the next start of a task with as many crashes
+# as one that is given up: its job has tasks that last, or its guilt is not
+# shown.
 GUILTY_PAUSE_MS = 4000
 # A task that is suspected of this many crashes starts on trial only.
 CRASHES_TO_REQUIRE_TRIAL = 3
@@ -116,6 +120,13 @@
 
 def is_guilty(task):
     """Return whether a task certainly crashes its workers."""
+    return is_contested(task) and isinstance(
+        verdicts.judge(task.crashes.evidence), verdicts.TaskAtFault
+    )
+
+
+def is_contested(task):
+    """Return whether a task has as many crashes as one that causes them."""
     crashes = task.crashes
     if crashes.count >= CRASHES_TO_GIVE_UP[0]:
         return True
@@ -126,17 +137,52 @@
 
 
 def is_paused(task, now_ms):
-    """Return whether a task waits as it has certainly crashed its workers.
+    """Return whether a task waits, as it may well crash its next worker.
 
     Args:
         task: the TaskState.
         now_ms: local time.
     """
-    return (
-        is_guilty(task)
-        and task.step.job.lasts
-        and now_ms - task.ready_ms < GUILTY_PAUSE_MS
-    )
+    return is_contested(task) and now_ms - task.ready_ms < GUILTY_PAUSE_MS
+
+
+def may_start_on(task, worker_state, now_ms):
+    """Return whether a worker has been up for long enough for a task.
+
+    A task that lasts starts on any, as it is never given up.
+
+    Args:
+        task: the TaskState.
+        worker_state: the WorkerState.
+        now_ms: local time.
+    """
+    rows = task.crashes.evidence
+    if not rows or task.step.spec.lasting:
+        return True
+    up_ms = worker_state.worker_clock(now_ms)
+    return up_ms is not None and up_ms >= least_up_ms(task)
+
+
+def least_up_ms(task):
+    """Return how long a worker must have been up before a task starts."""
+    return verdicts.least_up_ms(task.crashes.evidence)
+
+
+def proven_workers(tasks, worker_states, now_ms):
+    """Return the workers that have been up for long enough for some tasks.
+
+    Args:
+        tasks: the TaskStates.
+        worker_states: list of WorkerStates.
+        now_ms: local time.
+    """
+    found = [
+        worker_state
+        for worker_state in worker_states
+        if all(may_start_on(task, worker_state, now_ms) for task in tasks)
+    ]
+    # The candidates of a plan are kept in an order of their own.
+    return worker_states if len(found) == len(worker_states) else found
 
 
 def is_suspect(task):
@@ -326,24 +372,63 @@
     run.task.crashes = run.task.crashes.note_age(age_ms)
 
 
-def evidence_of(run, alone):
+def evidence_of(run, alone, crashes_in_row, ended_ms):
     """Return what is known of a crash under a run.
 
     Args:
         run: the Run on the crashed worker.
         alone: whether it was on trial there and had just started.
+        crashes_in_row: number of crashes of the host in a row, with this one.
+        ended_ms: Unix time in milliseconds at which the worker fell silent.
     """
     worker_state = run.worker_state
-    up_ms = None if run.adopted else worker_state.worker_clock(run.sent_ms)
-    return evidence.Crash(
+    row = evidence.Crash(
         run=run.number,
-        host_id=worker_state.worker.host_id,
-        age_ms=None if run.adopted else _age_ms(run),
-        up_ms=up_ms,
+        host_id=worker_state.host_key,
+        age_ms=_age_ms(run),
+        up_ms=worker_state.worker_clock(run.sent_ms),
         alone=alone,
         arrived=run.started_ms is not None or run.cut_off,
         beside=len(_sent_runs(worker_state)) - 1,
+        others=_count_others(run.task, worker_state, crashes_in_row),
+    )
+    if not run.adopted:
+        return row
+    # The leader that has started it may have recorded when.
+    placement = run.task.placement
+    if placement is None or not placement.at_ms:
+        return msgspec.structs.replace(row, age_ms=None, up_ms=None)
+    return msgspec.structs.replace(
+        row, age_ms=ended_ms - placement.at_ms, up_ms=placement.up_ms
+    )
+
+
+def evidence_of_placed(number, placement, host_id, now_ms):
+    """Return what is known of a crash that no leader has seen.
+
+    Args:
+        number: number that stands for the run.
+        placement: the records.Placement of the run.
+        host_id: id of the host.
+        now_ms: Unix time in milliseconds.
+    """
+    is_known = placement.at_ms > 0
+    return evidence.Crash(
+        run=number,
+        host_id=host_id,
+        age_ms=now_ms - placement.at_ms if is_known else None,
+        up_ms=placement.up_ms,
+        arrived=True,
+        sure=False,
+    )
+
+
+def _count_others(task, worker_state, crashes_in_row):
+    """Return how many crashes of a host in a row came without a task."""
+    own = sum(
+        row.host_id == worker_state.host_key for row in task.crashes.evidence
     )
+    return max(0, crashes_in_row - 1 - own)
 
 
 def log_suspected(run):
--- a/figtray/scheduling/job_lifecycle.py
+++ b/figtray/scheduling/job_lifecycle.py
@@ -487,7 +487,7 @@
         end with it, more of them than may be away.
         """
         job = task.step.job
-        if job.ended or task.done or not crashes.is_guilty(task):
+        if job.ended or task.done or not crashes.is_contested(task):
             return
         if job.lasts:
             log.emit(
@@ -500,6 +500,20 @@
                 evidence=crashes.describe(task.crashes.evidence),
             )
             return
+        if not crashes.is_guilty(task):
+            log.emit(
+                catalogue.TASK_CONTESTED,
+                job_id=job.job_id,
+                task=task.name,
+                crashes=task.crashes.count,
+                alone=task.crashes.alone,
+                pause_ms=crashes.GUILTY_PAUSE_MS,
+                least_up_ms=crashes.least_up_ms(task),
+                evidence=crashes.describe(task.crashes.evidence),
+            )
+            return
+        for row in task.crashes.evidence:
+            self._crashed_hosts.excuse(row.host_id)
         log.emit(
             catalogue.TASK_GIVEN_UP,
             job_id=job.job_id,
--- a/figtray/scheduling/outcomes.py
+++ b/figtray/scheduling/outcomes.py
@@ -223,6 +223,7 @@
             or worker_state.unresponsive
             or not worker_state.listed
             or worker_state.avoid_until_ms > now_ms
+            or worker_state.rest_until_ms > now_ms
             or worker_state.is_overloaded()
             or worker_state.worker.draining
             or worker_state.worker.zone in self._evacuated_zones
--- a/figtray/scheduling/placement.py
+++ b/figtray/scheduling/placement.py
@@ -107,7 +107,11 @@
 
 def is_usable(worker_state, now_ms):
     """Return whether tasks may start on a worker now."""
-    return not worker_state.cordon_reason and _is_sound(worker_state, now_ms)
+    return (
+        not worker_state.cordon_reason
+        and worker_state.rest_until_ms <= now_ms
+        and _is_sound(worker_state, now_ms)
+    )
 
 
 def suits(step, worker_state, now_ms):
@@ -136,6 +140,13 @@
 
 def has_room_uncordoned(step, worker_state, now_ms, planned=0):
     """Return what has_room() would return if the worker weren't cordoned."""
+    return worker_state.rest_until_ms <= now_ms and has_room_after_rest(
+        step, worker_state, now_ms, planned
+    )
+
+
+def has_room_after_rest(step, worker_state, now_ms, planned=0):
+    """Return what has_room_uncordoned() would if the worker didn't rest."""
     spec = step.spec
     if not (_is_sound(worker_state, now_ms) and _can_hold(step, worker_state)):
         return False
--- a/figtray/scheduling/planner.py
+++ b/figtray/scheduling/planner.py
@@ -59,8 +59,12 @@
     def _ends_of_pauses(self, now_ms):
         """Yield when workers and steps may be used again after refusals."""
         for worker_state in self._worker_states.values():
-            if worker_state.avoid_until_ms > now_ms:
-                yield worker_state.avoid_until_ms
+            for until_ms in (
+                worker_state.avoid_until_ms,
+                worker_state.rest_until_ms,
+            ):
+                if until_ms > now_ms:
+                    yield until_ms
         for step in self._open_steps.values():
             if step.waiting and step.refusals is not None:
                 end_ms = step.refusals.next_end_ms(now_ms)
@@ -255,7 +259,7 @@
         self._release_reserved(task, worker_states)
         return self._choose(
             task.step,
-            worker_states,
+            crashes.proven_workers([task], worker_states, now_ms),
             now_ms,
             crashes.must_start_apart(task, now_ms),
         )
--- a/figtray/scheduling/reports.py
+++ b/figtray/scheduling/reports.py
@@ -91,6 +91,7 @@
                 self._end_followed_by(worker_state)
                 if worker_state.gone:
                     return 0
+                self._rest(worker_state)
                 self._enrol(worker_state)
                 self._note_capacity(worker_state.worker.capacity)
             reported = {(item.task, item.run) for item in report.running}
--- a/figtray/scheduling/scheduler_base.py
+++ b/figtray/scheduling/scheduler_base.py
@@ -6,6 +6,7 @@
 
 import msgspec
 
+from figtray.blame import hosts
 from figtray.events import catalogue
 from figtray.events import log
 from figtray.events import unreadable
@@ -81,6 +82,7 @@
             writer, clock, bounds, self.lock, self._list_unextended
         )
         self._restarts = restarts.Restarts(bounds)
+        self._crashed_hosts = hosts.Hosts()
         # WorkerStates whose fencing tokens an earlier incarnation has, too.
         self._with_old_fences = []
         self._is_config_fresh = is_config_fresh
@@ -400,9 +402,27 @@
         Returns:
             The sequence number of the write.
         """
-        run.task.placement = run.worker_state.placement(run.unsure)
+        earlier = run.task.placement
+        placement = run.worker_state.placement(run.unsure)
+        if not run.adopted:
+            placement = msgspec.structs.replace(
+                placement,
+                up_ms=run.worker_state.worker_clock(
+                    run.sent_ms or self._clock.now_ms()
+                ),
+                at_ms=self._wall_ms(run.sent_ms or self._clock.now_ms()),
+            )
+        elif placement.is_at(earlier):
+            placement = msgspec.structs.replace(
+                placement, up_ms=earlier.up_ms, at_ms=earlier.at_ms
+            )
+        run.task.placement = placement
         return self._store_progress(run.task.step.job, urgent=True)
 
+    def _wall_ms(self, local_ms):
+        """Return the Unix time in milliseconds at a local time."""
+        return self._clock.wall_ms() - (self._clock.now_ms() - local_ms)
+
     def handle_written(self):
         """Apply that a batch of records is stored."""
         self.release_recorded_starts()
--- a/figtray/scheduling/starts.py
+++ b/figtray/scheduling/starts.py
@@ -40,6 +40,9 @@
             return state.HeldReason.LEADER_ROOM
         if any(crashes.is_paused(task, now_ms) for task in step.tasks.known()):
             return state.HeldReason.TRIAL
+        worker_states = crashes.proven_workers(
+            step.tasks.known(), worker_states, now_ms
+        )
         advice = self._advice(step)
         if advice is None:
             return self._place_gang(step, worker_states, now_ms)
--- a/figtray/scheduling/stray_runs.py
+++ b/figtray/scheduling/stray_runs.py
@@ -57,8 +57,9 @@
         if not job.started:
             job.state = records.State.RUNNING
             self._store_progress(job)
-        if task.step.spec.lasting and (
-            task.placement != worker_state.placement()
+        here = worker_state.placement()
+        if task.step.spec.lasting and not (
+            here.is_at(task.placement) and not task.placement.unsure
         ):
             self._record_placement(run)
         return run
--- a/figtray/scheduling/tests/test_deadly_tasks.py
+++ b/figtray/scheduling/tests/test_deadly_tasks.py
@@ -3,6 +3,7 @@
 import logbook
 import pytest
 
+from figtray.blame import evidence
 from figtray import errors
 from figtray.events import catalogue
 from figtray.jobs import records
@@ -32,6 +33,16 @@
     return {fleet.intake.state(job_id) for job_id in job_ids}
 
 
+def rows_of(runs):
+    """Return evidence that runs crash their workers, on sound hosts."""
+    return tuple(
+        evidence.Crash(
+            run, f'host-{run}', 50, 10_000 * run, alone=True, arrived=True
+        )
+        for run in runs
+    )
+
+
 def close_connection(worker, *_):
     """Lose the reply of a worker that closes the connection."""
     raise errors.ReplyLost(address=worker.address, detail='', closed=True)
@@ -529,7 +540,7 @@
         _, [name] = deadly.submit(fleet)
         leader.sync_intake()
         task = leader.scheduler.find_task(name)
-        task.crashes = records.Crashes(runs, alone, late)
+        task.crashes = records.Crashes(runs, alone, late, 0, rows_of(runs))
         assert crashes.is_guilty(task) == guilty
 
     # A task that had gone on beside others was given up when a chance crash
--- a/figtray/scheduling/tests/test_unsure_starts.py
+++ b/figtray/scheduling/tests/test_unsure_starts.py
@@ -155,7 +155,9 @@
         plan(leader)
         leader.scheduler.handle_started(run)
         leader.flush()
-        assert stored(fleet, task) == records.Placement('worker-1', 1, True)
+        placement = stored(fleet, task)
+        assert placement.is_at(records.Placement('worker-1', 1))
+        assert placement.unsure
 
     # A record of the release before this one.
     def test_earlier_placement_is_sure(self):
--- a/figtray/scheduling/tests/test_waits_for_trials.py
+++ b/figtray/scheduling/tests/test_waits_for_trials.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from figtray.blame import evidence
 from figtray.jobs import records
 from figtray.scheduling import crashes
 from figtray.scheduling.tests import deadly
@@ -20,6 +21,11 @@
 SUSPECTED = records.Crashes((1, 2, 3))
 LONG_SUSPECTED = records.Crashes((1, 2, 3), late=(1, 2, 3), longest_ms=9000)
 LATE_SUSPECTED = records.Crashes((1, 2, 3), late=(1, 2, 3), longest_ms=3000)
+# Crashes soon after the starts, none of them on trial.
+EARLY_ROWS = tuple(
+    evidence.Crash(run, 'host-0', 50, 10_000 * run, arrived=True)
+    for run in (1, 2, 3)
+)
 # A bound of a wait, and the stated one.
 HELD_MS = trials.TRIAL_RETRY_MS + crashes.LONG_TRIAL_MS + trials.TRIAL_RETRY_MS
 STATED_MS = 5700
@@ -226,8 +232,9 @@
     # so a task was started once more.
     def test_crash_soon_after_an_untried_start_counts_for_less(self):
         fleet, leader, site = make_site(1, None)
+        site.play(leader, 5000)
         job_id, [task] = deadly.submit(fleet)
-        suspect(leader, task)
+        suspect(leader, task, records.Crashes((1, 2, 3), evidence=EARLY_ROWS))
         site.play(leader, 200)
         run = leader.scheduler.find_task(task).run
         run.worker_state.trial, run.untried = None, True
--- a/figtray/scheduling/trial_waits.py
+++ b/figtray/scheduling/trial_waits.py
@@ -22,6 +22,9 @@
     def _stop_waits_without_room(self, pools, now_ms):
         """Take the time without room from the waits for required trials.
 
+        A worker that rests counts as room, so that the waits for its rest and
+        for trials don't add up.
+
         Args:
             pools: mapping of pool to its candidate WorkerStates.
             now_ms: local time.
@@ -40,7 +43,11 @@
             if not tasks or step.job.queue is None:
                 continue
             worker_states = pools.get(step.job.queue.pool, ())
-            if any(placement.has_room(step, w, now_ms) for w in worker_states):
+            if any(
+                not w.cordon_reason
+                and placement.has_room_after_rest(step, w, now_ms)
+                for w in worker_states
+            ):
                 continue
             for task in tasks:
                 task.trial_wait_offset_ms -= min(
@@ -95,19 +102,21 @@
         # The oldest of the others follows the suspects.
         count = len(suspects) + is_free
         # What can start elsewhere has done so by now.
-        return (
-            any(
-                crashes.is_held_by_trials(task, now_ms - TRIAL_RETRY_MS)
-                for task in itertools.islice(step.waiting, count)
-            )
-            and self._quota.allows(
-                self._cfg.teams.get(step.job.spec.team), step.spec.needs
-            )
-            and any(
-                placement.has_room(step, worker_state, now_ms)
-                and self._is_approved(step, worker_state)
-                for worker_state in worker_states
-            )
+        return any(
+            crashes.is_held_by_trials(task, now_ms - TRIAL_RETRY_MS)
+            and self._has_worker_for(task, worker_states, now_ms)
+            for task in itertools.islice(step.waiting, count)
+        ) and self._quota.allows(
+            self._cfg.teams.get(step.job.spec.team), step.spec.needs
+        )
+
+    def _has_worker_for(self, task, worker_states, now_ms):
+        """Return whether a worker has room for a task, trials left aside."""
+        return any(
+            placement.has_room(task.step, worker_state, now_ms)
+            and crashes.may_start_on(task, worker_state, now_ms)
+            and self._is_approved(task.step, worker_state)
+            for worker_state in worker_states
         )
 
     def _is_trial_awaited(self):
--- a/figtray/scheduling/trials.py
+++ b/figtray/scheduling/trials.py
@@ -169,6 +169,7 @@
                 for worker_state in worker_states
                 if worker_state.trial is None
                 and placement.suits(task.step, worker_state, now_ms)
+                and crashes.may_start_on(task, worker_state, now_ms)
                 and self._is_approved(task.step, worker_state)
             ),
             key=lambda worker_state: (
--- a/figtray/scheduling/unsure_starts.py
+++ b/figtray/scheduling/unsure_starts.py
@@ -7,6 +7,8 @@
 may have gone there are awaited for so long.
 """
 
+import msgspec
+
 from figtray.scheduling import scheduler_base
 
 
@@ -32,7 +34,9 @@
         if task.run is not run or task.placement is None:
             return
         if task.placement.unsure:
-            task.placement = run.worker_state.placement()
+            task.placement = msgspec.structs.replace(
+                task.placement, unsure=False
+            )
             self._store_progress(task.step.job)
 
     def _may_go_on_unseen(self, run, now_ms):
--- a/figtray/scheduling/worker_ends.py
+++ b/figtray/scheduling/worker_ends.py
@@ -42,6 +42,7 @@
             self._metrics.count_worker_end(end.kind.value)
         suspects = ()
         if end.kind == ends.Kind.CRASHED:
+            self._note_host_crash(worker_state)
             suspects = self._suspect_runs(worker_state)
         if later is not None:
             self._hand_over_uncertain(worker_state, later)
@@ -63,6 +64,36 @@
         worker_state.orders.put(None)
         worker_state.wake.set()
 
+    def _note_host_crash(self, worker_state):
+        """Record that a worker has crashed; the next one there may rest."""
+        host_id = worker_state.host_key
+        self._crashed_hosts.note_crash(host_id, self._clock.now_ms())
+        for other in self._worker_states.values():
+            if other.has_reported and other.host_key == host_id:
+                self._rest(other)
+
+    def _rest(self, worker_state):
+        """Start nothing for a while on a host that crashes again and again.
+
+        Its next crash then costs no task anything, and speaks against none.
+
+        Args:
+            worker_state: the WorkerState, which has reported.
+        """
+        now_ms, host_id = self._clock.now_ms(), worker_state.host_key
+        rest_ms = self._crashed_hosts.rest_ms(host_id, now_ms)
+        left_ms = rest_ms - worker_state.clock_ms
+        if worker_state.gone or left_ms <= 0:
+            return
+        worker_state.rest_until_ms = now_ms + left_ms
+        log.emit(
+            catalogue.WORKER_RESTS,
+            worker=worker_state.worker.worker_id,
+            host=host_id,
+            crashes=self._crashed_hosts.crashes_in_row(host_id, now_ms),
+            left_ms=left_ms,
+        )
+
     def _resolve_incarnation(self, incarnation, reason, kind=None):
         """Record that the runs on an incarnation are known or over.
 
@@ -157,11 +188,11 @@
             is_early = alone and not crashes.was_seen_late(run)
             task.crashes = task.crashes.add(
                 run.number, is_early
-            ).note_evidence(crashes.evidence_of(run, is_early))
+            ).note_evidence(self._evidence_of(run, is_early))
             crashes.log_suspected(run)
         for run in late_runs:
             run.task.crashes = run.task.crashes.note_evidence(
-                crashes.evidence_of(run, False)
+                self._evidence_of(run, False)
             )
         # Late crashes beside other runs show no guilt; the next trial does.
         shown = [
@@ -178,6 +209,16 @@
             self._store_crashes(run.task)
         return shown
 
+    def _evidence_of(self, run, alone):
+        worker_state, now_ms = run.worker_state, self._clock.now_ms()
+        silent_ms = worker_state.silent_since_ms
+        return crashes.evidence_of(
+            run,
+            alone,
+            self._crashed_hosts.crashes_in_row(worker_state.host_key, now_ms),
+            self._wall_ms(now_ms if silent_ms is None else silent_ms),
+        )
+
     def _count_late(self, task):
         """Suspect a task of its late crashes as well."""
         for number in task.crashes.late:
@@ -230,6 +271,13 @@
                 kind == ends.Kind.CRASHED
                 and task.crashes.count >= crashes.CRASHES_TO_REQUIRE_TRIAL
             )
+            row = crashes.evidence_of_placed(
+                number,
+                task.placement,
+                incarnation.host_id or incarnation.address,
+                self._clock.wall_ms(),
+            )
+            task.crashes = task.crashes.note_evidence(row)
             task.placement = None
             if task.crashes.late and not task.crashes.count:
                 task.crashes = task.crashes.add_late(number)
@@ -245,7 +293,7 @@
                 crashes=task.crashes.count,
                 alone=task.crashes.alone,
                 after_ms=None,
-                evidence=[],
+                evidence=crashes.describe([row]),
             )
             self._give_up_if_guilty(task)
 
--- a/figtray/scheduling/worker_state.py
+++ b/figtray/scheduling/worker_state.py
@@ -99,6 +99,7 @@
             None if there is none.
         upkeep_due: whether its host has an upkeep ahead.
         avoid_until_ms: local time until which no task is started on it.
+        rest_until_ms: the same, as its host has crashed again and again.
         seen_end: number of the last end that was recorded.
         acknowledged: number of the last end that is stored.
         sent_acknowledged: number of the last end that the worker has
@@ -153,6 +154,7 @@
         self.trial = None
         self.upkeep_due = False
         self.avoid_until_ms = 0
+        self.rest_until_ms = 0
         self.seen_end = 0
         self.acknowledged = 0
         self.sent_acknowledged = 0
@@ -192,6 +194,11 @@
             self.avoid_until_ms = 0
         self.worker = worker
 
+    @property
+    def host_key(self):
+        """Id of its host, or its address if it has none."""
+        return self.worker.host_id or self.worker.address
+
     def proven_incarnation(self):
         """Return its Incarnation, without a pool that is only assumed."""
         incarnation = self.worker.incarnation
@@ -279,6 +286,7 @@
     'is_doubted',
     'silent_since_ms',
     'report_error',
+    'rest_until_ms',
     'all_listed_ms',
     'seen_end',
     'acknowledged',
