blame: a worker's uptime is not what its own clock shows

What callers would see: crash loops of hosts still fail sound jobs on the platform, as the time up before a start seems to be hours.

The harness has clocks that begin at 0.

Fix: a worker has been up since its `born`, by the leader's time of day, and at most since the worker before it on its host last answered.

--- a/figtray/blame/hosts.py
+++ b/figtray/blame/hosts.py
@@ -17,10 +17,12 @@
     Attributes:
         count: number of them.
         last_ms: local time of the last one.
+        alive_ms: local time at which the worker had last answered before.
     """
 
     count: int
     last_ms: int
+    alive_ms: int | None
 
 
 class Hosts:
@@ -29,17 +31,31 @@
     def __init__(self):
         self._rows = {}
 
-    def note_crash(self, host_id, now_ms):
-        """Record that the worker of a host has crashed."""
+    def note_crash(self, host_id, now_ms, alive_ms=None):
+        """Record that the worker of a host has crashed.
+
+        Args:
+            host_id: id of the host.
+            now_ms: local time.
+            alive_ms: local time at which it has last answered, or None.
+        """
         self._prune(now_ms)
-        row = self._rows.get(host_id, _Row(0, now_ms))
-        self._rows[host_id] = _Row(row.count + 1, now_ms)
+        row = self._rows.get(host_id)
+        count = row.count if row else 0
+        self._rows[host_id] = _Row(count + 1, now_ms, alive_ms)
+
+    def most_up_ms(self, host_id, now_ms):
+        """Return for how long a worker may be up; None if unknown."""
+        row = self._rows.get(host_id)
+        if row is None or row.alive_ms is None:
+            return None
+        return now_ms - row.alive_ms
 
     def excuse(self, host_id):
         """Take back one crash of a host, which a task has caused."""
         row = self._rows.get(host_id)
         if row is not None and row.count:
-            self._rows[host_id] = _Row(row.count - 1, row.last_ms)
+            self._rows[host_id] = dataclasses.replace(row, count=row.count - 1)
 
     def crashes_in_row(self, host_id, now_ms):
         """Return the number of crashes in a row of a host."""
--- a/figtray/scheduling/crashes.py
+++ b/figtray/scheduling/crashes.py
@@ -159,7 +159,7 @@
     rows = task.crashes.evidence
     if not rows or task.step.spec.lasting:
         return True
-    up_ms = worker_state.worker_clock(now_ms)
+    up_ms = worker_state.up_ms(now_ms)
     return up_ms is not None and up_ms >= least_up_ms(task)
 
 
@@ -386,7 +386,7 @@
         run=run.number,
         host_id=worker_state.host_key,
         age_ms=_age_ms(run),
-        up_ms=worker_state.worker_clock(run.sent_ms),
+        up_ms=worker_state.up_ms(run.sent_ms),
         alone=alone,
         arrived=run.started_ms is not None or run.cut_off,
         beside=len(_sent_runs(worker_state)) - 1,
--- a/figtray/scheduling/reports.py
+++ b/figtray/scheduling/reports.py
@@ -91,6 +91,7 @@
                 self._end_followed_by(worker_state)
                 if worker_state.gone:
                     return 0
+                self._note_up_since(worker_state)
                 self._rest(worker_state)
                 self._enrol(worker_state)
                 self._note_capacity(worker_state.worker.capacity)
--- a/figtray/scheduling/scheduler_base.py
+++ b/figtray/scheduling/scheduler_base.py
@@ -405,12 +405,11 @@
         earlier = run.task.placement
         placement = run.worker_state.placement(run.unsure)
         if not run.adopted:
+            start_ms = run.sent_ms or self._clock.now_ms()
             placement = msgspec.structs.replace(
                 placement,
-                up_ms=run.worker_state.worker_clock(
-                    run.sent_ms or self._clock.now_ms()
-                ),
-                at_ms=self._wall_ms(run.sent_ms or self._clock.now_ms()),
+                up_ms=run.worker_state.up_ms(start_ms),
+                at_ms=self._wall_ms(start_ms),
             )
         elif placement.is_at(earlier):
             placement = msgspec.structs.replace(
--- a/figtray/scheduling/tests/test_crashing_hosts.py
+++ b/figtray/scheduling/tests/test_crashing_hosts.py
@@ -2,8 +2,11 @@
 
 import random
 
+import logbook
 import pytest
 
+from figtray.events import catalogue
+from figtray.fleet import memory
 from figtray.jobs import records
 from figtray.scheduling.tests import deadly
 from figtray.scheduling.tests import harness
@@ -12,6 +15,7 @@
 # A task that takes more than half of a worker.
 LARGE_MILLI = 5000
 WORKERS = 10
+CLOCK_BEGINS_MS = 5_000_000
 DOWN_MS = 1500
 # Time after the last crash in which all jobs are done.
 SETTLE_MS = 60_000
@@ -115,6 +119,27 @@
             records.State.COMPLETED
         }
 
+    # The clock of a worker was taken for the time since its start, but it may
+    # begin anywhere, so each worker seemed to have been up for long.
+    def test_clocks_of_workers_that_begin_anywhere(self, monkeypatch):
+        clock_ms = memory.SimWorker.clock_ms
+        monkeypatch.setattr(
+            memory.SimWorker,
+            'clock_ms',
+            lambda sim: clock_ms(sim) + CLOCK_BEGINS_MS,
+        )
+        fleet = harness.Fleet(WORKERS)
+        leader = fleet.elect_leader()
+        leader.report_all()
+        site = deadly.Site(fleet)
+        [host] = fill(fleet, leader, site, WORKERS - 1)
+        loops = Loops(site, {host: fixed(700)})
+        with logbook.TestHandler() as handler:
+            assert play_jobs(loops, fleet, leader, 3000, 20_000) == {
+                records.State.COMPLETED
+            }
+        assert harness.logged(handler, catalogue.WORKER_RESTS)
+
     # The counts are stored, so each leader added to those of the last.
     @pytest.mark.parametrize('term_ms', [2300, 7000])
     def test_beside_changes_of_the_leader(self, fleet, leader, site, term_ms):
--- a/figtray/scheduling/worker_ends.py
+++ b/figtray/scheduling/worker_ends.py
@@ -67,11 +67,26 @@
     def _note_host_crash(self, worker_state):
         """Record that a worker has crashed; the next one there may rest."""
         host_id = worker_state.host_key
-        self._crashed_hosts.note_crash(host_id, self._clock.now_ms())
+        self._crashed_hosts.note_crash(
+            host_id, self._clock.now_ms(), worker_state.clock_read_ms
+        )
         for other in self._worker_states.values():
-            if other.has_reported and other.host_key == host_id:
+            if other.up_since_ms is not None and other.host_key == host_id:
                 self._rest(other)
 
+    def _note_up_since(self, worker_state):
+        """Record since when a worker that has just reported has been up.
+
+        The time of day of its host may differ, so the end of the worker
+        before it counts as well.
+        """
+        now_ms, host_id = self._clock.now_ms(), worker_state.host_key
+        up_ms = max(0, self._clock.wall_ms() - worker_state.worker.born_ms)
+        most_ms = self._crashed_hosts.most_up_ms(host_id, now_ms)
+        if most_ms is not None:
+            up_ms = min(up_ms, most_ms)
+        worker_state.up_since_ms = now_ms - up_ms
+
     def _rest(self, worker_state):
         """Start nothing for a while on a host that crashes again and again.
 
@@ -82,7 +97,7 @@
         """
         now_ms, host_id = self._clock.now_ms(), worker_state.host_key
         rest_ms = self._crashed_hosts.rest_ms(host_id, now_ms)
-        left_ms = rest_ms - worker_state.clock_ms
+        left_ms = rest_ms - worker_state.up_ms(now_ms)
         if worker_state.gone or left_ms <= 0:
             return
         worker_state.rest_until_ms = now_ms + left_ms
--- a/figtray/scheduling/worker_state.py
+++ b/figtray/scheduling/worker_state.py
@@ -100,6 +100,7 @@
         upkeep_due: whether its host has an upkeep ahead.
         avoid_until_ms: local time until which no task is started on it.
         rest_until_ms: the same, as its host has crashed again and again.
+        up_since_ms: local time of its start; None before its first report.
         seen_end: number of the last end that was recorded.
         acknowledged: number of the last end that is stored.
         sent_acknowledged: number of the last end that the worker has
@@ -155,6 +156,7 @@
         self.upkeep_due = False
         self.avoid_until_ms = 0
         self.rest_until_ms = 0
+        self.up_since_ms = None
         self.seen_end = 0
         self.acknowledged = 0
         self.sent_acknowledged = 0
@@ -222,6 +224,15 @@
         passed_ms = (now_ms - self.clock_read_ms) * leases.SLOWEST_CLOCK_RATE
         return self.clock_ms + int(passed_ms)
 
+    def up_ms(self, at_ms):
+        """Return for how long it has been up at a local time, or None.
+
+        Its own clock may begin anywhere.
+        """
+        if self.up_since_ms is None:
+            return None
+        return max(0, at_ms - self.up_since_ms)
+
     def next_acknowledged(self):
         """Return the number of the last end that the worker may forget now.
 
@@ -287,6 +298,7 @@
     'silent_since_ms',
     'report_error',
     'rest_until_ms',
+    'up_since_ms',
     'all_listed_ms',
     'seen_end',
     'acknowledged',
