scheduling: smaller modules in place of crashes.py

crashes.py had grown to 507 lines with five duties. Upkeep, with no change of behaviour: - crashes (131 lines): what is held against a task, and where it may start; - suspect_runs (81): which runs on a worker may crash it; - run_ages (74): ages of runs, and whether those in crashes are alike; - crash_evidence (88): the evidence of a crash, and its log line; - trial_limits (162): limits of trials and of the waits for them.

_age_ms, _sent_runs and _count_all are used by several of them and are called age_at_end_ms, sent_runs and count_all. A comment names the runs that it means. A local variable in is_trial_over has another name, as it hid a module.

Nothing else changed: a script that compares the syntax trees of all functions and constants of figtray/scheduling, module names and these renames left aside, finds 974 before and after, with no difference. Tests name the new modules; no assertion changed otherwise.

--- a/figtray/scheduling/hand_over.py
+++ b/figtray/scheduling/hand_over.py
@@ -10,9 +10,9 @@
 
 from figtray.events import catalogue
 from figtray.events import log
-from figtray.scheduling import crashes
 from figtray.scheduling import job_lifecycle
 from figtray.scheduling import state
+from figtray.scheduling import trial_limits
 from figtray.scheduling import trials
 from figtray.scheduling import worker_orders
 from figtray.scheduling import worker_state as worker_state_lib
@@ -274,7 +274,9 @@
     def _resume_trial(self, run):
         """Go on with the trial of a run that starts on trial only."""
         worker_state = run.worker_state
-        if worker_state.trial is None and crashes.is_tried_each_time(run.task):
+        if worker_state.trial is None and trial_limits.is_tried_each_time(
+            run.task
+        ):
             worker_state.trial = trials.Trial(run.task)
 
 
--- a/figtray/scheduling/job_lifecycle.py
+++ b/figtray/scheduling/job_lifecycle.py
@@ -8,9 +8,11 @@
 from figtray.jobs import records
 from figtray.jobs import room
 from figtray.scheduling import arrivals
+from figtray.scheduling import crash_evidence
 from figtray.scheduling import crashes
 from figtray.scheduling import lessons
 from figtray.scheduling import state
+from figtray.scheduling import trial_limits
 
 # A worker is avoided for a while after this many failed runs in a row, if they
 # belong to at least this many jobs.
@@ -374,7 +376,7 @@
         ready = [t for t in step.tasks.known() if t.run is None]
         for task in ready:
             task.ready_ms = now_ms
-            task.trial_wait_offset_ms = crashes.earlier_wait_ms(task)
+            task.trial_wait_offset_ms = trial_limits.earlier_wait_ms(task)
         step.waiting.put_first(sorted(ready, key=lambda task: task.index))
 
     def _complete_if_done(self, job):
@@ -497,7 +499,7 @@
                 crashes=task.crashes.count,
                 alone=task.crashes.alone,
                 pause_ms=crashes.GUILTY_PAUSE_MS,
-                evidence=crashes.describe(task.crashes.evidence),
+                evidence=crash_evidence.describe(task.crashes.evidence),
             )
             return
         if not crashes.is_guilty(task):
@@ -509,7 +511,7 @@
                 alone=task.crashes.alone,
                 pause_ms=crashes.GUILTY_PAUSE_MS,
                 least_up_ms=crashes.least_up_ms(task),
-                evidence=crashes.describe(task.crashes.evidence),
+                evidence=crash_evidence.describe(task.crashes.evidence),
             )
             return
         for row in task.crashes.evidence:
@@ -521,7 +523,7 @@
             crashes=task.crashes.count,
             alone=task.crashes.alone,
             runs=task.crashes.runs,
-            evidence=crashes.describe(task.crashes.evidence),
+            evidence=crash_evidence.describe(task.crashes.evidence),
         )
         self._end_job(job, records.State.FAILED)
 
--- a/figtray/scheduling/placement.py
+++ b/figtray/scheduling/placement.py
@@ -1,8 +1,8 @@
 """Choice of the workers for a task or a gang."""
 
 from figtray.jobs import model
-from figtray.scheduling import crashes
 from figtray.scheduling import state
+from figtray.scheduling import suspect_runs
 from figtray.workload import least_used
 
 # A share in use is a rounded number.
@@ -86,7 +86,7 @@
 def _may_start(step, worker_state, now_ms, apart):
     """Return whether a task may start on a worker now; see choose()."""
     return fits(step, worker_state, now_ms) and not (
-        apart and crashes.has_fresh_suspect(worker_state, now_ms)
+        apart and suspect_runs.has_fresh_suspect(worker_state, now_ms)
     )
 
 
--- a/figtray/scheduling/planner.py
+++ b/figtray/scheduling/planner.py
@@ -6,6 +6,8 @@
 from figtray.scheduling import placement
 from figtray.scheduling import starts
 from figtray.scheduling import state
+from figtray.scheduling import suspect_runs
+from figtray.scheduling import trial_limits
 from figtray.scheduling import trials
 from figtray.workload import order
 
@@ -250,8 +252,8 @@
 
     def _worker_for_suspect(self, task, worker_states, now_ms):
         """Return the WorkerState on which a suspect can start now, or None."""
-        is_needed = crashes.is_trial_needed(task, now_ms)
-        if is_needed or crashes.is_trial_preferred(task):
+        is_needed = trial_limits.is_trial_needed(task, now_ms)
+        if is_needed or trial_limits.is_trial_preferred(task):
             self._want_trial_advice(task, worker_states, now_ms)
             worker_state = self._trial_worker(task, worker_states, now_ms)
             if worker_state is not None or is_needed:
@@ -261,7 +263,7 @@
             task.step,
             crashes.proven_workers([task], worker_states, now_ms),
             now_ms,
-            crashes.must_start_apart(task, now_ms),
+            trial_limits.must_start_apart(task, now_ms),
         )
 
     def _want_trial_advice(self, task, worker_states, now_ms):
@@ -375,9 +377,9 @@
 def _note_started(tasks):
     """Note whether tasks have just started without the trial they need."""
     if not any(
-        crashes.run_on_trial(t.run.worker_state) is t.run for t in tasks
+        suspect_runs.run_on_trial(t.run.worker_state) is t.run for t in tasks
     ):
         for task in tasks:
-            task.run.untried = crashes.is_trial_preferred(task)
+            task.run.untried = trial_limits.is_trial_preferred(task)
     for task in tasks:
         task.trial_wait_offset_ms = 0
--- a/figtray/scheduling/starts.py
+++ b/figtray/scheduling/starts.py
@@ -8,6 +8,7 @@
 from figtray.scheduling import placement
 from figtray.scheduling import scheduler_base
 from figtray.scheduling import state
+from figtray.scheduling import suspect_runs
 from figtray.scheduling import trials
 
 # The adviser is asked ahead about full workers for so many steps of each plan,
@@ -216,7 +217,7 @@
         run = state.Run(task, worker_state, number, now_ms, ticket)
         run.resumed = bool(task.checkpoint)
         self._attach(run)
-        if crashes.run_on_trial(worker_state) is run:
+        if suspect_runs.run_on_trial(worker_state) is run:
             self._log_trial(run)
         if step.spec.lasting or task.crashes != records.NO_CRASHES:
             sequence = self._record_placement(run)
--- a/figtray/scheduling/tests/test_advised_gangs.py
+++ b/figtray/scheduling/tests/test_advised_gangs.py
@@ -4,9 +4,9 @@
 
 from figtray.jobs import queues
 from figtray.jobs import records
-from figtray.scheduling import crashes
 from figtray.scheduling.tests import advised
 from figtray.scheduling.tests import harness
+from figtray.scheduling import trial_limits
 
 VALID_MS = advised.POLICY.valid_ms
 # Longest wait of a gang with room on approved workers.
@@ -174,7 +174,7 @@
     def test_adviser_is_not_asked_about_a_gang_with_a_suspect(self, site):
         tasks = site.submit(max_per_worker=1)
         self.suspect(site, tasks)
-        site.play(crashes.MAX_TRIAL_WAIT_MS // 2)
+        site.play(trial_limits.MAX_TRIAL_WAIT_MS // 2)
         assert site.whole(tasks)
         assert site.refused == []
 
--- a/figtray/scheduling/tests/test_deadly_tasks.py
+++ b/figtray/scheduling/tests/test_deadly_tasks.py
@@ -8,8 +8,10 @@
 from figtray.events import catalogue
 from figtray.jobs import records
 from figtray.scheduling import crashes
+from figtray.scheduling import run_ages
 from figtray.scheduling.tests import deadly
 from figtray.scheduling.tests import harness
+from figtray.scheduling import trial_limits
 
 LONG_MS = 60_000
 # The leader knows of a crash after this time.
@@ -132,7 +134,7 @@
     ):
         _, [task] = deadly.submit(fleet)
         site.run_ms = None
-        site.play(leader, 2 * crashes.SETTLED_MS)
+        site.play(leader, 2 * run_ages.SETTLED_MS)
         monkeypatch.setattr(fleet.client, 'report', close_connection)
         leader.report_all()
         assert leader.scheduler.find_task(task).placement is None
@@ -576,8 +578,8 @@
     @pytest.mark.parametrize(
         'waited_ms, starts',
         [
-            (crashes.MAX_TRIAL_WAIT_MS, False),
-            (crashes.MAX_APART_WAIT_MS, True),
+            (trial_limits.MAX_TRIAL_WAIT_MS, False),
+            (trial_limits.MAX_APART_WAIT_MS, True),
         ],
     )
     def test_suspect_waits_only_so_long_for_others(self, waited_ms, starts):
@@ -600,7 +602,7 @@
     def test_task_with_late_crashes_starts_beside_others_once_more(
         self, runs, late, starts
     ):
-        waited_ms = crashes.MAX_APART_WAIT_MS
+        waited_ms = trial_limits.MAX_APART_WAIT_MS
         assert self._starts_beside_another(waited_ms, runs, late) == starts
 
     def _starts_beside_another(self, waited_ms, runs, late):
--- a/figtray/scheduling/tests/test_sum_of_waits.py
+++ b/figtray/scheduling/tests/test_sum_of_waits.py
@@ -10,7 +10,6 @@
 from figtray.platform import main as node_main
 from figtray.platform import settings
 from figtray.platform import store as platform_store
-from figtray.scheduling import crashes
 from figtray.scheduling import job_lifecycle
 from figtray.scheduling import lease_horizon
 from figtray.scheduling import leases
@@ -25,6 +24,7 @@
 from figtray.scheduling.tests import harness
 from figtray.scheduling.tests import leaders
 from figtray.scheduling.tests import takeovers
+from figtray.scheduling import trial_limits
 from figtray.scheduling import trials
 from figtray.scheduling import writer as writers
 from figtray.store import base
@@ -158,7 +158,9 @@
         order_sender.STOP_TIMEOUT_MS + order_sender.RETRY_MS,
     )
     W22_TURN_MS = (
-        trials.MAX_TURN_WAIT_MS + crashes.LONG_TRIAL_MS + trials.TRIAL_RETRY_MS
+        trials.MAX_TURN_WAIT_MS
+        + trial_limits.LONG_TRIAL_MS
+        + trials.TRIAL_RETRY_MS
     )
     W21_MS = platform_store.CALL_TIMEOUT_MS + terms.RENEW_INTERVAL_MS
     # From the end of all other waits to the first order.
@@ -238,7 +240,7 @@
             2120,
         ),
         'W21': (W21_MS, 1700),
-        'W22': (crashes.MAX_APART_WAIT_MS + trials.TRIAL_RETRY_MS, 2600),
+        'W22': (trial_limits.MAX_APART_WAIT_MS + trials.TRIAL_RETRY_MS, 2600),
         'W22 turn': (W22_TURN_MS, 5100),
         'W24': (
             leases.longest_worker_lease_ms(
--- a/figtray/scheduling/tests/test_waits_for_trials.py
+++ b/figtray/scheduling/tests/test_waits_for_trials.py
@@ -6,11 +6,11 @@
 
 from figtray.blame import evidence
 from figtray.jobs import records
-from figtray.scheduling import crashes
 from figtray.scheduling.tests import deadly
 from figtray.scheduling.tests import harness
 from figtray.scheduling.tests import takeovers
 from figtray.scheduling.tests import test_sum_of_waits
+from figtray.scheduling import trial_limits
 from figtray.scheduling import trials
 
 # Crashed workers are back after this time.
@@ -27,7 +27,9 @@
     for run in (1, 2, 3)
 )
 # A bound of a wait, and the stated one.
-HELD_MS = trials.TRIAL_RETRY_MS + crashes.LONG_TRIAL_MS + trials.TRIAL_RETRY_MS
+HELD_MS = (
+    trials.TRIAL_RETRY_MS + trial_limits.LONG_TRIAL_MS + trials.TRIAL_RETRY_MS
+)
 STATED_MS = 5700
 # After a change of the leader.
 STATED_RESUMED_MS = 4200
@@ -282,19 +284,19 @@
     # The longest wait of each kind, and the bound that docs/design.md states.
     ROWS = {
         'trial required': (
-            crashes.MAX_REQUIRED_TRIAL_WAIT_MS + HELD_MS,
+            trial_limits.MAX_REQUIRED_TRIAL_WAIT_MS + HELD_MS,
             STATED_MS,
         ),
         'fewer crashes, or none': (
-            crashes.MAX_APART_WAIT_MS + HELD_MS,
+            trial_limits.MAX_APART_WAIT_MS + HELD_MS,
             STATED_MS,
         ),
         'apart': (
-            crashes.MAX_REQUIRED_APART_WAIT_MS + trials.TRIAL_RETRY_MS,
+            trial_limits.MAX_REQUIRED_APART_WAIT_MS + trials.TRIAL_RETRY_MS,
             STATED_MS,
         ),
         'after a change of the leader': (
-            crashes.RESUMED_TRIAL_WAIT_MS + HELD_MS,
+            trial_limits.RESUMED_TRIAL_WAIT_MS + HELD_MS,
             STATED_RESUMED_MS,
         ),
     }
--- a/figtray/scheduling/trial_waits.py
+++ b/figtray/scheduling/trial_waits.py
@@ -6,6 +6,7 @@
 from figtray.scheduling import adoption
 from figtray.scheduling import crashes
 from figtray.scheduling import placement
+from figtray.scheduling import trial_limits
 
 # Longest time between two plans while suspects wait.
 TRIAL_RETRY_MS = 100
@@ -38,7 +39,7 @@
                 task
                 # The planner puts the suspects of a step first.
                 for task in step.waiting.suspects(crashes.is_suspect)
-                if crashes.is_trial_preferred(task)
+                if trial_limits.is_trial_preferred(task)
             ]
             if not tasks or step.job.queue is None:
                 continue
@@ -98,12 +99,14 @@
         """
         suspects = list(step.waiting.suspects(crashes.is_suspect))
         if step.spec.lasting:
-            return any(crashes.is_held_by_trials(t, now_ms) for t in suspects)
+            return any(
+                trial_limits.is_held_by_trials(t, now_ms) for t in suspects
+            )
         # The oldest of the others follows the suspects.
         count = len(suspects) + is_free
         # What can start elsewhere has done so by now.
         return any(
-            crashes.is_held_by_trials(task, now_ms - TRIAL_RETRY_MS)
+            trial_limits.is_held_by_trials(task, now_ms - TRIAL_RETRY_MS)
             and self._has_worker_for(task, worker_states, now_ms)
             for task in itertools.islice(step.waiting, count)
         ) and self._quota.allows(
--- a/figtray/scheduling/trials.py
+++ b/figtray/scheduling/trials.py
@@ -6,7 +6,9 @@
 from figtray.events import log
 from figtray.scheduling import crashes
 from figtray.scheduling import placement
+from figtray.scheduling import run_ages
 from figtray.scheduling import tasks
+from figtray.scheduling import trial_limits
 from figtray.scheduling import trial_waits
 
 # Shares of the workers of a pool that may hold trials at a time: the first
@@ -15,7 +17,7 @@
 IDLE_SHARE = 0.75
 # Least age of the other runs on a worker as a trial starts there. A younger
 # one may still crash it, and the task on trial would be blamed.
-QUIET_MS = crashes.SETTLED_MS
+QUIET_MS = run_ages.SETTLED_MS
 # Longest time for which a task on trial awaits that its worker has no other
 # runs that end.
 EMPTY_WAIT_MS = 300
@@ -82,7 +84,7 @@
             self._overdue_suspects(now_ms),
             key=lambda task: (
                 not task.step.spec.lasting,
-                -crashes.waited_ms(task, now_ms),
+                -trial_limits.waited_ms(task, now_ms),
             ),
         ):
             pool = task.step.job.queue.pool
@@ -106,9 +108,9 @@
             and step.waiting.is_first(crashes.is_suspect)
             # The planner puts the suspects of a step first.
             for task in step.waiting.suspects(crashes.is_suspect)
-            if crashes.waited_ms(task, now_ms) >= MAX_TURN_WAIT_MS
+            if trial_limits.waited_ms(task, now_ms) >= MAX_TURN_WAIT_MS
             and not crashes.is_paused(task, now_ms)
-            and crashes.is_trial_needed(task, now_ms)
+            and trial_limits.is_trial_needed(task, now_ms)
             and self._quota.allows(
                 self._cfg.teams.get(step.job.spec.team), step.spec.needs
             )
@@ -217,7 +219,7 @@
         A TaskState; None if none of them needs a trial.
     """
     return max(
-        (task for task in tasks if crashes.is_trial_needed(task, now_ms)),
+        (task for task in tasks if trial_limits.is_trial_needed(task, now_ms)),
         key=lambda task: task.crashes.count,
         default=None,
     )
@@ -241,8 +243,10 @@
 
     One that an earlier leader began has gone on for an unknown time before.
     """
-    trial_ms = crashes.SETTLED_MS if run.adopted else crashes.LONG_TRIAL_MS
-    return crashes.has_gone_on(run, trial_ms, now_ms)
+    trial_ms = (
+        run_ages.SETTLED_MS if run.adopted else trial_limits.LONG_TRIAL_MS
+    )
+    return run_ages.has_gone_on(run, trial_ms, now_ms)
 
 
 def _is_one_of_several(run):
@@ -253,7 +257,7 @@
     return run.adopted and any(
         other is not run
         and other.adopted
-        and crashes.is_tried_each_time(other.task)
+        and trial_limits.is_tried_each_time(other.task)
         for other in run.worker_state.runs.values()
     )
 
@@ -262,7 +266,7 @@
     """End a trial before it shows whether a task crashes its worker."""
     worker_state.trial = None
     for run in worker_state.runs.values():
-        if crashes.is_trial_preferred(run.task):
+        if trial_limits.is_trial_preferred(run.task):
             run.untried = True
 
 
@@ -274,7 +278,7 @@
     """
     awaits_ends = now_ms - task.ready_ms < EMPTY_WAIT_MS
     return all(
-        crashes.has_gone_on(run, QUIET_MS, now_ms)
+        run_ages.has_gone_on(run, QUIET_MS, now_ms)
         and (run.task.step.spec.lasting or not awaits_ends)
         for run in worker_state.runs.values()
     )
--- a/figtray/scheduling/worker_ends.py
+++ b/figtray/scheduling/worker_ends.py
@@ -7,10 +7,14 @@
 from figtray.events import log
 from figtray.jobs import records
 from figtray import metrics
+from figtray.scheduling import crash_evidence
 from figtray.scheduling import crashes
 from figtray.scheduling import ends
 from figtray.scheduling import hand_over
+from figtray.scheduling import run_ages
 from figtray.scheduling import scheduler_base
+from figtray.scheduling import suspect_runs
+from figtray.scheduling import trial_limits
 
 
 class WorkerEnds(hand_over.HandOver):
@@ -170,26 +174,26 @@
 
     def _suspect_runs(self, worker_state):
         """Suspect the runs of a crashed worker; return their tasks."""
-        late_runs = crashes.late_runs(worker_state)
-        runs = crashes.suspects(worker_state)
+        late_runs = suspect_runs.late_runs(worker_state)
+        runs = suspect_runs.suspects(worker_state)
         for run in {*late_runs, *runs}:
-            if crashes.is_unlike_earlier(run):
+            if run_ages.is_unlike_earlier(run):
                 run.task.crashes = records.NO_CRASHES
         for run in late_runs:
             run.task.crashes = run.task.crashes.add_late(run.number)
-        alone = crashes.run_on_trial(worker_state) in runs or (
-            crashes.is_alone_untried(runs)
+        alone = suspect_runs.run_on_trial(worker_state) in runs or (
+            suspect_runs.is_alone_untried(runs)
         )
         for run in runs:
             task = run.task
             if alone:
                 self._count_late(task)
             # Long trials are more often hit by a crash that is chance.
-            is_early = alone and not crashes.was_seen_late(run)
+            is_early = alone and not run_ages.was_seen_late(run)
             task.crashes = task.crashes.add(
                 run.number, is_early
             ).note_evidence(self._evidence_of(run, is_early))
-            crashes.log_suspected(run)
+            crash_evidence.log_suspected(run)
         for run in late_runs:
             run.task.crashes = run.task.crashes.note_evidence(
                 self._evidence_of(run, False)
@@ -198,21 +202,21 @@
         shown = [
             run.task
             for run in runs
-            if alone or len(runs) == 1 or not crashes.is_late(run)
+            if alone or len(runs) == 1 or not run_ages.is_late(run)
         ]
         for run in dict.fromkeys((*late_runs, *runs)):
             run.task.trial_wait_offset_ms = 0
             if crashes.is_guilty_untried(run):
                 self._count_late(run.task)
                 shown.append(run.task)
-            crashes.note_age(run)
+            run_ages.note_age(run)
             self._store_crashes(run.task)
         return shown
 
     def _evidence_of(self, run, alone):
         worker_state, now_ms = run.worker_state, self._clock.now_ms()
         silent_ms = worker_state.silent_since_ms
-        return crashes.evidence_of(
+        return crash_evidence.evidence_of(
             run,
             alone,
             self._crashed_hosts.crashes_in_row(worker_state.host_key, now_ms),
@@ -235,9 +239,9 @@
             only_fresh: whether to leave out the runs that had gone on for a
                 while: a fault of the network may close many connections.
         """
-        for run in crashes.suspects(worker_state):
+        for run in suspect_runs.suspects(worker_state):
             task = run.task
-            if only_fresh and crashes.is_late(run):
+            if only_fresh and run_ages.is_late(run):
                 continue
             if task.placement is None and not task.step.job.ended:
                 self._record_placement(run)
@@ -269,9 +273,9 @@
             number = self._term.epoch * scheduler_base.RUNS_PER_TERM
             alone = (
                 kind == ends.Kind.CRASHED
-                and task.crashes.count >= crashes.CRASHES_TO_REQUIRE_TRIAL
+                and task.crashes.count >= trial_limits.CRASHES_TO_REQUIRE_TRIAL
             )
-            row = crashes.evidence_of_placed(
+            row = crash_evidence.evidence_of_placed(
                 number,
                 task.placement,
                 incarnation.host_id or incarnation.address,
@@ -293,7 +297,7 @@
                 crashes=task.crashes.count,
                 alone=task.crashes.alone,
                 after_ms=None,
-                evidence=crashes.describe([row]),
+                evidence=crash_evidence.describe([row]),
             )
             self._give_up_if_guilty(task)
 
@@ -324,9 +328,9 @@
         task, worker_state = run.task, run.worker_state
         if task.crashes == records.NO_CRASHES:
             return
-        if not crashes.is_trial_over(run, asked_ms):
+        if not trial_limits.is_trial_over(run, asked_ms):
             return
-        if crashes.run_on_trial(worker_state) is run:
+        if suspect_runs.run_on_trial(worker_state) is run:
             worker_state.trial = None
             log.emit(
                 catalogue.TRIAL_PASSED,
@@ -335,7 +339,7 @@
                 worker=worker_state.worker.worker_id,
             )
             self.changed.set()
-        if crashes.is_cleared(run, asked_ms):
+        if trial_limits.is_cleared(run, asked_ms):
             self._clear(task, 'it goes on')
 
     def _clear(self, task, reason):
