blame: crashes that are noticed late, and what each leader can know

Fix: a row has the least and the highest age. Only the least one can speak for a task, and ages that are known badly agree with all up to the highest. Rows of adopted runs have what this leader has seen as the least. Placements that were never confirmed have not arrived unless the worker was seen to crash. While other hosts crash as well, one more crash is needed. Rows are clipped as they are made. Hosts that need no rest cost no look at the workers; a gang is filtered once.

--- a/figtray/blame/evidence.py
+++ b/figtray/blame/evidence.py
@@ -9,6 +9,8 @@
 MAX_HOST_ID_LENGTH = 200
 # Longest time in a row: a hundred years.
 MAX_TIME_MS = 100 * 366 * 86_400_000
+# A run is seen in the reports of its worker that often, if its leader is well.
+MAX_UNSEEN_MS = 1600
 
 
 class Crash(msgspec.Struct, frozen=True, array_like=True):
@@ -18,6 +20,7 @@
         run: number of the run.
         host_id: id of the host.
         age_ms: for how long at most the run had gone on; None = unknown.
+        least_ms: for how long it had certainly gone on.
         up_ms: for how long the worker had been up when the start was sent;
             None = unknown.
         alone: whether the run was on trial, on a worker of its own, and the
@@ -26,8 +29,7 @@
         beside: number of other runs there.
         others: number of crashes of the host in a row before, without the
             task.
-        sure: whether the worker was seen to end then; if not, it has ended
-            at some time until then.
+        around: number of other hosts with crashes in a row, without the task.
     """
 
     run: int
@@ -38,7 +40,16 @@
     arrived: bool = False
     beside: int = 0
     others: int = 0
-    sure: bool = True
+    around: int = 0
+    least_ms: int = 0
+
+    @property
+    def sure(self):
+        """Whether the age is nearly known."""
+        return (
+            self.age_ms is not None
+            and self.age_ms - self.least_ms <= MAX_UNSEEN_MS
+        )
 
     @property
     def life_ms(self):
@@ -52,10 +63,39 @@
         return (
             f'{self.run}@{self.host_id} age={self.age_ms} up={self.up_ms} '
             f'alone={self.alone:d} arrived={self.arrived:d} '
-            f'beside={self.beside} others={self.others} sure={self.sure:d}'
+            f'beside={self.beside} others={self.others} '
+            f'around={self.around} least={self.least_ms}'
         )
 
 
+def make(**fields):
+    """Return a Crash whose fields are within their limits.
+
+    Args:
+        fields: those of Crash; a negative age counts as unknown.
+    """
+    age_ms, up_ms = fields.get('age_ms'), fields.get('up_ms')
+    if age_ms is not None and age_ms < 0:
+        age_ms = None
+    return Crash(
+        **fields
+        | {
+            'host_id': fields['host_id'][:MAX_HOST_ID_LENGTH],
+            'age_ms': _clip(age_ms),
+            'up_ms': _clip(up_ms),
+            'others': max(0, fields.get('others', 0)),
+            'around': max(0, fields.get('around', 0)),
+            'least_ms': max(0, min(fields.get('least_ms', 0), age_ms or 0)),
+        }
+    )
+
+
+def _clip(time_ms):
+    if time_ms is None:
+        return None
+    return max(0, min(time_ms, MAX_TIME_MS))
+
+
 def append(rows, crash):
     """Return rows with one more, the last MAX_ROWS of them.
 
--- a/figtray/blame/hosts.py
+++ b/figtray/blame/hosts.py
@@ -4,6 +4,7 @@
 
 # Crashes of a host that follow one another within this time are in a row.
 ROW_MS = 15_000
+PRUNE_INTERVAL_MS = 1000
 # Time for which a worker must have been up before it gets tasks, by the
 # crashes in a row before it. The first costs nothing; tasks that last have to
 # run again 7 s after the end of a disturbance, whatever their hosts did.
@@ -30,6 +31,7 @@
 
     def __init__(self):
         self._rows = {}
+        self._pruned_ms = 0
 
     def note_crash(self, host_id, now_ms, alive_ms=None):
         """Record that the worker of a host has crashed.
@@ -40,8 +42,7 @@
             alive_ms: local time at which it has last answered, or None.
         """
         self._prune(now_ms)
-        row = self._rows.get(host_id)
-        count = row.count if row else 0
+        count = self.crashes_in_row(host_id, now_ms)
         self._rows[host_id] = _Row(count + 1, now_ms, alive_ms)
 
     def most_up_ms(self, host_id, now_ms):
@@ -51,6 +52,11 @@
             return None
         return now_ms - row.alive_ms
 
+    def count(self, now_ms):
+        """Return the number of hosts with crashes not long ago."""
+        self._prune(now_ms)
+        return len(self._rows)
+
     def excuse(self, host_id):
         """Take back one crash of a host, which a task has caused."""
         row = self._rows.get(host_id)
@@ -70,7 +76,10 @@
         return REST_MS[min(count, len(REST_MS) - 1)]
 
     def _prune(self, now_ms):
-        """Forget the rows that are over; there are few."""
+        """Forget the rows that are over, now and then."""
+        if now_ms - self._pruned_ms < PRUNE_INTERVAL_MS:
+            return
+        self._pruned_ms = now_ms
         for host_id, row in list(self._rows.items()):
             if now_ms - row.last_ms > ROW_MS:
                 del self._rows[host_id]
--- a/figtray/blame/verdicts.py
+++ b/figtray/blame/verdicts.py
@@ -12,16 +12,14 @@
 EARLY_MS = 450
 # Largest difference between the other ages that are alike, and the same as a
 # share of the longest.
-AGE_SLACK_MS = 200
-AGE_TOLERANCE = 0.2
+ALIKE_SLACK_MS = 200
+ALIKE_TOLERANCE = 0.2
 # Least difference of two lives beyond that of the ages: a host that crashes
 # in its own time does so a little sooner or later.
 LIFE_SLACK_MS = 100
 # A worker that had been up for less before the start shows nothing, as the
 # age of the run is nearly that of the worker.
 LEAST_UP_MS = 900
-# A crash may be noticed so much later.
-NOTICE_MS = 1000
 # Least number of crashes that are alike for each that isn't, on a single
 # host. Those on several hosts need only be more than the others.
 ALIKE_PER_CHANCE = 3
@@ -30,6 +28,8 @@
 # Fewest crashes that show guilt, and the same if those on trial count twice.
 LEAST_CRASHES = 3
 LEAST_WEIGHT = 4
+# One more is needed while so many other hosts crash, too.
+MANY_AROUND = 2
 # After so many crashes of a host in a row without the task, one more shows
 # nothing. Fewer may be those of other such tasks.
 MANY_OTHERS = 4
@@ -61,15 +61,21 @@
     Args:
         rows: the evidence.Crashes of a task, oldest first.
     """
-    alike = _largest_alike([row for row in rows if _shows_something(row)])
-    if (
-        len(alike) < LEAST_CRASHES
-        or len(alike) + sum(row.alone for row in alike) < LEAST_WEIGHT
-        or _count_lives(alike) < LEAST_LIVES
-        or _is_contradicted(alike, rows)
-    ):
-        return Unproven()
-    return TaskAtFault(tuple(alike))
+    shown = [row for row in rows if _shows_something(row)]
+    alike = _largest_alike(shown)
+    if _are_enough(alike) and not _is_contradicted(alike, rows):
+        return TaskAtFault(tuple(alike))
+    return Unproven()
+
+
+def _are_enough(alike):
+    """Return whether crashes at one age show the guilt of their task."""
+    most_around = max((row.around for row in alike), default=0)
+    return (
+        len(alike) >= LEAST_CRASHES + (most_around >= MANY_AROUND)
+        and len(alike) + sum(row.alone for row in alike) >= LEAST_WEIGHT
+        and _count_lives(alike) >= LEAST_LIVES
+    )
 
 
 def least_up_ms(rows):
@@ -135,24 +141,22 @@
         alike: the rows whose ages agree.
         rows: all rows.
     """
-    longest = max(alike, key=lambda row: row.age_ms)
-    older_ms = longest.age_ms + max(NOTICE_MS, _age_slack_ms(longest))
+    ages_ms = [row.age_ms for row in alike if row.sure] or [0]
+    slack_ms = _age_slack_ms(max(alike, key=lambda row: row.age_ms))
     others = [
         row
         for row in rows
-        if row not in alike
-        and row.sure
-        and row.arrived
-        and row.age_ms is not None
+        if row not in alike and row.arrived and row.age_ms is not None
     ]
-    if any(row.age_ms > older_ms for row in others):
+    if any(row.least_ms > max(ages_ms) + slack_ms for row in others):
         return True
+    shorter = [row for row in others if row.age_ms < min(ages_ms)]
     if len({row.host_id for row in alike}) > 1:
-        return len(others) >= len(alike)
-    return len(others) > len(alike) // ALIKE_PER_CHANCE
+        return len(shorter) >= len(alike)
+    return len(shorter) > len(alike) // ALIKE_PER_CHANCE
 
 
 def _age_slack_ms(row):
     if row.age_ms <= EARLY_MS:
         return EARLY_MS
-    return max(AGE_SLACK_MS, AGE_TOLERANCE * row.age_ms)
+    return max(ALIKE_SLACK_MS, ALIKE_TOLERANCE * row.age_ms)
--- a/figtray/scheduling/crashes.py
+++ b/figtray/scheduling/crashes.py
@@ -62,15 +62,13 @@
         worker_state: the WorkerState.
         now_ms: local time.
     """
-    rows = task.crashes.evidence
-    if not rows or task.step.spec.lasting:
-        return True
-    up_ms = worker_state.up_ms(now_ms)
-    return up_ms is not None and up_ms >= least_up_ms(task)
+    return _has_been_up(worker_state, least_up_ms(task), now_ms)
 
 
 def least_up_ms(task):
     """Return how long a worker must have been up before a task starts."""
+    if task.step.spec.lasting:
+        return 0
     return verdicts.least_up_ms(task.crashes.evidence)
 
 
@@ -82,15 +80,25 @@
         worker_states: list of WorkerStates.
         now_ms: local time.
     """
+    least_ms = max(map(least_up_ms, tasks), default=0)
+    if not least_ms:
+        return worker_states
     found = [
         worker_state
         for worker_state in worker_states
-        if all(may_start_on(task, worker_state, now_ms) for task in tasks)
+        if _has_been_up(worker_state, least_ms, now_ms)
     ]
     # The candidates of a plan are kept in an order of their own.
     return worker_states if len(found) == len(worker_states) else found
 
 
+def _has_been_up(worker_state, least_ms, now_ms):
+    if not least_ms:
+        return True
+    up_ms = worker_state.up_ms(now_ms)
+    return up_ms is not None and up_ms >= least_ms
+
+
 def is_suspect(task):
     """Return whether a task may have crashed workers."""
     crashes = task.crashes
--- a/figtray/scheduling/tests/test_deadly_tasks.py
+++ b/figtray/scheduling/tests/test_deadly_tasks.py
@@ -1,5 +1,7 @@
 """Tests of tasks that crash the workers that start them."""
 
+import random
+
 import logbook
 import pytest
 
@@ -340,6 +342,93 @@
         assert leader.state(other) == records.State.COMPLETED
 
 
+class TestCrashesThatAreNoticedOddly:
+    """Crashes whose evidence is less than whole."""
+
+    # The leader had no failed request, so the age of the run was unknown and
+    # the task was started without end.
+    @pytest.mark.parametrize('workers', [1, 3, 8])
+    @pytest.mark.parametrize('keeps_ids', [False, True])
+    def test_worker_is_back_before_a_request_fails(
+        self, monkeypatch, workers, keeps_ids
+    ):
+        monkeypatch.setattr(deadly, 'BACK_MS', 100)
+        fleet = harness.Fleet(workers)
+        leader = fleet.elect_leader()
+        leader.report_all()
+        site = deadly.Site(fleet)
+        site.keeps_ids = keeps_ids
+        job_id, [task] = deadly.submit(fleet)
+        site.deadly = {task}
+        site.play(leader, LONG_MS)
+        assert site.crashes[task] <= deadly.MOST_CRASHES
+        assert leader.state(job_id) == records.State.FAILED
+
+    # A crash that a busy leader noticed late was taken for a run that had gone
+    # on for longer, and spoke for the task.
+    @pytest.mark.parametrize('delay_ms', [0, 1000])
+    @pytest.mark.parametrize('held_up_ms', [1200, 1800])
+    @pytest.mark.parametrize('workers', [1, 8])
+    def test_leader_is_held_up_once(self, delay_ms, held_up_ms, workers):
+        fleet = harness.Fleet(workers)
+        leader = fleet.elect_leader()
+        leader.report_all()
+        site = deadly.Site(fleet, delay_ms)
+        job_id, [task] = deadly.submit(fleet)
+        site.deadly = {task}
+        site.play_to_crash(leader, task)
+        fleet.clock.advance(held_up_ms)
+        site.play(leader, LONG_MS)
+        assert site.crashes[task] <= deadly.MOST_CRASHES
+        assert leader.state(job_id) == records.State.FAILED
+
+    # No two ages agreed.
+    @pytest.mark.parametrize('workers', [3, 8])
+    def test_crash_comes_at_any_age(self, workers):
+        fleet = harness.Fleet(workers)
+        leader = fleet.elect_leader()
+        leader.report_all()
+        site = deadly.Site(fleet)
+        job_id, [task] = deadly.submit(fleet)
+        site.deadly = {task}
+        rng = random.Random(1)
+        for _ in range(2 * deadly.MOST_CRASHES):
+            site.delays[task] = rng.randint(500, 3000)
+            site.play_to_crash(leader, task)
+        site.play(leader, LONG_MS)
+        assert site.crashes[task] <= deadly.MOST_CRASHES
+        assert leader.state(job_id) == records.State.FAILED
+
+
+class TestTermsOfASecond:
+    # Each leader knows of one crash only, and a run clears its task before it
+    # crashes its worker.
+    def test_late_crashes_are_counted(self, fleet, leader):
+        site = deadly.Site(fleet, delay_ms=2000)
+        _, [task] = deadly.submit(fleet)
+        site.deadly = {task}
+        for _ in range(60):
+            site.play(leader, 1100)
+            leader = fleet.elect_leader()
+            leader.report_all()
+        assert site.crashes[task] <= deadly.MOST_CRASHES
+
+
+class TestNeighboursOfADeadlyTask:
+    # They start with it on the only worker, each time, and their crashes look
+    # like its own.
+    def test_lasting_task_crashes_the_only_worker(self):
+        fleet = harness.Fleet(workers=1)
+        leader = fleet.elect_leader()
+        leader.report_all()
+        site = deadly.Site(fleet, delay_ms=1000, run_ms=2000)
+        _, [task] = deadly.submit(fleet, lasting=True)
+        site.deadly = {task}
+        jobs = [deadly.submit(fleet)[0] for _ in range(4)]
+        site.play(leader, LONG_MS)
+        assert records.State.FAILED not in states(fleet, jobs)
+
+
 class TestEvidence:
     # Neither the log nor the record told which crashes were held against a
     # task, on which hosts, and whether its starts had arrived there.
--- a/figtray/scheduling/worker_ends.py
+++ b/figtray/scheduling/worker_ends.py
@@ -74,6 +74,8 @@
         self._crashed_hosts.note_crash(
             host_id, self._clock.now_ms(), worker_state.clock_read_ms
         )
+        if not self._crashed_hosts.rest_ms(host_id, self._clock.now_ms()):
+            return
         for other in self._worker_states.values():
             if other.up_since_ms is not None and other.host_key == host_id:
                 self._rest(other)
@@ -229,13 +231,12 @@
         return shown
 
     def _evidence_of(self, run, alone):
-        worker_state, now_ms = run.worker_state, self._clock.now_ms()
-        silent_ms = worker_state.silent_since_ms
         return crash_evidence.evidence_of(
             run,
             alone,
-            self._crashed_hosts.crashes_in_row(worker_state.host_key, now_ms),
-            self._wall_ms(now_ms if silent_ms is None else silent_ms),
+            self._crashed_hosts,
+            self._clock.now_ms(),
+            self._clock.wall_ms(),
         )
 
     def _count_late(self, task):
@@ -294,6 +295,7 @@
                 number,
                 task.placement,
                 incarnation.host_id or incarnation.address,
+                kind,
                 self._clock.wall_ms(),
             )
             task.crashes = task.crashes.note_evidence(row)
