scheduling: smaller modules in place of job_lifecycle.py

Nothing else changed: a script that compares the syntax trees of all functions and constants of figtray/scheduling, module names left aside, finds no difference but in the docstrings of the classes. Two test modules name the new modules; no assertion changed otherwise.

--- a/figtray/scheduling/tests/test_many_tasks.py
+++ b/figtray/scheduling/tests/test_many_tasks.py
@@ -11,6 +11,7 @@
 from figtray.jobs import model
 from figtray.jobs import records
 from figtray.scheduling import job_lifecycle
+from figtray.scheduling import openings
 from figtray.scheduling import scheduler as schedulers
 from figtray.scheduling import state
 from figtray.scheduling import tasks
@@ -89,7 +90,7 @@
         for _ in range(2):
             leader.run_cycle()
         opened = len(leader.scheduler._open_steps)
-        assert opened <= job_lifecycle.MAX_WAITING_STEPS + 1
+        assert opened <= openings.MAX_WAITING_STEPS + 1
         assert len(harness.running(fleet)) == 2
         assert leader.state(small) == records.State.RUNNING
 
@@ -114,7 +115,7 @@
                 harness.finish(fleet, name)
             leader.advance(100)
         opened = len(leader.scheduler._open_steps)
-        assert opened <= job_lifecycle.MAX_WAITING_STEPS + 1
+        assert opened <= openings.MAX_WAITING_STEPS + 1
 
     # Guards against ordinary callers who wait while each plan ranks the jobs
     # of another that no worker can hold.
@@ -158,7 +159,7 @@
         for _ in range(3):
             leader.run_cycle()
         opened = count_objects(state.Occurrence) - before
-        assert 0 < opened <= job_lifecycle.MAX_OPEN_STEPS
+        assert 0 < opened <= openings.MAX_OPEN_STEPS
 
 
 class TestTasksThatHaveEnded:
--- a/figtray/scheduling/tests/test_sum_of_waits.py
+++ b/figtray/scheduling/tests/test_sum_of_waits.py
@@ -10,7 +10,7 @@
 from figtray.platform import main as node_main
 from figtray.platform import settings
 from figtray.platform import store as platform_store
-from figtray.scheduling import job_lifecycle
+from figtray.scheduling import job_ends
 from figtray.scheduling import lease_horizon
 from figtray.scheduling import leases
 from figtray.scheduling import membership
@@ -233,7 +233,7 @@
         'W16 no room': (outcomes.MAX_NO_CAPACITY_BACKOFF_MS, 1200),
         'W16 refused': (refusals.MAX_PAUSE_MS, 1200),
         'W16 unhealthy': (scheduler_base.UNHEALTHY_BACKOFF_MS, 1000),
-        'W16 failing': (job_lifecycle.FAILING_BACKOFF_MS, 4000),
+        'W16 failing': (job_ends.FAILING_BACKOFF_MS, 4000),
         'W17': (scheduler_base.ENDED_INCARNATION_TTL_MS, 5000),
         'W20': (
             waves.MAX_LASTING_WAIT_MS + controller.RECONCILE_INTERVAL_MS,
