soak: hosts whose workers crash again and again, beside sound jobs

What was missing: the soak crashed a worker once, or under a deadly task. The checks that it needs stood already: `failed only with a cause` lets no job fail that isn't deadly (no run of the soak's other jobs that end can end as failed, so this is stricter than counting those), and `accepted jobs complete`. With the usual load they see no crash loop, as nearly all runs are shorter than the lives of the workers, and crashes are held against whatever has just started.

Change: WORKER_CRASH_LOOP (figtray/soak/crash_loops.py), with a source of random numbers of its own, so that all seeds keep their other faults and callers' seeds. Half of the seeds have such loops. In these, two callers instead of eight submit short jobs, and one more submits sound jobs of one task of 4.5 cores and 3 to 8 s, five at a time, for a team without a limit. The site can crash a host and start it again without a timer. test_no_violations leaves the loops out, as it does the restarts: its seeds keep the schedules with which they failed.

Ruled out as a fault to show it: workers that start again under their ids.

--- a/figtray/platform/standin_site.py
+++ b/figtray/platform/standin_site.py
@@ -171,15 +171,33 @@
 
     def crash_for_a_while(self, worker):
         """End a worker; its host has another one after CRASH_S."""
-        host_id = worker.host_id
-        current = self._workers_by_host.get(host_id)
+        if self.crash_host(worker):
+            timer = threading.Timer(
+                CRASH_S, self.restart_host, (worker.host_id,)
+            )
+            timer.daemon = True
+            timer.start()
+
+    def crash_host(self, worker):
+        """End a worker; its host is down until it is started again.
+
+        Returns:
+            Whether the worker was still there.
+        """
+        current = self._workers_by_host.get(worker.host_id)
         if current is None or current.incarnation != worker.incarnation:
-            return
-        self._end_worker(host_id, ENTRY_MS)
+            return False
+        self._end_worker(worker.host_id, ENTRY_MS)
         self._on_crash(worker)
-        timer = threading.Timer(CRASH_S, self._restart_host, (host_id,))
-        timer.daemon = True
-        timer.start()
+        return True
+
+    def restart_host(self, host_id):
+        """Start another worker on a host that is down."""
+        host = self.hosts.hosts[host_id]
+        if host.state is fleet.HostState.DOWN and not self._stop.is_set():
+            self._start_worker(
+                dataclasses.replace(host, state=fleet.HostState.UP)
+            )
 
     def worker_on(self, host_id):
         """Return the fleet Worker of a host, or None if it has none."""
@@ -318,13 +336,6 @@
         )
         return worker
 
-    def _restart_host(self, host_id):
-        host = self.hosts.hosts[host_id]
-        if host.state is fleet.HostState.DOWN and not self._stop.is_set():
-            self._start_worker(
-                dataclasses.replace(host, state=fleet.HostState.UP)
-            )
-
     def _run_heartbeats(self):
         sequence = 0
         while not self._stop.is_set():
--- a/figtray/soak/faults.py
+++ b/figtray/soak/faults.py
@@ -53,6 +53,8 @@
     ORDERS_DELAYED = 'orders get no answer, and are carried out seconds later'
     WORKER_RESTART = 'workers crash and start again under their ids'
     WORKER_RESTART_CUT = 'workers start again and are cut off soon after'
+    # This comes in the crash loops of half of the seeds.
+    WORKER_CRASH_LOOP = 'workers crash again and again'
     # These come beside the others.
     WORKER_SHRINKS = 'the capacity of a worker shrinks and grows again'
     ODD_ENTRIES = 'odd entries are stored among those of the workers'
@@ -75,6 +77,7 @@
     *SERIES_KINDS,
     *CHANGE_KINDS,
     *RESTART_KINDS,
+    FaultKind.WORKER_CRASH_LOOP,
     *HARMLESS_KINDS,
 )
 # A kind that is added here changes the schedule of each seed.
--- a/figtray/soak/injector.py
+++ b/figtray/soak/injector.py
@@ -11,6 +11,7 @@
 from figtray.leadership import term as terms
 from figtray.platform import standin_config
 from figtray.platform import standin_site as sites
+from figtray.soak import crash_loops
 from figtray.soak import faults
 from figtray.soak import late_orders
 from figtray.soak import odd_entries
@@ -156,6 +157,11 @@
                     self._site, self._proxies, fault, self._stop
                 )
                 begin, end, targets = restart.begin, restart.end, restart.names
+            case kinds.WORKER_CRASH_LOOP:
+                loop = crash_loops.CrashLoop(
+                    self._site, self._proxies, fault, threading.Event()
+                )
+                begin, end, targets = loop.begin, loop.end, loop.names
             case kinds.WORKER_CRASH:
                 targets, host_id = {'crash'}, self._select_host(fault)
                 begin = functools.partial(self._site.crash_worker, host_id)
--- a/figtray/soak/invariants.py
+++ b/figtray/soak/invariants.py
@@ -9,6 +9,7 @@
 from figtray.jobs import model
 from figtray.soak import callers
 from figtray.soak import capacities
+from figtray.soak import crash_loops
 from figtray.soak import deadly
 from figtray.soak import lasting
 from figtray.soak import observations
@@ -38,7 +39,7 @@
     Args:
         clock: Clock to use.
         limit_milli: limit of the team of the jobs that are neither lasting
-            nor deadly, in thousandths of a core.
+            nor deadly nor slow, in thousandths of a core.
         task_milli: need of each of its tasks in thousandths of a core.
     """
 
@@ -146,7 +147,7 @@
 
     def _check_team_limit(self, task):
         team = self._team_of(task)
-        if team is deadly.TEAM:
+        if team in (deadly.TEAM, crash_loops.TEAM):
             return
         limit_milli, task_milli = self._limit_milli, self._task_milli
         if team is lasting.TEAM:
@@ -166,6 +167,8 @@
         job = self.jobs.get(model.parse_task_id(task).job_id)
         if job and job.lasting:
             return lasting.TEAM
+        if job and job.slow:
+            return crash_loops.TEAM
         return deadly.TEAM if job and job.deadly else None
 
     def _check_zone(self, sim, task, now_ms):
--- a/figtray/soak/lasting.py
+++ b/figtray/soak/lasting.py
@@ -7,6 +7,7 @@
 from figtray.platform import standin_config
 from figtray.soak import callers
 from figtray.soak import capacities
+from figtray.soak import crash_loops
 from figtray.soak import deadly
 
 TEAM = standin_config.Team('lasting', 'lasting-key', 8000)
@@ -55,7 +56,8 @@
 
     Args:
         rng: random.Random to use.
-        run_ms: (shortest, longest) time of runs of jobs that do not last.
+        run_ms: (shortest, longest) time of runs of jobs that neither last nor
+            are slow.
         jobs: mapping of job id to observations.Job.
         task: name of the task; if it lasts, its runs may only fail.
     """
@@ -65,6 +67,8 @@
         return delay_ms, messages.EndReason.FAILED
     if job is not None and job.deadly:
         return rng.uniform(*deadly.CRASH_DELAY_MS), None
+    if job is not None and job.slow:
+        run_ms = crash_loops.SLOW_RUN_MS
     return rng.uniform(*run_ms), messages.EndReason.DONE
 
 
--- a/figtray/soak/observations.py
+++ b/figtray/soak/observations.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 
+from figtray.soak import crash_loops
 from figtray.soak import deadly
 
 
@@ -52,6 +53,14 @@
         """Whether its tasks crash their workers."""
         return any(step.get('image') == deadly.IMAGE for step in self.steps)
 
+    @property
+    def slow(self):
+        """Whether the runs of its tasks take seconds."""
+        estimate_ms = crash_loops.SLOW_ESTIMATE_MS
+        return any(
+            step.get('estimate_ms') == estimate_ms for step in self.steps
+        )
+
     @property
     def is_owed(self):
         """Whether it was accepted, can be done and isn't to be cancelled."""
--- a/figtray/soak/series.py
+++ b/figtray/soak/series.py
@@ -31,6 +31,10 @@
 CUT_PROBABILITY = 0.8
 KILL_PROBABILITY = 0.5
 KILL_S = (0.3, 2.0)
+CRASH_LOOPS_PROBABILITY = 0.5
+FIRST_CRASH_LOOP_S = (0.5, 2.0)
+MEAN_CRASH_LOOP_S = 4.0
+CRASH_LOOP_S = (6.0, 14.0)
 
 
 def make_series(rng, length_s, kinds=KINDS):
@@ -97,3 +101,30 @@
             kill_s = rng.uniform(restart_s + down_s, cut_at_s)
             add(kill_s, rng.uniform(*KILL_S), kinds.KILL, choice, leader=True)
     return sorted(series, key=lambda fault: fault.at_s)
+
+
+def make_crash_loops(rng, length_s):
+    """Return a list of Faults of crash loops, sorted by start.
+
+    Half of the seeds have none.
+
+    Args:
+        rng: random.Random to use.
+        length_s: time in seconds in which all faults begin and end.
+    """
+    if rng.random() >= CRASH_LOOPS_PROBABILITY:
+        return []
+    loops, at_s = [], rng.uniform(*FIRST_CRASH_LOOP_S)
+    while at_s < length_s:
+        for_s = min(rng.uniform(*CRASH_LOOP_S), length_s - at_s)
+        loops.append(
+            faults.Fault(
+                round(at_s, 3),
+                round(for_s, 3),
+                faults.FaultKind.WORKER_CRASH_LOOP,
+                rng.getrandbits(16),
+                False,
+            )
+        )
+        at_s += rng.expovariate(1 / MEAN_CRASH_LOOP_S)
+    return loops
--- a/figtray/soak/soak.py
+++ b/figtray/soak/soak.py
@@ -15,6 +15,7 @@
 from figtray.platform import standin_nodes
 from figtray.platform import standin_site as sites
 from figtray.soak import callers as callers_lib
+from figtray.soak import crash_loops
 from figtray.soak import deadly
 from figtray.soak import faults as faults_lib
 from figtray.soak import injector as injectors
@@ -125,7 +126,7 @@
                 RUN_DURATION_MS,
                 self._checker.jobs,
             ),
-            other_teams=(lasting.TEAM, deadly.TEAM),
+            other_teams=(lasting.TEAM, deadly.TEAM, crash_loops.TEAM),
             on_crash=self._refuse_connections,
             hold_max_ms=random.Random(f'holds {seed}').choice(HOLD_MAX_MS),
         )
@@ -199,11 +200,20 @@
         deadly_caller = functools.partial(
             deadly.DeadlyCaller, self._deadly_jobs
         )
+        kinds = {fault.kind for fault in self._schedule}
+        has_loops = faults_lib.FaultKind.WORKER_CRASH_LOOP in kinds
+        caller_seeds = self._caller_seeds
+        if has_loops:
+            caller_seeds = caller_seeds[: crash_loops.CALLER_COUNT]
         callers = [
-            *((callers_lib.Caller, seed) for seed in self._caller_seeds),
+            *((callers_lib.Caller, seed) for seed in caller_seeds),
             (lasting.LastingCaller, f'lasting {self._seed}'),
             (deadly_caller, f'deadly {self._seed}'),
         ]
+        if has_loops:
+            callers.append(
+                (crash_loops.SlowCaller, f'slow {self._seed}'),
+            )
         threads = [
             caller(
                 random.Random(seed),
@@ -317,6 +327,9 @@
             random.Random(f'changes {seed}'), length_s, series.CHANGE_KINDS
         ),
         *series.make_restarts(random.Random(f'restarts {seed}'), length_s),
+        *series.make_crash_loops(
+            random.Random(f'crash loops {seed}'), length_s
+        ),
         *faults_lib.make_schedule(
             random.Random(f'shrinkages {seed}'),
             shrink_s,
--- a/figtray/soak/tests/test_soak.py
+++ b/figtray/soak/tests/test_soak.py
@@ -59,6 +59,12 @@
     faults.Fault(0.9, 6.0, faults.FaultKind.ORDERS_DELAYED, 1, False),
     faults.Fault(1.0, 0.3, faults.FaultKind.KILL, 0, True),
 )
+# The workers of both racks crash again and again, 0.77 and 0.88 s after their
+# starts, and come back as others. Sound jobs were given up after 20 s of it.
+CRASH_LOOPS = tuple(
+    faults.Fault(0.5, 19.5, faults.FaultKind.WORKER_CRASH_LOOP, choice, False)
+    for choice in (138, 363)
+)
 RELOAD_AT_THE_END = (
     faults.Fault(8.0, 0.1, faults.FaultKind.RELOAD, 0, False),
 )
@@ -171,6 +177,8 @@
         for kinds in (series.KINDS, series.CHANGE_KINDS):
             schedule += series.make_series(random.Random(5), 300, kinds)
         schedule += series.make_restarts(random.Random(5), 300)
+        # Random(5) draws none.
+        schedule += series.make_crash_loops(random.Random(1), 300)
         schedule += faults.make_schedule(
             random.Random(5), 300, faults.HARMLESS_KINDS
         )
@@ -183,7 +191,8 @@
     @pytest.mark.parametrize('seed', SEEDS)
     def test_no_violations(self, seed, tmp_path, monkeypatch):
         # These seeds keep the schedules with which they failed.
-        monkeypatch.setattr(series, 'make_restarts', lambda rng, length_s: [])
+        for name in ('make_restarts', 'make_crash_loops'):
+            monkeypatch.setattr(series, name, lambda rng, length_s: [])
         result = soak.Soak(seed, DURATION_S, 2, tmp_path).run()
         assert not result.violations, report.summarize(result)
         assert result.jobs.get('completed')
@@ -220,6 +229,12 @@
         assert not result.violations, report.summarize(result)
         assert len(result.hits) == len(RESTARTS_UNDER_IDS)
 
+    # Guards against crashes of hosts that are held against sound tasks.
+    def test_hosts_crash_again_and_again(self, tmp_path):
+        result = soak.Soak(3, DURATION_S, 3, tmp_path, CRASH_LOOPS).run()
+        assert not result.violations, report.summarize(result)
+        assert len(result.hits) == len(CRASH_LOOPS)
+
     # Guards against tasks that crash one worker after the other.
     def test_tasks_crash_their_workers(self, tmp_path):
         result = soak.Soak(
