blame: crashes that a busy leader notices late fit those at one age

Fix: three have to agree as before; beside them those count that may have had the same age, as the leader hasn't seen the run go on for longer.

--- a/figtray/blame/tests/test_verdicts.py
+++ b/figtray/blame/tests/test_verdicts.py
@@ -38,6 +38,19 @@
         assert is_at_fault(rows)
         assert not is_at_fault(rows[:3])
 
+    # A busy leader notices some of them later.
+    def test_early_crashes_that_are_noticed_at_other_ages(self):
+        rows = make_rows(
+            (610, 3100),
+            (672, 3700),
+            (13, 7100),
+            (9, 5900),
+            (8, 4100),
+            least_ms=0,
+        )
+        assert is_at_fault(rows)
+        assert not is_at_fault(rows[:4])
+
     def test_late_crashes_at_the_same_age(self):
         rows = make_rows(
             (5000, 2000), (5100, 4000), (4900, 30_000), (5000, 8000)
--- a/figtray/blame/verdicts.py
+++ b/figtray/blame/verdicts.py
@@ -63,21 +63,41 @@
     """
     shown = [row for row in rows if _shows_something(row)]
     alike = _largest_alike(shown)
-    if _are_enough(alike) and not _is_contradicted(alike, rows):
-        return TaskAtFault(tuple(alike))
+    fitting = [*alike, *_noticed_late(alike, shown)]
+    if _are_enough(alike, fitting) and not _is_contradicted(fitting, rows):
+        return TaskAtFault(tuple(fitting))
     return Unproven()
 
 
-def _are_enough(alike):
-    """Return whether crashes at one age show the guilt of their task."""
-    most_around = max((row.around for row in alike), default=0)
+def _are_enough(alike, fitting):
+    """Return whether crashes at one age show the guilt of their task.
+
+    Args:
+        alike: the rows whose ages agree.
+        fitting: these, and those that may have been noticed late.
+    """
+    most_around = max((row.around for row in fitting), default=0)
     return (
-        len(alike) >= LEAST_CRASHES + (most_around >= MANY_AROUND)
-        and len(alike) + sum(row.alone for row in alike) >= LEAST_WEIGHT
+        len(alike) >= LEAST_CRASHES
+        and len(fitting) >= LEAST_CRASHES + (most_around >= MANY_AROUND)
+        and len(fitting) + sum(row.alone for row in fitting) >= LEAST_WEIGHT
         and _count_lives(alike) >= LEAST_LIVES
     )
 
 
+def _noticed_late(alike, rows):
+    """Return the rows that may have the age of those that are alike.
+
+    A busy leader notices a crash some time after it.
+    """
+    longest_ms = max((row.age_ms for row in alike if row.sure), default=0)
+    return [
+        row
+        for row in rows
+        if row not in alike and row.least_ms <= longest_ms < row.age_ms
+    ]
+
+
 def least_up_ms(rows):
     """Return how long a worker must have been up before the next start.
 
